--- /dev/null
+++ b/src/controlplane/board.ts
@@ -0,0 +1,96 @@
+// The board: soft state that the sequencer shows to the other coordinators and they to the sites.
+// Boards are ordered by (epoch, seq); an older one never replaces a newer one.
+import { groupDriver } from '../coordination/group/driver.js';
+import { channel } from '../transport/inner/channel.js';
+import type { Board } from '../types.js';
+import { sessions } from './sessions.js';
+import type { Coordinator, Session } from './parts.js';
+
+const refreshMs = 400;
+const legMs = 500;
+
+type BoardCall = { board: Board | null };
+type BoardReply = { have: [number, number]; sessions: Session[] };
+
+function empty(): Board {
+  return { epoch: 0, seq: 0, runners: null, hot: [], gather: 0, total: 0, sites: 0 };
+}
+
+function newer(a: Board, epoch: number, seq: number): boolean {
+  return a.epoch > epoch || (a.epoch === epoch && a.seq > seq);
+}
+
+function wake(c: Coordinator): void {
+  for (const w of [...c.waiters]) {
+    if (w.due()) {
+      c.waiters.delete(w);
+      w.answer();
+    }
+  }
+}
+
+// Changes the board; only the sequencer does, and the others are told at once.
+function change(c: Coordinator, part: Partial<Board>): void {
+  const epoch = c.group.machine.epoch;
+  const seq = c.board.epoch === epoch ? c.board.seq + 1 : 1;
+  c.board = { ...c.board, ...part, epoch, seq };
+  wake(c);
+  tellAll(c, true);
+}
+
+const state = new WeakMap<Coordinator, Map<string, { have: [number, number]; busy: boolean; again: boolean }>>();
+
+function partnerState(c: Coordinator, addr: string): { have: [number, number]; busy: boolean; again: boolean } {
+  let m = state.get(c);
+  if (!m) {
+    m = new Map();
+    state.set(c, m);
+  }
+  let p = m.get(addr);
+  if (!p) {
+    p = { have: [0, 0], busy: false, again: false };
+    m.set(addr, p);
+  }
+  return p;
+}
+
+function tellAll(c: Coordinator, onlyNews: boolean): void {
+  if (!groupDriver.isSequencer(c.group)) return;
+  for (const p of c.group.machine.partners.values()) void tell(c, p.id, p.addr, onlyNews);
+}
+
+async function tell(c: Coordinator, id: string, addr: string, onlyNews: boolean): Promise<void> {
+  const p = partnerState(c, addr);
+  if (p.busy) {
+    p.again = true;
+    return;
+  }
+  const news = newer(c.board, p.have[0], p.have[1]);
+  if (onlyNews && !news) return;
+  p.busy = true;
+  const call: BoardCall = { board: news ? c.board : null };
+  const r = await channel.post<BoardReply>(c.agent, addr, '/inner/board', call, legMs);
+  p.busy = false;
+  if (r.ok) {
+    p.have = r.value.have;
+    c.partnerSessions.set(id, r.value.sessions);
+  }
+  if (p.again && r.ok) {
+    p.again = false;
+    void tell(c, id, addr, true);
+  }
+}
+
+function receive(c: Coordinator, call: BoardCall): BoardReply {
+  if (call.board && newer(call.board, c.board.epoch, c.board.seq)) {
+    c.board = call.board;
+    wake(c);
+  }
+  return { have: [c.board.epoch, c.board.seq], sessions: sessions.own(c) };
+}
+
+function start(c: Coordinator): NodeJS.Timeout {
+  return setInterval(function refresh() { tellAll(c, false); }, refreshMs);
+}
+
+export const boards = { empty, newer, change, wake, receive, start };
--- /dev/null
+++ b/src/controlplane/news.ts
@@ -0,0 +1,50 @@
+// Answers a site's question for news: at once when there is something it does not have, otherwise
+// when there is or the hold runs out. Says whether this coordinator is itself up to date, so that a
+// site can turn to another.
+import { groupDriver } from '../coordination/group/driver.js';
+import type { NewsAnswer, NewsCall } from '../types.js';
+import { boards } from './board.js';
+import { sessions } from './sessions.js';
+import type { Coordinator, Waiter } from './parts.js';
+
+const longestHoldMs = 2000;
+
+function hasNews(c: Coordinator, call: NewsCall): boolean {
+  const s = c.group.state;
+  return (s.configuration?.revision ?? 0) > call.revision || s.weightsSeq > call.weights || boards.newer(c.board, call.board[0], call.board[1]);
+}
+
+function answerOf(c: Coordinator, call: NewsCall): NewsAnswer {
+  const s = c.group.state;
+  const m = c.group.machine;
+  return {
+    configuration: (s.configuration?.revision ?? 0) > call.revision ? s.configuration : null,
+    weights: s.weightsSeq > call.weights ? s.weights : null, weightsSeq: s.weightsSeq,
+    board: boards.newer(c.board, call.board[0], call.board[1]) ? c.board : null,
+    sequencer: groupDriver.sequencerControl(c.group),
+    coordinators: m.roster.map(function at(x) { return x.addr; }),
+    fresh: groupDriver.fresh(c.group),
+  };
+}
+
+function call(c: Coordinator, n: NewsCall): Promise<NewsAnswer> {
+  sessions.touch(c, n.site, n.life);
+  return new Promise(function run(done) {
+    if (hasNews(c, n)) return done(answerOf(c, n));
+    const w: Waiter = {
+      due: function due() { return hasNews(c, n); },
+      answer: function answer() {
+        clearTimeout(timer);
+        sessions.touch(c, n.site, n.life);
+        done(answerOf(c, n));
+      },
+    };
+    const timer = setTimeout(function over() {
+      c.waiters.delete(w);
+      w.answer();
+    }, Math.min(longestHoldMs, n.hold));
+    c.waiters.add(w);
+  });
+}
+
+export const news = { call };
--- /dev/null
+++ b/src/controlplane/operator.ts
@@ -0,0 +1,90 @@
+// The operator's calls. Any coordinator takes them; the sequencer judges them one at a time, orders
+// what is to be ordered and acknowledges only what a majority has synced. The others hand the call
+// over inside and pass the answer on.
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { Mutex } from 'async-mutex';
+import { groupDriver } from '../coordination/group/driver.js';
+import { judge } from '../state/control/judge.js';
+import { answers, type Answer } from '../transport/http/answer.js';
+import { channel } from '../transport/inner/channel.js';
+import { ringLog } from '../logging/ring.js';
+import type { OperatorAnswer, OperatorCall } from '../types.js';
+import type { Coordinator } from './parts.js';
+
+const mostBytes = 16 * 1024 * 1024;
+const waitMs = 2500;
+const lookMs = 40;
+const turns = new WeakMap<Coordinator, Mutex>();
+
+const known: Record<string, string[]> = { '/v1/config': ['GET', 'PUT', 'PATCH'], '/v1/version-put': ['POST'] };
+
+function turn(c: Coordinator): Mutex {
+  let m = turns.get(c);
+  if (!m) {
+    m = new Mutex();
+    turns.set(c, m);
+  }
+  return m;
+}
+
+function fixed(status: number, value: unknown): OperatorAnswer {
+  return { status, body: JSON.stringify(value) };
+}
+
+const unsettled = fixed(503, { message: 'no sequencer is sure of its epoch; send the call again' });
+
+async function read(c: Coordinator): Promise<OperatorAnswer> {
+  if (!await groupDriver.confirm(c.group, waitMs)) return unsettled;
+  const now = c.group.state.configuration;
+  return now ? fixed(200, now) : fixed(404, { message: 'there is no configuration yet' });
+}
+
+async function change(c: Coordinator, call: OperatorCall): Promise<OperatorAnswer> {
+  return turn(c).runExclusive(async function one(): Promise<OperatorAnswer> {
+    if (!await groupDriver.confirm(c.group, waitMs)) return unsettled;
+    const v = judge.call(c.group.state, call);
+    if (v.v === 'refused') return { status: v.status, body: String(answers.refusal(v.status, v.findings).body) };
+    if (v.v === 'taken') return fixed(200, { message: 'taken before' });
+    const ok = await groupDriver.propose(c.group, v.command);
+    ringLog.note(c.log, { ok, kind: v.command.c, revision: v.command.c === 'configure' ? v.command.configuration.revision : v.command.revision }, 'ordered');
+    return ok ? fixed(200, { message: 'taken' }) : unsettled;
+  });
+}
+
+// Judges a call here, as the sequencer; null when this node is not it.
+async function decide(c: Coordinator, call: OperatorCall): Promise<OperatorAnswer | null> {
+  if (!groupDriver.isSequencer(c.group)) return null;
+  return call.method === 'GET' ? read(c) : change(c, call);
+}
+
+async function handOver(c: Coordinator, call: OperatorCall): Promise<OperatorAnswer> {
+  const until = performance.now() + waitMs;
+  for (;;) {
+    const here = await decide(c, call);
+    if (here && here.status !== 503) return here;
+    const left = until - performance.now();
+    if (left <= 0) return unsettled;
+    const to = groupDriver.sequencerControl(c.group);
+    if (to !== null && to !== c.group.machine.addr) {
+      const r = await channel.post<OperatorAnswer | null>(c.agent, to, '/inner/operator', call, Math.min(left, 1500));
+      if (r.ok && r.value !== null && r.value.status !== 503) return r.value;
+    }
+    await new Promise(function pause(done) { setTimeout(done, lookMs); });
+  }
+}
+
+async function handle(c: Coordinator, req: IncomingMessage, res: ServerResponse): Promise<void> {
+  const path = (req.url ?? '').split('?')[0] ?? '';
+  const methods = known[path];
+  if (!methods) return answers.send(res, answers.refusal(404, [{ place: 'path', text: `there is no ${path}` }]));
+  const method = req.method ?? '';
+  if (!methods.includes(method)) return answers.send(res, answers.refusal(405, [{ place: 'method', text: `${path} takes ${methods.join(', ')}` }]));
+  const body = await channel.body(req, mostBytes);
+  if (body === null) return answers.send(res, answers.refusal(413, [{ place: '(whole)', text: `over ${mostBytes} bytes, or cut short` }]), true);
+  const match = req.headers['if-match'];
+  const r = await handOver(c, { method, path, match: typeof match === 'string' ? match : null, body });
+  const a: Answer = { status: r.status, headers: { 'Content-Type': 'application/json' }, body: r.body };
+  answers.send(res, a);
+}
+
+export const operator = { handle, decide };
--- /dev/null
+++ b/src/controlplane/parts.ts
@@ -0,0 +1,17 @@
+// What the parts of a coordinator share: its settings, the group, its log and the board it shows.
+import type { Agent } from 'node:http';
+import type { GroupDriver } from '../coordination/group/driver.js';
+import type { Log } from '../logging/ring.js';
+import type { Board, CountCall, Settings } from '../types.js';
+
+export type Session = { site: string; life: string; seenAt: number };
+export type Waiter = { due: () => boolean; answer: () => void };
+
+export type Coordinator = {
+  settings: Settings; log: Log; group: GroupDriver; agent: Agent;
+  board: Board;
+  sessions: Map<string, Session>;
+  partnerSessions: Map<string, Session[]>;
+  waiters: Set<Waiter>;
+  relayed: CountCall[];
+};
--- /dev/null
+++ b/src/coordination/group/driver.ts
@@ -0,0 +1,233 @@
+// Gives the group machine its beat, its sockets and its disk. It holds no rules of its own: it feeds
+// events in, carries effects out, and tells the rest of the program what was delivered.
+import { EventEmitter } from 'node:events';
+import { randomBytes } from 'node:crypto';
+import type { Agent } from 'node:http';
+import type { Member, Settings } from '../../types.js';
+import { channel } from '../../transport/inner/channel.js';
+import { recovery } from '../../state/log/recover.js';
+import { store, type Store } from '../../state/log/store.js';
+import { control, type Command, type ControlState } from '../../state/control/reducer.js';
+import { ringLog, type Log } from '../../logging/ring.js';
+import { group } from './machine.js';
+import { log } from './log.js';
+import type { GroupEffect, GroupEvent, GroupState, Message, Timing, View } from './types.js';
+
+const timing: Timing = { beatMs: 150, silenceMs: 700, spreadMs: 500, legMs: 400, goneMs: 1500, yieldMs: 700 };
+const tickMs = 50;
+const joinMs = 300;
+const compactBytes = 4 * 1024 * 1024;
+const legMs = 600;
+
+type Pending = { index: number; epoch: number; done: (ok: boolean) => void };
+export type GroupDriver = EventEmitter & {
+  machine: GroupState; store: Store; state: ControlState; agent: Agent; log: Log;
+  pending: Pending[]; outbox: Map<string, Message[]>; open: Map<string, number>; seeds: string[]; beat: NodeJS.Timeout | null; joinAt: number;
+};
+
+function innerAddr(control: string, port: number): string {
+  return `${control.slice(0, control.lastIndexOf(':'))}:${port}`;
+}
+
+function seedMembers(s: Settings): Member[] {
+  return s.seed_addrs.map(function one(c) {
+    const addr = innerAddr(c, s.port_range[0]);
+    return { id: `${addr}#first`, addr, control: c };
+  });
+}
+
+function create(s: Settings, l: Log): GroupDriver {
+  const dir = s.data_dir!;
+  const control_ = s.bind_addrs.control_addr!;
+  const addr = innerAddr(control_, s.port_range[0]);
+  const found = recovery.recover(dir);
+  const now = performance.now();
+  const seeds = seedMembers(s);
+  const firstly = found.k === 'empty' && s.is_first_start && seeds.some(function me(m) { return m.addr === addr; });
+  const none: View = { index: 0, epoch: 0, members: firstly ? seeds : [], state: control.empty() };
+  const me = found.k === 'whole' ? found.found.me : firstly ? `${addr}#first` : `${addr}#${randomBytes(6).toString('hex')}`;
+  const view = found.k === 'whole' ? found.found.view : none;
+  const entries = found.k === 'whole' ? found.found.entries : [];
+  const epoch = found.k === 'whole' ? found.found.epoch : 0;
+  const vote = found.k === 'whole' ? found.found.vote : null;
+  if (found.k === 'lost') ringLog.trouble(l, { why: found.why }, 'the disk lost what it held: joining as a new incarnation');
+  const machine = group.create({
+    me, addr, control: control_, timing, seed: randomBytes(4).readUInt32LE(0), target: Math.max(1, seeds.length),
+    epoch, vote, view, entries, now,
+  });
+  const nextSegment = found.k === 'whole' ? found.found.nextSegment : found.nextSegment;
+  const st = store.create(dir, me, nextSegment, found.k === 'whole' ? log.last(machine) : 0, epoch, vote);
+  const d: GroupDriver = Object.assign(new EventEmitter(), {
+    machine, store: st, state: view.state as ControlState, agent: channel.agent(), log: l, pending: [],
+    outbox: new Map<string, Message[]>(), open: new Map<string, number>(), seeds: seeds.map(function at(m) { return m.addr; }), beat: null, joinAt: 0,
+  });
+  store.keepView(st, view, function tail() { return tailOf(d); }, false);
+  st.on('synced', function kept(token: number) { step(d, { e: 'synced', token }); });
+  st.on('trouble', function bad(err: Error) { ringLog.trouble(l, { why: err.message }, 'the disk refused a write'); });
+  ringLog.note(l, { me, found: found.k, last: log.last(machine), epoch, roster: machine.roster.length }, 'group opened');
+  return d;
+}
+
+function tailOf(d: GroupDriver): { epoch: number; vote: string | null; entries: GroupState['entries'] } {
+  return { epoch: d.machine.epoch, vote: d.machine.vote, entries: d.machine.entries };
+}
+
+function start(d: GroupDriver): void {
+  d.beat = setInterval(function tick() {
+    step(d, { e: 'beat' });
+    join(d);
+  }, tickMs);
+}
+
+function step(d: GroupDriver, ev: GroupEvent): GroupEffect[] {
+  const out = group.step(d.machine, ev, performance.now());
+  for (const f of out) carry(d, f);
+  return out;
+}
+
+function carry(d: GroupDriver, f: GroupEffect): void {
+  switch (f.f) {
+    case 'send': return post(d, f.addr, f.message);
+    case 'write':
+      store.write(d.store, f.records, f.token);
+      return;
+    case 'deliver': return deliver(d, f);
+    case 'install':
+      d.state = f.view.state as ControlState;
+      failAll(d);
+      store.keepView(d.store, f.view, function tail() { return tailOf(d); }, true);
+      d.emit('delivered');
+      return;
+    case 'phase':
+      ringLog.note(d.log, { phase: f.phase, epoch: f.epoch }, 'phase');
+      if (f.phase !== 'sequencer') failAll(d);
+      d.emit('phase', f.phase);
+      return;
+    case 'trim':
+      ringLog.note(d.log, { from: f.from }, 'trimmed');
+      return;
+    case 'proposed': return;
+  }
+}
+
+function deliver(d: GroupDriver, f: GroupEffect & { f: 'deliver' }): void {
+  const { entry } = f;
+  if (entry.data.kind === 'order') d.state = control.apply(d.state, entry.data.command as Command);
+  if (entry.data.kind === 'roster') ringLog.note(d.log, { members: entry.data.members.map(function id(m) { return m.id; }) }, 'roster');
+  const due = d.pending.filter(function at(p) { return p.index <= entry.index; });
+  if (due.length > 0) {
+    d.pending = d.pending.filter(function later(p) { return p.index > entry.index; });
+    for (const p of due) p.done(p.index === entry.index && p.epoch === entry.epoch);
+  }
+  d.emit('delivered');
+  if (d.store.bytes > compactBytes && !d.store.view) {
+    const view: View = { index: entry.index, epoch: entry.epoch, members: group.membersAt(d.machine, entry.index), state: d.state };
+    group.step(d.machine, { e: 'compact', view }, performance.now());
+    store.keepView(d.store, view, function tail() { return tailOf(d); }, false);
+  }
+}
+
+function failAll(d: GroupDriver): void {
+  const all = d.pending;
+  d.pending = [];
+  for (const p of all) p.done(false);
+}
+
+// Proposes a command; true once it is committed in the epoch in which it was proposed. False says
+// nothing about its fate: it may yet be in force.
+function propose(d: GroupDriver, command: Command): Promise<boolean> {
+  return new Promise(function run(done) {
+    const out = step(d, { e: 'propose', command });
+    const p = out.find(function mine(f) { return f.f === 'proposed'; });
+    if (!p || p.f !== 'proposed') return done(false);
+    if (d.machine.delivered >= p.index) return done(true);
+    d.pending.push({ index: p.index, epoch: p.epoch, done });
+  });
+}
+
+function post(d: GroupDriver, addr: string, message: Message): void {
+  const box = d.outbox.get(addr);
+  if (box) {
+    box.push(message);
+    return;
+  }
+  d.outbox.set(addr, [message]);
+  setImmediate(function later() { sendBox(d, addr); });
+}
+
+function sendBox(d: GroupDriver, addr: string): void {
+  const list = d.outbox.get(addr);
+  d.outbox.delete(addr);
+  if (!list || list.length === 0) return;
+  const open = d.open.get(addr) ?? 0;
+  if (open >= 8) return;
+  d.open.set(addr, open + 1);
+  void channel.post<{ messages: Message[] }>(d.agent, addr, '/inner/group', { messages: list }, legMs).then(function answered(r) {
+    d.open.set(addr, (d.open.get(addr) ?? 1) - 1);
+    if (r.ok) for (const m of r.value.messages) step(d, { e: 'message', message: m });
+  });
+}
+
+// Takes the messages of a partner; what the machine says to it at once goes back in the answer.
+function receive(d: GroupDriver, messages: Message[]): { messages: Message[] } {
+  const from = messages[0]?.fromAddr ?? '';
+  for (const m of messages) step(d, { e: 'message', message: m });
+  const back = d.outbox.get(from) ?? [];
+  if (back.length > 0) d.outbox.set(from, []);
+  return { messages: back };
+}
+
+function join(d: GroupDriver): void {
+  const now = performance.now();
+  const s = d.machine;
+  if (log.isMember(s, s.me) || now - d.joinAt < joinMs) return;
+  d.joinAt = now;
+  const known = new Set([...d.seeds, ...s.roster.map(function at(m) { return m.addr; })]);
+  for (const addr of known) {
+    if (addr !== s.addr) post(d, addr, { m: 'join', from: s.me, fromAddr: s.addr, to: '*', control: s.control });
+  }
+}
+
+// Waits until this node, if it is the sequencer, is sure that no later epoch was running when the
+// call came in.
+function confirm(d: GroupDriver, waitMs: number): Promise<boolean> {
+  const since = performance.now();
+  step(d, { e: 'beat' });
+  return new Promise(function run(done) {
+    function look(): void {
+      const now = performance.now();
+      if (d.machine.phase !== 'sequencer' || now - since > waitMs) return done(false);
+      if (group.sureSince(d.machine, now) >= since) return done(true);
+      setTimeout(look, 10);
+    }
+    look();
+  });
+}
+
+function isSequencer(d: GroupDriver): boolean {
+  return d.machine.phase === 'sequencer';
+}
+
+function sequencerControl(d: GroupDriver): string | null {
+  const s = d.machine;
+  return s.roster.find(function same(m) { return m.id === s.sequencer; })?.addr ?? null;
+}
+
+function fresh(d: GroupDriver): boolean {
+  const now = performance.now();
+  if (d.machine.phase === 'sequencer') return now < group.holdsUntil(d.machine, now);
+  return d.machine.sequencer !== null && now - d.machine.heardAt < timing.silenceMs;
+}
+
+function mayAct(d: GroupDriver, leaseMs: number): boolean {
+  const now = performance.now();
+  return d.machine.phase === 'sequencer' && now - d.machine.wonAt >= leaseMs && now < group.holdsUntil(d.machine, now);
+}
+
+async function stop(d: GroupDriver): Promise<void> {
+  if (d.beat) clearInterval(d.beat);
+  await store.close(d.store);
+  d.agent.destroy();
+}
+
+export const groupDriver = { create, start, step, propose, receive, confirm, isSequencer, sequencerControl, fresh, mayAct, stop, innerAddr };
--- /dev/null
+++ b/src/coordination/group/machine.ts
@@ -0,0 +1,484 @@
+// The group of coordinators as a pure machine: (state, event, now) -> effects. A majority of the
+// roster installs an epoch by ballot and so elects its sequencer; the followers trim what the
+// sequencer does not hold and go on in its order. An entry is committed once a majority has synced
+// it and it, or an entry behind it, belongs to the running epoch. Time is the steady clock only.
+import type { Member, MemberId } from '../../types.js';
+import { log } from './log.js';
+import type { Body, Entry, EntryData, GroupEffect, GroupEvent, GroupState, Message, Partner, Phase, Record_, Timing, View } from './types.js';
+
+const batch = 64;
+
+type Start = {
+  me: MemberId; addr: string; control: string; timing: Timing; seed: number; target: number;
+  epoch: number; vote: MemberId | null; view: View; entries: Entry[]; now: number;
+};
+
+function create(a: Start): GroupState {
+  const s: GroupState = {
+    me: a.me, addr: a.addr, control: a.control, timing: a.timing, seed: a.seed, target: a.target,
+    phase: 'learner', epoch: a.epoch, vote: a.vote,
+    base: { index: a.view.index, epoch: a.view.epoch, members: a.view.members }, entries: a.entries,
+    roster: [], rosterAt: 0, committed: a.view.index, delivered: a.view.index, durable: 0,
+    written: 0, synced: 0, writtenAt: a.now, waiting: [], marks: [], sequencer: null, heardAt: a.now, silence: 0,
+    votes: new Set(), ballotAt: a.now, partners: new Map(), beatNo: 0, beatSentAt: new Map(), beatAt: 0,
+    wonAt: 0, joinAt: 0, latestView: a.view,
+  };
+  log.findRoster(s);
+  s.durable = log.last(s);
+  s.phase = log.isMember(s, s.me) ? 'follower' : 'learner';
+  renewSilence(s);
+  return s;
+}
+
+function random(s: GroupState): number {
+  s.seed = (Math.imul(s.seed, 1664525) + 1013904223) >>> 0;
+  return s.seed / 4294967296;
+}
+
+function renewSilence(s: GroupState): void {
+  s.silence = s.timing.silenceMs + random(s) * s.timing.spreadMs;
+}
+
+function enter(s: GroupState, phase: Phase, out: GroupEffect[]): void {
+  if (s.phase === phase) return;
+  const was = s.phase;
+  s.phase = phase;
+  if (was === 'sequencer') {
+    s.partners.clear();
+    s.beatSentAt.clear();
+  }
+  if (phase === 'sequencer' || was === 'sequencer') out.push({ f: 'phase', phase, epoch: s.epoch });
+}
+
+function rest(s: GroupState): Phase {
+  return log.isMember(s, s.me) ? 'follower' : 'learner';
+}
+
+function write(s: GroupState, records: Record_[], now: number, out: GroupEffect[]): number {
+  if (s.synced === s.written) s.writtenAt = now;
+  s.written++;
+  out.push({ f: 'write', records, token: s.written });
+  return s.written;
+}
+
+function addrOf(s: GroupState, id: MemberId): string | null {
+  const p = s.partners.get(id);
+  if (p) return p.addr;
+  return s.roster.find(function same(m) { return m.id === id; })?.addr ?? null;
+}
+
+function send(s: GroupState, to: MemberId, body: Body, out: GroupEffect[], addr?: string): void {
+  const a = addr ?? addrOf(s, to);
+  if (a === null || a === undefined) return;
+  out.push({ f: 'send', addr: a, message: { ...body, from: s.me, fromAddr: s.addr, to } as Message });
+}
+
+function others(s: GroupState): Member[] {
+  return s.roster.filter(function other(m) { return m.id !== s.me; });
+}
+
+function adopt(s: GroupState, epoch: number, vote: MemberId | null, now: number, out: GroupEffect[]): number {
+  s.epoch = epoch;
+  s.vote = vote;
+  return write(s, [{ r: 'promise', epoch, vote }], now, out);
+}
+
+function upToDate(s: GroupState, last: number, lastEpoch: number): boolean {
+  const mine = log.epochAt(s, log.last(s)) ?? 0;
+  return lastEpoch > mine || (lastEpoch === mine && last >= log.last(s));
+}
+
+function heardLately(s: GroupState, now: number): boolean {
+  if (s.phase === 'sequencer') return true;
+  return now - s.heardAt < s.timing.silenceMs;
+}
+
+function canvass(s: GroupState, now: number, out: GroupEffect[]): void {
+  enter(s, 'canvassing', out);
+  s.sequencer = null;
+  s.votes = new Set([s.me]);
+  s.ballotAt = now;
+  renewSilence(s);
+  if (s.votes.size >= log.majority(s)) return campaign(s, now, out);
+  for (const m of others(s)) send(s, m.id, { m: 'canvass', epoch: s.epoch + 1, last: log.last(s), lastEpoch: log.epochAt(s, log.last(s)) ?? 0 }, out);
+}
+
+function campaign(s: GroupState, now: number, out: GroupEffect[]): void {
+  enter(s, 'candidate', out);
+  s.votes = new Set();
+  s.ballotAt = now;
+  renewSilence(s);
+  const token = adopt(s, s.epoch + 1, s.me, now, out);
+  const ask: Body = { m: 'ballot', epoch: s.epoch, last: log.last(s), lastEpoch: log.epochAt(s, log.last(s)) ?? 0 };
+  s.waiting.push({ token, to: s.me, body: { m: 'vote', epoch: s.epoch, ok: true } });
+  for (const m of others(s)) s.waiting.push({ token, to: m.id, body: ask });
+}
+
+function partnerOf(s: GroupState, m: Member, now: number, joining: boolean): Partner {
+  return {
+    id: m.id, addr: m.addr, control: m.control, next: log.last(s) + 1, match: 0, heardAt: now, sentAt: 0,
+    answered: true, ackedSentAt: 0, joining,
+  };
+}
+
+function win(s: GroupState, now: number, out: GroupEffect[]): void {
+  enter(s, 'sequencer', out);
+  s.sequencer = s.me;
+  s.wonAt = now;
+  s.partners.clear();
+  for (const m of others(s)) s.partners.set(m.id, partnerOf(s, m, now, false));
+  append(s, { kind: 'opening' }, now, out);
+}
+
+function append(s: GroupState, data: EntryData, now: number, out: GroupEffect[]): Entry {
+  const entry: Entry = { index: log.last(s) + 1, epoch: s.epoch, data };
+  s.entries.push(entry);
+  if (data.kind === 'roster') {
+    log.findRoster(s);
+    syncPartners(s, now);
+  }
+  const token = write(s, [{ r: 'entry', entry }], now, out);
+  s.marks.push({ token, last: entry.index });
+  spread(s, now, true, out);
+  return entry;
+}
+
+function syncPartners(s: GroupState, now: number): void {
+  for (const m of others(s)) {
+    const p = s.partners.get(m.id);
+    if (p) p.joining = false;
+    else s.partners.set(m.id, partnerOf(s, m, now, false));
+  }
+  for (const p of [...s.partners.values()]) {
+    if (!p.joining && !log.isMember(s, p.id)) s.partners.delete(p.id);
+  }
+}
+
+function spread(s: GroupState, now: number, onlyIfFree: boolean, out: GroupEffect[]): void {
+  for (const p of s.partners.values()) feed(s, p, now, onlyIfFree, out);
+}
+
+function feed(s: GroupState, p: Partner, now: number, onlyIfFree: boolean, out: GroupEffect[]): void {
+  if (!p.answered && now - p.sentAt < s.timing.legMs && onlyIfFree) return;
+  s.beatNo++;
+  s.beatSentAt.set(s.beatNo, now);
+  p.sentAt = now;
+  p.answered = false;
+  if (p.next <= s.base.index && s.latestView !== null) {
+    send(s, p.id, { m: 'view', epoch: s.epoch, view: s.latestView, beat: s.beatNo }, out);
+    return;
+  }
+  const entries = log.from(s, p.next, batch);
+  send(s, p.id, { m: 'append', epoch: s.epoch, prev: p.next - 1, prevEpoch: log.epochAt(s, p.next - 1) ?? 0, entries, committed: s.committed, beat: s.beatNo }, out);
+}
+
+function commit(s: GroupState, now: number, out: GroupEffect[]): void {
+  const marks = s.roster.map(function mark(m) { return m.id === s.me ? s.durable : s.partners.get(m.id)?.match ?? 0; });
+  marks.sort(function down(a, b) { return b - a; });
+  const held = marks[log.majority(s) - 1] ?? 0;
+  if (held <= s.committed || log.epochAt(s, held) !== s.epoch) return;
+  s.committed = held;
+  deliver(s, out);
+  spread(s, now, true, out);
+}
+
+function deliver(s: GroupState, out: GroupEffect[]): void {
+  while (s.delivered < s.committed) {
+    const entry = log.at(s, s.delivered + 1);
+    if (!entry) return;
+    s.delivered++;
+    out.push({ f: 'deliver', entry });
+  }
+}
+
+function follow(s: GroupState, m: Message, epoch: number, now: number, out: GroupEffect[]): boolean {
+  if (epoch < s.epoch) return false;
+  if (epoch > s.epoch) adopt(s, epoch, null, now, out);
+  s.sequencer = m.from;
+  s.heardAt = now;
+  renewSilence(s);
+  enter(s, rest(s), out);
+  return true;
+}
+
+function onAppend(s: GroupState, m: Message & { m: 'append' }, now: number, out: GroupEffect[]): void {
+  if (!follow(s, m, m.epoch, now, out)) {
+    send(s, m.from, { m: 'appended', epoch: s.epoch, ok: false, match: 0, beat: m.beat }, out, m.fromAddr);
+    return;
+  }
+  let entries = m.entries;
+  let prev = m.prev;
+  if (prev < s.base.index) {
+    entries = entries.filter(function behind(e) { return e.index > s.base.index; });
+    prev = Math.min(s.base.index, prev + (m.entries.length - entries.length));
+    if (entries.length === 0 || entries[0]!.index !== s.base.index + 1) {
+      if (m.prev + m.entries.length < s.base.index || entries.length > 0) return answerAppend(s, m, s.base.index, out);
+      prev = s.base.index;
+      entries = [];
+    }
+  } else if (log.epochAt(s, prev) !== m.prevEpoch) {
+    send(s, m.from, { m: 'appended', epoch: s.epoch, ok: false, match: Math.min(log.last(s), prev - 1), beat: m.beat }, out, m.fromAddr);
+    return;
+  }
+  const fresh: Record_[] = [];
+  for (const e of entries) {
+    const have = log.epochAt(s, e.index);
+    if (have === e.epoch) continue;
+    if (have !== null) {
+      out.push({ f: 'trim', from: e.index });
+      log.trimFrom(s, e.index);
+      s.durable = Math.min(s.durable, e.index - 1);
+      s.marks = s.marks.filter(function before(k) { return k.last < e.index; });
+    }
+    s.entries.push(e);
+    fresh.push({ r: 'entry', entry: e });
+  }
+  const upTo = prev + entries.length;
+  if (fresh.length > 0) {
+    log.findRoster(s);
+    enter(s, rest(s), out);
+    const token = write(s, fresh, now, out);
+    s.marks.push({ token, last: upTo });
+  }
+  const may = Math.min(m.committed, upTo);
+  if (may > s.committed) {
+    s.committed = may;
+    deliver(s, out);
+  }
+  answerAppend(s, m, upTo, out);
+}
+
+function answerAppend(s: GroupState, m: Message & { beat: number }, upTo: number, out: GroupEffect[]): void {
+  const body: Body = { m: 'appended', epoch: s.epoch, ok: true, match: upTo, beat: m.beat };
+  if (s.synced === s.written) send(s, m.from, body, out, m.fromAddr);
+  else s.waiting.push({ token: s.written, to: m.from, body });
+}
+
+function onView(s: GroupState, m: Message & { m: 'view' }, now: number, out: GroupEffect[]): void {
+  if (!follow(s, m, m.epoch, now, out)) return;
+  if (m.view.index > s.committed) {
+    s.base = { index: m.view.index, epoch: m.view.epoch, members: m.view.members };
+    s.entries = [];
+    s.committed = m.view.index;
+    s.delivered = m.view.index;
+    s.durable = 0;
+    s.marks = [];
+    s.latestView = m.view;
+    log.findRoster(s);
+    out.push({ f: 'install', view: m.view });
+    const token = write(s, [{ r: 'promise', epoch: s.epoch, vote: s.vote }], now, out);
+    s.marks.push({ token, last: m.view.index });
+    enter(s, rest(s), out);
+  }
+  answerAppend(s, m, Math.min(m.view.index, log.last(s)), out);
+}
+
+function onAppended(s: GroupState, m: Message & { m: 'appended' }, now: number, out: GroupEffect[]): void {
+  if (m.epoch > s.epoch) {
+    adopt(s, m.epoch, null, now, out);
+    enter(s, rest(s), out);
+    return;
+  }
+  if (s.phase !== 'sequencer' || m.epoch < s.epoch) return;
+  const p = s.partners.get(m.from);
+  if (!p) return;
+  p.heardAt = now;
+  p.answered = true;
+  const sent = s.beatSentAt.get(m.beat);
+  if (sent !== undefined) {
+    p.ackedSentAt = Math.max(p.ackedSentAt, sent);
+    s.beatSentAt.delete(m.beat);
+  }
+  if (m.ok) {
+    p.match = Math.max(p.match, m.match);
+    p.next = Math.max(p.next, p.match + 1);
+    commit(s, now, out);
+  } else {
+    p.next = Math.max(1, Math.min(p.next - 1, m.match + 1));
+  }
+  if (s.phase === 'sequencer' && s.partners.has(p.id) && p.answered && (p.next <= log.last(s) || !m.ok)) feed(s, p, now, true, out);
+}
+
+function onBallot(s: GroupState, m: Message & { m: 'ballot' }, now: number, out: GroupEffect[]): void {
+  if (m.epoch <= s.epoch && !(m.epoch === s.epoch && s.vote === m.from)) {
+    send(s, m.from, { m: 'vote', epoch: s.epoch, ok: false }, out, m.fromAddr);
+    return;
+  }
+  if (!log.isMember(s, s.me) || heardLately(s, now)) return;
+  const grant = upToDate(s, m.last, m.lastEpoch);
+  let token = s.written;
+  if (m.epoch > s.epoch || s.vote !== m.from) token = adopt(s, m.epoch, grant ? m.from : null, now, out);
+  enter(s, rest(s), out);
+  if (grant) s.ballotAt = now;
+  const body: Body = { m: 'vote', epoch: m.epoch, ok: grant };
+  if (s.synced >= token) send(s, m.from, body, out, m.fromAddr);
+  else s.waiting.push({ token, to: m.from, body });
+}
+
+function onVote(s: GroupState, m: Message & { m: 'vote' }, now: number, out: GroupEffect[]): void {
+  if (m.epoch > s.epoch) {
+    adopt(s, m.epoch, null, now, out);
+    enter(s, rest(s), out);
+    return;
+  }
+  if (s.phase !== 'candidate' || m.epoch !== s.epoch || !m.ok || !log.isMember(s, m.from)) return;
+  s.votes.add(m.from);
+  if (s.votes.size >= log.majority(s)) win(s, now, out);
+}
+
+function onCanvass(s: GroupState, m: Message & { m: 'canvass' }, now: number, out: GroupEffect[]): void {
+  const ok = log.isMember(s, s.me) && m.epoch > s.epoch && !heardLately(s, now) && upToDate(s, m.last, m.lastEpoch);
+  send(s, m.from, { m: 'canvassed', epoch: ok ? m.epoch : s.epoch, ok }, out, m.fromAddr);
+}
+
+function onCanvassed(s: GroupState, m: Message & { m: 'canvassed' }, now: number, out: GroupEffect[]): void {
+  if (!m.ok && m.epoch > s.epoch) {
+    adopt(s, m.epoch, null, now, out);
+    enter(s, rest(s), out);
+    return;
+  }
+  if (s.phase !== 'canvassing' || !m.ok || m.epoch !== s.epoch + 1 || !log.isMember(s, m.from)) return;
+  s.votes.add(m.from);
+  if (s.votes.size >= log.majority(s)) campaign(s, now, out);
+}
+
+function onJoin(s: GroupState, m: Message & { m: 'join' }, now: number): void {
+  if (s.phase !== 'sequencer' || log.isMember(s, m.from)) return;
+  const p = s.partners.get(m.from);
+  if (p) {
+    p.addr = m.fromAddr;
+    p.heardAt = now;
+  } else {
+    s.partners.set(m.from, partnerOf(s, { id: m.from, addr: m.fromAddr, control: m.control }, now, true));
+  }
+}
+
+function onMessage(s: GroupState, m: Message, now: number, out: GroupEffect[]): void {
+  if (m.to !== s.me && m.m !== 'join') return;
+  switch (m.m) {
+    case 'append': return onAppend(s, m, now, out);
+    case 'appended': return onAppended(s, m, now, out);
+    case 'view': return onView(s, m, now, out);
+    case 'ballot': return onBallot(s, m, now, out);
+    case 'vote': return onVote(s, m, now, out);
+    case 'canvass': return onCanvass(s, m, now, out);
+    case 'canvassed': return onCanvassed(s, m, now, out);
+    case 'join': return onJoin(s, m, now);
+  }
+}
+
+function onSynced(s: GroupState, token: number, now: number, out: GroupEffect[]): void {
+  s.synced = Math.max(s.synced, token);
+  s.writtenAt = now;
+  let last = 0;
+  while (s.marks.length > 0 && s.marks[0]!.token <= s.synced) last = s.marks.shift()!.last;
+  if (last > 0) s.durable = Math.max(s.durable, Math.min(last, log.last(s)));
+  const due = s.waiting.filter(function ready(w) { return w.token <= s.synced; });
+  s.waiting = s.waiting.filter(function later(w) { return w.token > s.synced; });
+  for (const w of due) {
+    if (w.to === s.me) onMessage(s, { ...w.body, from: s.me, fromAddr: s.addr, to: s.me } as Message, now, out);
+    else if (stillMeant(s, w.body)) send(s, w.to, w.body, out);
+  }
+  if (s.phase === 'sequencer') commit(s, now, out);
+}
+
+function stillMeant(s: GroupState, b: Body): boolean {
+  if (b.m === 'ballot') return s.phase === 'candidate' && b.epoch === s.epoch;
+  return b.m === 'vote' || b.m === 'appended' ? b.epoch === s.epoch : true;
+}
+
+function quorumHeardAt(s: GroupState, of: (p: Partner) => number, now: number): number {
+  const at = s.roster.map(function one(m) { return m.id === s.me ? now : of(s.partners.get(m.id)!) ?? 0; });
+  at.sort(function down(a, b) { return b - a; });
+  return at[log.majority(s) - 1] ?? 0;
+}
+
+function reshape(s: GroupState, now: number, out: GroupEffect[]): void {
+  if (s.rosterAt > s.committed || log.epochAt(s, s.committed) !== s.epoch) return;
+  const gone = others(s).find(function silent(m) { return now - (s.partners.get(m.id)?.heardAt ?? 0) > s.timing.goneMs; });
+  for (const p of s.partners.values()) {
+    if (!p.joining || now - p.heardAt > s.timing.silenceMs || p.match < s.committed) continue;
+    const was = s.roster.find(function same(m) { return m.addr === p.addr; });
+    const members = was
+      ? s.roster.filter(function keep(m) { return m.id !== was.id; })
+      : [...s.roster, { id: p.id, addr: p.addr, control: p.control }];
+    append(s, { kind: 'roster', members }, now, out);
+    return;
+  }
+  if (gone && s.roster.length > s.target) {
+    append(s, { kind: 'roster', members: s.roster.filter(function keep(m) { return m.id !== gone.id; }) }, now, out);
+  }
+}
+
+function onBeat(s: GroupState, now: number, out: GroupEffect[]): void {
+  if (s.phase === 'sequencer') {
+    const stalled = s.synced < s.written && now - s.writtenAt > s.timing.yieldMs;
+    const alone = now - quorumHeardAt(s, function heard(p) { return p.heardAt; }, now) > s.timing.silenceMs;
+    if (stalled || alone || !log.isMember(s, s.me)) {
+      s.sequencer = null;
+      s.heardAt = now;
+      renewSilence(s);
+      enter(s, rest(s), out);
+      return;
+    }
+    for (const p of [...s.partners.values()]) if (p.joining && now - p.heardAt > s.timing.goneMs) s.partners.delete(p.id);
+    reshape(s, now, out);
+    if (now - s.beatAt >= s.timing.beatMs) {
+      s.beatAt = now;
+      for (const p of s.partners.values()) feed(s, p, now, !p.answered, out);
+      for (const [no, at] of s.beatSentAt) if (now - at > s.timing.silenceMs * 4) s.beatSentAt.delete(no);
+    }
+    return;
+  }
+  const quiet = now - Math.max(s.heardAt, s.ballotAt) > s.silence;
+  const ready = s.synced === s.written || now - s.writtenAt < s.timing.yieldMs;
+  if (log.isMember(s, s.me) && quiet && ready) canvass(s, now, out);
+}
+
+function step(s: GroupState, ev: GroupEvent, now: number): GroupEffect[] {
+  const out: GroupEffect[] = [];
+  switch (ev.e) {
+    case 'beat': onBeat(s, now, out); break;
+    case 'message': onMessage(s, ev.message, now, out); break;
+    case 'synced': onSynced(s, ev.token, now, out); break;
+    case 'propose':
+      if (s.phase === 'sequencer') {
+        const entry = append(s, { kind: 'order', command: ev.command }, now, out);
+        out.push({ f: 'proposed', index: entry.index, epoch: entry.epoch });
+      }
+      break;
+    case 'compact':
+      if (ev.view.index > s.base.index && ev.view.index <= s.committed) {
+        s.entries = s.entries.slice(ev.view.index - s.base.index);
+        s.base = { index: ev.view.index, epoch: ev.view.epoch, members: ev.view.members };
+        s.latestView = ev.view;
+        log.findRoster(s);
+      }
+      break;
+  }
+  return out;
+}
+
+// Until when the sequencer may act alone: while a majority that answered its beat still holds off
+// every other candidate. Followers hold off for silenceMs from the time they heard the beat, which
+// is not before it was sent.
+function holdsUntil(s: GroupState, now: number): number {
+  if (s.phase !== 'sequencer') return 0;
+  return quorumHeardAt(s, function acked(p) { return p.ackedSentAt; }, now) + s.timing.silenceMs;
+}
+
+// A read is sure once a majority has answered a beat that was sent after the read came in.
+function sureSince(s: GroupState, now: number): number {
+  if (s.phase !== 'sequencer' || log.epochAt(s, s.committed) !== s.epoch) return 0;
+  return quorumHeardAt(s, function acked(p) { return p.ackedSentAt; }, now);
+}
+
+function membersAt(s: GroupState, index: number): Member[] {
+  for (let i = index; i > s.base.index; i--) {
+    const e = log.at(s, i);
+    if (e?.data.kind === 'roster') return e.data.members;
+  }
+  return s.base.members;
+}
+
+export const group = { create, step, holdsUntil, sureSince, membersAt };
--- /dev/null
+++ b/src/dataplane/follow.ts
@@ -0,0 +1,71 @@
+// A site's session: it keeps asking one coordinator for news with the revisions it has, and turns to
+// the next one when that is silent, broken or itself behind. What it has never goes back.
+import type { Agent } from 'node:http';
+import { channel } from '../transport/inner/channel.js';
+import { ringLog } from '../logging/ring.js';
+import { routes } from '../state/control/routes.js';
+import { fleet } from '../state/runners/fleet.js';
+import type { Board, NewsAnswer, NewsCall } from '../types.js';
+import type { Site } from './types.js';
+
+const holdMs = 600;
+const slackMs = 350;
+const pauseMs = 120;
+
+export type Follower = { life: string; via: Agent; known: string[]; seeds: string[]; at: number; sequencer: string | null; stopped: boolean };
+
+function newer(a: Board, b: Board): boolean {
+  return a.epoch > b.epoch || (a.epoch === b.epoch && a.seq > b.seq);
+}
+
+function takeBoard(site: Site, b: Board): void {
+  const was = site.board;
+  if (!newer(b, was)) return;
+  site.board = { ...b, sites: Math.max(b.sites, 0) };
+  if (b.runners) fleet.take(site.fleet, b.runners);
+  site.stirred.emit('stir');
+}
+
+function take(site: Site, f: Follower, a: NewsAnswer): void {
+  if (a.configuration && a.configuration.revision > (site.table?.revision ?? 0)) {
+    site.table = routes.build(a.configuration);
+    site.fleet.maxConns = Math.max(4, ...a.configuration.service_list.map(function most(s) { return s.max_conns ?? 4; }));
+    site.stirred.emit('configuration');
+  }
+  if (a.weights && a.weightsSeq > site.weightsSeq) {
+    const now = performance.now();
+    for (const [model, revision] of Object.entries(a.weights)) if ((site.weights[model] ?? 0) < revision) site.weightsAt.set(model, now);
+    site.weights = a.weights;
+    site.weightsSeq = a.weightsSeq;
+  }
+  if (a.board) takeBoard(site, a.board);
+  f.sequencer = a.sequencer;
+  if (a.coordinators.length > 0) {
+    const at = f.known[f.at % f.known.length];
+    f.known = [...new Set([...a.coordinators, ...f.seeds])].sort();
+    f.at = Math.max(0, f.known.indexOf(at ?? ''));
+  }
+}
+
+async function run(site: Site, f: Follower): Promise<void> {
+  let failed = 0;
+  while (!f.stopped) {
+    const to = f.known[f.at % f.known.length]!;
+    const call: NewsCall = {
+      site: site.settings.node_name, life: f.life, revision: site.table?.revision ?? 0, board: [site.board.epoch, site.board.seq],
+      weights: site.weightsSeq, hold: holdMs,
+    };
+    const r = await channel.post<NewsAnswer>(f.via, to, '/inner/news', call, holdMs + slackMs);
+    if (r.ok) take(site, f, r.value);
+    if (r.ok && r.value.fresh) {
+      failed = 0;
+      continue;
+    }
+    ringLog.note(site.log, { to, why: r.ok ? 'behind' : r.trouble }, 'turning to another coordinator');
+    f.at++;
+    failed++;
+    if (failed % f.known.length === 0) await new Promise(function wait(done) { setTimeout(done, pauseMs); });
+  }
+}
+
+export const follow = { run };
--- /dev/null
+++ b/src/dataplane/front.ts
@@ -0,0 +1,73 @@
+// The site's front: takes requests from clients and walks each through the policies. An answer that
+// cannot be finished ends with its channel; one that was not begun gets an answer of our own.
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { Duplex } from 'node:stream';
+import { answers } from '../transport/http/answer.js';
+import { ringLog } from '../logging/ring.js';
+import { access } from './policies/access.js';
+import { deliver } from './policies/deliver.js';
+import { limits } from './policies/limits.js';
+import { route } from './policies/route.js';
+import { tenant } from './policies/tenant.js';
+import type { Passage, Policy, Site } from './types.js';
+
+const path: Policy[] = [limits, route, tenant, access, deliver];
+const mostHeaderBytes = 64 * 1024;
+
+function passage(req: IncomingMessage, res: ServerResponse): Passage {
+  return {
+    req, res, at: performance.now(), path: '', attempt: '', body: Buffer.alloc(0),
+    route: null as unknown as Passage['route'], service: null as unknown as Passage['service'], tenant: null, rank: 0,
+    model: null, tokens: null, parts: [], wall: 'all',
+    deadlineAt: Infinity, aimMs: 0, isStream: false, repeatable: false,
+    legs: 0, runners: new Set(), maybeRun: false, headSent: false, lastEventId: null, gone: false, events: 0,
+  };
+}
+
+async function walk(site: Site, req: IncomingMessage, res: ServerResponse): Promise<void> {
+  if (!site.table) return answers.send(res, answers.bounce(503, 500), true);
+  const p = passage(req, res);
+  site.open.add(p);
+  res.on('close', function gone() { if (!res.writableFinished) p.gone = true; });
+  for (const policy of path) {
+    const step = await policy.run(site, p);
+    if (step.s === 'next') continue;
+    if (step.s === 'answer' && !p.headSent) answers.send(res, step.answer, step.closing === true || site.leaving);
+    else if (!res.writableEnded) res.destroy();
+    break;
+  }
+  site.open.delete(p);
+  if (site.leaving && site.open.size === 0) site.stirred.emit('idle');
+}
+
+function onClientTrouble(err: Error & { code?: string }, socket: Duplex): void {
+  if (!socket.writable || (socket as unknown as { bytesWritten: number; _httpMessage?: unknown })._httpMessage) {
+    socket.destroy();
+    return;
+  }
+  if (err.code === 'HPE_HEADER_OVERFLOW') socket.end(answers.raw(431, 'Request Header Fields Too Large'));
+  else if (err.code === 'ERR_HTTP_REQUEST_TIMEOUT') socket.end(answers.raw(408, 'Request Timeout'));
+  else if (err.code === 'ECONNRESET') socket.destroy();
+  else socket.end(answers.raw(400, 'Bad Request'));
+}
+
+function create(site: Site): Server {
+  const server = createServer({ maxHeaderSize: mostHeaderBytes, connectionsCheckingInterval: 500, noDelay: true }, function got(req, res) {
+    walk(site, req, res).catch(function bad(err: Error) {
+      ringLog.trouble(site.log, { why: err.stack }, 'a request met an error of our own');
+      res.destroy();
+    });
+  });
+  server.requestTimeout = 0;
+  server.on('clientError', onClientTrouble);
+  adapt(site, server);
+  return server;
+}
+
+function adapt(site: Site, server: Server): void {
+  const l = site.table?.limits;
+  server.headersTimeout = l?.header_ms ?? 10_000;
+  server.keepAliveTimeout = l?.idle_ms ?? 15_000;
+}
+
+export const front = { create, adapt };
--- /dev/null
+++ b/src/dataplane/policies/assign.ts
@@ -0,0 +1,97 @@
+// Assigns a runner: among the usable ones of the service that run weights the request may use, the
+// one where the prompt is likely to be read soonest, counting what must be read there, what others
+// have yet to have read, what runs already, and its soundness. Ties fall by rendezvous on the shared
+// part, so that sites that know nothing of one another still choose alike.
+import { hash } from '../../state/index/hash.js';
+import { holdings, storePlace } from '../../state/index/holdings.js';
+import { fleet, type Slot } from '../../state/runners/fleet.js';
+import type { Assigned, Passage, Site } from '../types.js';
+
+const suspectCost = 40_000;
+const runCost = 150;
+const zoneCost = 300;
+const fetchShare = 0.15;
+const worthFetching = 1024;
+const shareCost = 400;
+const ownBlocks = 16;
+
+function saltOf(p: Passage, revision: number): string {
+  return `${p.wall}/${p.model}/${revision}`;
+}
+
+function prompt(p: Passage): number {
+  return p.tokens?.prompt ?? Math.ceil(p.body.length / 4);
+}
+
+function revisionAt(p: Passage, s: Slot): number | null {
+  if (p.model === null) return null;
+  return s.revisions.get(p.model) ?? null;
+}
+
+// Past most of version_ms after new weights were named, a runner that still has older ones is left
+// alone: a request must not begin on them.
+function tooOld(site: Site, p: Passage, revision: number | null, now: number): boolean {
+  if (p.model === null || revision === null) return false;
+  const newest = site.weights[p.model];
+  const at = site.weightsAt.get(p.model);
+  if (newest === undefined || at === undefined || revision >= newest) return false;
+  return now - at > site.settings.bound_set.version_ms * 0.85;
+}
+
+function mayTake(site: Site, p: Passage, s: Slot, now: number): boolean {
+  if (!fleet.usable(s, now) || p.runners.has(s.ix)) return false;
+  if (s.active >= s.slots * 2) return false;
+  return !tooOld(site, p, revisionAt(p, s), now);
+}
+
+function bestSource(site: Site, p: Passage, salt: string, s: Slot, has: number, revision: number): { addr: string; tokens: number } | null {
+  let best: { addr: string; tokens: number } | null = null;
+  const big = p.parts.find(function large(x) { return x.tokens >= worthFetching; });
+  if (!big) return null;
+  const at = holdings.places(site.holdings, salt, big.id);
+  if (!at) return null;
+  for (const place of at.keys()) {
+    if (place === s.ix) continue;
+    const n = holdings.prefixAt(site.holdings, salt, p.parts, place);
+    if (n - has < worthFetching || (best && n <= best.tokens)) continue;
+    if (place === storePlace) {
+      const store = site.table!.stores[0]?.kv_store_addr;
+      if (store) best = { addr: store, tokens: n };
+      continue;
+    }
+    const from = site.fleet.slots[place];
+    if (!from || !from.listed || from.phase !== 'sound' || from.parked || from.service !== s.service) continue;
+    if (from.revisions.get(p.model!) !== revision) continue;
+    best = { addr: from.addr, tokens: n };
+  }
+  return best;
+}
+
+function choose(site: Site, p: Passage, now: number): Assigned | null {
+  const of = site.fleet.byService.get(p.service.label);
+  if (!of) return null;
+  const whole = prompt(p);
+  let best: Assigned | null = null;
+  let bestCost = Infinity;
+  const big = p.parts.find(function large(x) { return x.tokens >= worthFetching; });
+  for (const s of of) {
+    if (!mayTake(site, p, s, now)) continue;
+    const revision = revisionAt(p, s);
+    const salt = revision === null ? null : saltOf(p, revision);
+    const has = salt === null ? 0 : holdings.prefixAt(site.holdings, salt, p.parts, s.ix);
+    const source = salt === null || revision === null ? null : bestSource(site, p, salt, s, has, revision);
+    const moved = source ? source.tokens - has : 0;
+    const reads = Math.max(ownBlocks, whole - has - moved);
+    let cost = reads + moved * fetchShare + s.reading + s.othersReading + (s.active + s.othersActive) * runCost;
+    if (s.zone !== site.settings.zone_name) cost += zoneCost;
+    if (s.phase !== 'sound') cost += suspectCost;
+    cost += hash.of(`${s.id} ${big ? `${p.wall} ${big.id}` : p.attempt}`) * shareCost;
+    if (cost < bestCost) {
+      bestCost = cost;
+      best = { slot: s, revision, salt, reads: reads + moved * fetchShare, fetchFrom: source?.addr ?? null, saveTo: null };
+    }
+  }
+  return best;
+}
+
+export const assign = { choose, prompt };
--- /dev/null
+++ b/src/dataplane/policies/deliver.ts
@@ -0,0 +1,200 @@
+// Delivers a request: assigns a runner, sends a leg, and decides what its end means. A second leg
+// goes out only when the request may be repeated or is proven not to have run, within the route's
+// tries and the site's part of the shared budget. What cannot be delivered is bounced at once.
+import { answers } from '../../transport/http/answer.js';
+import { heads, names } from '../../protocol/calls/heads.js';
+import { fleet } from '../../state/runners/fleet.js';
+import { ringLog } from '../../logging/ring.js';
+import { budget } from '../budget.js';
+import { leg, type LegEnd } from '../leg.js';
+import type { Assigned, Passage, Policy, Site, Step } from '../types.js';
+import { assign } from './assign.js';
+import { relay } from './relay.js';
+
+const queueShare = 0.23;
+const shortestQueueMs = 20;
+const againMs = 60;
+const looksMs = 25;
+
+type Next = { n: 'again' } | { n: 'end'; step: Step };
+
+function ended(step: Step): Next {
+  return { n: 'end', step };
+}
+
+function bounce(p: Passage, waitMs: number): Step {
+  if (p.headSent) return { s: 'done' };
+  if (p.maybeRun) return { s: 'answer', answer: answers.plain(502, 'the runner did not finish') };
+  return { s: 'answer', answer: answers.bounce(503, waitMs) };
+}
+
+function mayLeg(site: Site, p: Passage, now: number): boolean {
+  if (p.legs === 0) return true;
+  if (p.maybeRun && !p.repeatable) return false;
+  if (p.legs >= Math.max(1, p.route.tries ?? 1)) return false;
+  return budget.take(site.budget, now, site.board.sites);
+}
+
+function pause(site: Site, ms: number): Promise<void> {
+  return new Promise(function run(done) {
+    function end(): void {
+      clearTimeout(timer);
+      site.stirred.removeListener('stir', end);
+      done();
+    }
+    const timer = setTimeout(end, ms);
+    site.stirred.once('stir', end);
+  });
+}
+
+async function find(site: Site, p: Passage): Promise<Assigned | null> {
+  const until = Math.min(p.deadlineAt - 1, p.at + Math.max(shortestQueueMs, p.aimMs * queueShare));
+  for (;;) {
+    const now = performance.now();
+    const a = assign.choose(site, p, now);
+    if (a || p.gone || now >= until) return a;
+    await pause(site, Math.min(looksMs, until - now));
+  }
+}
+
+function begin(site: Site, p: Passage, a: Assigned): void {
+  const s = a.slot;
+  if (s.active === 0) s.lastByteAt = performance.now();
+  s.active++;
+  s.reading += a.reads;
+  p.runners.add(s.ix);
+  site.burdenChanged();
+}
+
+function readDone(site: Site, a: Assigned): void {
+  if (a.reads === 0) return;
+  a.slot.reading = Math.max(0, a.slot.reading - a.reads);
+  a.reads = 0;
+  site.burdenChanged();
+}
+
+function finish(site: Site, a: Assigned): void {
+  readDone(site, a);
+  a.slot.active--;
+  site.burdenChanged();
+  site.stirred.emit('stir');
+}
+
+// Waits for the leg's head, the client's hang-up, the deadline, or, for what may be repeated, for the
+// runner to have said nothing at all to anyone for a whole aim.
+function headOf(p: Passage, a: Assigned, l: { end: Promise<LegEnd>; cancel: () => void }): Promise<LegEnd | 'gone' | 'late' | 'mute'> {
+  return new Promise(function run(done) {
+    const sentAt = performance.now();
+    function end(x: LegEnd | 'gone' | 'late' | 'mute'): void {
+      clearTimeout(late);
+      clearInterval(mute);
+      p.res.removeListener('close', gone);
+      done(x);
+    }
+    function gone(): void { end('gone'); }
+    const late = setTimeout(function over() { end('late'); }, Math.max(1, p.deadlineAt - sentAt));
+    const mute = p.repeatable ? setInterval(function look() {
+      const now = performance.now();
+      const silent = now - Math.max(sentAt, a.slot.lastByteAt);
+      if (silent >= Math.max(250, p.aimMs) && p.deadlineAt - now > p.aimMs) end('mute');
+    }, 50) : undefined;
+    p.res.on('close', gone);
+    void l.end.then(end);
+  });
+}
+
+async function one(site: Site, p: Passage, a: Assigned): Promise<Next> {
+  begin(site, p, a);
+  const l = leg.send(p, a);
+  const x = await headOf(p, a, l);
+  const now = performance.now();
+  if (x === 'gone' || x === 'late') {
+    l.cancel();
+    finish(site, a);
+    p.maybeRun = true;
+    return ended(x === 'gone' ? { s: 'done' } : { s: 'answer', answer: answers.plain(504, 'out of time') });
+  }
+  if (x === 'mute') {
+    l.cancel();
+    finish(site, a);
+    p.legs++;
+    p.maybeRun = true;
+    fleet.turn(a.slot, 'suspect', now);
+    ringLog.note(site.log, { runner: a.slot.id, attempt: p.attempt }, 'mute');
+    return { n: 'again' };
+  }
+  if (x.l !== 'head') {
+    finish(site, a);
+    if (x.l === 'unsure') {
+      p.legs++;
+      p.maybeRun = true;
+    }
+    fleet.turn(a.slot, x.l === 'unsent' ? 'down' : 'suspect', now);
+    ringLog.note(site.log, { runner: a.slot.id, attempt: p.attempt, why: x.why, end: x.l }, 'leg broke');
+    return { n: 'again' };
+  }
+  p.legs++;
+  const { res } = x;
+  const echoed = res.headers[names.attempt];
+  const notRun = res.headers[names.notRun] !== undefined || res.statusCode === 421;
+  if (p.model !== null) {
+    const seen = heads.versions(res.headers[names.versions] as string | undefined, p.model);
+    if (seen !== null) fleet.learn(a.slot, p.model, seen);
+  }
+  if (notRun && (echoed === undefined || echoed === p.attempt)) {
+    res.resume();
+    finish(site, a);
+    return turnedAway(site, p, a, res.statusCode ?? 0, res.headers[names.instance] as string | undefined, now);
+  }
+  const status = res.statusCode ?? 0;
+  const ours = echoed === p.attempt;
+  const sealed = status < 200 || status >= 300 || res.headers[names.seal] !== undefined;
+  if (!ours || !sealed || [408, 429, 503].includes(status)) {
+    x.req.destroy();
+    finish(site, a);
+    p.maybeRun = true;
+    ringLog.note(site.log, { runner: a.slot.id, attempt: p.attempt, echoed, status }, 'not an answer to this request');
+    return { n: 'again' };
+  }
+  const end = await relay.run(site, p, a, x.res, x.req, function read() { readDone(site, a); });
+  finish(site, a);
+  if (end === 'whole') {
+    p.events = 0;
+    return ended({ s: 'done' });
+  }
+  p.maybeRun = true;
+  if (end === 'gone') return ended({ s: 'done' });
+  fleet.turn(a.slot, 'suspect', performance.now());
+  return { n: 'again' };
+}
+
+function turnedAway(site: Site, p: Passage, a: Assigned, status: number, instance: string | undefined, now: number): Next {
+  a.slot.turnedAwayAt = now;
+  ringLog.note(site.log, { runner: a.slot.id, attempt: p.attempt, status, instance }, 'turned away');
+  if (status === 421 && instance !== undefined && instance !== a.slot.id) a.slot.listed = false;
+  else if (status === 421 && p.model !== null && a.revision !== null) {
+    const newest = site.weights[p.model] ?? 0;
+    if (a.slot.revisions.get(p.model) === a.revision && newest > a.revision) fleet.learn(a.slot, p.model, newest);
+    p.runners.delete(a.slot.ix);
+  }
+  return { n: 'again' };
+}
+
+async function run(site: Site, p: Passage): Promise<Step> {
+  budget.asked(site.budget, p.at);
+  for (;;) {
+    const now = performance.now();
+    if (p.gone) return { s: 'done' };
+    if (now >= p.deadlineAt) return p.headSent ? { s: 'done' } : bounce(p, againMs);
+    if (!mayLeg(site, p, now)) return bounce(p, againMs);
+    const a = await find(site, p);
+    if (!a) {
+      ringLog.note(site.log, { attempt: p.attempt, service: p.service.label }, 'no runner to assign');
+      return bounce(p, againMs);
+    }
+    const next = await one(site, p, a);
+    if (next.n === 'end') return next.step;
+  }
+}
+
+export const deliver: Policy = { name: 'deliver', run };
--- /dev/null
+++ b/src/programs/coordinator.ts
@@ -0,0 +1,51 @@
+// The program of the core: a member of the group that keeps the control state, the door for the
+// operator, and the answers to the sites' questions for news.
+import { createServer } from 'node:http';
+import { groupDriver } from '../coordination/group/driver.js';
+import { boards } from '../controlplane/board.js';
+import { news } from '../controlplane/news.js';
+import { operator } from '../controlplane/operator.js';
+import type { Coordinator } from '../controlplane/parts.js';
+import { runners } from '../controlplane/runners.js';
+import { rollout } from '../controlplane/rollout.js';
+import type { Log } from '../logging/ring.js';
+import { ringLog } from '../logging/ring.js';
+import { answers } from '../transport/http/answer.js';
+import { ask } from '../transport/http/ask.js';
+import { channel } from '../transport/inner/channel.js';
+import type { Settings } from '../types.js';
+
+async function start(s: Settings, log: Log): Promise<void> {
+  const group = groupDriver.create(s, log);
+  const c: Coordinator = {
+    settings: s, log, group, agent: channel.agent(), board: boards.empty(),
+    sessions: new Map(), partnerSessions: new Map(), waiters: new Set(), relayed: [],
+  };
+  group.on('delivered', function news() { boards.wake(c); });
+  await channel.listen(s.ip_addr, s.port_range[0], {
+    '/inner/group': function messages(b) { return groupDriver.receive(group, b.messages); },
+    '/inner/board': function board(b) { return boards.receive(c, b); },
+    '/inner/news': function question(b) { return news.call(c, b); },
+    '/inner/operator': function call(b) { return operator.decide(c, b); },
+  });
+  const door = createServer(function got(req, res) {
+    operator.handle(c, req, res).catch(function bad(err: Error) {
+      ringLog.trouble(log, { why: err.stack }, 'an operator call met an error of our own');
+      answers.send(res, answers.plain(500, err.message), true);
+    });
+  });
+  const { host, port } = ask.split(s.bind_addrs.control_addr!);
+  await new Promise<void>(function run(done, fail) {
+    door.on('error', fail);
+    door.listen(port, host, done);
+  });
+  groupDriver.start(group);
+  boards.start(c);
+  void runners.run(c);
+  rollout.start(c);
+  process.on('SIGTERM', function term() {
+    void groupDriver.stop(group).then(function gone() { process.exit(0); });
+  });
+}
+
+export const coordinatorProgram = { start };
--- /dev/null
+++ b/src/programs/site.ts
@@ -0,0 +1,89 @@
+// The program that carries traffic: a front for clients, an answer for the platform's readiness
+// question, and a session with the control plane. It has no disk and starts with nothing known.
+import { EventEmitter } from 'node:events';
+import { randomBytes } from 'node:crypto';
+import { createServer, type Server } from 'node:http';
+import { budget } from '../dataplane/budget.js';
+import { follow, type Follower } from '../dataplane/follow.js';
+import { front } from '../dataplane/front.js';
+import type { Site } from '../dataplane/types.js';
+import type { Log } from '../logging/ring.js';
+import { holdings } from '../state/index/holdings.js';
+import { fleet } from '../state/runners/fleet.js';
+import { answers } from '../transport/http/answer.js';
+import { ask } from '../transport/http/ask.js';
+import { channel } from '../transport/inner/channel.js';
+import { groupDriver } from '../coordination/group/driver.js';
+import { hash } from '../state/index/hash.js';
+import type { Settings } from '../types.js';
+
+const silentMs = 500;
+const sweepMs = 100;
+
+function create(s: Settings, log: Log): Site {
+  const b = s.bound_set;
+  return {
+    settings: s, log, fleet: fleet.create(), table: null, weights: {}, weightsSeq: 0, weightsAt: new Map(),
+    board: { epoch: 0, seq: 0, runners: null, hot: [], gather: 0, total: 0, sites: 0 },
+    budget: budget.create(b.retry_window_s * 1000, b.retry_ratio, b.retry_slack), holdings: holdings.create(20_000), hot: new Map(),
+    leaving: false, open: new Set(), stirred: new EventEmitter().setMaxListeners(0), burdenChanged: function none() { /* set by the feed */ },
+    readRate: 0, sent: function none() { /* set by the tracker */ },
+  };
+}
+
+function listen(server: Server, addr: string): Promise<void> {
+  const { host, port } = ask.split(addr);
+  return new Promise(function run(done, fail) {
+    server.on('error', fail);
+    server.listen({ host, port, backlog: 1024 }, done);
+  });
+}
+
+function isReady(site: Site): boolean {
+  return !site.leaving && site.table !== null && site.board.runners !== null;
+}
+
+// A runner with requests open that has said nothing to any of them for a while is suspect until it
+// speaks again.
+function sweep(site: Site): void {
+  const now = performance.now();
+  for (const s of site.fleet.byId.values()) {
+    if (s.active > 0 && s.phase === 'sound' && now - s.lastByteAt > silentMs) fleet.turn(s, 'suspect', now);
+  }
+}
+
+async function start(s: Settings, log: Log): Promise<void> {
+  const site = create(s, log);
+  const probe = createServer(function asked(req, res) {
+    answers.send(res, answers.plain(req.url === '/v1/ready' ? (isReady(site) ? 200 : 503) : 404));
+  });
+  await listen(probe, s.bind_addrs.ready_probe!);
+  const seeds = s.seed_addrs.map(function inner(a) { return groupDriver.innerAddr(a, s.port_range[0]); });
+  const f: Follower = {
+    life: randomBytes(6).toString('hex'), via: channel.agent(), known: seeds, seeds,
+    at: Math.floor(hash.of(s.node_name) * seeds.length), sequencer: null, stopped: false,
+  };
+  const server = front.create(site);
+  site.stirred.on('configuration', function changed() { front.adapt(site, server); });
+  await listen(server, s.bind_addrs.front_addr!);
+  void follow.run(site, f);
+  setInterval(function beat() { sweep(site); }, sweepMs);
+  process.on('SIGTERM', function term() { void leave(site, f, server); });
+}
+
+async function leave(site: Site, f: Follower, server: Server): Promise<void> {
+  if (site.leaving) return;
+  site.leaving = true;
+  const graceMs = site.settings.bound_set.grace_s * 1000;
+  const endAt = performance.now() + graceMs * 0.9;
+  await new Promise(function listed(done) { setTimeout(done, Math.min(2500, graceMs * 0.35)); });
+  server.close();
+  server.closeIdleConnections();
+  const timer = setTimeout(function over() { process.exit(0); }, Math.max(0, endAt - performance.now()));
+  if (site.open.size > 0) await new Promise(function idle(done) { site.stirred.once('idle', done); });
+  clearTimeout(timer);
+  f.stopped = true;
+  setTimeout(function gone() { process.exit(0); }, 50);
+}
+
+export const siteProgram = { start, create, isReady };
--- /dev/null
+++ b/src/protocol/findings.ts
@@ -0,0 +1,21 @@
+// Turns the failures of a superstruct check into findings: each with the place it concerns and a
+// sentence, all of them together.
+import { validate, type Struct } from 'superstruct';
+import type { Finding } from '../types.js';
+
+function of(raw: unknown, shape: Struct<any, any>): Finding[] {
+  const [err] = validate(raw, shape);
+  if (!err) return [];
+  const list: Finding[] = [];
+  for (const f of err.failures()) {
+    if (list.length >= 100) break;
+    list.push({ place: f.path.join('.') || '(whole)', text: f.message.replace(/^At path: \S+ -- /, '') });
+  }
+  return list;
+}
+
+function text(list: Finding[]): string {
+  return list.map(function line(f) { return `${f.place}: ${f.text}`; }).join('\n');
+}
+
+export const findings = { of, text };
--- /dev/null
+++ b/src/types.ts
@@ -0,0 +1,80 @@
+// The shared types of the system, gathered in one module: outcomes and findings, what a process is
+// told, what the operator configures, what runners and the platform report, and what the programs
+// say to one another.
+
+export type Outcome<T, E> = { ok: true; value: T } | { ok: false; trouble: E };
+export type Finding = { place: string; text: string };
+
+export type Bounds = {
+  contact_ms: number; ack_ms: number; catch_up_s: number; drain_ms: number; grace_s: number;
+  apply_ms: number; retry_ratio: number; retry_window_s: number; retry_slack: number;
+  transit_ms: number; lease_ms: number; thaw_ms: number; version_ms: number; reuse_after_s: number;
+};
+
+export type Settings = {
+  node_name: string; ip_addr: string; zone_name: string;
+  zones: Record<string, string>;
+  bind_addrs: { front_addr?: string; ready_probe?: string; control_addr?: string };
+  port_range: [number, number];
+  seed_addrs: string[];
+  is_first_start: boolean;
+  data_dir?: string | null;
+  beat_ms: number;
+  bound_set: Bounds;
+  cloud_api: { address: string; rate_per_s: number; lag_ms: number };
+};
+
+export type Branch = { target: string; share: number };
+export type Route = {
+  label: string; hostname: string; path_prefix: string;
+  variant: 'idempotent' | 'non_idempotent' | 'streaming';
+  deadline_ms: number; target_ms?: number; rank?: number; target?: string; branches?: Branch[];
+  tries?: number; public?: boolean; pinned?: boolean; resumable?: boolean; gap_target_ms?: number;
+};
+export type EngineKind = {
+  slot_count?: number; kv_capacity?: number; token_bytes?: number; link_mbps?: number;
+  max_in_flight?: number; model_list?: { label: string }[];
+};
+export type Service = {
+  label: string; health_path?: string; max_conns?: number; engine_kind?: EngineKind;
+  kv_store_addr?: string; zone_name?: string; kv_capacity?: number; link_mbps?: number; max_in_flight?: number;
+};
+export type Tenant = { label: string; api_keys: string[]; rank?: number; isolated?: boolean; model_rule?: string[] };
+export type Limits = { header_bytes?: number; body_bytes?: number; header_ms?: number; idle_ms?: number };
+export type Configuration = {
+  revision: number; route_list: Route[]; service_list: Service[]; limits?: Limits; tenant_list?: Tenant[];
+};
+
+export type ModelAt = { label: string; revision: number };
+export type Runner = {
+  id: string; service: string; addr: string; zone: string; slots: number;
+  draining: boolean; models: ModelAt[]; parked: boolean;
+};
+
+export type MemberId = string;
+export type Member = { id: MemberId; addr: string; control: string };
+
+export type HotPart = { salt: string; part: string; share: number; tokens: number };
+
+// What the sequencer tells the other coordinators and, through them, the sites: soft state that is
+// rebuilt by whoever wins the next epoch, ordered by (epoch, seq).
+export type Board = {
+  epoch: number; seq: number;
+  runners: Runner[] | null;
+  hot: HotPart[];
+  gather: number;
+  total: number;
+  sites: number;
+};
+
+export type NewsCall = { site: string; life: string; revision: number; board: [number, number]; weights: number; hold: number };
+export type NewsAnswer = {
+  configuration: Configuration | null; weights: Record<string, number> | null; weightsSeq: number;
+  board: Board | null; sequencer: string | null; coordinators: string[]; fresh: boolean;
+};
+
+export type CountCall = { site: string; life: string; seq: number; grown: number; total: number; counts: [string, number][]; gather: number };
+export type CountAnswer = { taken: number; known: boolean };
+
+export type OperatorCall = { method: string; path: string; match: string | null; body: Uint8Array };
+export type OperatorAnswer = { status: number; body: string };
