Index of kept parts, shared burden and hot set; copies in the store

Sites exchange burden and placements through the sequencer, which indexes events and tracks hot parts.

--- a/src/controlplane/board.ts
+++ b/src/controlplane/board.ts
@@ -13,7 +13,7 @@
 type BoardReply = { have: [number, number]; sessions: Session[] };
 
 function empty(): Board {
-  return { epoch: 0, seq: 0, runners: null, hot: [], gather: 0, total: 0, sites: 0 };
+  return { epoch: 0, seq: 0, runners: null, sites: 0 };
 }
 
 function newer(a: Board, epoch: number, seq: number): boolean {
--- /dev/null
+++ b/src/controlplane/kept.ts
@@ -0,0 +1,81 @@
+// Asks every engine and store for its events, as the sequencer, with long waits that need no slot,
+// and keeps the index up to date. A gap is repaired from the place's list.
+import { groupDriver } from '../coordination/group/driver.js';
+import { calls } from '../protocol/calls/pairs.js';
+import { ringLog } from '../logging/ring.js';
+import { keptIndex } from '../state/index/kept.js';
+import { feed } from './feed.js';
+import type { Coordinator } from './parts.js';
+import { runners } from './runners.js';
+
+const waitMs = 1000;
+const gapMs = 250;
+const slackMs = 500;
+const failedMs = 600;
+const beatMs = 200;
+export const storeName = 'store';
+
+type Place = { name: string; addr: string };
+
+function places(c: Coordinator): Place[] {
+  const services = c.group.state.configuration?.service_list ?? [];
+  const out: Place[] = [];
+  for (const s of services) if (s.kv_store_addr !== undefined && out.length === 0) out.push({ name: storeName, addr: s.kv_store_addr });
+  const engines = new Set(services.filter(function engine(s) { return s.engine_kind !== undefined; }).map(function label(s) { return s.label; }));
+  for (const r of runners.listed(c)) if (engines.has(r.service)) out.push({ name: r.id, addr: r.addr });
+  return out;
+}
+
+function pause(ms: number): Promise<void> {
+  return new Promise(function wait(done) { setTimeout(done, ms); });
+}
+
+async function follow(c: Coordinator, p: Place, epoch: number, open: Map<string, string>): Promise<void> {
+  while (groupDriver.isSequencer(c.group) && c.group.machine.epoch === epoch && open.get(p.name) === p.addr) {
+    const from = performance.now();
+    const s = feed.state(c);
+    const at = keptIndex.placeOf(s.index, p.name);
+    const r = await calls.send(c.agent, p.addr, calls.events(at.next, waitMs), waitMs + slackMs);
+    if (!r.ok) {
+      await pause(failedMs);
+      continue;
+    }
+    if (feed.state(c) !== s) break;
+    if (keptIndex.events(s.index, p.name, r.value)) await repair(c, p);
+    feed.wake(s);
+    await pause(Math.max(0, gapMs - (performance.now() - from)));
+  }
+  if (open.get(p.name) === p.addr) open.delete(p.name);
+}
+
+async function repair(c: Coordinator, p: Place): Promise<void> {
+  const s = feed.state(c);
+  const r = await calls.send(c.agent, p.addr, calls.keptList(), waitMs);
+  ringLog.note(c.log, { place: p.name, ok: r.ok }, 'asked for all that is kept');
+  if (r.ok && feed.state(c) === s) keptIndex.list(s.index, p.name, r.value);
+}
+
+function start(c: Coordinator): NodeJS.Timeout {
+  const open = new Map<string, string>();
+  return setInterval(function look() {
+    if (!groupDriver.isSequencer(c.group)) {
+      open.clear();
+      return;
+    }
+    const now = places(c);
+    const names = new Set(now.map(function name(p) { return p.name; }));
+    const s = feed.state(c);
+    for (const name of [...open.keys()]) {
+      if (names.has(name)) continue;
+      open.delete(name);
+      keptIndex.drop(s.index, name);
+    }
+    for (const p of now) {
+      if (open.get(p.name) === p.addr) continue;
+      open.set(p.name, p.addr);
+      void follow(c, p, c.group.machine.epoch, open);
+    }
+  }, beatMs);
+}
+
+export const kept = { start };
--- a/src/controlplane/parts.ts
+++ b/src/controlplane/parts.ts
@@ -2,7 +2,7 @@
 import type { Agent } from 'node:http';
 import type { GroupDriver } from '../coordination/group/driver.js';
 import type { Log } from '../logging/ring.js';
-import type { Board, CountCall, Settings } from '../types.js';
+import type { Board, Settings, Tuning } from '../types.js';
 
 export type Session = { site: string; life: string; seenAt: number };
 export type Waiter = { due: () => boolean; answer: () => void };
@@ -13,5 +13,5 @@
   sessions: Map<string, Session>;
   partnerSessions: Map<string, Session[]>;
   waiters: Set<Waiter>;
-  relayed: CountCall[];
+  tuning: Tuning;
 };
--- a/src/controlplane/rollout.ts
+++ b/src/controlplane/rollout.ts
@@ -2,14 +2,13 @@
 // duty beyond doubt, asks runners for their state, and shows the sites what is out of use.
 import { groupDriver } from '../coordination/group/driver.js';
 import { rolloutPlan, type RolloutEffect, type RolloutEvent, type RolloutState } from '../coordination/duties/rollout.js';
-import { calls, type Method } from '../protocol/calls/pairs.js';
+import { calls } from '../protocol/calls/pairs.js';
 import { ringLog } from '../logging/ring.js';
 import type { Coordinator } from './parts.js';
 import { runners } from './runners.js';
 
 const beatMs = 40;
 const legMs = 700;
-const method: Method = 'retain';
 
 function mayAct(c: Coordinator): boolean {
   return groupDriver.mayAct(c.group, c.settings.bound_set.lease_ms);
@@ -35,7 +34,7 @@
 async function order(c: Coordinator, s: RolloutState, id: string, model: string, revision: number): Promise<void> {
   const addr = addrOf(c, id);
   if (addr === null || !mayAct(c)) return;
-  const call = calls.revisionOrder({ model, revision, method, holder: c.settings.node_name, fence: c.group.machine.epoch, instance: id });
+  const call = calls.revisionOrder({ model, revision, method: c.tuning.orderMethod, holder: c.settings.node_name, fence: c.group.machine.epoch, instance: id });
   const r = await calls.send(c.agent, addr, call, legMs);
   ringLog.note(c.log, { runner: id, revision, result: r.ok ? r.value : r.trouble.t }, 'order');
   feed(c, s, { e: 'ordered', id, result: r.ok ? r.value : null });
@@ -50,7 +49,7 @@
 }
 
 function start(c: Coordinator): NodeJS.Timeout {
-  const s = rolloutPlan.create({ share: 0.25, parkMs: 60, askMs: 250, settleMs: 600, giveUpMs: 6000, pauseMs: 400 });
+  const s = rolloutPlan.create({ share: c.tuning.orderShare, parkMs: 60, askMs: 250, settleMs: 600, giveUpMs: 6000, pauseMs: 400 });
   return setInterval(function beat() {
     if (!groupDriver.isSequencer(c.group) && s.jobs.size === 0) return;
     feed(c, s, { e: 'beat', runners: runners.listed(c), targets: c.group.state.weights, mayAct: mayAct(c) });
--- /dev/null
+++ b/src/dataplane/feed.ts
@@ -0,0 +1,109 @@
+// A site's side of the exchange with the sequencer. One call is always held open for what the others
+// do; a call without a hold goes out shortly after a large change of this site's own burden.
+import { channel } from '../transport/inner/channel.js';
+import { siteTracker, type SiteTracker } from '../coordination/tracking/site.js';
+import { holdings, storePlace } from '../state/index/holdings.js';
+import type { FeedAnswer, FeedCall } from '../types.js';
+import type { Follower } from './follow.js';
+import { assign } from './policies/assign.js';
+import type { Site } from './types.js';
+
+const holdMs = 500;
+const slackMs = 300;
+const coalesceMs = 12;
+const tellTokens = 512;
+const staleMs = 1500;
+const storeName = 'store';
+
+type Exchange = {
+  tracker: SiteTracker; since: [number, number]; seen: number; hotSeq: number;
+  held: [string, string, number, string][]; told: Map<string, number>; soon: NodeJS.Timeout | null; heardAt: number;
+};
+
+function burdenOf(site: Site): [string, number, number][] {
+  const out: [string, number, number][] = [];
+  for (const s of site.fleet.byId.values()) if (s.active > 0 || s.reading > 0) out.push([s.id, s.active, Math.round(s.reading)]);
+  return out;
+}
+
+function callOf(site: Site, x: Exchange, hold: number): FeedCall {
+  const burden = burdenOf(site);
+  x.told = new Map(burden.map(function pair(b) { return [b[0], b[2]] as const; }));
+  const held = x.held;
+  x.held = [];
+  return { site: site.settings.node_name, life: x.tracker.life, since: x.since, seen: x.seen, hotSeq: x.hotSeq, hold, burden, held, report: siteTracker.report(x.tracker) };
+}
+
+function take(site: Site, x: Exchange, a: FeedAnswer, held: boolean): void {
+  x.heardAt = performance.now();
+  siteTracker.answered(x.tracker, a.taken, a.known);
+  siteTracker.told(x.tracker, a.tracking);
+  site.hot.total = a.tracking.total;
+  if (a.tracking.hot) {
+    site.hot.share = new Map(a.tracking.hot.map(function pair(h) { return [h[0], h[1]] as const; }));
+    x.hotSeq = a.tracking.hotSeq;
+  }
+  for (const s of site.fleet.byId.values()) s.othersActive = s.othersReading = 0;
+  for (const [id, active, reading] of a.burdens) {
+    const s = site.fleet.byId.get(id);
+    if (s) {
+      s.othersActive = active;
+      s.othersReading = reading;
+    }
+  }
+  if (!held) return;
+  x.seen = a.seen;
+  if (a.whole) site.holdings.parts.clear();
+  for (const [op, salt, part, tokens, name] of a.changes) {
+    const place = name === storeName ? storePlace : site.fleet.byId.get(name)?.ix;
+    if (place === undefined) continue;
+    if (op === '+') holdings.put(site.holdings, salt, part, place, tokens);
+    else holdings.drop(site.holdings, salt, part, place);
+  }
+  x.since = [a.epoch, a.at];
+}
+
+async function say(site: Site, f: Follower, x: Exchange, hold: number): Promise<boolean> {
+  const to = f.sequencer;
+  if (to === null) return false;
+  const call = callOf(site, x, hold);
+  const r = await channel.post<FeedAnswer | null>(f.via, to, '/inner/feed', call, hold + slackMs);
+  if (!r.ok || r.value === null) {
+    x.held = [...call.held, ...x.held].slice(-200);
+    return false;
+  }
+  take(site, x, r.value, hold > 0);
+  return true;
+}
+
+async function run(site: Site, f: Follower): Promise<void> {
+  const x: Exchange = {
+    tracker: siteTracker.create(site.tuning.epsilon, f.life), since: [-1, 0], seen: -1, hotSeq: 0, held: [], told: new Map(), soon: null, heardAt: 0,
+  };
+  site.sent = function sent(p, a) {
+    if (a.salt === null) return;
+    for (const part of assign.shared(p)) {
+      if (part.tokens < site.tuning.movedTokens) continue;
+      siteTracker.arrive(x.tracker, `${a.salt} ${part.id}`, part.tokens);
+      if (holdings.tokensAt(site.holdings, a.salt, part.id, a.slot.ix) === 0) x.held.push([a.salt, part.id, part.tokens, a.slot.id]);
+      holdings.put(site.holdings, a.salt, part.id, a.slot.ix, part.tokens);
+    }
+  };
+  site.burdenChanged = function changed() {
+    if (x.soon) return;
+    const large = [...site.fleet.byId.values()].some(function much(s) { return Math.abs(s.reading - (x.told.get(s.id) ?? 0)) >= tellTokens; });
+    if (!large) return;
+    x.soon = setTimeout(function tell() {
+      x.soon = null;
+      void say(site, f, x, 0);
+    }, coalesceMs);
+  };
+  while (!f.stopped) {
+    const ok = await say(site, f, x, holdMs);
+    if (ok) continue;
+    if (performance.now() - x.heardAt > staleMs) for (const s of site.fleet.byId.values()) s.othersActive = s.othersReading = 0;
+    await new Promise(function pause(done) { setTimeout(done, 150); });
+  }
+}
+
+export const feeding = { run };
--- a/src/dataplane/policies/assign.ts
+++ b/src/dataplane/policies/assign.ts
@@ -5,14 +5,14 @@
 import { hash } from '../../state/index/hash.js';
 import { holdings, storePlace } from '../../state/index/holdings.js';
 import { fleet, type Slot } from '../../state/runners/fleet.js';
+import type { Part } from '../../protocol/calls/heads.js';
 import type { Assigned, Passage, Site } from '../types.js';
 
 const suspectCost = 40_000;
-const runCost = 150;
+const runCost = 60;
 const zoneCost = 300;
-const fetchShare = 0.15;
-const worthFetching = 1024;
-const shareCost = 400;
+const fetchShare = 0.12;
+const shareCost = 600;
 const ownBlocks = 16;
 
 function saltOf(p: Passage, revision: number): string {
@@ -46,34 +46,60 @@
 
 function bestSource(site: Site, p: Passage, salt: string, s: Slot, has: number, revision: number): { addr: string; tokens: number } | null {
   let best: { addr: string; tokens: number } | null = null;
-  const big = p.parts.find(function large(x) { return x.tokens >= worthFetching; });
+  const worthFetching = site.tuning.movedTokens;
+  const big = shared(p).find(function large(x) { return x.tokens >= worthFetching; });
   if (!big) return null;
   const at = holdings.places(site.holdings, salt, big.id);
   if (!at) return null;
   for (const place of at.keys()) {
     if (place === s.ix) continue;
     const n = holdings.prefixAt(site.holdings, salt, p.parts, place);
-    if (n - has < worthFetching || (best && n <= best.tokens)) continue;
+    if (n - has < worthFetching || (best && n < best.tokens)) continue;
     if (place === storePlace) {
       const store = site.table!.stores[0]?.kv_store_addr;
-      if (store) best = { addr: store, tokens: n };
+      if (store && (!best || n > best.tokens)) best = { addr: store, tokens: n };
       continue;
     }
     const from = site.fleet.slots[place];
     if (!from || !from.listed || from.phase !== 'sound' || from.parked || from.service !== s.service) continue;
     if (from.revisions.get(p.model!) !== revision) continue;
+    if (best && n === best.tokens && from.zone !== s.zone) continue;
     best = { addr: from.addr, tokens: n };
   }
   return best;
 }
 
+// What requests with the same session or the same shared part have in common.
+function affinity(p: Passage): string {
+  const part = p.parts.at(-2);
+  return part ? `${p.wall} ${part.id}` : p.attempt;
+}
+
+// The parts of a prompt that others may share: all but the last, which is the request's own.
+function shared(p: Passage): Part[] {
+  return p.parts.slice(0, -1);
+}
+
+// The store gets a copy of a shared part that is hot, counting this request, unless it has one.
+function saveTo(site: Site, p: Passage, salt: string): string | null {
+  const store = site.table!.stores[0]?.kv_store_addr;
+  if (!store || !site.tuning.hotSet) return null;
+  const { phi, epsilon, movedTokens } = site.tuning;
+  for (const x of shared(p)) {
+    if (x.tokens < movedTokens || holdings.tokensAt(site.holdings, salt, x.id, storePlace) > 0) continue;
+    const { share, total } = site.hot;
+    if (((share.get(`${salt} ${x.id}`) ?? 0) * total + 1) / (total + 1) >= phi - epsilon / 2) return store;
+  }
+  return null;
+}
+
 function choose(site: Site, p: Passage, now: number): Assigned | null {
   const of = site.fleet.byService.get(p.service.label);
   if (!of) return null;
   const whole = prompt(p);
   let best: Assigned | null = null;
   let bestCost = Infinity;
-  const big = p.parts.find(function large(x) { return x.tokens >= worthFetching; });
+  const draw = affinity(p);
   for (const s of of) {
     if (!mayTake(site, p, s, now)) continue;
     const revision = revisionAt(p, s);
@@ -85,13 +111,14 @@
     let cost = reads + moved * fetchShare + s.reading + s.othersReading + (s.active + s.othersActive) * runCost;
     if (s.zone !== site.settings.zone_name) cost += zoneCost;
     if (s.phase !== 'sound') cost += suspectCost;
-    cost += hash.of(`${s.id} ${big ? `${p.wall} ${big.id}` : p.attempt}`) * shareCost;
+    cost += hash.of(`${s.id} ${draw}`) * shareCost;
     if (cost < bestCost) {
       bestCost = cost;
       best = { slot: s, revision, salt, reads: reads + moved * fetchShare, fetchFrom: source?.addr ?? null, saveTo: null };
     }
   }
+  if (best && best.salt !== null) best.saveTo = saveTo(site, p, best.salt);
   return best;
 }
 
-export const assign = { choose, prompt };
+export const assign = { choose, shared };
--- a/src/dataplane/policies/deliver.ts
+++ b/src/dataplane/policies/deliver.ts
@@ -63,6 +63,7 @@
   s.active++;
   s.reading += a.reads;
   p.runners.add(s.ix);
+  site.sent(p, a);
   site.burdenChanged();
 }
 
--- a/src/milletcleat.ts
+++ b/src/milletcleat.ts
@@ -3,6 +3,7 @@
 import meow from 'meow';
 import { findings } from './protocol/findings.js';
 import { settings } from './protocol/settings/check.js';
+import { tuning } from './protocol/settings/tuning.js';
 import { ringLog } from './logging/ring.js';
 import { coordinatorProgram } from './programs/coordinator.js';
 import { siteProgram } from './programs/site.js';
@@ -13,9 +14,15 @@
     $ milletcleat coordinator   keeps the control state and brings it to all
 
   Options
-    --settings FILE   the settings file (default: the path in MILLETCLEAT_NODE_FILE)
+    --settings FILE      the settings file (default: the path in MILLETCLEAT_NODE_FILE)
+    --epsilon E          allowed error of the hot set, 0 < E <= PHI (default ${tuning.defaults.epsilon})
+    --phi PHI            share of requests from which a part is hot (default ${tuning.defaults.phi})
+    --moved-tokens N     parts from this size on are tracked and moved (default ${tuning.defaults.movedTokens})
+    --no-hot-set         extra copies without regard to the hot set: none are made
+    --order-method M     await, truncate or retain (default ${tuning.defaults.orderMethod})
+    --order-share S      share of a service's runners under order at once (default ${tuning.defaults.orderShare})
     --help, --version
-`, { importMeta: import.meta, allowUnknownFlags: false, flags: { settings: { type: 'string' } } });
+`, { importMeta: import.meta, allowUnknownFlags: false, flags: tuning.flags });
 
 function fail(status: number, text: string): never {
   process.stderr.write(`${text}\n`);
@@ -25,6 +32,8 @@
 async function daemon(part: 'site' | 'coordinator'): Promise<void> {
   const path = cli.flags.settings ?? process.env.MILLETCLEAT_NODE_FILE;
   if (!path) fail(2, 'no settings file: give --settings or set MILLETCLEAT_NODE_FILE');
+  const tuned = tuning.check(cli.flags);
+  if (!tuned.ok) fail(2, findings.text(tuned.trouble));
   const read = settings.read(path, part);
   if (!read.ok) fail(1, `${path}:\n${findings.text(read.trouble)}`);
   const log = ringLog.create(part, read.value.node_name);
@@ -39,7 +48,7 @@
     else ringLog.trouble(log, { findings: again.trouble }, 'the changed settings are not taken');
   });
   try {
-    await (part === 'site' ? siteProgram : coordinatorProgram).start(read.value, log);
+    await (part === 'site' ? siteProgram : coordinatorProgram).start(read.value, log, tuned.value);
   } catch (err) {
     ringLog.trouble(log, { why: (err as Error).stack }, 'could not start');
     process.exit(1);
--- a/src/programs/coordinator.ts
+++ b/src/programs/coordinator.ts
@@ -3,6 +3,8 @@
 import { createServer } from 'node:http';
 import { groupDriver } from '../coordination/group/driver.js';
 import { boards } from '../controlplane/board.js';
+import { feed } from '../controlplane/feed.js';
+import { kept } from '../controlplane/kept.js';
 import { news } from '../controlplane/news.js';
 import { operator } from '../controlplane/operator.js';
 import type { Coordinator } from '../controlplane/parts.js';
@@ -13,19 +15,20 @@
 import { answers } from '../transport/http/answer.js';
 import { ask } from '../transport/http/ask.js';
 import { channel } from '../transport/inner/channel.js';
-import type { Settings } from '../types.js';
+import type { Settings, Tuning } from '../types.js';
 
-async function start(s: Settings, log: Log): Promise<void> {
+async function start(s: Settings, log: Log, tuning: Tuning): Promise<void> {
   const group = groupDriver.create(s, log);
   const c: Coordinator = {
     settings: s, log, group, agent: channel.agent(), board: boards.empty(),
-    sessions: new Map(), partnerSessions: new Map(), waiters: new Set(), relayed: [],
+    sessions: new Map(), partnerSessions: new Map(), waiters: new Set(), tuning,
   };
   group.on('delivered', function news() { boards.wake(c); });
   await channel.listen(s.ip_addr, s.port_range[0], {
     '/inner/group': function messages(b) { return groupDriver.receive(group, b.messages); },
     '/inner/board': function board(b) { return boards.receive(c, b); },
     '/inner/news': function question(b) { return news.call(c, b); },
+    '/inner/feed': function exchange(b) { return feed.call(c, b); },
     '/inner/operator': function call(b) { return operator.decide(c, b); },
   });
   const door = createServer(function got(req, res) {
@@ -43,6 +46,8 @@
   boards.start(c);
   void runners.run(c);
   rollout.start(c);
+  feed.start(c);
+  kept.start(c);
   process.on('SIGTERM', function term() {
     void groupDriver.stop(group).then(function gone() { process.exit(0); });
   });
--- a/src/programs/site.ts
+++ b/src/programs/site.ts
@@ -4,6 +4,7 @@
 import { randomBytes } from 'node:crypto';
 import { createServer, type Server } from 'node:http';
 import { budget } from '../dataplane/budget.js';
+import { feeding } from '../dataplane/feed.js';
 import { follow, type Follower } from '../dataplane/follow.js';
 import { front } from '../dataplane/front.js';
 import type { Site } from '../dataplane/types.js';
@@ -15,19 +16,19 @@
 import { channel } from '../transport/inner/channel.js';
 import { groupDriver } from '../coordination/group/driver.js';
 import { hash } from '../state/index/hash.js';
-import type { Settings } from '../types.js';
+import type { Settings, Tuning } from '../types.js';
 
 const silentMs = 500;
 const sweepMs = 100;
 
-function create(s: Settings, log: Log): Site {
+function create(s: Settings, log: Log, tuning: Tuning): Site {
   const b = s.bound_set;
   return {
     settings: s, log, fleet: fleet.create(), table: null, weights: {}, weightsSeq: 0, weightsAt: new Map(),
-    board: { epoch: 0, seq: 0, runners: null, hot: [], gather: 0, total: 0, sites: 0 },
-    budget: budget.create(b.retry_window_s * 1000, b.retry_ratio, b.retry_slack), holdings: holdings.create(20_000), hot: new Map(),
+    board: { epoch: 0, seq: 0, runners: null, sites: 0 },
+    budget: budget.create(b.retry_window_s * 1000, b.retry_ratio, b.retry_slack), holdings: holdings.create(20_000), hot: { share: new Map(), total: 0 }, tuning,
     leaving: false, open: new Set(), stirred: new EventEmitter().setMaxListeners(0), burdenChanged: function none() { /* set by the feed */ },
-    readRate: 0, sent: function none() { /* set by the tracker */ },
+    sent: function none() { /* set by the feed */ },
   };
 }
 
@@ -52,8 +53,8 @@
   }
 }
 
-async function start(s: Settings, log: Log): Promise<void> {
-  const site = create(s, log);
+async function start(s: Settings, log: Log, tuning: Tuning): Promise<void> {
+  const site = create(s, log, tuning);
   const probe = createServer(function asked(req, res) {
     answers.send(res, answers.plain(req.url === '/v1/ready' ? (isReady(site) ? 200 : 503) : 404));
   });
@@ -67,6 +68,7 @@
   site.stirred.on('configuration', function changed() { front.adapt(site, server); });
   await listen(server, s.bind_addrs.front_addr!);
   void follow.run(site, f);
+  void feeding.run(site, f);
   setInterval(function beat() { sweep(site); }, sweepMs);
   process.on('SIGTERM', function term() { void leave(site, f, server); });
 }
--- a/src/state/runners/fleet.ts
+++ b/src/state/runners/fleet.ts
@@ -17,6 +17,7 @@
 };
 export type Fleet = { slots: Slot[]; byId: Map<string, Slot>; byService: Map<string, Slot[]>; maxConns: number };
 
+const plain = Agent.prototype as unknown as KeptAgent;
 const firstPauseMs = 400;
 const longestPauseMs = 4000;
 const idleMs = 20_000;
@@ -44,8 +45,7 @@
     socket.removeListener('timeout', destroyIdle);
     socket.removeListener('data', destroyIdle);
     socket.setTimeout(0);
-    (req as unknown as { reusedSocket: boolean }).reusedSocket = true;
-    socket.ref();
+    plain.reuseSocket.call(a, socket, req);
   };
   return a as unknown as Agent;
 }
--- a/src/types.ts
+++ b/src/types.ts
@@ -54,16 +54,11 @@
 export type MemberId = string;
 export type Member = { id: MemberId; addr: string; control: string };
 
-export type HotPart = { salt: string; part: string; share: number; tokens: number };
-
 // What the sequencer tells the other coordinators and, through them, the sites: soft state that is
 // rebuilt by whoever wins the next epoch, ordered by (epoch, seq).
 export type Board = {
   epoch: number; seq: number;
   runners: Runner[] | null;
-  hot: HotPart[];
-  gather: number;
-  total: number;
   sites: number;
 };
 
@@ -73,8 +68,21 @@
   board: Board | null; sequencer: string | null; coordinators: string[]; fresh: boolean;
 };
 
-export type CountCall = { site: string; life: string; seq: number; grown: number; total: number; counts: [string, number][]; gather: number };
-export type CountAnswer = { taken: number; known: boolean };
+export type FeedCall = {
+  site: string; life: string; since: [number, number]; seen: number; hotSeq: number; hold: number;
+  burden: [string, number, number][] | null; held: [string, string, number, string][];
+  report: { seq: number; era: number; m: number; counts: [string, number, number][]; gather: number } | null;
+};
+export type FeedAnswer = {
+  epoch: number; at: number; whole: boolean; changes: [string, string, string, number, string][];
+  seen: number; burdens: [string, number, number][]; taken: number; known: boolean; tracking: Tracking;
+};
+export type Tracking = { k: number; total: number; gather: number; era: number; hotSeq: number; hot: [string, number, number][] | null };
 
 export type OperatorCall = { method: string; path: string; match: string | null; body: Uint8Array };
 export type OperatorAnswer = { status: number; body: string };
+
+// What may be set on the command line of the daemons; the defaults stand in tuning.ts.
+export type Tuning = {
+  epsilon: number; phi: number; movedTokens: number; hotSet: boolean; orderMethod: 'await' | 'truncate' | 'retain'; orderShare: number;
+};
