--- a/src/coordination/group/machine.ts
+++ b/src/coordination/group/machine.ts
@@ -397,7 +397,7 @@
   if (s.rosterAt > s.committed || log.epochAt(s, s.committed) !== s.epoch) return;
   const gone = others(s).find(function silent(m) { return now - (s.partners.get(m.id)?.heardAt ?? 0) > s.timing.goneMs; });
   for (const p of s.partners.values()) {
-    if (!p.joining || now - p.heardAt > s.timing.silenceMs || p.match < s.committed) continue;
+    if (!p.joining || now - p.heardAt > s.timing.silenceMs || p.match + batch < s.committed) continue;
     const was = s.roster.find(function same(m) { return m.addr === p.addr; });
     const members = was
       ? s.roster.filter(function keep(m) { return m.id !== was.id; })
--- a/src/state/log/recover.ts
+++ b/src/state/log/recover.ts
@@ -32,45 +32,57 @@
   return null;
 }
 
-function recover(dir: string): Recovery {
-  let names: string[];
-  try {
-    names = readdirSync(dir);
-  } catch {
-    return { k: 'empty', nextSegment: 1 };
-  }
-  const segments = numbered(names, 'segment');
-  const nextSegment = (segments.at(-1)?.no ?? 0) + 1;
-  const view = newestView(dir, names);
-  if (!view) return segments.length === 0 ? { k: 'empty', nextSegment } : { k: 'lost', why: 'no whole view', nextSegment };
+type Replayed = { ok: true; me: string; epoch: number; vote: string | null; entries: Entry[] } | { ok: false; why: string };
+
+// Plays the records of the segments, in order, on top of a view.
+function replay(view: View, segments: { name: string; values: (Record_ | SegmentHead)[] }[]): Replayed {
   let entries: Entry[] = [];
   let me: string | null = null;
   let epoch = 0;
   let vote: string | null = null;
-  const torn: string[] = [];
+  function promised(p: { epoch: number; vote: string | null }): void {
+    if (p.epoch >= epoch) ({ epoch, vote } = p);
+  }
   for (const seg of segments) {
-    const { values, torn: isTorn } = records.readAll(readFileSync(join(dir, seg.name)));
-    if (isTorn) torn.push(seg.name);
-    for (const v of values as (Record_ | SegmentHead)[]) {
+    for (const v of seg.values) {
       if (v.r === 'head') {
         me = v.me;
-        if (v.epoch >= epoch) ({ epoch, vote } = v);
+        promised(v);
         if (v.reset && v.after === view.index) entries = [];
-        if (v.after > view.index + entries.length) return { k: 'lost', why: `${seg.name} follows entry ${v.after}, which is not there`, nextSegment };
-      } else if (v.r === 'promise') {
-        if (v.epoch >= epoch) ({ epoch, vote } = v);
-      } else {
+        if (v.after > view.index + entries.length) return { ok: false, why: `${seg.name} follows entry ${v.after}, which is not there` };
+      } else if (v.r === 'promise') promised(v);
+      else {
         const at = v.entry.index - view.index - 1;
-        if (at < 0) continue;
-        if (at > entries.length) return { k: 'lost', why: `entry ${v.entry.index} of ${seg.name} has a gap before it`, nextSegment };
-        if (entries[at]?.epoch === v.entry.epoch) continue;
+        if (at < 0 || entries[at]?.epoch === v.entry.epoch) continue;
+        if (at > entries.length) return { ok: false, why: `entry ${v.entry.index} of ${seg.name} has a gap before it` };
         entries = entries.slice(0, at);
         entries.push(v.entry);
       }
     }
   }
-  if (me === null) return { k: 'lost', why: 'no whole segment', nextSegment };
-  return { k: 'whole', found: { me, epoch, vote, view, entries, nextSegment }, torn };
+  return me === null ? { ok: false, why: 'no whole segment' } : { ok: true, me, epoch, vote, entries };
+}
+
+function recover(dir: string): Recovery {
+  let names: string[];
+  try {
+    names = readdirSync(dir);
+  } catch {
+    return { k: 'empty', nextSegment: 1 };
+  }
+  const files = numbered(names, 'segment');
+  const nextSegment = (files.at(-1)?.no ?? 0) + 1;
+  const view = newestView(dir, names);
+  if (!view) return files.length === 0 ? { k: 'empty', nextSegment } : { k: 'lost', why: 'no whole view', nextSegment };
+  const torn: string[] = [];
+  const segments = files.map(function one(f) {
+    const { values, torn: isTorn } = records.readAll(readFileSync(join(dir, f.name)));
+    if (isTorn) torn.push(f.name);
+    return { name: f.name, values: values as (Record_ | SegmentHead)[] };
+  });
+  const r = replay(view, segments);
+  if (!r.ok) return { k: 'lost', why: r.why, nextSegment };
+  return { k: 'whole', found: { me: r.me, epoch: r.epoch, vote: r.vote, view, entries: r.entries, nextSegment }, torn };
 }
 
-export const recovery = { recover, numbered };
+export const recovery = { recover, replay, numbered };
