--- a/src/coordination/tracking/coordinator.ts
+++ b/src/coordination/tracking/coordinator.ts
@@ -93,6 +93,7 @@
 }
 
 function retire(t: Tracker, isRetired: (x: string) => boolean): void {
+  const before = t.C;
   for (const s of t.sites.values()) {
     for (const [x, c] of [...s.counts]) {
       if (!isRetired(x)) continue;
@@ -102,6 +103,7 @@
       s.m -= c;
     }
   }
+  if (t.C < before) t.total = t.C;
 }
 
 // The hot set: prefixes whose estimated share is at least φ − ε/2.
--- a/src/coordination/tracking/site.ts
+++ b/src/coordination/tracking/site.ts
@@ -64,9 +64,11 @@
 }
 
 // What the coordinator broadcasts: k, the total, the number of the gathering, and the era. A new era
-// halves what stands here, as it does at the coordinator.
+// halves what stands here, as it does at the coordinator. A total that fell allows less unreported
+// growth than there may be, so everything is told.
 function told(t: SiteTracker, b: { k: number; total: number; gather: number; era: number }): void {
   t.k = b.k;
+  if (b.total < t.S) tellAll(t);
   t.S = b.total;
   if (b.gather > t.gather) {
     t.gather = b.gather;
--- a/src/dataplane/feed.ts
+++ b/src/dataplane/feed.ts
@@ -76,6 +76,12 @@
   return true;
 }
 
+// Parts kept under weights two versions back are asked for by no one any more.
+function isRetired(site: Site, key: string): boolean {
+  const [, model, revision] = key.split(' ')[0]!.split('/');
+  return model !== undefined && Number(revision) < (site.weights[model] ?? 0) - 1;
+}
+
 async function run(site: Site, f: Follower): Promise<void> {
   const x: Exchange = {
     tracker: siteTracker.create(site.tuning.epsilon, f.life), since: [-1, 0], seen: -1, hotSeq: 0, held: [], told: new Map(), soon: null, heardAt: 0,
@@ -99,6 +105,7 @@
     }, coalesceMs);
   };
   while (!f.stopped) {
+    siteTracker.retire(x.tracker, function retired(key) { return isRetired(site, key); });
     const ok = await say(site, f, x, holdMs);
     if (ok) continue;
     if (performance.now() - x.heardAt > staleMs) for (const s of site.fleet.byId.values()) s.othersActive = s.othersReading = 0;
--- /dev/null
+++ b/test/loopback.test.ts
@@ -0,0 +1,192 @@
+// The real programs over loopback with stand-ins: from first start to a configuration, requests,
+// refusals, broken runners, weights, a restart of the whole core, and an orderly end.
+import { strict as assert } from 'node:assert';
+import { after, before, test } from 'node:test';
+import { connect } from 'node:net';
+import { fleetStandin as fs, model, type Fleet } from './standins/fleet.js';
+
+let f: Fleet;
+let seq = 0;
+
+function heads(over: Record<string, string> = {}): Record<string, string> {
+  return { 'X-Attempt-Id': `a${++seq}`, 'X-Api-Key': 'key-one', 'X-Model': model, 'X-Token-Counts': '1600,20', 'X-Prompt-Prefix': 'aa:1500,0b:100', 'X-Time-Left-Ms': '3000', ...over };
+}
+
+function runsOf(attempt: string): number {
+  return f.runners.flatMap(function ran(r) { return r.ran; }).filter(function same(x) { return x.attempt === attempt; }).length;
+}
+
+before(async function up() {
+  f = await fs.create(71, 2, 2);
+  await fs.until(function put() { return fs.operator(f, 1, 'PUT', '/v1/config', fs.configuration(3), 0); }, function taken(r) { return r.status === 200; }, 'the first configuration');
+  for (const site of [1, 2]) await fs.until(function ask() { return fs.ready(f, site); }, function yes(r) { return r.status === 200; }, `site ${site} ready`);
+}, { timeout: 60_000 });
+
+after(function down() { return fs.stop(f); });
+
+test('a stream comes through whole, from a runner that was told the right things', async function run() {
+  const h = heads();
+  const r = await fs.client(f, 1, h, '/gen/x?q=1', 'the prompt');
+  assert.equal(r.status, 200);
+  assert.ok(r.whole);
+  assert.equal(r.body, [1, 2, 3, 4].map(function piece(i) { return `id: ${i}\ndata: piece ${i}\n\n`; }).join(''));
+  assert.equal(r.headers['x-attempt-id'], h['X-Attempt-Id']);
+  const ran = f.runners.flatMap(function all(x) { return x.ran; }).find(function same(x) { return x.attempt === h['X-Attempt-Id']; })!;
+  assert.deepEqual({ ...ran, salt: '' }, { attempt: h['X-Attempt-Id'], tenant: 't-one', path: '/gen/x?q=1', body: 'the prompt', salt: '', version: 1, lastEvent: undefined, key: undefined });
+});
+
+test('what may not pass is refused plainly and runs nowhere', async function run() {
+  async function status(over: Record<string, string>, path = '/gen/x', host = 'a.example', body = 'x'): Promise<number> {
+    const h = heads(over);
+    const r = await fs.client(f, 1, h, path, body, host);
+    assert.equal(runsOf(h['X-Attempt-Id']!), 0);
+    return r.status;
+  }
+  assert.equal(await status({ 'X-Api-Key': 'nobody' }), 401);
+  assert.equal(await status({}, '/none/'), 404);
+  assert.equal(await status({}, '/gen/x', 'b.example'), 404);
+  assert.equal(await status({ 'X-Big': 'x'.repeat(9000) }), 431);
+  assert.equal(await status({}, '/gen/x', 'a.example', 'x'.repeat(100_001)), 413);
+});
+
+function raw(bytes: string): Promise<string> {
+  return new Promise(function run(done) {
+    const s = connect(fs.ports.front, fs.ip(f.net, 11));
+    let got = '';
+    s.on('data', function more(b) { got += String(b); });
+    s.on('close', function over() { done(got); });
+    s.on('error', function ignore() { /* told by close */ });
+    s.write(bytes);
+  });
+}
+
+test('smuggled and malformed requests reach no runner', async function run() {
+  const ran = f.runners.reduce(function sum(n, r) { return n + r.ran.length; }, 0);
+  const head = 'POST /gen/x HTTP/1.1\r\nHost: a.example\r\nX-Api-Key: key-one\r\nX-Attempt-Id: smuggle\r\n';
+  assert.match(await raw(`${head}Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nPOST`), /^HTTP\/1.1 400 /);
+  assert.match(await raw(`${head}Content-Length: 5\r\nContent-Length: 6\r\n\r\nhello!`), /^HTTP\/1.1 400 /);
+  assert.match(await raw('nonsense\r\n\r\n'), /^HTTP\/1.1 400 /);
+  assert.match(await raw(`${head}Transfer-Encoding: chunked\r\n\r\nzz\r\n`), /^(HTTP\/1.1 400 |$)/);
+  assert.equal(f.runners.reduce(function sum(n, r) { return n + r.ran.length; }, 0), ran);
+});
+
+test('a request that was turned away goes to another runner; one that may have run does not', async function run() {
+  const [one, two] = f.runners;
+  one!.refuse = true;
+  for (let i = 0; i < 6; i++) {
+    const h = heads({ 'X-Prompt-Prefix': `c${i}:1500,0b:100` });
+    const r = await fs.client(f, 1, h);
+    if (r.status !== 200) assert.equal(r.status, 503);
+    assert.ok(runsOf(h['X-Attempt-Id']!) <= 1);
+  }
+  one!.refuse = false;
+  one!.breakAfter = 0;
+  two!.breakAfter = 0;
+  const h = heads();
+  const r = await fs.client(f, 1, h, '/once/x');
+  assert.ok(!r.whole || r.status >= 500, 'a broken answer does not look whole');
+  assert.equal(runsOf(h['X-Attempt-Id']!), 1);
+  one!.breakAfter = two!.breakAfter = null;
+});
+
+test('a resumable stream that breaks goes on behind its last whole event at another runner', async function run() {
+  const [one, two] = f.runners;
+  await fs.until(async function ask() {
+    one!.breakAfter = 2;
+    two!.breakAfter = null;
+    const h = heads({ 'X-Prompt-Prefix': `d${seq}:1500,0b:100` });
+    const r = await fs.client(f, 2, h);
+    return { r, ran: f.runners.flatMap(function all(x) { return x.ran; }).filter(function same(x) { return x.attempt === h['X-Attempt-Id']; }) };
+  }, function resumed(x) {
+    if (x.r.status === 200 && x.r.whole) assert.equal(x.r.body, [1, 2, 3, 4].map(function piece(i) { return `id: ${i}\ndata: piece ${i}\n\n`; }).join(''));
+    return x.ran.length === 2 && x.ran[1]!.lastEvent === '2' && x.r.whole;
+  }, 'a resumed stream');
+  one!.breakAfter = null;
+});
+
+test('an isolated tenant has salts of its own', async function run() {
+  const shared = heads();
+  const own = heads({ 'X-Api-Key': 'key-two' });
+  await fs.client(f, 1, shared);
+  await fs.client(f, 1, own);
+  const all = f.runners.flatMap(function ran(r) { return r.ran; });
+  function saltOf(h: Record<string, string>): string { return all.find(function same(x) { return x.attempt === h['X-Attempt-Id']; })!.salt; }
+  assert.notEqual(saltOf(shared), saltOf(own));
+  assert.match(saltOf(own), /t-two/);
+});
+
+test('the operator is told what is wrong, who won, and what is in force', async function run() {
+  const bad = await fs.operator(f, 2, 'PUT', '/v1/config', { ...fs.configuration(5), route_list: [{ label: 'x', hostname: 'h', path_prefix: '/', variant: 'streaming', deadline_ms: 0, target: 'none' }] }, 3);
+  assert.equal(bad.status, 400);
+  assert.deepEqual((JSON.parse(bad.body) as { findings: { place: string }[] }).findings.map(function place(x) { return x.place; }), ['route_list.0.deadline_ms', 'route_list.0.target']);
+  assert.equal((await fs.operator(f, 3, 'PUT', '/v1/config', '{', 3)).status, 400);
+  const race = await Promise.all([1, 2, 3].map(function each(n) { return fs.operator(f, n, 'PATCH', '/v1/config', { revision: 4 + n, upserts: { tenant_list: [{ label: `new${n}`, api_keys: [`k${n}`] }] } }, 3); }));
+  assert.deepEqual(race.map(function status(r) { return r.status; }).sort(), [200, 412, 412]);
+  const won = race.findIndex(function ok(r) { return r.status === 200; }) + 1;
+  const again = await fs.operator(f, won === 1 ? 2 : 1, 'PATCH', '/v1/config', { revision: 4 + won, upserts: { tenant_list: [{ label: `new${won}`, api_keys: [`k${won}`] }] } }, 3);
+  assert.equal(again.status, 200);
+  for (const n of [1, 2, 3]) {
+    const now = JSON.parse((await fs.operator(f, n, 'GET', '/v1/config', null)).body) as { revision: number; note: object };
+    assert.equal(now.revision, 4 + won);
+    assert.deepEqual(now.note, { kept: 'as it is' });
+  }
+});
+
+test('a new key is known and a removed one refused at every site', async function run() {
+  const now = JSON.parse((await fs.operator(f, 1, 'GET', '/v1/config', null)).body) as { revision: number };
+  const r = await fs.operator(f, 2, 'PATCH', '/v1/config', { revision: now.revision + 1, upserts: { tenant_list: [{ label: 't-one', api_keys: ['key-new'] }] } }, now.revision);
+  assert.equal(r.status, 200);
+  for (const site of [1, 2]) {
+    await fs.until(function ask() { return fs.client(f, site, heads({ 'X-Api-Key': 'key-new' })); }, function ok(x) { return x.status === 200; }, 'the new key', 2000);
+    assert.equal((await fs.client(f, site, heads())).status, 401);
+  }
+  await fs.operator(f, 2, 'PATCH', '/v1/config', { revision: now.revision + 2, upserts: { tenant_list: [{ label: 't-one', api_keys: ['key-one'] }] } }, now.revision + 1);
+  for (const site of [1, 2]) await fs.until(function ask() { return fs.client(f, site, heads()); }, function ok(x) { return x.status === 200; }, 'the old key again', 2000);
+});
+
+test('named weights reach every runner once, fenced, and requests follow', async function run() {
+  assert.equal((await fs.operator(f, 3, 'POST', '/v1/version-put', { model_name: model, revision: 2 })).status, 200);
+  await fs.until(function look() { return Promise.resolve(f.runners.map(function at(r) { return r.version; })); }, function all(v) { return v.every(function two(x) { return x === 2; }); }, 'weights on all runners');
+  for (const r of f.runners) {
+    assert.equal(r.orders.length, 1);
+    const o = r.orders[0] as Record<string, unknown>;
+    assert.deepEqual([o.op_kind, o.model_name, o.revision, typeof o.holder_name, typeof o.fence_no], ['revision', model, 2, 'string', 'number']);
+  }
+  await fs.until(async function ask() {
+    const h = heads();
+    const r = await fs.client(f, 1, h);
+    return { status: r.status, salt: f.runners.flatMap(function all(x) { return x.ran; }).find(function same(x) { return x.attempt === h['X-Attempt-Id']; })?.salt ?? '' };
+  }, function served(x) { return x.status === 200 && x.salt.endsWith('/2'); }, 'a request on the new weights');
+});
+
+test('what was acknowledged is there after the whole core was killed', async function run() {
+  const before_ = JSON.parse((await fs.operator(f, 1, 'GET', '/v1/config', null)).body) as { revision: number };
+  const core = f.machines.filter(function part(m) { return m.part === 'coordinator'; });
+  await Promise.all(core.map(function each(m) { return fs.end(m, 'SIGKILL'); }));
+  for (const m of core) fs.boot(f, m, false);
+  const r = await fs.until(function ask() { return fs.operator(f, 2, 'GET', '/v1/config', null); }, function ok(x) { return x.status === 200; }, 'the configuration again');
+  assert.equal((JSON.parse(r.body) as { revision: number }).revision, before_.revision);
+  assert.equal((await fs.client(f, 1, heads())).status, 200);
+});
+
+test('a site that is told to end finishes what it has and ends with 0', async function run() {
+  const m = f.machines.find(function last(x) { return x.name === 'edge-2'; })!;
+  const gone = fs.end(m, 'SIGTERM');
+  await fs.until(function ask() { return fs.ready(f, 2); }, function no(r) { return r.status !== 200; }, 'unready');
+  const r = await fs.client(f, 2, heads());
+  assert.ok(r.status === 200 && r.headers.connection === 'close' && r.whole);
+  assert.equal(await gone, 0);
+});
+
+test('missing and wrong settings end a program with all findings', async function run() {
+  const { spawnSync } = await import('node:child_process');
+  const { writeFileSync } = await import('node:fs');
+  const file = `${f.dir}/bad.yaml`;
+  writeFileSync(file, 'node_name: 7\nzone_name: z\nunknown: fine\n');
+  const r = spawnSync(process.execPath, ['target/milletcleat.mjs', 'site', '--settings', file], { encoding: 'utf8' });
+  assert.equal(r.status, 1);
+  for (const place of ['node_name', 'ip_addr', 'bind_addrs', 'seed_addrs']) assert.ok(r.stderr.includes(`${place}: `), place);
+  assert.doesNotMatch(r.stderr, /unknown|zone_name|    at /);
+  assert.equal(spawnSync(process.execPath, ['target/milletcleat.mjs', 'nothing'], { encoding: 'utf8' }).status, 2);
+  assert.equal(spawnSync(process.execPath, ['target/milletcleat.mjs', 'site', '--phi', '3'], { encoding: 'utf8' }).status, 2);
+});
