Access rules: which models a tenant may call, changed without two sites ever disagreeing

A change is ordered, reaches the sites as undecided where old and new differ, and is activated once no site can still honour the old rules.

--- /dev/null
+++ b/src/controlplane/access.ts
@@ -0,0 +1,37 @@
+// Watches over a change of the access rules: orders its activation once no site can still honour the
+// rules before it.
+import { groupDriver } from '../coordination/group/driver.js';
+import { activation, type Sight } from '../coordination/duties/activation.js';
+import { leaveMs } from '../dataplane/follow.js';
+import { ringLog } from '../logging/ring.js';
+import { witnessMs } from './board.js';
+import type { Coordinator } from './parts.js';
+
+const beatMs = 100;
+
+function sight(c: Coordinator): Sight {
+  const m = c.group.machine;
+  return {
+    pending: c.group.state.rules.pending, wonAt: m.wonAt, leaseMs: leaveMs, freshMs: witnessMs, own: [...c.sessions.values()],
+    witnesses: [...m.partners.values()].map(function one(p) {
+      const told = c.partnerSessions.get(p.id);
+      return { id: p.id, heardAt: told?.at ?? m.wonAt, revision: told?.revision ?? 0, sites: told?.sessions ?? [] };
+    }),
+  };
+}
+
+function start(c: Coordinator): NodeJS.Timeout {
+  let busy = false;
+  return setInterval(function beat() {
+    const { pending } = c.group.state.rules;
+    if (busy || pending === 0 || !groupDriver.isSequencer(c.group)) return;
+    if (!activation.mayActivate(sight(c), performance.now())) return;
+    busy = true;
+    void groupDriver.propose(c.group, { c: 'activate', revision: pending }).then(function over(ok) {
+      busy = false;
+      ringLog.note(c.log, { pending, ok }, 'access rules activated');
+    });
+  }, beatMs);
+}
+
+export const access = { start };
--- a/src/controlplane/board.ts
+++ b/src/controlplane/board.ts
@@ -8,9 +8,12 @@
 
 const refreshMs = 400;
 const legMs = 500;
+export const witnessMs = 1500;
 
-type BoardCall = { board: Board | null };
-type BoardReply = { have: [number, number]; sessions: Session[] };
+// A call says which of the partner's replies came in last; from that the partner knows until when the
+// sequencer reckons with it. Sessions are told by their age, for clocks are not shared.
+type BoardCall = { board: Board | null; epoch: number; echo: number };
+type BoardReply = { have: [number, number]; no: number; revision: number; sessions: Session[] };
 
 function empty(): Board {
   return { epoch: 0, seq: 0, runners: null, sites: 0 };
@@ -68,12 +71,14 @@
   const news = newer(c.board, p.have[0], p.have[1]);
   if (onlyNews && !news) return;
   p.busy = true;
-  const call: BoardCall = { board: news ? c.board : null };
+  const call: BoardCall = { board: news ? c.board : null, epoch: c.group.machine.epoch, echo: c.partnerSessions.get(id)?.no ?? 0 };
   const r = await channel.post<BoardReply>(c.agent, addr, '/inner/board', call, legMs);
   p.busy = false;
   if (r.ok) {
     p.have = r.value.have;
-    c.partnerSessions.set(id, r.value.sessions);
+    const at = performance.now();
+    const list = r.value.sessions.map(function one(s) { return { ...s, seenAt: at - s.seenAt }; });
+    c.partnerSessions.set(id, { at, no: r.value.no, revision: r.value.revision, sessions: list });
   }
   if (p.again && r.ok) {
     p.again = false;
@@ -86,11 +91,25 @@
     c.board = call.board;
     wake(c);
   }
-  return { have: [c.board.epoch, c.board.seq], sessions: sessions.own(c) };
+  const now = performance.now();
+  const { reply } = c;
+  if (call.epoch >= c.group.machine.epoch) reply.heardUpTo = Math.max(reply.heardUpTo, reply.sentAt.get(call.echo) ?? -Infinity);
+  for (const no of reply.sentAt.keys()) if (no < call.echo) reply.sentAt.delete(no);
+  reply.no++;
+  reply.sentAt.set(reply.no, now);
+  const list = sessions.own(c).map(function aged(s) { return { ...s, seenAt: now - s.seenAt }; });
+  return { have: [c.board.epoch, c.board.seq], no: reply.no, revision: c.group.state.configuration?.revision ?? 0, sessions: list };
+}
+
+// Whether this node may give sites leave to honour access rules: the sequencer while its hold lasts,
+// another while the sequencer is known to reckon with it.
+function hasLeave(c: Coordinator): boolean {
+  if (groupDriver.isSequencer(c.group)) return groupDriver.fresh(c.group);
+  return groupDriver.fresh(c.group) && performance.now() - c.reply.heardUpTo < witnessMs;
 }
 
 function start(c: Coordinator): NodeJS.Timeout {
   return setInterval(function refresh() { tellAll(c, false); }, refreshMs);
 }
 
-export const boards = { empty, newer, change, wake, receive, start };
+export const boards = { empty, newer, change, wake, receive, hasLeave, start };
--- a/src/controlplane/news.ts
+++ b/src/controlplane/news.ts
@@ -11,7 +11,7 @@
 
 function hasNews(c: Coordinator, call: NewsCall): boolean {
   const s = c.group.state;
-  return (s.configuration?.revision ?? 0) > call.revision || s.weightsSeq > call.weights || boards.newer(c.board, call.board[0], call.board[1]);
+  return (s.configuration?.revision ?? 0) > call.revision || s.weightsSeq > call.weights || s.rules.seq > call.rules || boards.newer(c.board, call.board[0], call.board[1]);
 }
 
 function answerOf(c: Coordinator, call: NewsCall): NewsAnswer {
@@ -20,22 +20,23 @@
   return {
     configuration: (s.configuration?.revision ?? 0) > call.revision ? s.configuration : null,
     weights: s.weightsSeq > call.weights ? s.weights : null, weightsSeq: s.weightsSeq,
+    rules: s.rules.seq > call.rules ? s.rules : null,
     board: boards.newer(c.board, call.board[0], call.board[1]) ? c.board : null,
     sequencer: groupDriver.sequencerControl(c.group),
     coordinators: m.roster.map(function at(x) { return x.addr; }),
-    fresh: groupDriver.fresh(c.group),
+    fresh: groupDriver.fresh(c.group), leave: boards.hasLeave(c),
   };
 }
 
 function call(c: Coordinator, n: NewsCall): Promise<NewsAnswer> {
-  sessions.touch(c, n.site, n.life);
+  sessions.touch(c, n.site, n.life, n.revision);
   return new Promise(function run(done) {
     if (hasNews(c, n)) return done(answerOf(c, n));
     const w: Waiter = {
       due: function due() { return hasNews(c, n); },
       answer: function answer() {
         clearTimeout(timer);
-        sessions.touch(c, n.site, n.life);
+        sessions.touch(c, n.site, n.life, n.revision);
         done(answerOf(c, n));
       },
     };
--- a/src/controlplane/parts.ts
+++ b/src/controlplane/parts.ts
@@ -4,14 +4,16 @@
 import type { Log } from '../logging/ring.js';
 import type { Board, Settings, Tuning } from '../types.js';
 
-export type Session = { site: string; life: string; seenAt: number };
+export type Session = { site: string; life: string; seenAt: number; revision: number };
+export type Told = { at: number; no: number; revision: number; sessions: Session[] };
 export type Waiter = { due: () => boolean; answer: () => void };
 
 export type Coordinator = {
   settings: Settings; log: Log; group: GroupDriver; agent: Agent;
   board: Board;
   sessions: Map<string, Session>;
-  partnerSessions: Map<string, Session[]>;
+  partnerSessions: Map<string, Told>;
+  reply: { no: number; sentAt: Map<number, number>; heardUpTo: number };
   waiters: Set<Waiter>;
   tuning: Tuning;
 };
--- a/src/controlplane/sessions.ts
+++ b/src/controlplane/sessions.ts
@@ -6,8 +6,8 @@
 const standsMs = 3000;
 const maximumMs = 15_000;
 
-function touch(c: Coordinator, site: string, life: string): void {
-  c.sessions.set(site, { site, life, seenAt: performance.now() });
+function touch(c: Coordinator, site: string, life: string, revision: number): void {
+  c.sessions.set(site, { site, life, seenAt: performance.now(), revision });
 }
 
 function own(c: Coordinator): Session[] {
@@ -19,7 +19,10 @@
 function all(c: Coordinator): Map<string, string> {
   const out = new Map<string, string>();
   for (const s of own(c)) out.set(s.site, s.life);
-  for (const list of c.partnerSessions.values()) for (const s of list) out.set(s.site, s.life);
+  const now = performance.now();
+  for (const told of c.partnerSessions.values()) {
+    for (const s of told.sessions) if (now - s.seenAt <= standsMs) out.set(s.site, s.life);
+  }
   return out;
 }
 
--- a/src/dataplane/follow.ts
+++ b/src/dataplane/follow.ts
@@ -11,6 +11,7 @@
 const holdMs = 600;
 const slackMs = 350;
 const pauseMs = 120;
+export const leaveMs = 2000;
 
 export type Follower = { life: string; via: Agent; known: string[]; seeds: string[]; at: number; sequencer: string | null; stopped: boolean };
 
@@ -32,6 +33,9 @@
     site.fleet.maxConns = Math.max(4, ...a.configuration.service_list.map(function most(s) { return s.max_conns ?? 4; }));
     site.stirred.emit('configuration');
   }
+  if (a.rules && a.rules.seq > site.rules.seq) {
+    site.rules = a.rules;
+  }
   if (a.weights && a.weightsSeq > site.weightsSeq) {
     const now = performance.now();
     for (const [model, revision] of Object.entries(a.weights)) if ((site.weights[model] ?? 0) < revision) site.weightsAt.set(model, now);
@@ -51,12 +55,14 @@
   let failed = 0;
   while (!f.stopped) {
     const to = f.known[f.at % f.known.length]!;
+    const sentAt = performance.now();
     const call: NewsCall = {
       site: site.settings.node_name, life: f.life, revision: site.table?.revision ?? 0, board: [site.board.epoch, site.board.seq],
-      weights: site.weightsSeq, hold: holdMs,
+      weights: site.weightsSeq, rules: site.rules.seq, hold: holdMs,
     };
     const r = await channel.post<NewsAnswer>(f.via, to, '/inner/news', call, holdMs + slackMs);
     if (r.ok) take(site, f, r.value);
+    if (r.ok && r.value.leave) site.leaveUntil = Math.max(site.leaveUntil, sentAt + leaveMs);
     if (r.ok && r.value.fresh) {
       failed = 0;
       continue;
--- a/src/dataplane/policies/access.ts
+++ b/src/dataplane/policies/access.ts
@@ -1,13 +1,24 @@
-// Who may call which model: a tenant whose entry holds a model rule may name only the models on it.
-// A tenant without a rule may name all. The refusal is plain and final, and no runner sees the call.
+// Who may call which model. The rules in effect come with the news, apart from the configuration, so
+// that a changed rule is honoured nowhere while the old one still is somewhere: a call on which the
+// two differ is bounced meanwhile, and so is one under a rule when this site has been without word
+// from the core for longer than its leave. A refusal is plain and final, and no runner sees the call.
 import { answers } from '../../transport/http/answer.js';
+import { rules } from '../../state/control/rules.js';
 import type { Passage, Policy, Site, Step } from '../types.js';
 
-function run(_site: Site, p: Passage): Step {
-  const rule = p.tenant?.model_rule;
-  if (rule === undefined) return { s: 'next' };
-  if (p.model !== null && rule.includes(p.model)) return { s: 'next' };
-  return { s: 'answer', answer: answers.plain(403, 'this tenant may not call this model') };
+const againMs = 250;
+
+function run(site: Site, p: Passage): Step {
+  if (!p.tenant) return { s: 'next' };
+  const { active, next } = site.rules;
+  const { label } = p.tenant;
+  if (!rules.isRuled(active, label) && (next === null || !rules.isRuled(next, label))) return { s: 'next' };
+  if (performance.now() > site.leaveUntil) return { s: 'answer', answer: answers.bounce(503, againMs) };
+  switch (rules.verdict(active, next, label, p.model)) {
+    case 'allowed': return { s: 'next' };
+    case 'undecided': return { s: 'answer', answer: answers.bounce(503, againMs) };
+    case 'forbidden': return { s: 'answer', answer: answers.plain(403, 'this tenant may not call this model') };
+  }
 }
 
 export const access: Policy = { name: 'access', run };
--- a/src/programs/coordinator.ts
+++ b/src/programs/coordinator.ts
@@ -3,6 +3,7 @@
 import { createServer } from 'node:http';
 import { groupDriver } from '../coordination/group/driver.js';
 import { boards } from '../controlplane/board.js';
+import { access } from '../controlplane/access.js';
 import { feed } from '../controlplane/feed.js';
 import { kept } from '../controlplane/kept.js';
 import { news } from '../controlplane/news.js';
@@ -21,7 +22,7 @@
   const group = groupDriver.create(s, log);
   const c: Coordinator = {
     settings: s, log, group, agent: channel.agent(), board: boards.empty(),
-    sessions: new Map(), partnerSessions: new Map(), waiters: new Set(), tuning,
+    sessions: new Map(), partnerSessions: new Map(), reply: { no: 0, sentAt: new Map(), heardUpTo: -Infinity }, waiters: new Set(), tuning,
   };
   group.on('delivered', function news() { boards.wake(c); });
   await channel.listen(s.ip_addr, s.port_range[0], {
@@ -47,6 +48,7 @@
   void runners.run(c);
   rollout.start(c);
   feed.start(c);
+  access.start(c);
   kept.start(c);
   process.on('SIGTERM', function term() {
     void groupDriver.stop(group).then(function gone() { process.exit(0); });
--- a/src/types.ts
+++ b/src/types.ts
@@ -62,12 +62,16 @@
   sites: number;
 };
 
-export type NewsCall = { site: string; life: string; revision: number; board: [number, number]; weights: number; hold: number };
+export type NewsCall = { site: string; life: string; revision: number; board: [number, number]; weights: number; rules: number; hold: number };
 export type NewsAnswer = {
   configuration: Configuration | null; weights: Record<string, number> | null; weightsSeq: number;
-  board: Board | null; sequencer: string | null; coordinators: string[]; fresh: boolean;
+  rules: RulesState | null;
+  board: Board | null; sequencer: string | null; coordinators: string[]; fresh: boolean; leave: boolean;
 };
 
+// The access rules in effect, and those that wait for their activation.
+export type RulesState = { seq: number; active: Record<string, string[]>; next: Record<string, string[]> | null; pending: number };
+
 export type FeedCall = {
   site: string; life: string; since: [number, number]; seen: number; hotSeq: number; hold: number;
   burden: [string, number, number][] | null; held: [string, string, number, string][];
--- a/test/loopback.test.ts
+++ b/test/loopback.test.ts
@@ -144,6 +144,39 @@
   for (const site of [1, 2]) await fs.until(function ask() { return fs.client(f, site, heads()); }, function ok(x) { return x.status === 200; }, 'the old key again', 2000);
 });
 
+test('a model rule is enforced alike at every site, and a refused call runs nowhere', async function run() {
+  async function revision(): Promise<number> {
+    return (JSON.parse((await fs.operator(f, 1, 'GET', '/v1/config', null)).body) as { revision: number }).revision;
+  }
+  async function rule(list: string[] | undefined): Promise<void> {
+    const now = await revision();
+    const item: Record<string, unknown> = { label: 't-one', api_keys: ['key-one'] };
+    if (list) item.model_rule = list;
+    assert.equal((await fs.operator(f, 2, 'PATCH', '/v1/config', { revision: now + 1, upserts: { tenant_list: [item] } }, now)).status, 200);
+  }
+  async function statusAt(site: number): Promise<number> {
+    const h = heads();
+    const r = await fs.client(f, site, h);
+    assert.equal(runsOf(h['X-Attempt-Id']!), r.status === 200 ? 1 : 0);
+    assert.ok([200, 403, 503].includes(r.status), String(r.status));
+    return r.status;
+  }
+  await rule(['another-model']);
+  const seen: number[][] = [];
+  await fs.until(async function both() {
+    const pair = [await statusAt(1), await statusAt(2)];
+    seen.push(pair);
+    return pair;
+  }, function refused(x) { return x.every(function no(s) { return s === 403; }); }, 'the rule at both sites');
+  const firstRefusal = seen.findIndex(function some(x) { return x.includes(403); });
+  for (const pair of seen.slice(firstRefusal)) assert.ok(!pair.includes(200), 'no site serves on once another refuses');
+  const other = heads({ 'X-Api-Key': 'key-two' });
+  assert.equal((await fs.client(f, 1, other)).status, 200);
+  await rule([model]);
+  await fs.until(async function both() { return [await statusAt(1), await statusAt(2)]; }, function served(x) { return x.every(function yes(s) { return s === 200; }); }, 'the rule lifted at both sites');
+  await rule(undefined);
+});
+
 test('named weights reach every runner once, fenced, and requests follow', async function run() {
   assert.equal((await fs.operator(f, 3, 'POST', '/v1/version-put', { model_name: model, revision: 2 })).status, 200);
   await fs.until(function look() { return Promise.resolve(f.runners.map(function at(r) { return r.version; })); }, function all(v) { return v.every(function two(x) { return x === 2; }); }, 'weights on all runners');
