--- a/build.mjs
+++ b/build.mjs
@@ -1,9 +1,13 @@
-// Bundles the program into one file under target/, so that a start reads one module instead of hundreds.
+// Bundles the program into a few files under target/, so that a start reads these instead of hundreds
+// and a daemon does not load the tools.
 import { build } from 'esbuild';
 
 await build({
   entryPoints: ['src/milletcleat.ts'],
-  outfile: 'target/milletcleat.mjs',
+  outdir: 'target',
+  outExtension: { '.js': '.mjs' },
+  chunkNames: 'parts/[name]-[hash]',
+  splitting: true,
   bundle: true,
   minifySyntax: true,
   platform: 'node',
--- a/src/controlplane/feed.ts
+++ b/src/controlplane/feed.ts
@@ -15,7 +15,7 @@
 const gatherMs = 1500;
 const beatMs = 100;
 
-type SiteBurden = { at: number; told: number; list: [string, number, number][] };
+type SiteBurden = { at: number; told: number; list: [string, number, number][]; unsound: string[] };
 type Waiter = { call: FeedCall; from: number; answer: () => void };
 export type FeedState = {
   epoch: number; index: KeptIndex; tracker: Tracker; burdens: Map<string, SiteBurden>; told: number;
@@ -91,8 +91,11 @@
     const was = s.burdens.get(call.site);
     if (!was || JSON.stringify(was.list) !== JSON.stringify(call.burden)) {
       s.told++;
-      s.burdens.set(call.site, { at: now, told: (was?.told ?? 0) + 1, list: call.burden });
-    } else was.at = now;
+      s.burdens.set(call.site, { at: now, told: (was?.told ?? 0) + 1, list: call.burden, unsound: call.unsound });
+    } else {
+      was.at = now;
+      was.unsound = call.unsound;
+    }
   }
   for (const [salt, part, tokens, place] of call.held) keptIndex.announce(s.index, place, salt, part, tokens);
   if (call.report) known = tracker.take(s.tracker, call.life, call.site, call.report, sessions.count(c)).known;
@@ -154,4 +157,11 @@
   return setInterval(function tick() { beat(c); }, beatMs);
 }
 
-export const feed = { call, start, state, wake };
+// How many sites find a runner unsound.
+function unsoundAt(s: FeedState, id: string): number {
+  let n = 0;
+  for (const b of s.burdens.values()) if (performance.now() - b.at <= standsMs && b.unsound.includes(id)) n++;
+  return n;
+}
+
+export const feed = { call, start, state, wake, unsoundAt };
--- a/src/controlplane/operator.ts
+++ b/src/controlplane/operator.ts
@@ -10,13 +10,14 @@
 import { ringLog } from '../logging/ring.js';
 import type { OperatorAnswer, OperatorCall } from '../types.js';
 import type { Coordinator } from './parts.js';
+import { status } from './status.js';
 
 const mostBytes = 16 * 1024 * 1024;
 const waitMs = 2500;
 const lookMs = 40;
 const turns = new WeakMap<Coordinator, Mutex>();
 
-const known: Record<string, string[]> = { '/v1/config': ['GET', 'PUT', 'PATCH'], '/v1/version-put': ['POST'] };
+const known: Record<string, string[]> = { '/v1/config': ['GET', 'PUT', 'PATCH'], '/v1/version-put': ['POST'], '/v1/status': ['GET'] };
 
 function turn(c: Coordinator): Mutex {
   let m = turns.get(c);
@@ -79,6 +80,7 @@
   if (!methods) return answers.send(res, answers.refusal(404, [{ place: 'path', text: `there is no ${path}` }]));
   const method = req.method ?? '';
   if (!methods.includes(method)) return answers.send(res, answers.refusal(405, [{ place: 'method', text: `${path} takes ${methods.join(', ')}` }]));
+  if (path === '/v1/status') return status.handle(c, req, res);
   const body = await channel.body(req, mostBytes);
   if (body === null) return answers.send(res, answers.refusal(413, [{ place: '(whole)', text: `over ${mostBytes} bytes, or cut short` }]), true);
   const match = req.headers['if-match'];
--- /dev/null
+++ b/src/controlplane/status.ts
@@ -0,0 +1,48 @@
+// What a coordinator says of the system when asked: the sequencer's view if it can be had, else its
+// own, marked as such.
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { groupDriver } from '../coordination/group/driver.js';
+import { answers } from '../transport/http/answer.js';
+import { channel } from '../transport/inner/channel.js';
+import type { StatusAnswer } from '../types.js';
+import { feed } from './feed.js';
+import type { Coordinator } from './parts.js';
+
+const legMs = 600;
+
+function own(c: Coordinator): StatusAnswer {
+  const m = c.group.machine;
+  const now = performance.now();
+  const s = c.group.state;
+  const isSequencer = groupDriver.isSequencer(c.group);
+  const told = isSequencer ? [...c.partnerSessions.values()].flatMap(function all(t) { return t.sessions; }) : [];
+  const sites = new Map([...told, ...c.sessions.values()].map(function pair(x) { return [x.site, x] as const; }));
+  const f = isSequencer ? feed.state(c) : null;
+  return {
+    node: c.settings.node_name, phase: m.phase, epoch: m.epoch, sequencer: m.sequencer,
+    sure: groupDriver.fresh(c.group), acts: groupDriver.mayAct(c.group, c.settings.bound_set.lease_ms),
+    roster: m.roster.map(function one(x) {
+      const p = m.partners.get(x.id);
+      return { id: x.id, control: x.control, heardMs: x.id === m.me ? 0 : p ? Math.round(now - p.heardAt) : null, match: x.id === m.me ? m.durable : p?.match ?? null };
+    }),
+    committed: m.committed, disk: c.group.store.troubled ? 'refuses' : 'takes',
+    configuration: s.configuration?.revision ?? 0, weights: s.weights, rules: { active: s.rules.active, pending: s.rules.pending },
+    sites: [...sites.values()].map(function one(x) { return { site: x.site, revision: x.revision, seenMs: Math.round(now - x.seenAt) }; }),
+    runners: (c.board.runners ?? []).map(function one(r) {
+      return { id: r.id, service: r.service, addr: r.addr, zone: r.zone, draining: r.draining, parked: r.parked, models: r.models, unsoundAt: f ? feed.unsoundAt(f, r.id) : null };
+    }),
+    hot: f ? f.hot.map(function one([x, share, tokens]) { return { part: x, share, tokens }; }) : null,
+  };
+}
+
+async function handle(c: Coordinator, req: IncomingMessage, res: ServerResponse): Promise<void> {
+  req.resume();
+  const to = groupDriver.sequencerControl(c.group);
+  if (to !== null && to !== c.group.machine.addr) {
+    const r = await channel.post<StatusAnswer>(c.agent, to, '/inner/status', {}, legMs);
+    if (r.ok) return answers.send(res, answers.json(200, r.value));
+  }
+  answers.send(res, answers.json(200, own(c)));
+}
+
+export const status = { own, handle };
--- a/src/coordination/group/machine.ts
+++ b/src/coordination/group/machine.ts
@@ -57,7 +57,7 @@
 function write(s: GroupState, records: Record_[], now: number, out: GroupEffect[]): number {
   if (s.synced === s.written) s.writtenAt = now;
   s.written++;
-  out.push({ f: 'write', records, token: s.written });
+  out.push({ f: 'write', records: [...records, { r: 'committed', index: s.committed }], token: s.written });
   return s.written;
 }
 
--- a/src/coordination/group/types.ts
+++ b/src/coordination/group/types.ts
@@ -10,7 +10,8 @@
 
 export type Record_ =
   | { r: 'promise'; epoch: number; vote: MemberId | null }
-  | { r: 'entry'; entry: Entry };
+  | { r: 'entry'; entry: Entry }
+  | { r: 'committed'; index: number };
 
 export type View = { index: number; epoch: number; members: Member[]; state: unknown };
 
--- a/src/dataplane/feed.ts
+++ b/src/dataplane/feed.ts
@@ -26,12 +26,16 @@
   return out;
 }
 
+function unsoundOf(site: Site): string[] {
+  return [...site.fleet.byId.values()].filter(function not(s) { return s.phase !== 'sound'; }).map(function id(s) { return s.id; });
+}
+
 function callOf(site: Site, x: Exchange, hold: number): FeedCall {
   const burden = burdenOf(site);
   x.told = new Map(burden.map(function pair(b) { return [b[0], b[2]] as const; }));
   const held = x.held;
   x.held = [];
-  return { site: site.settings.node_name, life: x.tracker.life, since: x.since, seen: x.seen, hotSeq: x.hotSeq, hold, burden, held, report: siteTracker.report(x.tracker) };
+  return { site: site.settings.node_name, life: x.tracker.life, since: x.since, seen: x.seen, hotSeq: x.hotSeq, hold, burden, unsound: unsoundOf(site), held, report: siteTracker.report(x.tracker) };
 }
 
 function take(site: Site, x: Exchange, a: FeedAnswer, held: boolean): void {
--- a/src/milletcleat.ts
+++ b/src/milletcleat.ts
@@ -1,28 +1,49 @@
-// The one command line of the system. Daemons are started with their program's name; the settings
-// file is the one the platform names, or the one given. Usage errors end with 2, findings with 1.
+// The one command line of the system: two daemons and the tools beside them. Usage errors end with 2,
+// findings and troubles with 1. Programs and tools are loaded only when they are asked for.
 import meow from 'meow';
 import { findings } from './protocol/findings.js';
 import { settings } from './protocol/settings/check.js';
 import { tuning } from './protocol/settings/tuning.js';
 import { ringLog } from './logging/ring.js';
-import { coordinatorProgram } from './programs/coordinator.js';
-import { siteProgram } from './programs/site.js';
+import type { ToolEnd, ToolFlags } from './tools/types.js';
 
 const cli = meow(`
   Usage
-    $ milletcleat site          carries the traffic of clients to runners
-    $ milletcleat coordinator   keeps the control state and brings it to all
+    $ milletcleat site                        carries the traffic of clients to runners
+    $ milletcleat coordinator                 keeps the control state and brings it to all
+    $ milletcleat check FILE...               checks settings (.yaml), configurations (.json), deploy files (.toml)
+    $ milletcleat status                      what a running system says of itself
+    $ milletcleat config get                  the configuration in force
+    $ milletcleat config put|patch FILE       a whole configuration, or a change of named items
+    $ milletcleat config diff FILE            what FILE would change
+    $ milletcleat log inspect FOLDER          reads a coordinator's data folder, offline
+    $ milletcleat simulate FILE               what-if questions on a fleet described in FILE
+    $ milletcleat import FILE                 a configuration from Traefik's dynamic configuration (YAML)
 
-  Options
+  Options of the daemons
     --settings FILE      the settings file (default: the path in MILLETCLEAT_NODE_FILE)
     --epsilon E          allowed error of the hot set, 0 < E <= PHI (default ${tuning.defaults.epsilon})
     --phi PHI            share of requests from which a part is hot (default ${tuning.defaults.phi})
     --moved-tokens N     parts from this size on are tracked and moved (default ${tuning.defaults.movedTokens})
-    --no-hot-set         extra copies without regard to the hot set: none are made
+    --no-hot-set         no extra copies in the store
     --order-method M     await, truncate or retain (default ${tuning.defaults.orderMethod})
     --order-share S      share of a service's runners under order at once (default ${tuning.defaults.orderShare})
+
+  Options of the tools
+    --control IP:PORT    the control address of a coordinator (status, config)
+    --match N            the revision that a change builds on (config put, patch)
+    --part PART          whose settings are checked: site or coordinator (check; default site)
+    --change NAME        a change named in the fleet file, played beside it; may be repeated (simulate)
+    --json               output for programs
+
     --help, --version
-`, { importMeta: import.meta, allowUnknownFlags: false, flags: tuning.flags });
+`, {
+  importMeta: import.meta, allowUnknownFlags: false,
+  flags: {
+    ...tuning.flags, control: { type: 'string' }, match: { type: 'number' }, part: { type: 'string' },
+    change: { type: 'string', isMultiple: true }, json: { type: 'boolean', default: false },
+  },
+});
 
 function fail(status: number, text: string): never {
   process.stderr.write(`${text}\n`);
@@ -48,20 +69,38 @@
     else ringLog.trouble(log, { findings: again.trouble }, 'the changed settings are not taken');
   });
   try {
-    await (part === 'site' ? siteProgram : coordinatorProgram).start(read.value, log, tuned.value);
+    const start = part === 'site' ? (await import('./programs/site.js')).siteProgram.start : (await import('./programs/coordinator.js')).coordinatorProgram.start;
+    await start(read.value, log, tuned.value);
   } catch (err) {
     ringLog.trouble(log, { why: (err as Error).stack }, 'could not start');
     process.exit(1);
   }
 }
 
-const [command, ...more] = cli.input;
-if (more.length > 0) fail(2, `unexpected: ${more.join(' ')}`);
-switch (command) {
-  case 'site':
-  case 'coordinator':
-    await daemon(command);
-    break;
-  default:
-    fail(2, command === undefined ? cli.help : `there is no command ${command}; see --help`);
+async function tool(name: string, args: string[], flags: ToolFlags): Promise<ToolEnd | null> {
+  switch (name) {
+    case 'check': return (await import('./tools/check.js')).checkTool.run(args, flags);
+    case 'status': return (await import('./tools/status.js')).statusTool.run(args, flags);
+    case 'config': return (await import('./tools/config.js')).configTool.run(args, flags);
+    case 'log': return (await import('./tools/inspect.js')).inspectTool.run(args, flags);
+    case 'simulate': return (await import('./tools/simulate/run.js')).simulateTool.run(args, flags);
+    case 'import': return (await import('./tools/import.js')).importTool.run(args, flags);
+    default: return null;
+  }
 }
+
+async function main(): Promise<void> {
+  const [command, ...args] = cli.input;
+  if (command === undefined) fail(2, cli.help);
+  if (command === 'site' || command === 'coordinator') {
+    if (args.length > 0) fail(2, `unexpected: ${args.join(' ')}`);
+    return daemon(command);
+  }
+  const end = await tool(command, args, cli.flags);
+  if (!end) fail(2, `there is no command ${command}; see --help`);
+  if (end.out) process.stdout.write(`${end.out}\n`);
+  if (end.err) process.stderr.write(`${end.err}\n`);
+  process.exitCode = end.status;
+}
+
+await main();
--- a/src/programs/coordinator.ts
+++ b/src/programs/coordinator.ts
@@ -11,6 +11,7 @@
 import type { Coordinator } from '../controlplane/parts.js';
 import { runners } from '../controlplane/runners.js';
 import { rollout } from '../controlplane/rollout.js';
+import { status } from '../controlplane/status.js';
 import type { Log } from '../logging/ring.js';
 import { ringLog } from '../logging/ring.js';
 import { answers } from '../transport/http/answer.js';
@@ -30,6 +31,7 @@
     '/inner/board': function board(b) { return boards.receive(c, b); },
     '/inner/news': function question(b) { return news.call(c, b); },
     '/inner/feed': function exchange(b) { return feed.call(c, b); },
+    '/inner/status': function view() { return status.own(c); },
     '/inner/operator': function call(b) { return operator.decide(c, b); },
   });
   const door = createServer(function got(req, res) {
--- a/src/state/log/recover.ts
+++ b/src/state/log/recover.ts
@@ -8,7 +8,7 @@
 
 export type SegmentHead = { r: 'head'; me: string; after: number; epoch: number; vote: string | null; reset: boolean };
 export type Recovered = {
-  me: string; epoch: number; vote: string | null; view: View; entries: Entry[]; nextSegment: number;
+  me: string; epoch: number; vote: string | null; view: View; entries: Entry[]; nextSegment: number; committed: number;
 };
 export type Recovery =
   | { k: 'empty'; nextSegment: number }
@@ -32,7 +32,7 @@
   return null;
 }
 
-type Replayed = { ok: true; me: string; epoch: number; vote: string | null; entries: Entry[] } | { ok: false; why: string };
+type Replayed = { ok: true; me: string; epoch: number; vote: string | null; entries: Entry[]; committed: number } | { ok: false; why: string };
 
 // Plays the records of the segments, in order, on top of a view.
 function replay(view: View, segments: { name: string; values: (Record_ | SegmentHead)[] }[]): Replayed {
@@ -40,6 +40,7 @@
   let me: string | null = null;
   let epoch = 0;
   let vote: string | null = null;
+  let committed = view.index;
   function promised(p: { epoch: number; vote: string | null }): void {
     if (p.epoch >= epoch) ({ epoch, vote } = p);
   }
@@ -51,6 +52,7 @@
         if (v.reset && v.after === view.index) entries = [];
         if (v.after > view.index + entries.length) return { ok: false, why: `${seg.name} follows entry ${v.after}, which is not there` };
       } else if (v.r === 'promise') promised(v);
+      else if (v.r === 'committed') committed = Math.max(committed, v.index);
       else {
         const at = v.entry.index - view.index - 1;
         if (at < 0 || entries[at]?.epoch === v.entry.epoch) continue;
@@ -60,7 +62,7 @@
       }
     }
   }
-  return me === null ? { ok: false, why: 'no whole segment' } : { ok: true, me, epoch, vote, entries };
+  return me === null ? { ok: false, why: 'no whole segment' } : { ok: true, me, epoch, vote, entries, committed };
 }
 
 function recover(dir: string): Recovery {
@@ -82,7 +84,7 @@
   });
   const r = replay(view, segments);
   if (!r.ok) return { k: 'lost', why: r.why, nextSegment };
-  return { k: 'whole', found: { me: r.me, epoch: r.epoch, vote: r.vote, view, entries: r.entries, nextSegment }, torn };
+  return { k: 'whole', found: { me: r.me, epoch: r.epoch, vote: r.vote, view, entries: r.entries, nextSegment, committed: r.committed }, torn };
 }
 
 export const recovery = { recover, replay, numbered };
--- a/src/state/log/store.ts
+++ b/src/state/log/store.ts
@@ -110,7 +110,7 @@
   let last = 0;
   for (const r of list) {
     if (r.r === 'entry') last = r.entry.index;
-    else s.promised = { epoch: r.epoch, vote: r.vote };
+    else if (r.r === 'promise') s.promised = { epoch: r.epoch, vote: r.vote };
   }
   s.jobs.push({ buf: Buffer.concat(list.map(records.frame)), token, last });
   schedule(s);
--- /dev/null
+++ b/src/tools/read.ts
@@ -0,0 +1,47 @@
+// Reads the files that tools are given: text, JSON or YAML, with the place of what is wrong.
+import { readFileSync } from 'node:fs';
+import { LineCounter, parseDocument, type Document } from 'yaml';
+import type { Finding, Outcome } from '../types.js';
+
+export type YamlFile = { doc: Document; lines: LineCounter };
+
+function why(err: unknown): string {
+  const e = err as NodeJS.ErrnoException;
+  switch (e.code) {
+    case 'ENOENT': return 'there is no such file';
+    case 'EISDIR': return 'is a folder';
+    case 'EACCES': return 'may not be read';
+    default: return e.message;
+  }
+}
+
+function text(file: string): Outcome<string, Finding[]> {
+  try {
+    return { ok: true, value: readFileSync(file, 'utf8') };
+  } catch (err) {
+    return { ok: false, trouble: [{ place: file, text: why(err) }] };
+  }
+}
+
+function json(file: string): Outcome<unknown, Finding[]> {
+  const t = text(file);
+  if (!t.ok) return t;
+  try {
+    return { ok: true, value: JSON.parse(t.value) };
+  } catch (err) {
+    return { ok: false, trouble: [{ place: file, text: (err as Error).message }] };
+  }
+}
+
+function yaml(file: string): Outcome<YamlFile, Finding[]> {
+  const t = text(file);
+  if (!t.ok) return t;
+  const lines = new LineCounter();
+  const doc = parseDocument(t.value, { lineCounter: lines });
+  if (doc.errors.length > 0) {
+    return { ok: false, trouble: doc.errors.map(function one(e) { return { place: `${file}:${e.linePos?.[0].line ?? 1}`, text: e.message.split('\n')[0]! }; }) };
+  }
+  return { ok: true, value: { doc, lines } };
+}
+
+export const readFile = { text, json, yaml, why };
--- a/src/types.ts
+++ b/src/types.ts
@@ -74,7 +74,7 @@
 
 export type FeedCall = {
   site: string; life: string; since: [number, number]; seen: number; hotSeq: number; hold: number;
-  burden: [string, number, number][] | null; held: [string, string, number, string][];
+  burden: [string, number, number][] | null; unsound: string[]; held: [string, string, number, string][];
   report: { seq: number; era: number; m: number; counts: [string, number, number][]; gather: number } | null;
 };
 export type FeedAnswer = {
@@ -86,6 +86,16 @@
 export type OperatorCall = { method: string; path: string; match: string | null; body: Uint8Array };
 export type OperatorAnswer = { status: number; body: string };
 
+export type StatusAnswer = {
+  node: string; phase: string; epoch: number; sequencer: string | null; sure: boolean; acts: boolean;
+  roster: { id: string; control: string; heardMs: number | null; match: number | null }[];
+  committed: number; disk: 'takes' | 'refuses'; configuration: number; weights: Record<string, number>;
+  rules: { active: Record<string, string[]>; pending: number };
+  sites: { site: string; revision: number; seenMs: number }[];
+  runners: { id: string; service: string; addr: string; zone: string; draining: boolean; parked: boolean; models: ModelAt[]; unsoundAt: number | null }[];
+  hot: { part: string; share: number; tokens: number }[] | null;
+};
+
 // What may be set on the command line of the daemons; the defaults stand in tuning.ts.
 export type Tuning = {
   epsilon: number; phi: number; movedTokens: number; hotSet: boolean; orderMethod: 'await' | 'truncate' | 'retain'; orderShare: number;
