--- a/src/controlplane/feed.ts
+++ b/src/controlplane/feed.ts
@@ -4,7 +4,7 @@
 import { groupDriver } from '../coordination/group/driver.js';
 import { tracker, type Tracker } from '../coordination/tracking/coordinator.js';
 import { keptIndex, type KeptIndex } from '../state/index/kept.js';
-import type { FeedAnswer, FeedCall } from '../types.js';
+import type { BurdenRow, FeedAnswer, FeedCall } from '../types.js';
 import type { Coordinator } from './parts.js';
 import { sessions } from './sessions.js';
 
@@ -15,7 +15,7 @@
 const gatherMs = 1500;
 const beatMs = 100;
 
-type SiteBurden = { at: number; told: number; list: [string, number, number][]; unsound: string[] };
+type SiteBurden = { at: number; told: number; list: BurdenRow[]; unsound: string[] };
 type Waiter = { call: FeedCall; from: number; answer: () => void };
 export type FeedState = {
   epoch: number; index: KeptIndex; tracker: Tracker; burdens: Map<string, SiteBurden>; told: number;
@@ -43,17 +43,18 @@
   return s.told - (s.burdens.get(site)?.told ?? 0);
 }
 
-function othersBurden(s: FeedState, site: string): [string, number, number][] {
+function othersBurden(s: FeedState, site: string): BurdenRow[] {
   const now = performance.now();
-  const sum = new Map<string, [string, number, number]>();
+  const sum = new Map<string, BurdenRow>();
   for (const [name, b] of s.burdens) {
     if (name === site || now - b.at > standsMs) continue;
-    for (const [id, active, reading] of b.list) {
+    for (const [id, active, reading, claimed] of b.list) {
       const one = sum.get(id);
       if (one) {
         one[1] += active;
         one[2] += reading;
-      } else sum.set(id, [id, active, reading]);
+        one[3] += claimed;
+      } else sum.set(id, [id, active, reading, claimed]);
     }
   }
   return [...sum.values()];
--- a/src/dataplane/feed.ts
+++ b/src/dataplane/feed.ts
@@ -3,7 +3,7 @@
 import { channel } from '../transport/inner/channel.js';
 import { siteTracker, type SiteTracker } from '../coordination/tracking/site.js';
 import { holdings, storePlace } from '../state/index/holdings.js';
-import type { FeedAnswer, FeedCall } from '../types.js';
+import type { BurdenRow, FeedAnswer, FeedCall } from '../types.js';
 import type { Follower } from './follow.js';
 import { assign } from './policies/assign.js';
 import type { Site } from './types.js';
@@ -11,7 +11,7 @@
 const holdMs = 500;
 const slackMs = 300;
 const coalesceMs = 12;
-const tellTokens = 512;
+const tellTokens = 1024;
 const staleMs = 1500;
 const storeName = 'store';
 
@@ -20,9 +20,9 @@
   held: [string, string, number, string][]; told: Map<string, number>; soon: NodeJS.Timeout | null; heardAt: number;
 };
 
-function burdenOf(site: Site): [string, number, number][] {
-  const out: [string, number, number][] = [];
-  for (const s of site.fleet.byId.values()) if (s.active > 0 || s.reading > 0) out.push([s.id, s.active, Math.round(s.reading)]);
+function burdenOf(site: Site): BurdenRow[] {
+  const out: BurdenRow[] = [];
+  for (const s of site.fleet.byId.values()) if (s.active > 0 || s.reading > 0) out.push([s.id, s.active, Math.round(s.reading), s.claimed]);
   return out;
 }
 
@@ -32,7 +32,7 @@
 
 function callOf(site: Site, x: Exchange, hold: number): FeedCall {
   const burden = burdenOf(site);
-  x.told = new Map(burden.map(function pair(b) { return [b[0], b[2]] as const; }));
+  x.told = new Map(burden.map(function pair(b) { return [b[0], b[2] + b[3]] as const; }));
   const held = x.held;
   x.held = [];
   return { site: site.settings.node_name, life: x.tracker.life, since: x.since, seen: x.seen, hotSeq: x.hotSeq, hold, burden, unsound: unsoundOf(site), held, report: siteTracker.report(x.tracker) };
@@ -47,12 +47,13 @@
     site.hot.share = new Map(a.tracking.hot.map(function pair(h) { return [h[0], h[1]] as const; }));
     x.hotSeq = a.tracking.hotSeq;
   }
-  for (const s of site.fleet.byId.values()) s.othersActive = s.othersReading = 0;
-  for (const [id, active, reading] of a.burdens) {
+  for (const s of site.fleet.byId.values()) s.othersActive = s.othersReading = s.othersClaimed = 0;
+  for (const [id, active, reading, claimed] of a.burdens) {
     const s = site.fleet.byId.get(id);
     if (s) {
       s.othersActive = active;
       s.othersReading = reading;
+      s.othersClaimed = claimed;
     }
   }
   if (!held) return;
@@ -101,7 +102,7 @@
   };
   site.burdenChanged = function changed() {
     if (x.soon) return;
-    const large = [...site.fleet.byId.values()].some(function much(s) { return Math.abs(s.reading - (x.told.get(s.id) ?? 0)) >= tellTokens; });
+    const large = [...site.fleet.byId.values()].some(function much(s) { return Math.abs(s.reading + s.claimed - (x.told.get(s.id) ?? 0)) >= tellTokens; });
     if (!large) return;
     x.soon = setTimeout(function tell() {
       x.soon = null;
@@ -112,7 +113,7 @@
     siteTracker.retire(x.tracker, function retired(key) { return isRetired(site, key); });
     const ok = await say(site, f, x, holdMs);
     if (ok) continue;
-    if (performance.now() - x.heardAt > staleMs) for (const s of site.fleet.byId.values()) s.othersActive = s.othersReading = 0;
+    if (performance.now() - x.heardAt > staleMs) for (const s of site.fleet.byId.values()) s.othersActive = s.othersReading = s.othersClaimed = 0;
     await new Promise(function pause(done) { setTimeout(done, 150); });
   }
 }
--- a/src/dataplane/leg.ts
+++ b/src/dataplane/leg.ts
@@ -15,7 +15,7 @@
 
 const connectMs = 350;
 
-function headersOf(p: Passage, a: Assigned, now: number): string[] {
+function headersOf(p: Passage, a: Assigned, urgency: boolean, now: number): string[] {
   const list = heads.onward(p.req.rawHeaders, p.req.headers.connection);
   if (p.lastEventId !== null && p.events > 0) {
     for (let i = list.length - 2; i >= 0; i -= 2) if (list[i]!.toLowerCase() === names.lastEvent) list.splice(i, 2);
@@ -28,15 +28,15 @@
   if (a.salt !== null) list.push('X-Cache-Salt', a.salt);
   if (a.fetchFrom !== null) list.push('X-Kv-Fetch-From', a.fetchFrom);
   if (a.saveTo !== null) list.push('X-Kv-Save-To', a.saveTo);
-  if (p.model !== null) list.push('X-Urgency', String(Math.max(0, Math.min(9, 2 + p.rank * 2 + (p.route.rank ?? 0)))));
+  if (urgency && p.model !== null) list.push('X-Urgency', String(Math.max(0, Math.min(9, 2 + p.rank * 2 + (p.route.rank ?? 0)))));
   if (p.body.length > 0 || !['GET', 'HEAD', 'DELETE', 'OPTIONS'].includes(p.req.method ?? '')) list.push('Content-Length', String(p.body.length));
   return list;
 }
 
-function send(p: Passage, a: Assigned): Leg {
+function send(p: Passage, a: Assigned, urgency: boolean): Leg {
   const { host, port } = ask.split(a.slot.addr);
   const now = performance.now();
-  const req = request({ agent: a.slot.agent, host, port, method: p.req.method, path: p.req.url, headers: headersOf(p, a, now) as unknown as Record<string, string>, setHost: false });
+  const req = request({ agent: a.slot.agent, host, port, method: p.req.method, path: p.req.url, headers: headersOf(p, a, urgency, now) as unknown as Record<string, string>, setHost: false });
   let over = false;
   let written = false;
   const end = new Promise<LegEnd>(function run(done) {
--- a/src/dataplane/policies/assign.ts
+++ b/src/dataplane/policies/assign.ts
@@ -14,6 +14,7 @@
 const fetchShare = 0.12;
 const shareCost = 600;
 const ownBlocks = 16;
+const crampedCost = 3;
 
 function saltOf(p: Passage, revision: number): string {
   return `${p.wall}/${p.model}/${revision}`;
@@ -100,6 +101,8 @@
   let best: Assigned | null = null;
   let bestCost = Infinity;
   const draw = affinity(p);
+  const claims = whole + (p.tokens?.most ?? 0);
+  const room = p.service.engine_kind?.kv_capacity ?? Infinity;
   for (const s of of) {
     if (!mayTake(site, p, s, now)) continue;
     const revision = revisionAt(p, s);
@@ -110,11 +113,13 @@
     const reads = Math.max(ownBlocks, whole - has - moved);
     let cost = reads + moved * fetchShare + s.reading + s.othersReading + (s.active + s.othersActive) * runCost;
     if (s.zone !== site.settings.zone_name) cost += zoneCost;
+    const over = s.claimed + s.othersClaimed + claims - room * 0.9;
+    if (over > 0) cost += over * crampedCost;
     if (s.phase !== 'sound') cost += suspectCost;
     cost += hash.of(`${s.id} ${draw}`) * shareCost;
     if (cost < bestCost) {
       bestCost = cost;
-      best = { slot: s, revision, salt, reads: reads + moved * fetchShare, fetchFrom: source?.addr ?? null, saveTo: null };
+      best = { slot: s, revision, salt, reads: reads + moved * fetchShare, claims, fetchFrom: source?.addr ?? null, saveTo: null };
     }
   }
   if (best && best.salt !== null) best.saveTo = saveTo(site, p, best.salt);
--- a/src/dataplane/policies/deliver.ts
+++ b/src/dataplane/policies/deliver.ts
@@ -62,6 +62,7 @@
   if (s.active === 0) s.lastByteAt = performance.now();
   s.active++;
   s.reading += a.reads;
+  s.claimed += a.claims;
   p.runners.add(s.ix);
   site.sent(p, a);
   site.burdenChanged();
@@ -77,6 +78,7 @@
 function finish(site: Site, a: Assigned): void {
   readDone(site, a);
   a.slot.active--;
+  a.slot.claimed -= a.claims;
   site.burdenChanged();
   site.stirred.emit('stir');
 }
@@ -106,7 +108,7 @@
 
 async function one(site: Site, p: Passage, a: Assigned): Promise<Next> {
   begin(site, p, a);
-  const l = leg.send(p, a);
+  const l = leg.send(p, a, site.tuning.urgency);
   const x = await headOf(p, a, l);
   const now = performance.now();
   if (x === 'gone' || x === 'late') {
--- a/src/dataplane/types.ts
+++ b/src/dataplane/types.ts
@@ -25,7 +25,7 @@
   legs: number; runners: Set<number>; maybeRun: boolean; headSent: boolean; lastEventId: string | null; gone: boolean; events: number;
 };
 
-export type Assigned = { slot: Slot; revision: number | null; salt: string | null; reads: number; fetchFrom: string | null; saveTo: string | null };
+export type Assigned = { slot: Slot; revision: number | null; salt: string | null; reads: number; claims: number; fetchFrom: string | null; saveTo: string | null };
 
 export type Step = { s: 'next' } | { s: 'answer'; answer: Answer; closing?: boolean } | { s: 'done' };
 export type Policy = { name: string; run: (site: Site, p: Passage) => Step | Promise<Step> };
--- a/src/milletcleat.ts
+++ b/src/milletcleat.ts
@@ -27,6 +27,7 @@
     --moved-tokens N     parts from this size on are tracked and moved (default ${tuning.defaults.movedTokens})
     --no-hot-set         no extra copies in the store
     --order-method M     await, truncate or retain (default ${tuning.defaults.orderMethod})
+    --urgency            tells runners the rank of a request; the more urgent displace others there
     --order-share S      share of a service's runners under order at once (default ${tuning.defaults.orderShare})
 
   Options of the tools
--- a/src/protocol/settings/tuning.ts
+++ b/src/protocol/settings/tuning.ts
@@ -1,7 +1,7 @@
 // What may be tuned on the daemons' command line: the defaults, the flags, and their check.
 import type { Finding, Outcome, Tuning } from '../../types.js';
 
-const defaults: Tuning = { epsilon: 0.006, phi: 0.006, movedTokens: 1024, hotSet: true, orderMethod: 'retain', orderShare: 0.25 };
+const defaults: Tuning = { epsilon: 0.006, phi: 0.006, movedTokens: 1024, hotSet: true, orderMethod: 'retain', orderShare: 0.25, urgency: false };
 const methods = ['await', 'truncate', 'retain'];
 
 const flags = {
@@ -12,9 +12,10 @@
   hotSet: { type: 'boolean', default: defaults.hotSet },
   orderMethod: { type: 'string', default: defaults.orderMethod },
   orderShare: { type: 'number', default: defaults.orderShare },
+  urgency: { type: 'boolean', default: defaults.urgency },
 } as const;
 
-function check(f: { epsilon: number; phi: number; movedTokens: number; hotSet: boolean; orderMethod: string; orderShare: number }): Outcome<Tuning, Finding[]> {
+function check(f: { epsilon: number; phi: number; movedTokens: number; hotSet: boolean; orderMethod: string; orderShare: number; urgency: boolean }): Outcome<Tuning, Finding[]> {
   const found: Finding[] = [];
   if (!(f.phi > 0 && f.phi < 1)) found.push({ place: '--phi', text: 'must lie between 0 and 1' });
   if (!(f.epsilon > 0 && f.epsilon <= f.phi)) found.push({ place: '--epsilon', text: 'must be above 0 and at most phi' });
--- a/src/tools/simulate/fleet.ts
+++ b/src/tools/simulate/fleet.ts
@@ -48,7 +48,7 @@
     route_list: f.traffic.map(function one(t) {
       return { label: t.name, hostname: t.name, path_prefix: '/', variant: 'streaming' as const, deadline_ms: t.deadline_ms, target_ms: t.aim_ms, target: service, tries: t.tries, resumable: t.resumable };
     }),
-    service_list: [{ label: service, engine_kind: { slot_count: f.runner.slots } }, ...(f.store ? [{ label: 'store', kv_store_addr: storeAddr }] : [])],
+    service_list: [{ label: service, engine_kind: { slot_count: f.runner.slots, kv_capacity: f.runner.kv_tokens } }, ...(f.store ? [{ label: 'store', kv_store_addr: storeAddr }] : [])],
   };
 }
 
@@ -58,7 +58,7 @@
     settings: { zone_name: zone, bound_set: bounds } as unknown as Settings, fleet: fleet.create(), table: routes.build(configurationOf(f)), weights: { [model]: 1 }, weightsSeq: 0,
     weightsAt: new Map(), board: { epoch: 0, seq: 0, runners: [], sites: 0 }, budget: budget.create(10_000, bounds.retry_ratio, bounds.retry_slack),
     holdings: holdings.create(20_000), hot: { share: new Map(), total: 0 }, stirred: new EventEmitter(),
-    tuning: { epsilon: f.tuning.epsilon, phi: f.tuning.phi, movedTokens: f.tuning.moved_tokens, hotSet: f.tuning.hot_set, orderMethod: 'retain', orderShare: 0.25 },
+    tuning: { epsilon: f.tuning.epsilon, phi: f.tuning.phi, movedTokens: f.tuning.moved_tokens, hotSet: f.tuning.hot_set, orderMethod: 'retain', orderShare: 0.25, urgency: false },
   };
   return site as Site;
 }
@@ -155,12 +155,13 @@
   }
   sim.out.messages.feed++;
   for (const slot of s.site.fleet.byId.values()) {
-    slot.othersActive = slot.othersReading = 0;
+    slot.othersActive = slot.othersReading = slot.othersClaimed = 0;
     for (const o of sim.sites) {
       const theirs = o === s || !o.up ? undefined : o.site.fleet.byId.get(slot.id);
       if (!theirs) continue;
       slot.othersActive += theirs.active;
       slot.othersReading += theirs.reading;
+      slot.othersClaimed += theirs.claimed;
     }
   }
 }
@@ -226,6 +227,7 @@
   const reads = a.reads;
   slot.active++;
   slot.reading += reads;
+  slot.claimed += a.claims;
   p.runners.add(slot.ix);
   for (const part of assign.shared(p)) {
     if (part.tokens < sim.f.tuning.moved_tokens) continue;
@@ -237,6 +239,7 @@
   function done(): void {
     slot.active--;
     slot.reading = Math.max(0, slot.reading - reads);
+    slot.claimed -= a.claims;
   }
   sim.c.after(hop, function atRunner() {
     const r = sim.runners.get(slot.id);
--- a/src/types.ts
+++ b/src/types.ts
@@ -72,14 +72,17 @@
 // The access rules in effect, and those that wait for their activation.
 export type RulesState = { seq: number; active: Record<string, string[]>; next: Record<string, string[]> | null; pending: number };
 
+// A runner's burden: requests running, prompt tokens still to be read, tokens of memory claimed.
+export type BurdenRow = [string, number, number, number];
+
 export type FeedCall = {
   site: string; life: string; since: [number, number]; seen: number; hotSeq: number; hold: number;
-  burden: [string, number, number][] | null; unsound: string[]; held: [string, string, number, string][];
+  burden: BurdenRow[] | null; unsound: string[]; held: [string, string, number, string][];
   report: { seq: number; era: number; m: number; counts: [string, number, number][]; gather: number } | null;
 };
 export type FeedAnswer = {
   epoch: number; at: number; whole: boolean; changes: [string, string, string, number, string][];
-  seen: number; burdens: [string, number, number][]; taken: number; known: boolean; tracking: Tracking;
+  seen: number; burdens: BurdenRow[]; taken: number; known: boolean; tracking: Tracking;
 };
 export type Tracking = { k: number; total: number; gather: number; era: number; hotSeq: number; hot: [string, number, number][] | null };
 
@@ -98,5 +101,5 @@
 
 // What may be set on the command line of the daemons; the defaults stand in tuning.ts.
 export type Tuning = {
-  epsilon: number; phi: number; movedTokens: number; hotSet: boolean; orderMethod: 'await' | 'truncate' | 'retain'; orderShare: number;
+  epsilon: number; phi: number; movedTokens: number; hotSet: boolean; orderMethod: 'await' | 'truncate' | 'retain'; orderShare: number; urgency: boolean;
 };
