--- a/src/dataplane/policies/assign.ts
+++ b/src/dataplane/policies/assign.ts
@@ -15,6 +15,9 @@
 const shareCost = 600;
 const ownBlocks = 16;
 const crampedCost = 3;
+const longTokens = 4096;
+const longShare = 0.7;
+const besideLongCost = 0.1;
 
 function saltOf(p: Passage, revision: number): string {
   return `${p.wall}/${p.model}/${revision}`;
@@ -94,6 +97,13 @@
   return null;
 }
 
+// Long prompts keep to a part of the runners, the same at every site, so that short ones find runners
+// where nothing long is being read; on the others both meet when they must.
+function forLong(of: Slot[]): Set<Slot> {
+  const order = [...of].sort(function byHash(a, b) { return hash.of(a.id) - hash.of(b.id); });
+  return new Set(order.slice(0, Math.ceil(of.length * longShare)));
+}
+
 function choose(site: Site, p: Passage, now: number): Assigned | null {
   const of = site.fleet.byService.get(p.service.label);
   if (!of) return null;
@@ -101,10 +111,13 @@
   let best: Assigned | null = null;
   let bestCost = Infinity;
   const draw = affinity(p);
+  const isLong = whole >= longTokens;
+  const among = isLong ? forLong(of) : null;
   const claims = whole + (p.tokens?.most ?? 0);
   const room = p.service.engine_kind?.kv_capacity ?? Infinity;
   for (const s of of) {
     if (!mayTake(site, p, s, now)) continue;
+    if (among && !among.has(s)) continue;
     const revision = revisionAt(p, s);
     const salt = revision === null ? null : saltOf(p, revision);
     const has = salt === null ? 0 : holdings.prefixAt(site.holdings, salt, p.parts, s.ix);
@@ -115,11 +128,12 @@
     if (s.zone !== site.settings.zone_name) cost += zoneCost;
     const over = s.claimed + s.othersClaimed + claims - room * 0.9;
     if (over > 0) cost += over * crampedCost;
+    if (!isLong) cost += (s.claimed + s.othersClaimed) * besideLongCost;
     if (s.phase !== 'sound') cost += suspectCost;
     cost += hash.of(`${s.id} ${draw}`) * shareCost;
     if (cost < bestCost) {
       bestCost = cost;
-      best = { slot: s, revision, salt, reads: reads + moved * fetchShare, claims, fetchFrom: source?.addr ?? null, saveTo: null };
+      best = { slot: s, revision, salt, reads: reads + moved * fetchShare, claims, isLong, backlog: reads + s.reading + s.othersReading, fetchFrom: source?.addr ?? null, saveTo: null };
     }
   }
   if (best && best.salt !== null) best.saveTo = saveTo(site, p, best.salt);
--- a/src/dataplane/policies/deliver.ts
+++ b/src/dataplane/policies/deliver.ts
@@ -14,6 +14,7 @@
 const queueShare = 0.23;
 const shortestQueueMs = 20;
 const againMs = 60;
+const longWaitAims = 2;
 const looksMs = 25;
 
 type Next = { n: 'again' } | { n: 'end'; step: Step };
@@ -47,12 +48,25 @@
   });
 }
 
+// A long prompt that would wait for well over its aim is better bounced early than read late: it would
+// hold up what comes behind it. Judged only once this site has seen how fast runners read.
+function tooLong(site: Site, p: Passage, a: Assigned): boolean {
+  return a.isLong && p.legs === 0 && site.readRate > 0 && a.backlog / site.readRate > p.aimMs * longWaitAims;
+}
+
+function sawRead(site: Site, a: Assigned, ms: number): void {
+  if (!a.isLong || ms <= 0) return;
+  const rate = a.backlog / ms;
+  site.readRate = site.readRate === 0 ? rate : site.readRate * 0.9 + rate * 0.1;
+}
+
 async function find(site: Site, p: Passage): Promise<Assigned | null> {
   const until = Math.min(p.deadlineAt - 1, p.at + Math.max(shortestQueueMs, p.aimMs * queueShare));
   for (;;) {
     const now = performance.now();
     const a = assign.choose(site, p, now);
-    if (a || p.gone || now >= until) return a;
+    if (a && !tooLong(site, p, a)) return a;
+    if (p.gone || now >= until) return null;
     await pause(site, Math.min(looksMs, until - now));
   }
 }
@@ -108,6 +122,7 @@
 
 async function one(site: Site, p: Passage, a: Assigned): Promise<Next> {
   begin(site, p, a);
+  const sentAt = performance.now();
   const l = leg.send(p, a, site.tuning.urgency);
   const x = await headOf(p, a, l);
   const now = performance.now();
@@ -159,7 +174,10 @@
     ringLog.note(site.log, { runner: a.slot.id, attempt: p.attempt, echoed, status }, 'not an answer to this request');
     return { n: 'again' };
   }
-  const end = await relay.run(site, p, a, x.res, x.req, function read() { readDone(site, a); });
+  const end = await relay.run(site, p, a, x.res, x.req, function read() {
+    if (a.reads > 0) sawRead(site, a, performance.now() - sentAt);
+    readDone(site, a);
+  });
   finish(site, a);
   if (end === 'whole') {
     p.events = 0;
--- a/src/dataplane/types.ts
+++ b/src/dataplane/types.ts
@@ -13,7 +13,7 @@
 export type Site = {
   settings: Settings; log: Log; fleet: Fleet; table: RouteTable | null; weights: Record<string, number>; weightsSeq: number;
   weightsAt: Map<string, number>; rules: RulesState; leaveUntil: number; board: Board; budget: Budget; holdings: Holdings; hot: { share: Map<string, number>; total: number }; tuning: Tuning;
-  leaving: boolean; open: Set<Passage>; stirred: EventEmitter; burdenChanged: () => void;
+  readRate: number; leaving: boolean; open: Set<Passage>; stirred: EventEmitter; burdenChanged: () => void;
   sent: (p: Passage, a: Assigned) => void;
 };
 
@@ -25,7 +25,7 @@
   legs: number; runners: Set<number>; maybeRun: boolean; headSent: boolean; lastEventId: string | null; gone: boolean; events: number;
 };
 
-export type Assigned = { slot: Slot; revision: number | null; salt: string | null; reads: number; claims: number; fetchFrom: string | null; saveTo: string | null };
+export type Assigned = { slot: Slot; revision: number | null; salt: string | null; reads: number; claims: number; isLong: boolean; backlog: number; fetchFrom: string | null; saveTo: string | null };
 
 export type Step = { s: 'next' } | { s: 'answer'; answer: Answer; closing?: boolean } | { s: 'done' };
 export type Policy = { name: string; run: (site: Site, p: Passage) => Step | Promise<Step> };
