--- a/src/dataplane/follow.ts
+++ b/src/dataplane/follow.ts
@@ -6,6 +6,7 @@
 import { routes } from '../state/control/routes.js';
 import { fleet } from '../state/runners/fleet.js';
 import type { Board, NewsAnswer, NewsCall } from '../types.js';
+import { line } from './line.js';
 import type { Site } from './types.js';
 
 const holdMs = 600;
@@ -24,13 +25,14 @@
   if (!newer(b, was)) return;
   site.board = { ...b, sites: Math.max(b.sites, 0) };
   if (b.runners) fleet.take(site.fleet, b.runners);
-  site.stirred.emit('stir');
+  fleet.capAll(site.fleet, site.table, b.sites);
+  line.stir(site.line);
 }
 
 function take(site: Site, f: Follower, a: NewsAnswer): void {
   if (a.configuration && a.configuration.revision > (site.table?.revision ?? 0)) {
     site.table = routes.build(a.configuration);
-    site.fleet.maxConns = Math.max(4, ...a.configuration.service_list.map(function most(s) { return s.max_conns ?? 4; }));
+    fleet.capAll(site.fleet, site.table, site.board.sites);
     site.stirred.emit('configuration');
   }
   if (a.rules && a.rules.seq > site.rules.seq) {
--- a/src/dataplane/policies/assign.ts
+++ b/src/dataplane/policies/assign.ts
@@ -44,7 +44,7 @@
 
 function mayTake(site: Site, p: Passage, s: Slot, now: number): boolean {
   if (!fleet.usable(s, now) || p.runners.has(s.ix)) return false;
-  if (s.active >= s.slots * 2) return false;
+  if (s.active >= Math.min(s.slots * 2, s.cap)) return false;
   return !tooOld(site, p, revisionAt(p, s), now);
 }
 
--- a/src/dataplane/policies/deliver.ts
+++ b/src/dataplane/policies/deliver.ts
@@ -6,6 +6,7 @@
 import { fleet } from '../../state/runners/fleet.js';
 import { ringLog } from '../../logging/ring.js';
 import { budget } from '../budget.js';
+import { line } from '../line.js';
 import { leg, type LegEnd } from '../leg.js';
 import type { Assigned, Passage, Policy, Site, Step } from '../types.js';
 import { assign } from './assign.js';
@@ -15,7 +16,6 @@
 const shortestQueueMs = 20;
 const againMs = 60;
 const longWaitAims = 2;
-const looksMs = 25;
 
 type Next = { n: 'again' } | { n: 'end'; step: Step };
 
@@ -36,18 +36,6 @@
   return budget.take(site.budget, now, site.board.sites);
 }
 
-function pause(site: Site, ms: number): Promise<void> {
-  return new Promise(function run(done) {
-    function end(): void {
-      clearTimeout(timer);
-      site.stirred.removeListener('stir', end);
-      done();
-    }
-    const timer = setTimeout(end, ms);
-    site.stirred.once('stir', end);
-  });
-}
-
 // A long prompt that would wait for well over its aim is better bounced early than read late: it would
 // hold up what comes behind it. Judged only once this site has seen how fast runners read.
 function tooLong(site: Site, p: Passage, a: Assigned): boolean {
@@ -60,17 +48,7 @@
   site.readRate = site.readRate === 0 ? rate : site.readRate * 0.9 + rate * 0.1;
 }
 
-async function find(site: Site, p: Passage): Promise<Assigned | null> {
-  const until = Math.min(p.deadlineAt - 1, p.at + Math.max(shortestQueueMs, p.aimMs * queueShare));
-  for (;;) {
-    const now = performance.now();
-    const a = assign.choose(site, p, now);
-    if (a && !tooLong(site, p, a)) return a;
-    if (p.gone || now >= until) return null;
-    await pause(site, Math.min(looksMs, until - now));
-  }
-}
-
+// Takes a place at the runner; from here on it is given back by finish.
 function begin(site: Site, p: Passage, a: Assigned): void {
   const s = a.slot;
   if (s.active === 0) s.lastByteAt = performance.now();
@@ -82,6 +60,23 @@
   site.burdenChanged();
 }
 
+async function find(site: Site, p: Passage): Promise<Assigned | null> {
+  const until = Math.min(p.deadlineAt - 1, p.at + Math.max(shortestQueueMs, p.aimMs * queueShare));
+  let found: Assigned | null = null;
+  function attempt(): boolean {
+    if (p.gone) return true;
+    const a = assign.choose(site, p, performance.now());
+    if (!a || tooLong(site, p, a)) return false;
+    begin(site, p, a);
+    found = a;
+    return true;
+  }
+  if (attempt()) return found;
+  const left = until - performance.now();
+  if (left > 0) await line.wait(site.line, line.keyOf(p.rank, p.at), left, attempt);
+  return found;
+}
+
 function readDone(site: Site, a: Assigned): void {
   if (a.reads === 0) return;
   a.slot.reading = Math.max(0, a.slot.reading - a.reads);
@@ -94,7 +89,7 @@
   a.slot.active--;
   a.slot.claimed -= a.claims;
   site.burdenChanged();
-  site.stirred.emit('stir');
+  line.stir(site.line);
 }
 
 // Waits for the leg's head, the client's hang-up, the deadline, or, for what may be repeated, for the
@@ -121,7 +116,6 @@
 }
 
 async function one(site: Site, p: Passage, a: Assigned): Promise<Next> {
-  begin(site, p, a);
   const sentAt = performance.now();
   const l = leg.send(p, a, site.tuning.urgency);
   const x = await headOf(p, a, l);
--- a/src/programs/site.ts
+++ b/src/programs/site.ts
@@ -7,6 +7,7 @@
 import { feeding } from '../dataplane/feed.js';
 import { follow, type Follower } from '../dataplane/follow.js';
 import { front } from '../dataplane/front.js';
+import { line } from '../dataplane/line.js';
 import type { Site } from '../dataplane/types.js';
 import type { Log } from '../logging/ring.js';
 import { holdings } from '../state/index/holdings.js';
@@ -27,7 +28,7 @@
     settings: s, log, fleet: fleet.create(), table: null, weights: {}, weightsSeq: 0, weightsAt: new Map(), rules: { seq: 0, active: {}, next: null, pending: 0 }, leaveUntil: -Infinity,
     board: { epoch: 0, seq: 0, runners: null, sites: 0 },
     budget: budget.create(b.retry_window_s * 1000, b.retry_ratio, b.retry_slack), holdings: holdings.create(20_000), hot: { share: new Map(), total: 0 }, tuning,
-    readRate: 0, leaving: false, open: new Set(), stirred: new EventEmitter().setMaxListeners(0), burdenChanged: function none() { /* set by the feed */ },
+    readRate: 0, leaving: false, line: line.create(), open: new Set(), stirred: new EventEmitter().setMaxListeners(0), burdenChanged: function none() { /* set by the feed */ },
     sent: function none() { /* set by the feed */ },
   };
 }
--- a/src/state/runners/fleet.ts
+++ b/src/state/runners/fleet.ts
@@ -3,6 +3,7 @@
 // index. An index is never used again for another life of a runner.
 import { Agent, type ClientRequest, type IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
+import type { RouteTable } from '../control/routes.js';
 import type { Runner } from '../../types.js';
 
 type KeptAgent = { keepSocketAlive: (s: Socket) => boolean; reuseSocket: (s: Socket, r: ClientRequest) => void };
@@ -13,17 +14,19 @@
   listed: boolean; draining: boolean; parked: boolean; revisions: Map<string, number>;
   phase: Phase; until: number; troubles: number; lastByteAt: number;
   active: number; reading: number; claimed: number; othersActive: number; othersReading: number; othersClaimed: number;
-  agent: Agent; turnedAwayAt: number;
+  agent: Agent; cap: number; turnedAwayAt: number;
 };
-export type Fleet = { slots: Slot[]; byId: Map<string, Slot>; byService: Map<string, Slot[]>; maxConns: number };
+export type Fleet = { slots: Slot[]; byId: Map<string, Slot>; byService: Map<string, Slot[]> };
 
 const plain = Agent.prototype as unknown as KeptAgent;
 const firstPauseMs = 400;
 const longestPauseMs = 4000;
 const idleMs = 20_000;
+const leastCap = 8;
+const capShare = 0.9;
 
 function create(): Fleet {
-  return { slots: [], byId: new Map(), byService: new Map(), maxConns: 64 };
+  return { slots: [], byId: new Map(), byService: new Map() };
 }
 
 // Keeps channels whose runner promised to keep them, gives them up a while before that promise runs
@@ -60,7 +63,7 @@
     listed: true, draining: r.draining, parked: r.parked, revisions: new Map(),
     phase: 'sound', until: 0, troubles: 0, lastByteAt: performance.now(),
     active: 0, reading: 0, claimed: 0, othersActive: 0, othersReading: 0, othersClaimed: 0,
-    agent: channelAgent(f.maxConns), turnedAwayAt: -Infinity,
+    agent: channelAgent(leastCap), cap: leastCap, turnedAwayAt: -Infinity,
   };
   f.slots.push(s);
   f.byId.set(r.id, s);
@@ -94,6 +97,17 @@
   }
 }
 
+// A runner takes only so many channels from all callers together: each site keeps to its part, by the
+// number of sites that are known to be in; while it is unknown, to a small one.
+function capAll(f: Fleet, table: RouteTable | null, sites: number): void {
+  for (const s of f.byId.values()) {
+    const most = table?.services.get(s.service)?.max_conns;
+    s.cap = most === undefined || sites === 0 ? leastCap : Math.max(1, Math.floor((most * capShare) / sites));
+    s.agent.maxSockets = s.cap;
+    s.agent.maxFreeSockets = s.cap;
+  }
+}
+
 function learn(s: Slot, model: string, revision: number): void {
   if ((s.revisions.get(model) ?? 0) < revision) s.revisions.set(model, revision);
 }
@@ -119,4 +133,4 @@
   return s.listed && !s.draining && !s.parked && (s.phase === 'sound' || now >= s.until);
 }
 
-export const fleet = { create, take, learn, turn, spoke, usable };
+export const fleet = { create, take, capAll, learn, turn, spoke, usable };
--- /dev/null
+++ b/test/dataplane.test.ts
@@ -0,0 +1,162 @@
+// The site's choices without sockets: which runner a request is assigned, where parts come from and
+// go to, what counts against a runner, and who is tried first in the waiting line.
+import { strict as assert } from 'node:assert';
+import { test } from 'node:test';
+import { line } from '../src/dataplane/line.js';
+import { assign } from '../src/dataplane/policies/assign.js';
+import type { Passage, Site } from '../src/dataplane/types.js';
+import { tuning } from '../src/protocol/settings/tuning.js';
+import { routes } from '../src/state/control/routes.js';
+import { holdings, storePlace } from '../src/state/index/holdings.js';
+import { fleet, type Slot } from '../src/state/runners/fleet.js';
+import type { Configuration, Runner } from '../src/types.js';
+
+const conf: Configuration = {
+  revision: 1, route_list: [{ label: 'r', hostname: 'h', path_prefix: '/', variant: 'streaming', deadline_ms: 6000, target: 's' }],
+  service_list: [{ label: 's', max_conns: 90, engine_kind: { slot_count: 8, kv_capacity: 100_000 } }, { label: 'store', kv_store_addr: '9.9.9.9:1' }],
+};
+
+function runner(id: string, revision = 1, over: Partial<Runner> = {}): Runner {
+  return { id, service: 's', addr: `${id}:1`, zone: 'z', slots: 8, draining: false, parked: false, models: [{ label: 'm', revision }], ...over };
+}
+
+function site(list: Runner[]): Site {
+  const s: Partial<Site> = {
+    settings: { zone_name: 'z', bound_set: { version_ms: 8000 } } as Site['settings'], fleet: fleet.create(), table: routes.build(conf), weights: { m: 1 }, weightsAt: new Map(),
+    holdings: holdings.create(1000), hot: { share: new Map(), total: 100_000 }, tuning: tuning.defaults, board: { epoch: 1, seq: 1, runners: list, sites: 3 },
+  };
+  fleet.take(s.fleet!, list);
+  fleet.capAll(s.fleet!, s.table!, 3);
+  return s as Site;
+}
+
+let n = 0;
+
+function request(s: Site, shared: number, own = 300, id = 'aa'): Passage {
+  const p: Partial<Passage> = {
+    attempt: `a${n++}`, body: Buffer.alloc(0), service: s.table!.services.get('s')!, model: 'm', wall: 'all', parts: [{ id, tokens: shared }, { id: `own${n}`, tokens: own }],
+    tokens: { prompt: shared + own, most: 50 }, runners: new Set(), route: conf.route_list[0]!,
+  };
+  return p as Passage;
+}
+
+function slot(s: Site, id: string): Slot {
+  return s.fleet.byId.get(id)!;
+}
+
+const eight = ['a', 'b', 'c', 'd', 'e', 'f', 'g', 'h'];
+
+test('the runner that keeps the shared part is assigned, unless others are far less burdened', function run() {
+  const s = site(eight.map(function one(id) { return runner(id); }));
+  const long = eight.filter(function takes(id) {
+    for (const other of eight) slot(s, other).reading = other === id ? 0 : 1e6;
+    return assign.choose(s, request(s, 12_000), 0)!.slot.id === id;
+  });
+  for (const id of eight) slot(s, id).reading = 0;
+  assert.equal(long.length, 6, 'long prompts keep to a part of the runners');
+  const [home, other] = long as [string, string];
+  holdings.put(s.holdings, 'all/m/1', 'aa', slot(s, home).ix, 12_000);
+  const first = assign.choose(s, request(s, 12_000), 0)!;
+  assert.deepEqual([first.slot.id, first.fetchFrom, first.salt, first.revision], [home, null, 'all/m/1', 1]);
+  slot(s, home).othersReading = 50_000;
+  const moved = assign.choose(s, request(s, 12_000), 0)!;
+  assert.notEqual(moved.slot.id, home);
+  assert.equal(moved.fetchFrom, `${home}:1`);
+  fleet.turn(slot(s, home), 'suspect', 0);
+  assert.equal(assign.choose(s, request(s, 12_000), 1)!.fetchFrom, null, 'nothing is fetched from an unsound runner');
+  fleet.turn(slot(s, home), 'sound', 0);
+  fleet.learn(slot(s, home), 'm', 2);
+  assert.equal(assign.choose(s, request(s, 12_000), 1)!.fetchFrom, null, 'nor from one with other weights');
+  holdings.put(s.holdings, 'all/m/1', 'aa', storePlace, 12_000);
+  assert.equal(assign.choose(s, request(s, 12_000), 1)!.fetchFrom, '9.9.9.9:1');
+  assert.ok(other);
+});
+
+test('short prompts keep away from where long ones run', function run() {
+  const s = site(['a', 'b'].map(function one(id) { return runner(id); }));
+  slot(s, 'a').othersClaimed = 40_000;
+  for (let i = 0; i < 20; i++) assert.equal(assign.choose(s, request(s, 60, 200, `p${i}`), 0)!.slot.id, 'b');
+});
+
+test('a runner whose memory is claimed is avoided', function run() {
+  const s = site(['a', 'b'].map(function one(id) { return runner(id); }));
+  const first = assign.choose(s, request(s, 12_000), 0)!.slot;
+  first.othersClaimed = 95_000;
+  assert.notEqual(assign.choose(s, request(s, 12_000), 0)!.slot.id, first.id);
+});
+
+test('draining, parked, tried and unlisted runners and those at their cap are not assigned', function run() {
+  const s = site([runner('a', 1, { draining: true }), runner('b', 1, { parked: true }), runner('c'), runner('d')]);
+  const p = request(s, 60);
+  p.runners.add(slot(s, 'c').ix);
+  assert.equal(assign.choose(s, p, 0)!.slot.id, 'd');
+  slot(s, 'd').active = slot(s, 'd').cap;
+  assert.equal(assign.choose(s, p, 0), null);
+  assert.equal(slot(s, 'd').cap, 27);
+});
+
+test('late after new weights were named, runners with old ones are left alone', function run() {
+  const s = site([runner('a', 1), runner('b', 2)]);
+  s.weights = { m: 2 };
+  s.weightsAt.set('m', 0);
+  const seen = new Set<string>();
+  for (let i = 0; i < 40; i++) seen.add(assign.choose(s, request(s, 60, 200, `q${i}`), 7000)!.slot.id);
+  assert.deepEqual([...seen], ['b']);
+  assert.equal(assign.choose(s, request(s, 60), 100)!.salt!.startsWith('all/m/'), true);
+});
+
+test('the store gets a copy of a hot part that it does not keep', function run() {
+  const s = site([runner('a')]);
+  assert.equal(assign.choose(s, request(s, 12_000), 0)!.saveTo, null, 'not hot');
+  s.hot.share.set('all/m/1 aa', 0.01);
+  assert.equal(assign.choose(s, request(s, 12_000), 0)!.saveTo, '9.9.9.9:1');
+  holdings.put(s.holdings, 'all/m/1', 'aa', storePlace, 12_000);
+  assert.equal(assign.choose(s, request(s, 12_000), 0)!.saveTo, null);
+  const walled = request(s, 12_000);
+  walled.wall = 't-x';
+  assert.equal(assign.choose(s, walled, 0)!.saveTo, null, 'another wall, another part');
+});
+
+test('an isolated wall never fetches what was made behind another', function run() {
+  const s = site([runner('a'), runner('b')]);
+  for (const id of ['a', 'b']) holdings.put(s.holdings, 'all/m/1', 'aa', slot(s, id).ix, 12_000);
+  const walled = request(s, 12_000);
+  walled.wall = 't-x';
+  const a = assign.choose(s, walled, 0)!;
+  assert.deepEqual([a.fetchFrom, a.salt], [null, 't-x/m/1']);
+});
+
+test('soundness: the pause grows, and a byte ends it', function run() {
+  const s = site([runner('a')]);
+  const one = slot(s, 'a');
+  let last = 0;
+  for (let i = 0; i < 6; i++) {
+    fleet.turn(one, 'down', 0);
+    assert.ok(one.until >= last && one.until <= 4000);
+    last = one.until;
+  }
+  assert.equal(fleet.usable(one, last - 1), false);
+  assert.equal(fleet.usable(one, last), true);
+  fleet.spoke(one, 10);
+  assert.deepEqual([one.phase, one.troubles, fleet.usable(one, 0)], ['sound', 0, true]);
+});
+
+test('the line tries the urgent first but lets no one be passed over for long', async function run() {
+  const l = line.create();
+  const order: string[] = [];
+  let open = false;
+  function waiter(name: string, rank: number, at: number): Promise<boolean> {
+    return line.wait(l, line.keyOf(rank, at), 60_000, function attempt() {
+      if (open) order.push(name);
+      return open;
+    });
+  }
+  const all = [waiter('late and low', 1, 100), waiter('late and high', 0, 100), waiter('early and low', 1, 0), waiter('early and high', 0, 50)];
+  line.stir(l);
+  open = true;
+  line.stir(l);
+  assert.deepEqual(await Promise.all(all), [true, true, true, true]);
+  assert.deepEqual(order, ['early and high', 'early and low', 'late and high', 'late and low']);
+  assert.equal(l.beat, null);
+  assert.equal(await line.wait(l, 0, 1, function never() { return false; }), false);
+});
