--- a/src/dataplane/policies/assign.ts
+++ b/src/dataplane/policies/assign.ts
@@ -17,6 +17,7 @@
 const crampedCost = 3;
 const longTokens = 4096;
 const longShare = 0.7;
+const apartCost = 12_000;
 const besideLongCost = 0.1;
 
 function saltOf(p: Passage, revision: number): string {
@@ -97,8 +98,8 @@
   return null;
 }
 
-// Long prompts keep to a part of the runners, the same at every site, so that short ones find runners
-// where nothing long is being read; on the others both meet when they must.
+// Long prompts keep to a part of the runners, the same at every site, while there is room, so that
+// short ones find runners where nothing long is being read.
 function forLong(of: Slot[]): Set<Slot> {
   const order = [...of].sort(function byHash(a, b) { return hash.of(a.id) - hash.of(b.id); });
   return new Set(order.slice(0, Math.ceil(of.length * longShare)));
@@ -117,7 +118,6 @@
   const room = p.service.engine_kind?.kv_capacity ?? Infinity;
   for (const s of of) {
     if (!mayTake(site, p, s, now)) continue;
-    if (among && !among.has(s)) continue;
     const revision = revisionAt(p, s);
     const salt = revision === null ? null : saltOf(p, revision);
     const has = salt === null ? 0 : holdings.prefixAt(site.holdings, salt, p.parts, s.ix);
@@ -128,6 +128,7 @@
     if (s.zone !== site.settings.zone_name) cost += zoneCost;
     const over = s.claimed + s.othersClaimed + claims - room * 0.9;
     if (over > 0) cost += over * crampedCost;
+    if (among && !among.has(s)) cost += apartCost;
     if (!isLong) cost += (s.claimed + s.othersClaimed) * besideLongCost;
     if (s.phase !== 'sound') cost += suspectCost;
     cost += hash.of(`${s.id} ${draw}`) * shareCost;
--- a/src/dataplane/policies/deliver.ts
+++ b/src/dataplane/policies/deliver.ts
@@ -15,7 +15,7 @@
 const queueShare = 0.23;
 const shortestQueueMs = 20;
 const againMs = 60;
-const longWaitAims = 2;
+const longWaitAims = 4;
 
 type Next = { n: 'again' } | { n: 'end'; step: Step };
 
@@ -36,7 +36,7 @@
   return budget.take(site.budget, now, site.board.sites);
 }
 
-// A long prompt that would wait for well over its aim is better bounced early than read late: it would
+// A long prompt that would wait for many times its aim is better bounced early than read late: it would
 // hold up what comes behind it. Judged only once this site has seen how fast runners read.
 function tooLong(site: Site, p: Passage, a: Assigned): boolean {
   return a.isLong && p.legs === 0 && site.readRate > 0 && a.backlog / site.readRate > p.aimMs * longWaitAims;
--- a/src/protocol/settings/tuning.ts
+++ b/src/protocol/settings/tuning.ts
@@ -1,7 +1,7 @@
 // What may be tuned on the daemons' command line: the defaults, the flags, and their check.
 import type { Finding, Outcome, Tuning } from '../../types.js';
 
-const defaults: Tuning = { epsilon: 0.006, phi: 0.006, movedTokens: 1024, hotSet: true, orderMethod: 'retain', orderShare: 0.25, urgency: false };
+const defaults: Tuning = { epsilon: 0.003, phi: 0.003, movedTokens: 1024, hotSet: true, orderMethod: 'retain', orderShare: 0.25, urgency: false };
 const methods = ['await', 'truncate', 'retain'];
 
 const flags = {
