--- a/test/dataplane.test.ts
+++ b/test/dataplane.test.ts
@@ -48,12 +48,17 @@
 
 test('the runner that keeps the shared part is assigned, unless others are far less burdened', function run() {
   const s = site(eight.map(function one(id) { return runner(id); }));
-  const long = eight.filter(function takes(id) {
-    for (const other of eight) slot(s, other).reading = other === id ? 0 : 1e6;
-    return assign.choose(s, request(s, 12_000), 0)!.slot.id === id;
-  });
-  for (const id of eight) slot(s, id).reading = 0;
+  function among(tokens: number): string[] {
+    const seen = new Set<string>();
+    for (let i = 0; i < 200; i++) seen.add(assign.choose(s, request(s, tokens, 300, `x${i}`), 0)!.slot.id);
+    return [...seen];
+  }
+  const long = among(12_000);
   assert.equal(long.length, 6, 'long prompts keep to a part of the runners');
+  assert.equal(among(60).length, 8, 'short ones go to all');
+  for (const id of long) slot(s, id).reading = 20_000;
+  assert.ok(among(12_000).every(function apart(id) { return !long.includes(id); }), 'while there is room');
+  for (const id of long) slot(s, id).reading = 0;
   const [home, other] = long as [string, string];
   holdings.put(s.holdings, 'all/m/1', 'aa', slot(s, home).ix, 12_000);
   const first = assign.choose(s, request(s, 12_000), 0)!;
