--- a/test/rollout.test.ts
+++ b/test/rollout.test.ts
@@ -92,3 +92,22 @@
   assert.deepEqual(rolloutPlan.step(s, { e: 'beat', runners: list, targets: { m: 2 }, mayAct: true }, 100), []);
   assert.equal(rolloutPlan.step(s, { e: 'beat', runners: list, targets: { m: 2 }, mayAct: true }, 500).length, 1);
 });
+
+test('an order that was lost is sent again, but not while its runner is busy', function run() {
+  const s = rolloutPlan.create(timing);
+  const list = [runner('a', 1)];
+  function beat(now: number): RolloutEffect[] {
+    return rolloutPlan.step(s, { e: 'beat', runners: list, targets: { m: 2 }, mayAct: true }, now);
+  }
+  beat(0);
+  assert.equal(beat(60)[0]!.f, 'order');
+  rolloutPlan.step(s, { e: 'ordered', id: 'a', result: null }, 100);
+  assert.equal(beat(400)[0]!.f, 'ask');
+  assert.deepEqual(rolloutPlan.step(s, { e: 'reported', id: 'a', revision: 1, isBusy: false }, 410), [], 'its report may be old');
+  assert.deepEqual(rolloutPlan.step(s, { e: 'reported', id: 'a', revision: 1, isBusy: true }, 900), [], 'under way');
+  assert.deepEqual(rolloutPlan.step(s, { e: 'reported', id: 'a', revision: null, isBusy: false }, 910), [], 'no report');
+  assert.equal(rolloutPlan.step(s, { e: 'reported', id: 'a', revision: 1, isBusy: false }, 920)[0]!.f, 'order');
+  assert.deepEqual(rolloutPlan.step(s, { e: 'reported', id: 'a', revision: 2, isBusy: false }, 1000), [], 'not asked');
+  rolloutPlan.step(s, { e: 'ordered', id: 'a', result: 'begun' }, 1010);
+  assert.deepEqual(rolloutPlan.step(s, { e: 'reported', id: 'a', revision: 2, isBusy: false }, 1400).map(function f(x) { return x.f; }), ['learn', 'park']);
+});
--- a/test/state.test.ts
+++ b/test/state.test.ts
@@ -96,6 +96,8 @@
     const middle = recovery.numbered(readdirSync(dir), 'segment').find(function old(f) { return f.no < 50; })!;
     truncateSync(join(dir, middle.name), 60);
     assert.equal(recovery.recover(dir).k, 'lost');
+    const bare = recovery.replay(view0, [{ name: 's', values: [{ r: 'head', me: 'a#first', after: 3, epoch: 2, vote: null, reset: false }] }]);
+    assert.equal(bare.ok, false, 'a head alone says so too');
     unlinkSync(join(dir, middle.name));
     assert.equal(recovery.recover(dir).k, 'lost');
   });
