A leaving site ends only after nothing has been open for a while behind its last answer

The site ended 50 ms after its last request, and a kept channel had brought one more in that time. A request now counts as open until its answer has left whole, channels end with their answer once the listener is closed, and the end waits until a pause stays quiet.

--- a/src/dataplane/front.ts
+++ b/src/dataplane/front.ts
@@ -1,5 +1,6 @@
 // The site's front: takes requests from clients and walks each through the policies. An answer that
-// cannot be finished ends with its channel; one that was not begun gets an answer of our own.
+// cannot be finished ends with its channel; one that was not begun gets an answer of our own. A request
+// counts as open until its answer has left whole or its channel is gone.
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { Duplex } from 'node:stream';
 import { answers } from '../transport/http/answer.js';
@@ -28,7 +29,12 @@
   if (!site.table) return answers.send(res, answers.bounce(503, 500), true);
   const p = passage(req, res);
   site.open.add(p);
-  res.on('close', function gone() { if (!res.writableFinished) p.gone = true; });
+  res.on('close', function over() {
+    if (!res.writableFinished) p.gone = true;
+    site.open.delete(p);
+    if (site.closing) req.socket.destroySoon();
+    if (site.leaving && site.open.size === 0) site.stirred.emit('idle');
+  });
   for (const policy of path) {
     const step = await policy.run(site, p);
     if (step.s === 'next') continue;
@@ -36,8 +42,6 @@
     else if (!res.writableEnded) res.destroy();
     break;
   }
-  site.open.delete(p);
-  if (site.leaving && site.open.size === 0) site.stirred.emit('idle');
 }
 
 function onClientTrouble(err: Error & { code?: string }, socket: Duplex): void {
--- a/src/dataplane/types.ts
+++ b/src/dataplane/types.ts
@@ -14,7 +14,7 @@
 export type Site = {
   settings: Settings; log: Log; fleet: Fleet; table: RouteTable | null; weights: Record<string, number>; weightsSeq: number;
   weightsAt: Map<string, number>; rules: RulesState; leaveUntil: number; board: Board; budget: Budget; holdings: Holdings; hot: { share: Map<string, number>; total: number }; tuning: Tuning;
-  readRate: number; leaving: boolean; line: Line; open: Set<Passage>; stirred: EventEmitter; burdenChanged: () => void;
+  readRate: number; leaving: boolean; closing: boolean; line: Line; open: Set<Passage>; stirred: EventEmitter; burdenChanged: () => void;
   sent: (p: Passage, a: Assigned) => void;
 };
 
--- a/src/programs/site.ts
+++ b/src/programs/site.ts
@@ -21,6 +21,7 @@
 
 const silentMs = 500;
 const sweepMs = 100;
+const quietMs = 60;
 
 function create(s: Settings, log: Log, tuning: Tuning): Site {
   const b = s.bound_set;
@@ -28,7 +29,7 @@
     settings: s, log, fleet: fleet.create(), table: null, weights: {}, weightsSeq: 0, weightsAt: new Map(), rules: { seq: 0, active: {}, next: null, pending: 0 }, leaveUntil: -Infinity,
     board: { epoch: 0, seq: 0, runners: null, sites: 0 },
     budget: budget.create(b.retry_window_s * 1000, b.retry_ratio, b.retry_slack), holdings: holdings.create(20_000), hot: { share: new Map(), total: 0 }, tuning,
-    readRate: 0, leaving: false, line: line.create(), open: new Set(), stirred: new EventEmitter().setMaxListeners(0), burdenChanged: function none() { /* set by the feed */ },
+    readRate: 0, leaving: false, closing: false, line: line.create(), open: new Set(), stirred: new EventEmitter().setMaxListeners(0), burdenChanged: function none() { /* set by the feed */ },
     sent: function none() { /* set by the feed */ },
   };
 }
@@ -80,13 +81,24 @@
   const graceMs = site.settings.bound_set.grace_s * 1000;
   const endAt = performance.now() + graceMs * 0.9;
   await new Promise(function listed(done) { setTimeout(done, Math.min(2500, graceMs * 0.35)); });
+  site.closing = true;
   server.close();
   server.closeIdleConnections();
-  const timer = setTimeout(function over() { process.exit(0); }, Math.max(0, endAt - performance.now()));
-  if (site.open.size > 0) await new Promise(function idle(done) { site.stirred.once('idle', done); });
-  clearTimeout(timer);
+  setTimeout(function over() { process.exit(0); }, Math.max(0, endAt - performance.now()));
+  await drained(site, server);
   f.stopped = true;
-  setTimeout(function gone() { process.exit(0); }, 50);
+  process.exit(0);
+}
+
+// A kept channel may bring one more request while the last answer leaves, so the end waits until
+// nothing has been open for a while after the idle channels were closed.
+async function drained(site: Site, server: Server): Promise<void> {
+  for (;;) {
+    while (site.open.size > 0) await new Promise(function idle(done) { site.stirred.once('idle', done); });
+    server.closeIdleConnections();
+    await new Promise(function quiet(done) { setTimeout(done, quietMs); });
+    if (site.open.size === 0) return;
+  }
 }
 
 export const siteProgram = { start, create, isReady };
--- a/test/loopback.test.ts
+++ b/test/loopback.test.ts
@@ -2,6 +2,7 @@
 // refusals, broken runners, weights, a restart of the whole core, and an orderly end.
 import { strict as assert } from 'node:assert';
 import { after, before, test } from 'node:test';
+import { Agent } from 'node:http';
 import { connect } from 'node:net';
 import { luck } from './support/random.js';
 import { fleetStandin as fs, model, type Fleet } from './standins/fleet.js';
@@ -257,6 +258,16 @@
   await fs.until(function ask() { return fs.ready(f, 2); }, function no(r) { return r.status !== 200; }, 'unready');
   const r = await fs.client(f, 2, heads());
   assert.ok(r.status === 200 && r.headers.connection === 'close' && r.whole);
+  const agents = Array.from({ length: 4 }, function one() { return new Agent({ keepAlive: true, maxSockets: 1 }); });
+  let over = false;
+  void gone.then(function ended() { over = true; });
+  await Promise.all(agents.map(async function press(agent) {
+    while (!over) {
+      const one = heads();
+      const x = await fs.client(f, 2, one, '/gen/x', 'prompt', 'a.example', agent);
+      if (runsOf(one['X-Attempt-Id']!) > 0) assert.ok(x.status === 200 && x.whole, 'what was run is answered whole');
+    }
+  }));
   assert.equal(await gone, 0);
 });
 
--- a/test/standins/fleet.ts
+++ b/test/standins/fleet.ts
@@ -2,7 +2,7 @@
 // own settings file, with stand-ins for the platform and the runners.
 import { spawn, type ChildProcess } from 'node:child_process';
 import { mkdirSync, mkdtempSync, rmSync, writeFileSync } from 'node:fs';
-import { request } from 'node:http';
+import { request, type Agent } from 'node:http';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { dump } from 'js-yaml';
@@ -79,9 +79,9 @@
   rmSync(f.dir, { recursive: true });
 }
 
-function call(host: string, port: number, method: string, path: string, headers: Record<string, string>, body: string): Promise<Reply> {
+function call(host: string, port: number, method: string, path: string, headers: Record<string, string>, body: string, agent: Agent | false = false): Promise<Reply> {
   return new Promise(function run(done) {
-    const req = request({ host, port, method, path, headers, agent: false, timeout: 4000 });
+    const req = request({ host, port, method, path, headers, agent, timeout: 4000 });
     const none: Reply = { status: 0, headers: {}, body: '', whole: false };
     req.on('timeout', function late() { req.destroy(); });
     req.on('error', function bad() { done(none); });
@@ -100,8 +100,8 @@
   return call(ip(f.net, n), ports.control, method, path, headers, typeof body === 'string' ? body : body === null ? '' : JSON.stringify(body));
 }
 
-function client(f: Fleet, site: number, headers: Record<string, string>, path = '/gen/x', body = 'prompt', host = 'a.example'): Promise<Reply> {
-  return call(ip(f.net, 10 + site), ports.front, 'POST', path, { Host: host, ...headers }, body);
+function client(f: Fleet, site: number, headers: Record<string, string>, path = '/gen/x', body = 'prompt', host = 'a.example', agent: Agent | false = false): Promise<Reply> {
+  return call(ip(f.net, 10 + site), ports.front, 'POST', path, { Host: host, ...headers }, body, agent);
 }
 
 async function status(f: Fleet, n: number): Promise<StatusAnswer> {
