--- a/src/controlplane/board.ts
+++ b/src/controlplane/board.ts
@@ -1,6 +1,7 @@
 // The board: soft state that the sequencer shows to the other coordinators and they to the sites.
 // Boards are ordered by (epoch, seq); an older one never replaces a newer one.
 import { groupDriver } from '../coordination/group/driver.js';
+import { boardHistory } from '../state/history/boards.js';
 import { channel } from '../transport/inner/channel.js';
 import type { Board } from '../types.js';
 import { sessions } from './sessions.js';
@@ -37,6 +38,7 @@
   const epoch = c.group.machine.epoch;
   const seq = c.board.epoch === epoch ? c.board.seq + 1 : 1;
   c.board = { ...c.board, ...part, epoch, seq };
+  boardHistory.take(c.boardHistory, c.board);
   wake(c);
   tellAll(c, true);
 }
@@ -89,6 +91,7 @@
 function receive(c: Coordinator, call: BoardCall): BoardReply {
   if (call.board && newer(call.board, c.board.epoch, c.board.seq)) {
     c.board = call.board;
+    boardHistory.take(c.boardHistory, c.board);
     wake(c);
   }
   const now = performance.now();
--- a/src/controlplane/feed.ts
+++ b/src/controlplane/feed.ts
@@ -4,21 +4,23 @@
 import { groupDriver } from '../coordination/group/driver.js';
 import { tracker, type Tracker } from '../coordination/tracking/coordinator.js';
 import { keptIndex, type KeptIndex } from '../state/index/kept.js';
-import type { BurdenRow, FeedAnswer, FeedCall } from '../types.js';
+import { sums, type Sums } from '../state/burden/sums.js';
+import type { FeedAnswer, FeedCall } from '../types.js';
 import type { Coordinator } from './parts.js';
 import { sessions } from './sessions.js';
 
-const coalesceMs = 20;
+const leastBeatMs = 20;
+const longestBeatMs = 250;
+const beatMsPerSite = 1.5;
 const standsMs = 2500;
 const mostChanges = 4000;
 const mostTotal = 50_000;
 const gatherMs = 1500;
-const beatMs = 100;
+const trackMs = 100;
 
-type SiteBurden = { at: number; told: number; list: BurdenRow[]; unsound: string[] };
-type Waiter = { call: FeedCall; from: number; answer: () => void };
+type Waiter = { call: FeedCall; answer: () => void };
 export type FeedState = {
-  epoch: number; index: KeptIndex; tracker: Tracker; burdens: Map<string, SiteBurden>; told: number;
+  epoch: number; index: KeptIndex; tracker: Tracker; sums: Sums; k: number; beatMs: number;
   waiters: Set<Waiter>; hot: [string, number, number][]; hotKeys: string; hotSeq: number;
 };
 
@@ -32,89 +34,61 @@
     s = {
       epoch, index: keptIndex.create(c.tuning.movedTokens, mostChanges),
       tracker: tracker.create(c.tuning.epsilon, c.tuning.phi, mostTotal, gatherMs),
-      burdens: new Map(), told: 0, waiters: new Set(), hot: [], hotKeys: '', hotSeq: 0,
+      sums: sums.create(), k: sessions.count(c), beatMs: leastBeatMs, waiters: new Set(), hot: [], hotKeys: '', hotSeq: 0,
     };
     states.set(c, s);
   }
   return s;
 }
 
-function othersTold(s: FeedState, site: string): number {
-  return s.told - (s.burdens.get(site)?.told ?? 0);
-}
-
-function othersBurden(s: FeedState, site: string): BurdenRow[] {
-  const now = performance.now();
-  const sum = new Map<string, BurdenRow>();
-  for (const [name, b] of s.burdens) {
-    if (name === site || now - b.at > standsMs) continue;
-    for (const [id, active, reading, claimed] of b.list) {
-      const one = sum.get(id);
-      if (one) {
-        one[1] += active;
-        one[2] += reading;
-        one[3] += claimed;
-      } else sum.set(id, [id, active, reading, claimed]);
-    }
-  }
-  return [...sum.values()];
+function due(s: FeedState, call: FeedCall): boolean {
+  return call.since[0] !== s.epoch || keptIndex.last(s.index) > call.since[1] || s.sums.revision > call.burdenSeen || s.hotSeq > call.hotSeq;
 }
 
-function due(s: FeedState, call: FeedCall): boolean {
-  return call.since[0] !== s.epoch || keptIndex.last(s.index) > call.since[1] || othersTold(s, call.site) !== call.seen || s.hotSeq > call.hotSeq;
+function burdensOf(s: FeedState, call: FeedCall): FeedAnswer['burdens'] {
+  const told = sums.since(s.sums, call.since[0] === s.epoch ? call.burdenSeen : 0);
+  return { ...told, shownNo: sums.shownNo(s.sums, call.site, call.life) };
 }
 
-function answerOf(c: Coordinator, s: FeedState, call: FeedCall, known: boolean): FeedAnswer {
-  const fresh = call.hold === 0 ? [] : call.since[0] === s.epoch ? keptIndex.since(s.index, call.since[1]) : null;
+// A call without a hold only reports: it is answered with what says that the report was taken.
+function answerOf(s: FeedState, call: FeedCall, known: boolean): FeedAnswer {
   const t = s.tracker;
+  const isReport = call.hold === 0;
+  const fresh = isReport ? [] : call.since[0] === s.epoch ? keptIndex.since(s.index, call.since[1]) : null;
   return {
-    epoch: s.epoch, at: call.hold === 0 ? call.since[1] : keptIndex.last(s.index), whole: fresh === null, changes: fresh ?? keptIndex.all(s.index),
-    seen: othersTold(s, call.site), burdens: othersBurden(s, call.site), taken: call.report?.seq ?? 0, known,
-    tracking: { k: sessions.count(c), total: t.total, gather: t.gather, era: t.era, hotSeq: s.hotSeq, hot: s.hotSeq > call.hotSeq || call.since[0] !== s.epoch ? s.hot : null },
+    epoch: s.epoch, at: isReport ? call.since[1] : keptIndex.last(s.index), whole: fresh === null, changes: fresh ?? keptIndex.all(s.index),
+    burdens: isReport ? null : burdensOf(s, call), beatMs: s.beatMs, taken: call.report?.seq ?? 0, known,
+    tracking: { k: s.k, total: t.total, gather: t.gather, era: t.era, hotSeq: s.hotSeq, hot: !isReport && (s.hotSeq > call.hotSeq || call.since[0] !== s.epoch) ? s.hot : null },
   };
 }
 
+// Answers all who wait for what is there now; run once per beat, so that however many sites report,
+// each is answered at most once a beat.
 function wake(s: FeedState): void {
-  const now = performance.now();
   for (const w of [...s.waiters]) {
     if (!due(s, w.call)) continue;
-    const wait = coalesceMs - (now - w.from);
     s.waiters.delete(w);
-    if (wait <= 0) w.answer();
-    else setTimeout(w.answer, wait);
+    w.answer();
   }
 }
 
-function take(c: Coordinator, s: FeedState, call: FeedCall): boolean {
-  const now = performance.now();
-  let known = true;
-  if (call.burden) {
-    const was = s.burdens.get(call.site);
-    if (!was || JSON.stringify(was.list) !== JSON.stringify(call.burden)) {
-      s.told++;
-      s.burdens.set(call.site, { at: now, told: (was?.told ?? 0) + 1, list: call.burden, unsound: call.unsound });
-    } else {
-      was.at = now;
-      was.unsound = call.unsound;
-    }
-  }
+function take(s: FeedState, call: FeedCall): boolean {
+  sums.report(s.sums, call.site, call.life, call.burdenNo, call.burden, call.unsound, performance.now());
   for (const [salt, part, tokens, place] of call.held) keptIndex.announce(s.index, place, salt, part, tokens);
-  if (call.report) known = tracker.take(s.tracker, call.life, call.site, call.report, sessions.count(c)).known;
-  if (call.held.length > 0 || call.burden) wake(s);
-  return known;
+  return call.report ? tracker.take(s.tracker, call.life, call.site, call.report, s.k).known : true;
 }
 
 function call(c: Coordinator, f: FeedCall): Promise<FeedAnswer> | FeedAnswer | null {
   if (!groupDriver.isSequencer(c.group)) return null;
   const s = state(c);
-  const known = take(c, s, f);
-  if (f.hold === 0) return answerOf(c, s, f, known);
+  const known = take(s, f);
+  if (f.hold === 0 || f.since[0] !== s.epoch) return answerOf(s, f, known);
   return new Promise(function run(done) {
     const w: Waiter = {
-      call: f, from: performance.now(),
+      call: f,
       answer: function answer() {
         clearTimeout(timer);
-        done(answerOf(c, s, f, known));
+        done(answerOf(s, f, known));
       },
     };
     const timer = setTimeout(function over() {
@@ -122,7 +96,6 @@
       w.answer();
     }, f.hold);
     s.waiters.add(w);
-    if (due(s, f)) wake(s);
   });
 }
 
@@ -142,6 +115,8 @@
     return;
   }
   const s = state(c);
+  s.k = sessions.count(c);
+  s.beatMs = beatOf(s.k);
   tracker.beat(s.tracker, new Set(sessions.all(c).values()), performance.now());
   tracker.retire(s.tracker, retired(c));
   const hot = tracker.hot(s.tracker).map(function row(h): [string, number, number] { return [h.x, Math.round(h.share * 1e6) / 1e6, h.tokens]; });
@@ -150,19 +125,33 @@
     s.hotKeys = keys;
     s.hot = hot;
     s.hotSeq++;
+  }
+}
+
+// The sequencer's answers a second stay the same however many sites there are: the beat grows with them.
+function beatOf(sites: number): number {
+  return Math.min(longestBeatMs, Math.max(leastBeatMs, sites * beatMsPerSite));
+}
+
+function turn(c: Coordinator): void {
+  const s = states.get(c);
+  if (s && groupDriver.isSequencer(c.group) && s.epoch === c.group.machine.epoch) {
+    sums.beat(s.sums, standsMs, performance.now());
     wake(s);
   }
+  setTimeout(function next() { turn(c); }, s?.beatMs ?? trackMs);
 }
 
 function start(c: Coordinator): NodeJS.Timeout {
-  return setInterval(function tick() { beat(c); }, beatMs);
+  turn(c);
+  return setInterval(function tick() { beat(c); }, trackMs);
 }
 
 // How many sites find a runner unsound.
 function unsoundAt(s: FeedState, id: string): number {
   let n = 0;
-  for (const b of s.burdens.values()) if (performance.now() - b.at <= standsMs && b.unsound.includes(id)) n++;
+  for (const b of s.sums.sites.values()) if (b.unsound.includes(id)) n++;
   return n;
 }
 
-export const feed = { call, start, state, wake, unsoundAt };
+export const feed = { call, start, state, unsoundAt, beatOf };
--- a/src/controlplane/kept.ts
+++ b/src/controlplane/kept.ts
@@ -42,7 +42,6 @@
     }
     if (feed.state(c) !== s) break;
     if (keptIndex.events(s.index, p.name, r.value)) await repair(c, p);
-    feed.wake(s);
     await pause(Math.max(0, gapMs - (performance.now() - from)));
   }
   if (open.get(p.name) === p.addr) open.delete(p.name);
--- a/src/controlplane/news.ts
+++ b/src/controlplane/news.ts
@@ -1,6 +1,8 @@
 // Answers a site's question for news: at once when there is something it does not have, otherwise
 // when there is or the hold runs out. Says whether this coordinator is itself up to date, so that a
 // site can turn to another.
+import { boardHistory } from '../state/history/boards.js';
+import { configurationHistory } from '../state/history/configurations.js';
 import { groupDriver } from '../coordination/group/driver.js';
 import type { NewsAnswer, NewsCall } from '../types.js';
 import { boards } from './board.js';
@@ -11,17 +13,21 @@
 
 function hasNews(c: Coordinator, call: NewsCall): boolean {
   const s = c.group.state;
-  return (s.configuration?.revision ?? 0) > call.revision || s.weightsSeq > call.weights || s.rules.seq > call.rules || boards.newer(c.board, call.board[0], call.board[1]);
+  return call.whole || (s.configuration?.revision ?? 0) > call.revision || s.weightsSeq > call.weights || s.rules.seq > call.rules || boards.newer(c.board, call.board[0], call.board[1]);
 }
 
 function answerOf(c: Coordinator, call: NewsCall): NewsAnswer {
   const s = c.group.state;
   const m = c.group.machine;
+  const isBehind = (s.configuration?.revision ?? 0) > call.revision || (call.whole && s.configuration !== null);
+  const configurationDelta = !isBehind || call.whole || c.configurations.current !== s.configuration ? null : configurationHistory.since(c.configurations, call.revision);
+  const isOldBoard = boards.newer(c.board, call.board[0], call.board[1]) || (call.whole && c.board.seq > 0);
+  const boardDelta = !isOldBoard || call.whole ? null : boardHistory.since(c.boardHistory, call.board[0], call.board[1]);
   return {
-    configuration: (s.configuration?.revision ?? 0) > call.revision ? s.configuration : null,
+    configuration: isBehind && !configurationDelta ? s.configuration : null, configurationDelta,
     weights: s.weightsSeq > call.weights ? s.weights : null, weightsSeq: s.weightsSeq,
     rules: s.rules.seq > call.rules ? s.rules : null,
-    board: boards.newer(c.board, call.board[0], call.board[1]) ? c.board : null,
+    board: isOldBoard && !boardDelta ? c.board : null, boardDelta,
     sequencer: groupDriver.sequencerControl(c.group),
     coordinators: m.roster.map(function at(x) { return x.addr; }),
     fresh: groupDriver.fresh(c.group), leave: boards.hasLeave(c),
--- a/src/controlplane/parts.ts
+++ b/src/controlplane/parts.ts
@@ -2,6 +2,8 @@
 import type { Agent } from 'node:http';
 import type { GroupDriver } from '../coordination/group/driver.js';
 import type { Log } from '../logging/ring.js';
+import type { BoardHistory } from '../state/history/boards.js';
+import type { ConfigurationHistory } from '../state/history/configurations.js';
 import type { Board, Settings, Tuning } from '../types.js';
 
 export type Session = { site: string; life: string; seenAt: number; revision: number };
@@ -10,7 +12,7 @@
 
 export type Coordinator = {
   settings: Settings; log: Log; group: GroupDriver; agent: Agent;
-  board: Board;
+  board: Board; boardHistory: BoardHistory; configurations: ConfigurationHistory;
   sessions: Map<string, Session>;
   partnerSessions: Map<string, Told>;
   reply: { no: number; sentAt: Map<number, number>; heardUpTo: number };
--- a/src/dataplane/feed.ts
+++ b/src/dataplane/feed.ts
@@ -2,6 +2,7 @@
 // do; a call without a hold goes out shortly after a large change of this site's own burden.
 import { channel } from '../transport/inner/channel.js';
 import { siteTracker, type SiteTracker } from '../coordination/tracking/site.js';
+import { others, type Others } from '../state/burden/others.js';
 import { holdings, storePlace } from '../state/index/holdings.js';
 import type { BurdenRow, FeedAnswer, FeedCall } from '../types.js';
 import type { Follower } from './follow.js';
@@ -11,12 +12,13 @@
 const holdMs = 500;
 const slackMs = 300;
 const coalesceMs = 12;
+const beatShare = 0.25;
 const tellTokens = 1024;
 const staleMs = 1500;
 const storeName = 'store';
 
 type Exchange = {
-  tracker: SiteTracker; since: [number, number]; seen: number; hotSeq: number;
+  tracker: SiteTracker; since: [number, number]; others: Others; beatMs: number; hotSeq: number;
   held: [string, string, number, string][]; told: Map<string, number>; soon: NodeJS.Timeout | null; heardAt: number;
 };
 
@@ -35,7 +37,12 @@
   x.told = new Map(burden.map(function pair(b) { return [b[0], b[2] + b[3]] as const; }));
   const held = x.held;
   x.held = [];
-  return { site: site.settings.node_name, life: x.tracker.life, since: x.since, seen: x.seen, hotSeq: x.hotSeq, hold, burden, unsound: unsoundOf(site), held, report: siteTracker.report(x.tracker) };
+  const burdenNo = others.tell(x.others, burden);
+  return { site: site.settings.node_name, life: x.tracker.life, since: x.since, hotSeq: x.hotSeq, hold, burden, burdenNo, burdenSeen: x.others.revision, unsound: unsoundOf(site), held, report: siteTracker.report(x.tracker) };
+}
+
+function showOthers(site: Site, x: Exchange): void {
+  for (const s of site.fleet.byId.values()) [s.othersActive, s.othersReading, s.othersClaimed] = others.at(x.others, s.id);
 }
 
 function take(site: Site, x: Exchange, a: FeedAnswer, held: boolean): void {
@@ -47,17 +54,12 @@
     site.hot.share = new Map(a.tracking.hot.map(function pair(h) { return [h[0], h[1]] as const; }));
     x.hotSeq = a.tracking.hotSeq;
   }
-  for (const s of site.fleet.byId.values()) s.othersActive = s.othersReading = s.othersClaimed = 0;
-  for (const [id, active, reading, claimed] of a.burdens) {
-    const s = site.fleet.byId.get(id);
-    if (s) {
-      s.othersActive = active;
-      s.othersReading = reading;
-      s.othersClaimed = claimed;
-    }
+  x.beatMs = a.beatMs;
+  if (a.burdens) {
+    others.take(x.others, a.burdens);
+    showOthers(site, x);
   }
   if (!held) return;
-  x.seen = a.seen;
   if (a.whole) site.holdings.parts.clear();
   for (const [op, salt, part, tokens, name] of a.changes) {
     const place = name === storeName ? storePlace : site.fleet.byId.get(name)?.ix;
@@ -89,7 +91,7 @@
 
 async function run(site: Site, f: Follower): Promise<void> {
   const x: Exchange = {
-    tracker: siteTracker.create(site.tuning.epsilon, f.life), since: [-1, 0], seen: -1, hotSeq: 0, held: [], told: new Map(), soon: null, heardAt: 0,
+    tracker: siteTracker.create(site.tuning.epsilon, f.life), since: [-1, 0], others: others.create(), beatMs: 0, hotSeq: 0, held: [], told: new Map(), soon: null, heardAt: 0,
   };
   site.sent = function sent(p, a) {
     if (a.salt === null) return;
@@ -107,13 +109,16 @@
     x.soon = setTimeout(function tell() {
       x.soon = null;
       void say(site, f, x, 0);
-    }, coalesceMs);
+    }, Math.max(coalesceMs, x.beatMs * beatShare));
   };
   while (!f.stopped) {
     siteTracker.retire(x.tracker, function retired(key) { return isRetired(site, key); });
     const ok = await say(site, f, x, holdMs);
     if (ok) continue;
-    if (performance.now() - x.heardAt > staleMs) for (const s of site.fleet.byId.values()) s.othersActive = s.othersReading = s.othersClaimed = 0;
+    if (performance.now() - x.heardAt > staleMs) {
+      others.forget(x.others);
+      showOthers(site, x);
+    }
     await new Promise(function pause(done) { setTimeout(done, 150); });
   }
 }
--- a/src/dataplane/follow.ts
+++ b/src/dataplane/follow.ts
@@ -3,9 +3,11 @@
 import type { Agent } from 'node:http';
 import { channel } from '../transport/inner/channel.js';
 import { ringLog } from '../logging/ring.js';
+import { boardHistory } from '../state/history/boards.js';
+import { configurationHistory } from '../state/history/configurations.js';
 import { routes } from '../state/control/routes.js';
 import { fleet } from '../state/runners/fleet.js';
-import type { Board, NewsAnswer, NewsCall } from '../types.js';
+import type { Board, Configuration, NewsAnswer, NewsCall } from '../types.js';
 import { line } from './line.js';
 import type { Site } from './types.js';
 
@@ -14,7 +16,7 @@
 const pauseMs = 120;
 export const leaveMs = 2000;
 
-export type Follower = { life: string; via: Agent; known: string[]; seeds: string[]; at: number; sequencer: string | null; stopped: boolean };
+export type Follower = { life: string; via: Agent; known: string[]; seeds: string[]; at: number; sequencer: string | null; stopped: boolean; whole: boolean };
 
 function newer(a: Board, b: Board): boolean {
   return a.epoch > b.epoch || (a.epoch === b.epoch && a.seq > b.seq);
@@ -29,12 +31,27 @@
   line.stir(site.line);
 }
 
-function take(site: Site, f: Follower, a: NewsAnswer): void {
-  if (a.configuration && a.configuration.revision > (site.table?.revision ?? 0)) {
-    site.table = routes.build(a.configuration);
+// What was told as a difference is put on what is there; one that does not fit is asked for whole.
+function unfolded<T, D>(whole: T | null, delta: D | null, apply: (d: D) => T | null, f: Follower): T | null {
+  if (whole) return whole;
+  if (!delta) return null;
+  const next = apply(delta);
+  if (!next) f.whole = true;
+  return next;
+}
+
+function takeConfiguration(site: Site, c: Configuration | null): void {
+  if (c && c.revision > (site.table?.revision ?? 0)) {
+    site.configuration = c;
+    site.table = routes.build(c);
     fleet.capAll(site.fleet, site.table, site.board.sites);
     site.stirred.emit('configuration');
   }
+}
+
+function take(site: Site, f: Follower, a: NewsAnswer): void {
+  f.whole = false;
+  takeConfiguration(site, unfolded(a.configuration, a.configurationDelta, function put(d) { return configurationHistory.apply(site.configuration, d); }, f));
   if (a.rules && a.rules.seq > site.rules.seq) {
     site.rules = a.rules;
   }
@@ -44,7 +61,8 @@
     site.weights = a.weights;
     site.weightsSeq = a.weightsSeq;
   }
-  if (a.board) takeBoard(site, a.board);
+  const board = unfolded(a.board, a.boardDelta, function put(d) { return boardHistory.apply(site.board, d); }, f);
+  if (board) takeBoard(site, board);
   f.sequencer = a.sequencer;
   if (a.coordinators.length > 0) {
     const at = f.known[f.at % f.known.length];
@@ -60,7 +78,7 @@
     const sentAt = performance.now();
     const call: NewsCall = {
       site: site.settings.node_name, life: f.life, revision: site.table?.revision ?? 0, board: [site.board.epoch, site.board.seq],
-      weights: site.weightsSeq, rules: site.rules.seq, hold: holdMs,
+      weights: site.weightsSeq, rules: site.rules.seq, hold: holdMs, whole: f.whole,
     };
     const r = await channel.post<NewsAnswer>(f.via, to, '/inner/news', call, holdMs + slackMs);
     if (r.ok) take(site, f, r.value);
--- a/src/dataplane/types.ts
+++ b/src/dataplane/types.ts
@@ -6,13 +6,13 @@
 import type { RouteTable } from '../state/control/routes.js';
 import type { Fleet, Slot } from '../state/runners/fleet.js';
 import type { Answer } from '../transport/http/answer.js';
-import type { Board, Route, RulesState, Service, Settings, Tenant, Tuning } from '../types.js';
+import type { Board, Configuration, Route, RulesState, Service, Settings, Tenant, Tuning } from '../types.js';
 import type { Budget } from './budget.js';
 import type { Line } from './line.js';
 import type { Holdings } from '../state/index/holdings.js';
 
 export type Site = {
-  settings: Settings; log: Log; fleet: Fleet; table: RouteTable | null; weights: Record<string, number>; weightsSeq: number;
+  settings: Settings; log: Log; fleet: Fleet; configuration: Configuration | null; table: RouteTable | null; weights: Record<string, number>; weightsSeq: number;
   weightsAt: Map<string, number>; rules: RulesState; leaveUntil: number; board: Board; budget: Budget; holdings: Holdings; hot: { share: Map<string, number>; total: number }; tuning: Tuning;
   readRate: number; leaving: boolean; closing: boolean; line: Line; open: Set<Passage>; stirred: EventEmitter; burdenChanged: () => void;
   sent: (p: Passage, a: Assigned) => void;
--- a/src/programs/coordinator.ts
+++ b/src/programs/coordinator.ts
@@ -1,6 +1,8 @@
 // The program of the core: a member of the group that keeps the control state, the door for the
 // operator, and the answers to the sites' questions for news.
 import { createServer } from 'node:http';
+import { boardHistory } from '../state/history/boards.js';
+import { configurationHistory } from '../state/history/configurations.js';
 import { groupDriver } from '../coordination/group/driver.js';
 import { boards } from '../controlplane/board.js';
 import { access } from '../controlplane/access.js';
@@ -22,10 +24,13 @@
 async function start(s: Settings, log: Log, tuning: Tuning): Promise<void> {
   const group = groupDriver.create(s, log);
   const c: Coordinator = {
-    settings: s, log, group, agent: channel.agent(), board: boards.empty(),
+    settings: s, log, group, agent: channel.agent(), board: boards.empty(), boardHistory: boardHistory.create(), configurations: configurationHistory.create(),
     sessions: new Map(), partnerSessions: new Map(), reply: { no: 0, sentAt: new Map(), heardUpTo: -Infinity }, waiters: new Set(), tuning,
   };
-  group.on('delivered', function news() { boards.wake(c); });
+  group.on('delivered', function news() {
+    if (group.state.configuration) configurationHistory.take(c.configurations, group.state.configuration);
+    boards.wake(c);
+  });
   await channel.listen(s.ip_addr, s.port_range[0], {
     '/inner/group': function messages(b) { return groupDriver.receive(group, b.messages); },
     '/inner/board': function board(b) { return boards.receive(c, b); },
--- a/src/programs/site.ts
+++ b/src/programs/site.ts
@@ -26,7 +26,7 @@
 function create(s: Settings, log: Log, tuning: Tuning): Site {
   const b = s.bound_set;
   return {
-    settings: s, log, fleet: fleet.create(), table: null, weights: {}, weightsSeq: 0, weightsAt: new Map(), rules: { seq: 0, active: {}, next: null, pending: 0 }, leaveUntil: -Infinity,
+    settings: s, log, fleet: fleet.create(), configuration: null, table: null, weights: {}, weightsSeq: 0, weightsAt: new Map(), rules: { seq: 0, active: {}, next: null, pending: 0 }, leaveUntil: -Infinity,
     board: { epoch: 0, seq: 0, runners: null, sites: 0 },
     budget: budget.create(b.retry_window_s * 1000, b.retry_ratio, b.retry_slack), holdings: holdings.create(20_000), hot: { share: new Map(), total: 0 }, tuning,
     readRate: 0, leaving: false, closing: false, line: line.create(), open: new Set(), stirred: new EventEmitter().setMaxListeners(0), burdenChanged: function none() { /* set by the feed */ },
@@ -64,7 +64,7 @@
   const seeds = s.seed_addrs.map(function inner(a) { return groupDriver.innerAddr(a, s.port_range[0]); });
   const f: Follower = {
     life: randomBytes(6).toString('hex'), via: channel.agent(), known: seeds, seeds,
-    at: Math.floor(hash.of(s.node_name) * seeds.length), sequencer: null, stopped: false,
+    at: Math.floor(hash.of(s.node_name) * seeds.length), sequencer: null, stopped: false, whole: false,
   };
   const server = front.create(site);
   site.stirred.on('configuration', function changed() { front.adapt(site, server); });
--- /dev/null
+++ b/src/state/burden/others.ts
@@ -0,0 +1,49 @@
+// A site's view of the sums, as a pure machine: it takes the rows that changed, and from each sum
+// takes off what this site itself had reported by then, which leaves the burden of the others.
+import type { BurdenRow } from '../../types.js';
+
+type Parts = [number, number, number];
+export type Others = { revision: number; no: number; shown: number; sums: Map<string, Parts>; reports: { no: number; rows: Map<string, Parts> }[] };
+
+const most = 400;
+const none: Parts = [0, 0, 0];
+
+function create(): Others {
+  return { revision: 0, no: 0, shown: 0, sums: new Map(), reports: [] };
+}
+
+// Remembers a report on its way out, and gives it its number.
+function tell(o: Others, rows: BurdenRow[]): number {
+  o.no++;
+  o.reports.push({ no: o.no, rows: new Map(rows.map(function pair([id, ...p]) { return [id, p] as const; })) });
+  if (o.reports.length > most) o.reports.shift();
+  return o.no;
+}
+
+// Takes what changed; `shownNo` is the last of this site's reports that the sums contain, 0 for none.
+function take(o: Others, t: { revision: number; whole: boolean; rows: BurdenRow[]; shownNo: number }): void {
+  if (t.whole) o.sums.clear();
+  else if (t.revision < o.revision) return;
+  o.revision = t.revision;
+  for (const [id, ...p] of t.rows) {
+    if (p.some(function any(n) { return n > 0; })) o.sums.set(id, p);
+    else o.sums.delete(id);
+  }
+  while (o.reports.length > 0 && o.reports[0]!.no < t.shownNo) o.reports.shift();
+  o.shown = t.shownNo;
+}
+
+function at(o: Others, id: string): Parts {
+  const sum = o.sums.get(id);
+  if (!sum) return none;
+  const own = o.reports[0]?.no === o.shown ? o.reports[0]!.rows.get(id) ?? none : none;
+  return [Math.max(0, sum[0] - own[0]), Math.max(0, sum[1] - own[1]), Math.max(0, sum[2] - own[2])];
+}
+
+// Without word from the sequencer for long, nothing is known of the others.
+function forget(o: Others): void {
+  o.sums.clear();
+  o.revision = 0;
+}
+
+export const others = { create, tell, take, at, forget };
--- a/src/types.ts
+++ b/src/types.ts
@@ -2,6 +2,9 @@
 // told, what the operator configures, what runners and the platform report, and what the programs
 // say to one another.
 
+import type { BoardDelta } from './state/history/boards.js';
+import type { ConfigurationDelta } from './state/history/configurations.js';
+
 export type Outcome<T, E> = { ok: true; value: T } | { ok: false; trouble: E };
 export type Finding = { place: string; text: string };
 
@@ -62,11 +65,12 @@
   sites: number;
 };
 
-export type NewsCall = { site: string; life: string; revision: number; board: [number, number]; weights: number; rules: number; hold: number };
+// `whole` asks for configuration and board whole: a difference that was told did not fit.
+export type NewsCall = { site: string; life: string; revision: number; board: [number, number]; weights: number; rules: number; hold: number; whole: boolean };
 export type NewsAnswer = {
-  configuration: Configuration | null; weights: Record<string, number> | null; weightsSeq: number;
+  configuration: Configuration | null; configurationDelta: ConfigurationDelta | null; weights: Record<string, number> | null; weightsSeq: number;
   rules: RulesState | null;
-  board: Board | null; sequencer: string | null; coordinators: string[]; fresh: boolean; leave: boolean;
+  board: Board | null; boardDelta: BoardDelta | null; sequencer: string | null; coordinators: string[]; fresh: boolean; leave: boolean;
 };
 
 // The access rules in effect, and those that wait for their activation.
@@ -76,13 +80,13 @@
 export type BurdenRow = [string, number, number, number];
 
 export type FeedCall = {
-  site: string; life: string; since: [number, number]; seen: number; hotSeq: number; hold: number;
-  burden: BurdenRow[] | null; unsound: string[]; held: [string, string, number, string][];
+  site: string; life: string; since: [number, number]; hotSeq: number; hold: number;
+  burden: BurdenRow[]; burdenNo: number; burdenSeen: number; unsound: string[]; held: [string, string, number, string][];
   report: { seq: number; era: number; m: number; counts: [string, number, number][]; gather: number } | null;
 };
 export type FeedAnswer = {
   epoch: number; at: number; whole: boolean; changes: [string, string, string, number, string][];
-  seen: number; burdens: BurdenRow[]; taken: number; known: boolean; tracking: Tracking;
+  burdens: { revision: number; whole: boolean; rows: BurdenRow[]; shownNo: number } | null; beatMs: number; taken: number; known: boolean; tracking: Tracking;
 };
 export type Tracking = { k: number; total: number; gather: number; era: number; hotSeq: number; hot: [string, number, number][] | null };
 
--- /dev/null
+++ b/test/burden.test.ts
@@ -0,0 +1,105 @@
+// The sums of what all sites have at each runner: whatever is lost, late or doubled on the way, a site
+// ends up with exactly what the others have, and what is told per beat does not grow with the sites.
+import { strict as assert } from 'node:assert';
+import { test } from 'node:test';
+import fc from 'fast-check';
+import { others, type Others } from '../src/state/burden/others.js';
+import { sums, type Sums, type Told } from '../src/state/burden/sums.js';
+import type { BurdenRow } from '../src/types.js';
+
+const standsMs = 2500;
+const runners = ['a', 'b', 'c', 'd'];
+
+function ask(s: Sums, o: Others, site: string, life = site): void {
+  const told: Told = sums.since(s, o.revision);
+  others.take(o, { ...told, shownNo: sums.shownNo(s, site, life) });
+}
+
+type Step = { site: number; rows: [number, number][]; fate: 'arrives' | 'lost' | 'late' | 'twice'; asks: boolean };
+
+const step: fc.Arbitrary<Step> = fc.record({
+  site: fc.integer({ min: 0, max: 4 }),
+  rows: fc.array(fc.tuple(fc.integer({ min: 0, max: 3 }), fc.integer({ min: 0, max: 20_000 })), { maxLength: 4 }),
+  fate: fc.constantFrom<Step['fate']>('arrives', 'arrives', 'lost', 'late', 'twice'), asks: fc.boolean(),
+});
+
+test('once reports arrive again, every site sees exactly what the others have', function run() {
+  fc.assert(fc.property(fc.array(step, { minLength: 5, maxLength: 80 }), function holds(steps) {
+    const s = sums.create();
+    const sites = Array.from({ length: 5 }, function one(_, i) { return { name: `s${i}`, o: others.create(), rows: [] as BurdenRow[] }; });
+    const late: (() => void)[] = [];
+    let now = 0;
+    function report(i: number, rows: BurdenRow[], fate: Step['fate']): void {
+      const at = sites[i]!;
+      at.rows = rows;
+      const no = others.tell(at.o, rows);
+      function arrive(): void { sums.report(s, at.name, at.name, no, rows, [], now); }
+      if (fate === 'late') late.push(arrive);
+      if (fate === 'arrives' || fate === 'twice') arrive();
+      if (fate === 'twice') late.push(arrive);
+    }
+    for (const x of steps) {
+      now += 20;
+      const rows = new Map(x.rows.map(function row([r, n]) { return [runners[r]!, [runners[r]!, 1, n, n * 2] as BurdenRow] as const; }));
+      report(x.site, [...rows.values()], x.fate);
+      sums.beat(s, standsMs, now);
+      for (const r of s.rows.values()) for (const n of [...r.live, ...r.shown]) assert.ok(n >= 0);
+      if (x.asks) ask(s, sites[x.site]!.o, sites[x.site]!.name);
+    }
+    for (const arrive of late) arrive();
+    sites.forEach(function again(at, i) { report(i, at.rows, 'arrives'); });
+    now += 1000;
+    sums.beat(s, standsMs, now);
+    for (const at of sites) ask(s, at.o, at.name);
+    for (const at of sites) {
+      for (const r of runners) {
+        const want = [0, 0, 0];
+        for (const other of sites) if (other !== at) for (const row of other.rows) if (row[0] === r) [1, 2, 3].forEach(function add(k) { want[k - 1]! += row[k] as number; });
+        assert.deepEqual(others.at(at.o, r), want);
+      }
+    }
+  }), { seed: 5, numRuns: 300 });
+});
+
+test('a silent site, and the last life of one that came back, weigh nothing', function run() {
+  const s = sums.create();
+  sums.report(s, 'x', 'life-1', 7, [['a', 3, 5000, 9000]], [], 0);
+  sums.beat(s, standsMs, 10);
+  sums.report(s, 'x', 'life-2', 1, [['b', 1, 2000, 4000]], [], 20);
+  sums.beat(s, standsMs, 30);
+  assert.deepEqual(sums.since(s, 0).rows, [['b', 1, 2000, 4000]]);
+  assert.equal(sums.shownNo(s, 'x', 'life-1'), 0);
+  sums.beat(s, standsMs, 30 + standsMs);
+  assert.deepEqual(sums.since(s, 0).rows, []);
+});
+
+test('small differences wait a few beats, large ones are told at the next', function run() {
+  const s = sums.create();
+  sums.report(s, 'x', 'x', 1, [['a', 1, 100, 100]], [], 0);
+  assert.equal(sums.beat(s, standsMs, 20), false);
+  sums.report(s, 'x', 'x', 2, [['a', 1, 5000, 100]], [], 30);
+  assert.equal(sums.beat(s, standsMs, 40), true);
+  sums.report(s, 'x', 'x', 3, [['a', 1, 5001, 100]], [], 50);
+  assert.equal(sums.beat(s, standsMs, 60), false);
+  assert.equal(sums.beat(s, standsMs, 500), true);
+});
+
+// The law that docs/design.md states: a site is told at most one row a runner per beat, however many
+// sites there are, and the sequencer sums each report once.
+test('what a site is told per beat does not grow with the number of sites', function run() {
+  function rowsTold(sites: number): number {
+    const s = sums.create();
+    const o = others.create();
+    let n = 0;
+    for (let beat = 0; beat < 50; beat++) {
+      for (let i = 0; i < sites; i++) sums.report(s, `s${i}`, `s${i}`, beat + 1, [[runners[(i + beat) % 4]!, 1, 1000 + beat * 800, 5000]], [], beat * 20);
+      sums.beat(s, standsMs, beat * 20);
+      n += sums.since(s, o.revision).rows.length;
+      ask(s, o, 's0');
+    }
+    return n;
+  }
+  const [at10, at20, at80] = [10, 20, 80].map(rowsTold) as [number, number, number];
+  assert.ok(at10 <= 50 * runners.length);
+  assert.ok(at80 <= 50 * runners.length && at80 <= at20 * 1.1, `${at10} ${at20} ${at80}`);
+});
