--- a/src/controlplane/feed.ts
+++ b/src/controlplane/feed.ts
@@ -3,6 +3,7 @@
 // advisory: a site without it chooses by what it knows itself.
 import { groupDriver } from '../coordination/group/driver.js';
 import { tracker, type Tracker } from '../coordination/tracking/coordinator.js';
+import { jury, type Bench, type Jury } from '../coordination/soundness/jury.js';
 import { keptIndex, type KeptIndex } from '../state/index/kept.js';
 import { sums, type Sums } from '../state/burden/sums.js';
 import type { FeedAnswer, FeedCall } from '../types.js';
@@ -20,7 +21,7 @@
 
 type Waiter = { call: FeedCall; answer: () => void };
 export type FeedState = {
-  epoch: number; index: KeptIndex; tracker: Tracker; sums: Sums; k: number; beatMs: number;
+  epoch: number; index: KeptIndex; tracker: Tracker; sums: Sums; jury: Jury; k: number; beatMs: number;
   waiters: Set<Waiter>; hot: [string, number, number][]; hotKeys: string; hotSeq: number;
 };
 
@@ -34,7 +35,7 @@
     s = {
       epoch, index: keptIndex.create(c.tuning.movedTokens, mostChanges),
       tracker: tracker.create(c.tuning.epsilon, c.tuning.phi, mostTotal, gatherMs),
-      sums: sums.create(), k: sessions.count(c), beatMs: leastBeatMs, waiters: new Set(), hot: [], hotKeys: '', hotSeq: 0,
+      sums: sums.create(), jury: jury.create(), k: sessions.count(c), beatMs: leastBeatMs, waiters: new Set(), hot: [], hotKeys: '', hotSeq: 0,
     };
     states.set(c, s);
   }
@@ -42,7 +43,7 @@
 }
 
 function due(s: FeedState, call: FeedCall): boolean {
-  return call.since[0] !== s.epoch || keptIndex.last(s.index) > call.since[1] || s.sums.revision > call.burdenSeen || s.hotSeq > call.hotSeq;
+  return call.since[0] !== s.epoch || keptIndex.last(s.index) > call.since[1] || s.sums.revision > call.burdenSeen || s.hotSeq > call.hotSeq || s.jury.seq !== call.verdictSeq;
 }
 
 function burdensOf(s: FeedState, call: FeedCall): FeedAnswer['burdens'] {
@@ -57,7 +58,8 @@
   const fresh = isReport ? [] : call.since[0] === s.epoch ? keptIndex.since(s.index, call.since[1]) : null;
   return {
     epoch: s.epoch, at: isReport ? call.since[1] : keptIndex.last(s.index), whole: fresh === null, changes: fresh ?? keptIndex.all(s.index),
-    burdens: isReport ? null : burdensOf(s, call), beatMs: s.beatMs, taken: call.report?.seq ?? 0, known,
+    burdens: isReport ? null : burdensOf(s, call), beatMs: s.beatMs,
+    verdicts: !isReport && (s.jury.seq !== call.verdictSeq || call.since[0] !== s.epoch) ? { seq: s.jury.seq, rows: jury.verdicts(s.jury) } : null, taken: call.report?.seq ?? 0, known,
     tracking: { k: s.k, total: t.total, gather: t.gather, era: t.era, hotSeq: s.hotSeq, hot: !isReport && (s.hotSeq > call.hotSeq || call.since[0] !== s.epoch) ? s.hot : null },
   };
 }
@@ -74,6 +76,7 @@
 
 function take(s: FeedState, call: FeedCall): boolean {
   sums.report(s.sums, call.site, call.life, call.burdenNo, call.burden, call.unsound, performance.now());
+  jury.hear(s.jury, call.site, call.outcomes, performance.now());
   for (const [salt, part, tokens, place] of call.held) keptIndex.announce(s.index, place, salt, part, tokens);
   return call.report ? tracker.take(s.tracker, call.life, call.site, call.report, s.k).known : true;
 }
@@ -133,10 +136,18 @@
   return Math.min(longestBeatMs, Math.max(leastBeatMs, sites * beatMsPerSite));
 }
 
+// Whom the jury judges, and who may try an unsound runner.
+function benchOf(c: Coordinator, s: FeedState): Bench {
+  const serving = (c.board.runners ?? []).filter(function serves(r) { return !r.draining; });
+  return { runners: new Map(serving.map(function pair(r) { return [r.id, r.service] as const; })), sites: [...s.sums.sites.keys()] };
+}
+
 function turn(c: Coordinator): void {
   const s = states.get(c);
   if (s && groupDriver.isSequencer(c.group) && s.epoch === c.group.machine.epoch) {
-    sums.beat(s.sums, standsMs, performance.now());
+    const now = performance.now();
+    sums.beat(s.sums, standsMs, now);
+    jury.beat(s.jury, benchOf(c, s), now);
     wake(s);
   }
   setTimeout(function next() { turn(c); }, s?.beatMs ?? trackMs);
--- a/src/dataplane/feed.ts
+++ b/src/dataplane/feed.ts
@@ -4,6 +4,8 @@
 import { siteTracker, type SiteTracker } from '../coordination/tracking/site.js';
 import { others, type Others } from '../state/burden/others.js';
 import { holdings, storePlace } from '../state/index/holdings.js';
+import type { OutcomeRow } from '../coordination/soundness/jury.js';
+import { fleet } from '../state/runners/fleet.js';
 import type { BurdenRow, FeedAnswer, FeedCall } from '../types.js';
 import type { Follower } from './follow.js';
 import { assign } from './policies/assign.js';
@@ -18,7 +20,7 @@
 const storeName = 'store';
 
 type Exchange = {
-  tracker: SiteTracker; since: [number, number]; others: Others; beatMs: number; hotSeq: number;
+  tracker: SiteTracker; since: [number, number]; others: Others; beatMs: number; verdictSeq: number; hotSeq: number;
   held: [string, string, number, string][]; told: Map<string, number>; soon: NodeJS.Timeout | null; heardAt: number;
 };
 
@@ -32,13 +34,24 @@
   return [...site.fleet.byId.values()].filter(function not(s) { return s.phase !== 'sound'; }).map(function id(s) { return s.id; });
 }
 
+// What was met since the last call; a call that is lost takes its words with it.
+function outcomesOf(site: Site): OutcomeRow[] {
+  const out: OutcomeRow[] = [];
+  for (const s of site.fleet.byId.values()) {
+    if (s.good + s.bad === 0) continue;
+    out.push([s.id, s.good, s.bad]);
+    s.good = s.bad = 0;
+  }
+  return out;
+}
+
 function callOf(site: Site, x: Exchange, hold: number): FeedCall {
   const burden = burdenOf(site);
   x.told = new Map(burden.map(function pair(b) { return [b[0], b[2] + b[3]] as const; }));
   const held = x.held;
   x.held = [];
   const burdenNo = others.tell(x.others, burden);
-  return { site: site.settings.node_name, life: x.tracker.life, since: x.since, hotSeq: x.hotSeq, hold, burden, burdenNo, burdenSeen: x.others.revision, unsound: unsoundOf(site), held, report: siteTracker.report(x.tracker) };
+  return { site: site.settings.node_name, life: x.tracker.life, since: x.since, hotSeq: x.hotSeq, hold, burden, burdenNo, burdenSeen: x.others.revision, unsound: unsoundOf(site), outcomes: outcomesOf(site), verdictSeq: x.verdictSeq, held, report: siteTracker.report(x.tracker) };
 }
 
 function showOthers(site: Site, x: Exchange): void {
@@ -59,6 +72,10 @@
     others.take(x.others, a.burdens);
     showOthers(site, x);
   }
+  if (a.verdicts) {
+    x.verdictSeq = a.verdicts.seq;
+    fleet.rule(site.fleet, a.verdicts.rows, site.settings.node_name);
+  }
   if (!held) return;
   if (a.whole) site.holdings.parts.clear();
   for (const [op, salt, part, tokens, name] of a.changes) {
@@ -91,7 +108,7 @@
 
 async function run(site: Site, f: Follower): Promise<void> {
   const x: Exchange = {
-    tracker: siteTracker.create(site.tuning.epsilon, f.life), since: [-1, 0], others: others.create(), beatMs: 0, hotSeq: 0, held: [], told: new Map(), soon: null, heardAt: 0,
+    tracker: siteTracker.create(site.tuning.epsilon, f.life), since: [-1, 0], others: others.create(), beatMs: 0, verdictSeq: -1, hotSeq: 0, held: [], told: new Map(), soon: null, heardAt: 0,
   };
   site.sent = function sent(p, a) {
     if (a.salt === null) return;
@@ -117,6 +134,8 @@
     if (ok) continue;
     if (performance.now() - x.heardAt > staleMs) {
       others.forget(x.others);
+      x.verdictSeq = -1;
+      fleet.rule(site.fleet, [], site.settings.node_name);
       showOthers(site, x);
     }
     await new Promise(function pause(done) { setTimeout(done, 150); });
--- a/src/dataplane/leg.ts
+++ b/src/dataplane/leg.ts
@@ -3,17 +3,19 @@
 import { request, type ClientRequest, type IncomingMessage } from 'node:http';
 import { ask } from '../transport/http/ask.js';
 import { heads, names } from '../protocol/calls/heads.js';
+import { channels } from '../state/runners/channels.js';
 import { fleet } from '../state/runners/fleet.js';
 import type { Assigned, Passage } from './types.js';
 
 export type LegEnd =
   | { l: 'head'; res: IncomingMessage; req: ClientRequest }
   | { l: 'unsent'; why: string }
-  | { l: 'unsure'; why: string };
+  | { l: 'unsure'; why: string; onOld: boolean };
 
 export type Leg = { end: Promise<LegEnd>; cancel: () => void };
 
 const connectMs = 350;
+const droppedMs = 60;
 
 function headersOf(p: Passage, a: Assigned, urgency: boolean, now: number): string[] {
   const list = heads.onward(p.req.rawHeaders, p.req.headers.connection);
@@ -36,9 +38,12 @@
 function send(p: Passage, a: Assigned, urgency: boolean): Leg {
   const { host, port } = ask.split(a.slot.addr);
   const now = performance.now();
+  channels.retire(a.slot.agent, p.repeatable, now);
   const req = request({ agent: a.slot.agent, host, port, method: p.req.method, path: p.req.url, headers: headersOf(p, a, urgency, now) as unknown as Record<string, string>, setHost: false });
   let over = false;
   let written = false;
+  let onOld = false;
+  let idleFor = 0;
   const end = new Promise<LegEnd>(function run(done) {
     function finish(x: LegEnd): void {
       if (over) return;
@@ -46,6 +51,12 @@
       clearTimeout(early);
       done(x);
     }
+    // A kept channel that breaks at once had been dropped by the runner while it was idle.
+    function broken(): boolean {
+      const isDropped = onOld && performance.now() - now < droppedMs;
+      if (isDropped) channels.dropped(a.slot.agent, idleFor);
+      return isDropped;
+    }
     const early = setTimeout(function noChannel() {
       if (written) return;
       finish({ l: 'unsent', why: 'no channel' });
@@ -61,14 +72,16 @@
         clearTimeout(early);
         req.end(p.body);
       }
+      onOld = req.reusedSocket;
+      if (onOld) idleFor = channels.idleFor(socket, now);
       if (!socket.connecting) up();
       else {
         socket.setNoDelay(true);
         socket.once('connect', up);
       }
     });
-    req.on('error', function broke(err) { finish(written ? { l: 'unsure', why: err.message } : { l: 'unsent', why: err.message }); });
-    req.on('close', function closed() { finish(written ? { l: 'unsure', why: 'closed' } : { l: 'unsent', why: 'closed' }); });
+    req.on('error', function broke(err) { finish(written ? { l: 'unsure', why: err.message, onOld: broken() } : { l: 'unsent', why: err.message }); });
+    req.on('close', function closed() { finish(written ? { l: 'unsure', why: 'closed', onOld: broken() } : { l: 'unsent', why: 'closed' }); });
     req.on('response', function head(res) {
       fleet.spoke(a.slot, performance.now());
       finish({ l: 'head', res, req });
--- a/src/dataplane/policies/assign.ts
+++ b/src/dataplane/policies/assign.ts
@@ -105,6 +105,13 @@
   return new Set(order.slice(0, Math.ceil(of.length * longShare)));
 }
 
+// An unsound runner is tried again by one repeatable request: by this site's own judgement once its
+// pause is over and nothing of this site runs there, by the jury's when it names this site.
+function mayTry(p: Passage, s: Slot): boolean {
+  if (!p.repeatable || p.legs > 0 || s.active > 0) return false;
+  return s.verdict === 'try' || (s.verdict === 'clear' && s.phase !== 'sound');
+}
+
 function choose(site: Site, p: Passage, now: number): Assigned | null {
   const of = site.fleet.byService.get(p.service.label);
   if (!of) return null;
@@ -130,7 +137,7 @@
     if (over > 0) cost += over * crampedCost;
     if (among && !among.has(s)) cost += apartCost;
     if (!isLong) cost += (s.claimed + s.othersClaimed) * besideLongCost;
-    if (s.phase !== 'sound') cost += suspectCost;
+    if (s.phase !== 'sound' || s.verdict !== 'clear') cost += mayTry(p, s) ? -suspectCost : suspectCost;
     cost += hash.of(`${s.id} ${draw}`) * shareCost;
     if (cost < bestCost) {
       bestCost = cost;
--- a/src/dataplane/policies/deliver.ts
+++ b/src/dataplane/policies/deliver.ts
@@ -16,6 +16,7 @@
 const shortestQueueMs = 20;
 const againMs = 60;
 const longWaitAims = 4;
+const silentMs = 800;
 
 type Next = { n: 'again' } | { n: 'end'; step: Step };
 
@@ -56,6 +57,7 @@
   s.reading += a.reads;
   s.claimed += a.claims;
   p.runners.add(s.ix);
+  fleet.tried(s);
   site.sent(p, a);
   site.burdenChanged();
 }
@@ -93,7 +95,7 @@
 }
 
 // Waits for the leg's head, the client's hang-up, the deadline, or, for what may be repeated, for the
-// runner to have said nothing at all to anyone for a whole aim.
+// runner to have said nothing at all to anyone, or an unsound one nothing to it, for a whole aim.
 function headOf(p: Passage, a: Assigned, l: { end: Promise<LegEnd>; cancel: () => void }): Promise<LegEnd | 'gone' | 'late' | 'mute'> {
   return new Promise(function run(done) {
     const sentAt = performance.now();
@@ -107,7 +109,7 @@
     const late = setTimeout(function over() { end('late'); }, Math.max(1, p.deadlineAt - sentAt));
     const mute = p.repeatable ? setInterval(function look() {
       const now = performance.now();
-      const silent = now - Math.max(sentAt, a.slot.lastByteAt);
+      const silent = now - (a.slot.verdict === 'clear' ? Math.max(sentAt, a.slot.lastByteAt) : sentAt);
       if (silent >= Math.max(250, p.aimMs) && p.deadlineAt - now > p.aimMs) end('mute');
     }, 50) : undefined;
     p.res.on('close', gone);
@@ -123,6 +125,7 @@
   if (x === 'gone' || x === 'late') {
     l.cancel();
     finish(site, a);
+    if (now - Math.max(sentAt, a.slot.lastByteAt) > silentMs) fleet.met(a.slot, 'bad');
     p.maybeRun = true;
     return ended(x === 'gone' ? { s: 'done' } : { s: 'answer', answer: answers.plain(504, 'out of time') });
   }
@@ -131,6 +134,7 @@
     finish(site, a);
     p.legs++;
     p.maybeRun = true;
+    fleet.met(a.slot, 'bad');
     fleet.turn(a.slot, 'suspect', now);
     ringLog.note(site.log, { runner: a.slot.id, attempt: p.attempt }, 'mute');
     return { n: 'again' };
@@ -141,7 +145,9 @@
       p.legs++;
       p.maybeRun = true;
     }
-    fleet.turn(a.slot, x.l === 'unsent' ? 'down' : 'suspect', now);
+    if (x.l === 'unsure' && !x.onOld) fleet.met(a.slot, 'bad');
+    if (x.l === 'unsent') fleet.turn(a.slot, 'down', now);
+    else if (!x.onOld) fleet.turn(a.slot, 'suspect', now);
     ringLog.note(site.log, { runner: a.slot.id, attempt: p.attempt, why: x.why, end: x.l }, 'leg broke');
     return { n: 'again' };
   }
@@ -156,7 +162,7 @@
   if (notRun && (echoed === undefined || echoed === p.attempt)) {
     res.resume();
     finish(site, a);
-    return turnedAway(site, p, a, res.statusCode ?? 0, res.headers[names.instance] as string | undefined, now);
+    return turnedAway(site, p, a, res.statusCode ?? 0, res.headers[names.instance] as string | undefined);
   }
   const status = res.statusCode ?? 0;
   const ours = echoed === p.attempt;
@@ -165,26 +171,47 @@
     x.req.destroy();
     finish(site, a);
     p.maybeRun = true;
+    fleet.met(a.slot, 'bad');
     ringLog.note(site.log, { runner: a.slot.id, attempt: p.attempt, echoed, status }, 'not an answer to this request');
     return { n: 'again' };
   }
+  if (isFailure(status)) fleet.met(a.slot, 'bad');
+  if (isFailure(status) && p.repeatable && !p.headSent && p.legs < Math.max(1, p.route.tries ?? 1)) {
+    res.resume();
+    finish(site, a);
+    p.maybeRun = true;
+    ringLog.note(site.log, { runner: a.slot.id, attempt: p.attempt, status }, 'failed at the runner');
+    return { n: 'again' };
+  }
   const end = await relay.run(site, p, a, x.res, x.req, function read() {
     if (a.reads > 0) sawRead(site, a, performance.now() - sentAt);
     readDone(site, a);
   });
   finish(site, a);
   if (end === 'whole') {
+    if (status < 300) fleet.met(a.slot, 'good');
     p.events = 0;
     return ended({ s: 'done' });
   }
   p.maybeRun = true;
   if (end === 'gone') return ended({ s: 'done' });
+  fleet.met(a.slot, 'bad');
   fleet.turn(a.slot, 'suspect', performance.now());
   return { n: 'again' };
 }
 
-function turnedAway(site: Site, p: Passage, a: Assigned, status: number, instance: string | undefined, now: number): Next {
-  a.slot.turnedAwayAt = now;
+// Its own 504 says that the time was up, which is no fault of the runner's.
+function isFailure(status: number): boolean {
+  return status >= 500 && status !== 504;
+}
+
+// A runner that turns requests away although little is known to run there is not merely full.
+function isIdle(a: Assigned): boolean {
+  return a.slot.active + a.slot.othersActive < a.slot.slots / 2;
+}
+
+function turnedAway(site: Site, p: Passage, a: Assigned, status: number, instance: string | undefined): Next {
+  if (status === 503 && isIdle(a)) fleet.met(a.slot, 'bad');
   ringLog.note(site.log, { runner: a.slot.id, attempt: p.attempt, status, instance }, 'turned away');
   if (status === 421 && instance !== undefined && instance !== a.slot.id) a.slot.listed = false;
   else if (status === 421 && p.model !== null && a.revision !== null) {
--- a/src/state/runners/fleet.ts
+++ b/src/state/runners/fleet.ts
@@ -1,27 +1,24 @@
 // A site's table of runners: names are mapped to dense indices when a board comes in, and everything
 // the request path keeps about a runner (burden, soundness, weight versions, channels) stands at its
 // index. An index is never used again for another life of a runner.
-import { Agent, type ClientRequest, type IncomingMessage } from 'node:http';
-import type { Socket } from 'node:net';
+import type { Agent } from 'node:http';
+import { channels } from './channels.js';
 import type { RouteTable } from '../control/routes.js';
 import type { Runner } from '../../types.js';
 
-type KeptAgent = { keepSocketAlive: (s: Socket) => boolean; reuseSocket: (s: Socket, r: ClientRequest) => void };
-
+export type Ruling = 'clear' | 'unsound' | 'try';
 export type Phase = 'sound' | 'suspect' | 'down';
 export type Slot = {
   ix: number; id: string; service: string; addr: string; zone: string; slots: number;
   listed: boolean; draining: boolean; parked: boolean; revisions: Map<string, number>;
   phase: Phase; until: number; troubles: number; lastByteAt: number;
   active: number; reading: number; claimed: number; othersActive: number; othersReading: number; othersClaimed: number;
-  agent: Agent; cap: number; turnedAwayAt: number;
+  agent: Agent; cap: number; good: number; bad: number; verdict: Ruling; trialNo: number; triedNo: number;
 };
 export type Fleet = { slots: Slot[]; byId: Map<string, Slot>; byService: Map<string, Slot[]> };
 
-const plain = Agent.prototype as unknown as KeptAgent;
 const firstPauseMs = 400;
 const longestPauseMs = 4000;
-const idleMs = 20_000;
 const leastCap = 8;
 const capShare = 0.9;
 
@@ -29,41 +26,13 @@
   return { slots: [], byId: new Map(), byService: new Map() };
 }
 
-// Keeps channels whose runner promised to keep them, gives them up a while before that promise runs
-// out, and destroys one on which a byte comes while no request is on it.
-function channelAgent(maxConns: number): Agent {
-  const a = new Agent({ keepAlive: true, maxSockets: maxConns, maxFreeSockets: maxConns, scheduling: 'lifo' }) as unknown as KeptAgent;
-  a.keepSocketAlive = function keep(socket) {
-    const res = (socket as unknown as { _httpMessage?: { res?: IncomingMessage } })._httpMessage?.res;
-    const hint = /timeout=(\d+)/.exec(String(res?.headers['keep-alive'] ?? ''))?.[1];
-    const ms = hint === undefined ? idleMs : Number(hint) * 1000 * 0.75;
-    if (ms <= 0) return false;
-    socket.setKeepAlive(true, 1000);
-    socket.setTimeout(ms);
-    socket.on('timeout', destroyIdle);
-    socket.on('data', destroyIdle);
-    return true;
-  };
-  a.reuseSocket = function reuse(socket, req) {
-    socket.removeListener('timeout', destroyIdle);
-    socket.removeListener('data', destroyIdle);
-    socket.setTimeout(0);
-    plain.reuseSocket.call(a, socket, req);
-  };
-  return a as unknown as Agent;
-}
-
-function destroyIdle(this: Socket): void {
-  this.destroy();
-}
-
 function add(f: Fleet, r: Runner): Slot {
   const s: Slot = {
     ix: f.slots.length, id: r.id, service: r.service, addr: r.addr, zone: r.zone, slots: r.slots,
     listed: true, draining: r.draining, parked: r.parked, revisions: new Map(),
     phase: 'sound', until: 0, troubles: 0, lastByteAt: performance.now(),
     active: 0, reading: 0, claimed: 0, othersActive: 0, othersReading: 0, othersClaimed: 0,
-    agent: channelAgent(leastCap), cap: leastCap, turnedAwayAt: -Infinity,
+    agent: channels.create(leastCap), cap: leastCap, good: 0, bad: 0, verdict: 'clear', trialNo: 0, triedNo: 0,
   };
   f.slots.push(s);
   f.byId.set(r.id, s);
@@ -133,4 +102,29 @@
   return s.listed && !s.draining && !s.parked && (s.phase === 'sound' || now >= s.until);
 }
 
-export const fleet = { create, take, capAll, learn, turn, spoke, usable };
+// What a request met at a runner, for the jury and for this site's own judgement.
+function met(s: Slot, outcome: 'good' | 'bad'): void {
+  s[outcome]++;
+}
+
+// Takes the jury's verdicts: those not named are clear, and one is to be tried by the site named, once
+// for each number of a trial.
+function rule(f: Fleet, verdicts: [string, string | null, number][], me: string): void {
+  for (const s of f.byId.values()) s.verdict = 'clear';
+  for (const [id, taker, no] of verdicts) {
+    const s = f.byId.get(id);
+    if (!s) continue;
+    if (no < s.trialNo) s.triedNo = 0;
+    s.trialNo = no;
+    s.verdict = taker === me && no > s.triedNo ? 'try' : 'unsound';
+  }
+}
+
+// A request goes out to a runner that was to be tried: that was the trial.
+function tried(s: Slot): void {
+  if (s.verdict !== 'try') return;
+  s.verdict = 'unsound';
+  s.triedNo = s.trialNo;
+}
+
+export const fleet = { met, rule, tried, create, take, capAll, learn, turn, spoke, usable };
--- a/src/tools/status.ts
+++ b/src/tools/status.ts
@@ -22,8 +22,8 @@
     `weights named: ${Object.entries(s.weights).map(function one([m, r]) { return `${m}=${r}`; }).join(', ') || 'none'}`,
     block('roster', ['member', 'control', 'heard ms ago', 'holds up to'], s.roster.map(function row(m) { return [m.id, m.control, String(m.heardMs ?? '?'), String(m.match ?? '?')]; })),
     block('sites', ['site', 'revision', 'seen ms ago'], s.sites.map(function row(x) { return [x.site, String(x.revision), String(x.seenMs)]; })),
-    block('runners', ['runner', 'service', 'address', 'zone', 'state', 'weights', 'unsound at'], s.runners.map(function row(r) {
-      return [r.id, r.service, r.addr, r.zone, r.draining ? 'draining' : r.parked ? 'under order' : 'serving', r.models.map(function at(m) { return `${m.label}=${m.revision}`; }).join(',') || '-', r.unsoundAt === null ? '?' : `${r.unsoundAt} sites`];
+    block('runners', ['runner', 'service', 'address', 'zone', 'state', 'weights', 'unsound at', 'verdict'], s.runners.map(function row(r) {
+      return [r.id, r.service, r.addr, r.zone, r.draining ? 'draining' : r.parked ? 'under order' : 'serving', r.models.map(function at(m) { return `${m.label}=${m.revision}`; }).join(',') || '-', r.unsoundAt === null ? '?' : `${r.unsoundAt} sites`, r.verdict ?? '?'];
     })),
     s.hot === null ? 'hot parts: known to the sequencer only' : block('hot parts', ['salt and part', 'share', 'tokens'], s.hot.slice(0, 20).map(function row(h) { return [h.part, h.share.toFixed(4), String(h.tokens)]; })),
   ].join('\n');
--- a/src/types.ts
+++ b/src/types.ts
@@ -2,6 +2,7 @@
 // told, what the operator configures, what runners and the platform report, and what the programs
 // say to one another.
 
+import type { OutcomeRow, Verdict } from './coordination/soundness/jury.js';
 import type { BoardDelta } from './state/history/boards.js';
 import type { ConfigurationDelta } from './state/history/configurations.js';
 
@@ -81,12 +82,12 @@
 
 export type FeedCall = {
   site: string; life: string; since: [number, number]; hotSeq: number; hold: number;
-  burden: BurdenRow[]; burdenNo: number; burdenSeen: number; unsound: string[]; held: [string, string, number, string][];
+  burden: BurdenRow[]; burdenNo: number; burdenSeen: number; unsound: string[]; outcomes: OutcomeRow[]; verdictSeq: number; held: [string, string, number, string][];
   report: { seq: number; era: number; m: number; counts: [string, number, number][]; gather: number } | null;
 };
 export type FeedAnswer = {
   epoch: number; at: number; whole: boolean; changes: [string, string, string, number, string][];
-  burdens: { revision: number; whole: boolean; rows: BurdenRow[]; shownNo: number } | null; beatMs: number; taken: number; known: boolean; tracking: Tracking;
+  burdens: { revision: number; whole: boolean; rows: BurdenRow[]; shownNo: number } | null; beatMs: number; verdicts: { seq: number; rows: Verdict[] } | null; taken: number; known: boolean; tracking: Tracking;
 };
 export type Tracking = { k: number; total: number; gather: number; era: number; hotSeq: number; hot: [string, number, number][] | null };
 
@@ -99,7 +100,7 @@
   committed: number; disk: 'takes' | 'refuses'; configuration: number; weights: Record<string, number>;
   rules: { active: Record<string, string[]>; pending: number };
   sites: { site: string; revision: number; seenMs: number }[];
-  runners: { id: string; service: string; addr: string; zone: string; draining: boolean; parked: boolean; models: ModelAt[]; unsoundAt: number | null }[];
+  runners: { id: string; service: string; addr: string; zone: string; draining: boolean; parked: boolean; models: ModelAt[]; unsoundAt: number | null; verdict: string | null }[];
   hot: { part: string; share: number; tokens: number }[] | null;
 };
 
