--- a/src/controlplane/kept.ts
+++ b/src/controlplane/kept.ts
@@ -41,7 +41,7 @@
       continue;
     }
     if (feed.state(c) !== s) break;
-    if (keptIndex.events(s.index, p.name, r.value)) await repair(c, p);
+    if (keptIndex.events(s.index, p.name, r.value, performance.now())) await repair(c, p);
     await pause(Math.max(0, gapMs - (performance.now() - from)));
   }
   if (open.get(p.name) === p.addr) open.delete(p.name);
@@ -51,7 +51,7 @@
   const s = feed.state(c);
   const r = await calls.send(c.agent, p.addr, calls.keptList(), waitMs);
   ringLog.note(c.log, { place: p.name, ok: r.ok }, 'asked for all that is kept');
-  if (r.ok && feed.state(c) === s) keptIndex.list(s.index, p.name, r.value);
+  if (r.ok && feed.state(c) === s) keptIndex.list(s.index, p.name, r.value, performance.now());
 }
 
 function start(c: Coordinator): NodeJS.Timeout {
--- a/src/controlplane/status.ts
+++ b/src/controlplane/status.ts
@@ -2,6 +2,7 @@
 // own, marked as such.
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { groupDriver } from '../coordination/group/driver.js';
+import { exchange } from '../coordination/exchange/machine.js';
 import { answers } from '../transport/http/answer.js';
 import { channel } from '../transport/inner/channel.js';
 import type { StatusAnswer } from '../types.js';
@@ -29,7 +30,7 @@
     configuration: s.configuration?.revision ?? 0, weights: s.weights, rules: { active: s.rules.active, pending: s.rules.pending },
     sites: [...sites.values()].map(function one(x) { return { site: x.site, revision: x.revision, seenMs: Math.round(now - x.seenAt) }; }),
     runners: (c.board.runners ?? []).map(function one(r) {
-      return { id: r.id, service: r.service, addr: r.addr, zone: r.zone, draining: r.draining, parked: r.parked, models: r.models, unsoundAt: f ? feed.unsoundAt(f, r.id) : null, verdict: f ? f.jury.cases.get(r.id)?.phase ?? 'clear' : null };
+      return { id: r.id, service: r.service, addr: r.addr, zone: r.zone, draining: r.draining, parked: r.parked, models: r.models, unsoundAt: f ? exchange.unsoundAt(f, r.id) : null, verdict: f ? f.jury.cases.get(r.id)?.phase ?? 'clear' : null };
     }),
     hot: f ? f.hot.map(function one([x, share, tokens]) { return { part: x, share, tokens }; }) : null,
   };
--- /dev/null
+++ b/src/coordination/exchange/machine.ts
@@ -0,0 +1,92 @@
+// The sequencer's side of the exchange with the sites, as a pure machine: the sums of burden, the jury,
+// the index of kept parts and the hot set, what of them a site lacks, and the beat at which it is told.
+// The beat grows with the number of sites, so that the sequencer's answers a second do not.
+import { jury, type Bench, type Jury } from '../soundness/jury.js';
+import { tracker, type Tracker } from '../tracking/coordinator.js';
+import { sums, type Sums } from '../../state/burden/sums.js';
+import { identity } from '../../state/index/identity.js';
+import { keptIndex, type KeptIndex } from '../../state/index/kept.js';
+import type { FeedAnswer, FeedCall, Tuning } from '../../types.js';
+
+const leastBeatMs = 20;
+const longestBeatMs = 250;
+const beatMsPerSite = 1.5;
+const standsMs = 2500;
+const mostChanges = 4000;
+const mostTotal = 50_000;
+const gatherMs = 1500;
+
+export type Exchange = {
+  epoch: number; index: KeptIndex; tracker: Tracker; sums: Sums; jury: Jury; k: number; beatMs: number;
+  hot: [string, number, number][]; hotKeys: string; hotSeq: number;
+};
+
+function create(epoch: number, t: Tuning, k: number): Exchange {
+  return {
+    epoch, index: keptIndex.create(t.movedTokens, mostChanges), tracker: tracker.create(t.epsilon, t.phi, mostTotal, gatherMs),
+    sums: sums.create(), jury: jury.create(), k, beatMs: beatOf(k), hot: [], hotKeys: '', hotSeq: 0,
+  };
+}
+
+function beatOf(sites: number): number {
+  return Math.min(longestBeatMs, Math.max(leastBeatMs, sites * beatMsPerSite));
+}
+
+function due(s: Exchange, call: FeedCall): boolean {
+  return call.since[0] !== s.epoch || keptIndex.last(s.index) > call.since[1] || s.sums.revision > call.burdenSeen || s.hotSeq > call.hotSeq || s.jury.seq !== call.verdictSeq;
+}
+
+function burdensOf(s: Exchange, call: FeedCall): FeedAnswer['burdens'] {
+  const told = sums.since(s.sums, call.since[0] === s.epoch ? call.burdenSeen : 0);
+  return { ...told, shownNo: sums.shownNo(s.sums, call.site, call.life) };
+}
+
+// A call without a hold only reports: it is answered with what says that the report was taken.
+function answerOf(s: Exchange, call: FeedCall, known: boolean): FeedAnswer {
+  const t = s.tracker;
+  const isReport = call.hold === 0;
+  const fresh = isReport ? [] : call.since[0] === s.epoch ? keptIndex.since(s.index, call.since[1]) : null;
+  return {
+    epoch: s.epoch, at: isReport ? call.since[1] : keptIndex.last(s.index), whole: fresh === null, changes: fresh ?? keptIndex.all(s.index),
+    burdens: isReport ? null : burdensOf(s, call), beatMs: s.beatMs,
+    verdicts: !isReport && (s.jury.seq !== call.verdictSeq || call.since[0] !== s.epoch) ? { seq: s.jury.seq, rows: jury.verdicts(s.jury) } : null, taken: call.report?.seq ?? 0, known,
+    tracking: { k: s.k, total: t.total, gather: t.gather, era: t.era, hotSeq: s.hotSeq, hot: !isReport && (s.hotSeq > call.hotSeq || call.since[0] !== s.epoch) ? s.hot : null },
+  };
+}
+
+function take(s: Exchange, call: FeedCall, now: number): boolean {
+  sums.report(s.sums, call.site, call.life, call.burdenNo, call.burden, call.unsound, now);
+  jury.hear(s.jury, call.site, call.outcomes, now);
+  for (const [salt, part, tokens, place] of call.held) keptIndex.announce(s.index, place, salt, part, tokens);
+  return call.report ? tracker.take(s.tracker, call.life, call.site, call.report, s.k).known : true;
+}
+
+// The beat: what was reported becomes what is shown.
+function beat(s: Exchange, bench: Bench, now: number): void {
+  sums.beat(s.sums, standsMs, now);
+  jury.beat(s.jury, bench, now);
+}
+
+// A slower beat for what changes slowly: who is there, what is hot, which places have fallen silent.
+function track(s: Exchange, a: { k: number; live: Set<string>; weights: Record<string, number> }, now: number): void {
+  s.k = a.k;
+  s.beatMs = beatOf(a.k);
+  keptIndex.age(s.index, now);
+  tracker.beat(s.tracker, a.live, now);
+  tracker.retire(s.tracker, function isRetired(x) { return identity.isRetired(x.slice(0, x.lastIndexOf(' ')), a.weights); });
+  const hot = tracker.hot(s.tracker).map(function row(h): [string, number, number] { return [h.x, Math.round(h.share * 1e6) / 1e6, h.tokens]; });
+  const keys = hot.map(function key(h) { return h[0]; }).sort().join('\n');
+  if (keys === s.hotKeys) return;
+  s.hotKeys = keys;
+  s.hot = hot;
+  s.hotSeq++;
+}
+
+// How many sites find a runner unsound.
+function unsoundAt(s: Exchange, id: string): number {
+  let n = 0;
+  for (const b of s.sums.sites.values()) if (b.unsound.includes(id)) n++;
+  return n;
+}
+
+export const exchange = { create, beatOf, due, answerOf, take, beat, track, unsoundAt };
--- a/src/dataplane/feed.ts
+++ b/src/dataplane/feed.ts
@@ -3,6 +3,8 @@
 import { channel } from '../transport/inner/channel.js';
 import { siteTracker, type SiteTracker } from '../coordination/tracking/site.js';
 import { others, type Others } from '../state/burden/others.js';
+import { transfers } from '../coordination/transfer/machine.js';
+import { identity } from '../state/index/identity.js';
 import { holdings, storePlace } from '../state/index/holdings.js';
 import type { OutcomeRow } from '../coordination/soundness/jury.js';
 import { fleet } from '../state/runners/fleet.js';
@@ -17,6 +19,7 @@
 const beatShare = 0.25;
 const tellTokens = 1024;
 const staleMs = 1500;
+const hintsMs = 3000;
 const storeName = 'store';
 
 type Exchange = {
@@ -26,7 +29,12 @@
 
 function burdenOf(site: Site): BurdenRow[] {
   const out: BurdenRow[] = [];
-  for (const s of site.fleet.byId.values()) if (s.active > 0 || s.reading > 0) out.push([s.id, s.active, Math.round(s.reading), s.claimed]);
+  for (const s of site.fleet.byId.values()) {
+    const moves = transfers.at(site.transfers, s.ix);
+    if (s.active > 0 || s.reading > 0 || moves.source > 0 || moves.dest > 0) out.push([s.id, s.active, Math.round(s.reading), s.claimed, moves.source, Math.round(moves.dest)]);
+  }
+  const { source } = transfers.at(site.transfers, storePlace);
+  if (source > 0) out.push([storeName, 0, 0, 0, source, 0]);
   return out;
 }
 
@@ -55,11 +63,14 @@
 }
 
 function showOthers(site: Site, x: Exchange): void {
-  for (const s of site.fleet.byId.values()) [s.othersActive, s.othersReading, s.othersClaimed] = others.at(x.others, s.id);
+  for (const s of site.fleet.byId.values()) [s.othersActive, s.othersReading, s.othersClaimed, s.othersLeases, s.othersMoveMs] = others.at(x.others, s.id);
+  site.storeLeases = others.at(x.others, storeName)[3];
 }
 
 function take(site: Site, x: Exchange, a: FeedAnswer, held: boolean): void {
-  x.heardAt = performance.now();
+  const now = performance.now();
+  x.heardAt = now;
+  site.hintsUntil = now + hintsMs;
   siteTracker.answered(x.tracker, a.taken, a.known);
   siteTracker.told(x.tracker, a.tracking);
   site.hot.total = a.tracking.total;
@@ -81,8 +92,22 @@
   for (const [op, salt, part, tokens, name] of a.changes) {
     const place = name === storeName ? storePlace : site.fleet.byId.get(name)?.ix;
     if (place === undefined) continue;
-    if (op === '+') holdings.put(site.holdings, salt, part, place, tokens);
-    else holdings.drop(site.holdings, salt, part, place);
+    switch (op) {
+      case '+':
+        holdings.put(site.holdings, salt, part, place, tokens, a.at);
+        transfers.step(site.transfers, { e: 'kept', place, key: identity.key(salt, part) }, now);
+        break;
+      case '-':
+        holdings.drop(site.holdings, salt, part, place);
+        transfers.step(site.transfers, { e: 'gone', place, key: identity.key(salt, part) }, now);
+        break;
+      case '?':
+        holdings.expect(site.holdings, salt, part, place, tokens, now);
+        break;
+      case '~':
+        holdings.doubt(site.holdings, place, now);
+        transfers.step(site.transfers, { e: 'gone', place, key: null }, now);
+    }
   }
   x.since = [a.epoch, a.at];
 }
@@ -102,8 +127,7 @@
 
 // Parts kept under weights two versions back are asked for by no one any more.
 function isRetired(site: Site, key: string): boolean {
-  const [, model, revision] = key.split(' ')[0]!.split('/');
-  return model !== undefined && Number(revision) < (site.weights[model] ?? 0) - 1;
+  return identity.isRetired(key.slice(0, key.lastIndexOf(' ')), site.weights);
 }
 
 async function run(site: Site, f: Follower): Promise<void> {
@@ -114,9 +138,9 @@
     if (a.salt === null) return;
     for (const part of assign.shared(p)) {
       if (part.tokens < site.tuning.movedTokens) continue;
-      siteTracker.arrive(x.tracker, `${a.salt} ${part.id}`, part.tokens);
-      if (holdings.tokensAt(site.holdings, a.salt, part.id, a.slot.ix) === 0) x.held.push([a.salt, part.id, part.tokens, a.slot.id]);
-      holdings.put(site.holdings, a.salt, part.id, a.slot.ix, part.tokens);
+      siteTracker.arrive(x.tracker, identity.key(a.salt, part.id), part.tokens);
+      if (holdings.tokensAt(site.holdings, a.salt, part.id, a.slot.ix, performance.now()) === 0) x.held.push([a.salt, part.id, part.tokens, a.slot.id]);
+      holdings.expect(site.holdings, a.salt, part.id, a.slot.ix, part.tokens, performance.now());
     }
   };
   site.burdenChanged = function changed() {
--- a/src/dataplane/policies/assign.ts
+++ b/src/dataplane/policies/assign.ts
@@ -3,15 +3,17 @@
 // have yet to have read, what runs already, and its soundness. Ties fall by rendezvous on the shared
 // part, so that sites that know nothing of one another still choose alike.
 import { hash } from '../../state/index/hash.js';
+import { transfers } from '../../coordination/transfer/machine.js';
+import { prices, type Prices, type Where } from '../../coordination/transfer/price.js';
+import { identity } from '../../state/index/identity.js';
 import { holdings, storePlace } from '../../state/index/holdings.js';
 import { fleet, type Slot } from '../../state/runners/fleet.js';
 import type { Part } from '../../protocol/calls/heads.js';
-import type { Assigned, Passage, Site } from '../types.js';
+import type { Assigned, Passage, Site, Source } from '../types.js';
 
 const suspectCost = 40_000;
 const runCost = 60;
 const zoneCost = 300;
-const fetchShare = 0.12;
 const shareCost = 600;
 const ownBlocks = 16;
 const crampedCost = 3;
@@ -21,7 +23,7 @@
 const besideLongCost = 0.1;
 
 function saltOf(p: Passage, revision: number): string {
-  return `${p.wall}/${p.model}/${revision}`;
+  return identity.salt({ wall: p.wall, model: p.model ?? '', revision });
 }
 
 function prompt(p: Passage): number {
@@ -49,31 +51,55 @@
   return !tooOld(site, p, revisionAt(p, s), now);
 }
 
-function bestSource(site: Site, p: Passage, salt: string, s: Slot, has: number, revision: number): { addr: string; tokens: number } | null {
-  let best: { addr: string; tokens: number } | null = null;
-  const worthFetching = site.tuning.movedTokens;
-  const big = shared(p).find(function large(x) { return x.tokens >= worthFetching; });
-  if (!big) return null;
-  const at = holdings.places(site.holdings, salt, big.id);
-  if (!at) return null;
-  for (const place of at.keys()) {
+function whereIs(site: Site, a: string, b: string): Where {
+  if (a === b) return 'zone';
+  const { zones } = site.settings;
+  return zones[a] !== undefined && zones[a] === zones[b] ? 'region' : 'far';
+}
+
+// The source a runner would best take parts from: one that has itself reported them, not long ago, under
+// the same weights and wall, that a lease can be had on, and from where the move pays.
+function bestSource(site: Site, p: Passage, salt: string, s: Slot, has: number, revision: number, at: Prices, now: number): Source | null {
+  const least = site.tuning.movedTokens;
+  const big = shared(p).find(function large(x) { return x.tokens >= least; });
+  if (!big || !site.tuning.transfers || now > site.hintsUntil) return null;
+  const there = holdings.places(site.holdings, salt, big.id);
+  if (!there) return null;
+  const queuedMs = transfers.at(site.transfers, s.ix).dest + s.othersMoveMs;
+  let best: Source | null = null;
+  let bestGain = 0;
+  for (const [place, held] of there) {
     if (place === s.ix) continue;
-    const n = holdings.prefixAt(site.holdings, salt, p.parts, place);
-    if (n - has < worthFetching || (best && n < best.tokens)) continue;
-    if (place === storePlace) {
-      const store = site.table!.stores[0]?.kv_store_addr;
-      if (store && (!best || n > best.tokens)) best = { addr: store, tokens: n };
-      continue;
+    const n = holdings.prefixAt(site.holdings, salt, p.parts, place, now, true);
+    if (n - has < least) continue;
+    const from = place === storePlace ? storeOf(site) : runnerSource(site, p, s, place, revision);
+    if (!from) continue;
+    const where = whereIs(site, from.zone, s.zone);
+    const ms = prices.move(at, n - has, where);
+    const load = { leasesAtSource: transfers.at(site.transfers, place).source + from.leases, queuedMsAtDest: queuedMs };
+    if (transfers.refusal(site.transfers, { isConfirmed: held.isSure, generation: held.generation }, load, ms)) continue;
+    const gain = prices.gain(at, n - has, where, queuedMs);
+    if (gain > bestGain) {
+      bestGain = gain;
+      best = { place, addr: from.addr, key: identity.key(salt, big.id), tokens: n - has, ms, generation: held.generation };
     }
-    const from = site.fleet.slots[place];
-    if (!from || !from.listed || from.phase !== 'sound' || from.parked || from.service !== s.service) continue;
-    if (from.revisions.get(p.model!) !== revision) continue;
-    if (best && n === best.tokens && from.zone !== s.zone) continue;
-    best = { addr: from.addr, tokens: n };
   }
   return best;
 }
 
+type From = { addr: string; zone: string; leases: number };
+
+function storeOf(site: Site): From | null {
+  const store = site.table!.stores[0];
+  return store?.kv_store_addr ? { addr: store.kv_store_addr, zone: store.zone_name ?? '', leases: site.storeLeases } : null;
+}
+
+function runnerSource(site: Site, p: Passage, s: Slot, place: number, revision: number): From | null {
+  const from = site.fleet.slots[place];
+  if (!from || !from.listed || from.phase !== 'sound' || from.verdict !== 'clear' || from.parked || from.service !== s.service) return null;
+  return from.revisions.get(p.model!) === revision ? { addr: from.addr, zone: from.zone, leases: from.othersLeases } : null;
+}
+
 // What requests with the same session or the same shared part have in common.
 function affinity(p: Passage): string {
   const part = p.parts.at(-2);
@@ -86,14 +112,14 @@
 }
 
 // The store gets a copy of a shared part that is hot, counting this request, unless it has one.
-function saveTo(site: Site, p: Passage, salt: string): string | null {
+function saveTo(site: Site, p: Passage, salt: string, now: number): string | null {
   const store = site.table!.stores[0]?.kv_store_addr;
   if (!store || !site.tuning.hotSet) return null;
   const { phi, epsilon, movedTokens } = site.tuning;
   for (const x of shared(p)) {
-    if (x.tokens < movedTokens || holdings.tokensAt(site.holdings, salt, x.id, storePlace) > 0) continue;
+    if (x.tokens < movedTokens || holdings.tokensAt(site.holdings, salt, x.id, storePlace, now) > 0) continue;
     const { share, total } = site.hot;
-    if (((share.get(`${salt} ${x.id}`) ?? 0) * total + 1) / (total + 1) >= phi - epsilon / 2) return store;
+    if (((share.get(identity.key(salt, x.id)) ?? 0) * total + 1) / (total + 1) >= phi - epsilon / 2) return store;
   }
   return null;
 }
@@ -122,16 +148,19 @@
   const isLong = whole >= longTokens;
   const among = isLong ? forLong(of) : null;
   const claims = whole + (p.tokens?.most ?? 0);
+  const engine = p.service.engine_kind;
+  const at = prices.ofLink(site.prices, engine?.token_bytes, engine?.link_mbps);
   const room = p.service.engine_kind?.kv_capacity ?? Infinity;
   for (const s of of) {
     if (!mayTake(site, p, s, now)) continue;
     const revision = revisionAt(p, s);
     const salt = revision === null ? null : saltOf(p, revision);
-    const has = salt === null ? 0 : holdings.prefixAt(site.holdings, salt, p.parts, s.ix);
-    const source = salt === null || revision === null ? null : bestSource(site, p, salt, s, has, revision);
-    const moved = source ? source.tokens - has : 0;
+    const has = salt === null ? 0 : holdings.prefixAt(site.holdings, salt, p.parts, s.ix, now);
+    const source = salt === null || revision === null ? null : bestSource(site, p, salt, s, has, revision, at, now);
+    const moved = source?.tokens ?? 0;
+    const moveCost = source ? source.ms / at.readMs : 0;
     const reads = Math.max(ownBlocks, whole - has - moved);
-    let cost = reads + moved * fetchShare + s.reading + s.othersReading + (s.active + s.othersActive) * runCost;
+    let cost = reads + moveCost + s.reading + s.othersReading + (s.active + s.othersActive) * runCost;
     if (s.zone !== site.settings.zone_name) cost += zoneCost;
     const over = s.claimed + s.othersClaimed + claims - room * 0.9;
     if (over > 0) cost += over * crampedCost;
@@ -141,10 +170,10 @@
     cost += hash.of(`${s.id} ${draw}`) * shareCost;
     if (cost < bestCost) {
       bestCost = cost;
-      best = { slot: s, revision, salt, reads: reads + moved * fetchShare, claims, isLong, backlog: reads + s.reading + s.othersReading, fetchFrom: source?.addr ?? null, saveTo: null };
+      best = { slot: s, revision, salt, reads: reads + moveCost, claims, isLong, backlog: reads + s.reading + s.othersReading, fetchFrom: source?.addr ?? null, source, transfer: null, saveTo: null };
     }
   }
-  if (best && best.salt !== null) best.saveTo = saveTo(site, p, best.salt);
+  if (best && best.salt !== null) best.saveTo = saveTo(site, p, best.salt, now);
   return best;
 }
 
--- a/src/dataplane/policies/deliver.ts
+++ b/src/dataplane/policies/deliver.ts
@@ -6,6 +6,7 @@
 import { fleet } from '../../state/runners/fleet.js';
 import { ringLog } from '../../logging/ring.js';
 import { budget } from '../budget.js';
+import { moves } from '../moves.js';
 import { line } from '../line.js';
 import { leg, type LegEnd } from '../leg.js';
 import type { Assigned, Passage, Policy, Site, Step } from '../types.js';
@@ -58,6 +59,7 @@
   s.claimed += a.claims;
   p.runners.add(s.ix);
   fleet.tried(s);
+  moves.begin(site, a, performance.now());
   site.sent(p, a);
   site.burdenChanged();
 }
@@ -80,6 +82,7 @@
 }
 
 function readDone(site: Site, a: Assigned): void {
+  moves.ended(site, a, performance.now());
   if (a.reads === 0) return;
   a.slot.reading = Math.max(0, a.slot.reading - a.reads);
   a.reads = 0;
@@ -120,6 +123,7 @@
 async function one(site: Site, p: Passage, a: Assigned): Promise<Next> {
   const sentAt = performance.now();
   const l = leg.send(p, a, site.tuning.urgency);
+  moves.sent(site, a, sentAt);
   const x = await headOf(p, a, l);
   const now = performance.now();
   if (x === 'gone' || x === 'late') {
--- a/src/dataplane/policies/tenant.ts
+++ b/src/dataplane/policies/tenant.ts
@@ -12,7 +12,7 @@
   if (!tenant) return { s: 'answer', answer: answers.plain(401, 'unknown key') };
   p.tenant = tenant;
   if (tenant.rank !== undefined) p.rank = tenant.rank;
-  if (tenant.isolated === true) p.wall = `t-${tenant.label}`;
+  if (tenant.isolated === true) p.wall = `t-${Buffer.from(tenant.label).toString('base64url')}`;
   return { s: 'next' };
 }
 
--- a/src/dataplane/types.ts
+++ b/src/dataplane/types.ts
@@ -9,11 +9,13 @@
 import type { Board, Configuration, Route, RulesState, Service, Settings, Tenant, Tuning } from '../types.js';
 import type { Budget } from './budget.js';
 import type { Line } from './line.js';
+import type { Transfers } from '../coordination/transfer/machine.js';
+import type { Prices } from '../coordination/transfer/price.js';
 import type { Holdings } from '../state/index/holdings.js';
 
 export type Site = {
   settings: Settings; log: Log; fleet: Fleet; configuration: Configuration | null; table: RouteTable | null; weights: Record<string, number>; weightsSeq: number;
-  weightsAt: Map<string, number>; rules: RulesState; leaveUntil: number; board: Board; budget: Budget; holdings: Holdings; hot: { share: Map<string, number>; total: number }; tuning: Tuning;
+  weightsAt: Map<string, number>; rules: RulesState; leaveUntil: number; board: Board; budget: Budget; holdings: Holdings; hintsUntil: number; storeLeases: number; transfers: Transfers; prices: Prices; hot: { share: Map<string, number>; total: number }; tuning: Tuning;
   readRate: number; leaving: boolean; closing: boolean; line: Line; open: Set<Passage>; stirred: EventEmitter; burdenChanged: () => void;
   sent: (p: Passage, a: Assigned) => void;
 };
@@ -26,7 +28,8 @@
   legs: number; runners: Set<number>; maybeRun: boolean; headSent: boolean; lastEventId: string | null; gone: boolean; events: number;
 };
 
-export type Assigned = { slot: Slot; revision: number | null; salt: string | null; reads: number; claims: number; isLong: boolean; backlog: number; fetchFrom: string | null; saveTo: string | null };
+export type Source = { place: number; addr: string; key: string; tokens: number; ms: number; generation: number };
+export type Assigned = { slot: Slot; revision: number | null; salt: string | null; reads: number; claims: number; isLong: boolean; backlog: number; fetchFrom: string | null; source: Source | null; transfer: number | null; saveTo: string | null };
 
 export type Step = { s: 'next' } | { s: 'answer'; answer: Answer; closing?: boolean } | { s: 'done' };
 export type Policy = { name: string; run: (site: Site, p: Passage) => Step | Promise<Step> };
--- a/src/milletcleat.ts
+++ b/src/milletcleat.ts
@@ -26,6 +26,7 @@
     --phi PHI            share of requests from which a part is hot (default ${tuning.defaults.phi})
     --moved-tokens N     parts from this size on are tracked and moved (default ${tuning.defaults.movedTokens})
     --no-hot-set         no extra copies in the store
+    --no-transfers       no parts are fetched from other runners or the store
     --order-method M     await, truncate or retain (default ${tuning.defaults.orderMethod})
     --urgency            tells runners the rank of a request; the more urgent displace others there
     --order-share S      share of a service's runners under order at once (default ${tuning.defaults.orderShare})
--- a/src/programs/site.ts
+++ b/src/programs/site.ts
@@ -10,6 +10,8 @@
 import { line } from '../dataplane/line.js';
 import type { Site } from '../dataplane/types.js';
 import type { Log } from '../logging/ring.js';
+import { transfers } from '../coordination/transfer/machine.js';
+import { prices } from '../coordination/transfer/price.js';
 import { holdings } from '../state/index/holdings.js';
 import { fleet } from '../state/runners/fleet.js';
 import { answers } from '../transport/http/answer.js';
@@ -22,13 +24,14 @@
 const silentMs = 500;
 const sweepMs = 100;
 const quietMs = 60;
+const moveTiming = { leaseMs: 4000, mostAtSource: 6, longestQueueMs: 1500 };
 
 function create(s: Settings, log: Log, tuning: Tuning): Site {
   const b = s.bound_set;
   return {
     settings: s, log, fleet: fleet.create(), configuration: null, table: null, weights: {}, weightsSeq: 0, weightsAt: new Map(), rules: { seq: 0, active: {}, next: null, pending: 0 }, leaveUntil: -Infinity,
     board: { epoch: 0, seq: 0, runners: null, sites: 0 },
-    budget: budget.create(b.retry_window_s * 1000, b.retry_ratio, b.retry_slack), holdings: holdings.create(20_000), hot: { share: new Map(), total: 0 }, tuning,
+    budget: budget.create(b.retry_window_s * 1000, b.retry_ratio, b.retry_slack), holdings: holdings.create(20_000), hintsUntil: -Infinity, storeLeases: 0, transfers: transfers.create(moveTiming), prices: prices.create(), hot: { share: new Map(), total: 0 }, tuning,
     readRate: 0, leaving: false, closing: false, line: line.create(), open: new Set(), stirred: new EventEmitter().setMaxListeners(0), burdenChanged: function none() { /* set by the feed */ },
     sent: function none() { /* set by the feed */ },
   };
@@ -50,6 +53,7 @@
 // speaks again.
 function sweep(site: Site): void {
   const now = performance.now();
+  transfers.step(site.transfers, { e: 'beat' }, now);
   for (const s of site.fleet.byId.values()) {
     if (s.active > 0 && s.phase === 'sound' && now - s.lastByteAt > silentMs) fleet.turn(s, 'suspect', now);
   }
--- a/src/protocol/settings/tuning.ts
+++ b/src/protocol/settings/tuning.ts
@@ -1,7 +1,7 @@
 // What may be tuned on the daemons' command line: the defaults, the flags, and their check.
 import type { Finding, Outcome, Tuning } from '../../types.js';
 
-const defaults: Tuning = { epsilon: 0.003, phi: 0.003, movedTokens: 1024, hotSet: true, orderMethod: 'retain', orderShare: 0.25, urgency: false };
+const defaults: Tuning = { epsilon: 0.003, phi: 0.003, movedTokens: 1024, hotSet: true, orderMethod: 'retain', orderShare: 0.25, urgency: false, transfers: true };
 const methods = ['await', 'truncate', 'retain'];
 
 const flags = {
@@ -13,9 +13,10 @@
   orderMethod: { type: 'string', default: defaults.orderMethod },
   orderShare: { type: 'number', default: defaults.orderShare },
   urgency: { type: 'boolean', default: defaults.urgency },
+  transfers: { type: 'boolean', default: defaults.transfers },
 } as const;
 
-function check(f: { epsilon: number; phi: number; movedTokens: number; hotSet: boolean; orderMethod: string; orderShare: number; urgency: boolean }): Outcome<Tuning, Finding[]> {
+function check(f: { epsilon: number; phi: number; movedTokens: number; hotSet: boolean; orderMethod: string; orderShare: number; urgency: boolean; transfers: boolean }): Outcome<Tuning, Finding[]> {
   const found: Finding[] = [];
   if (!(f.phi > 0 && f.phi < 1)) found.push({ place: '--phi', text: 'must lie between 0 and 1' });
   if (!(f.epsilon > 0 && f.epsilon <= f.phi)) found.push({ place: '--epsilon', text: 'must be above 0 and at most phi' });
--- a/src/state/burden/others.ts
+++ b/src/state/burden/others.ts
@@ -1,12 +1,11 @@
 // A site's view of the sums, as a pure machine: it takes the rows that changed, and from each sum
 // takes off what this site itself had reported by then, which leaves the burden of the others.
-import type { BurdenRow } from '../../types.js';
+import type { Burden, BurdenRow } from '../../types.js';
 
-type Parts = [number, number, number];
-export type Others = { revision: number; no: number; shown: number; sums: Map<string, Parts>; reports: { no: number; rows: Map<string, Parts> }[] };
+export type Others = { revision: number; no: number; shown: number; sums: Map<string, Burden>; reports: { no: number; rows: Map<string, Burden> }[] };
 
 const most = 400;
-const none: Parts = [0, 0, 0];
+const none: Burden = [0, 0, 0, 0, 0];
 
 function create(): Others {
   return { revision: 0, no: 0, shown: 0, sums: new Map(), reports: [] };
@@ -33,11 +32,11 @@
   o.shown = t.shownNo;
 }
 
-function at(o: Others, id: string): Parts {
+function at(o: Others, id: string): Burden {
   const sum = o.sums.get(id);
   if (!sum) return none;
   const own = o.reports[0]?.no === o.shown ? o.reports[0]!.rows.get(id) ?? none : none;
-  return [Math.max(0, sum[0] - own[0]), Math.max(0, sum[1] - own[1]), Math.max(0, sum[2] - own[2])];
+  return sum.map(function rest(n, i) { return Math.max(0, n - own[i]!); }) as Burden;
 }
 
 // Without word from the sequencer for long, nothing is known of the others.
--- a/src/state/burden/sums.ts
+++ b/src/state/burden/sums.ts
@@ -2,36 +2,40 @@
 // they have, whole and numbered; the sums are kept as reports come and are shown once per beat, under
 // a revision, so that a site is told only the rows that changed since the revision it has. What a sum
 // contains of a site is known by the number of its last report: the site takes its own part off.
-import type { BurdenRow } from '../../types.js';
+import type { Burden, BurdenRow } from '../../types.js';
 
-type Parts = [number, number, number];
-type Row = { live: Parts; shown: Parts; revision: number; since: number };
-export type SiteReport = { life: string; no: number; shownNo: number; at: number; rows: Map<string, Parts>; unsound: string[] };
+type Row = { live: Burden; shown: Burden; revision: number; since: number };
+export type SiteReport = { life: string; no: number; shownNo: number; at: number; rows: Map<string, Burden>; unsound: string[] };
 export type Sums = { revision: number; floor: number; rows: Map<string, Row>; dirty: Set<string>; sites: Map<string, SiteReport>; cache: Map<number, Told> };
 export type Told = { revision: number; whole: boolean; rows: BurdenRow[] };
 
 const smallTokens = 768;
 const smallRuns = 3;
 const smallMs = 400;
+const smallMoveMs = 50;
 const remembered = 4000;
 
 function create(): Sums {
   return { revision: 1, floor: 0, rows: new Map(), dirty: new Set(), sites: new Map(), cache: new Map() };
 }
 
-function add(s: Sums, id: string, p: Parts, sign: 1 | -1, now: number): void {
+function add(s: Sums, id: string, p: Burden, sign: 1 | -1, now: number): void {
   let r = s.rows.get(id);
   if (!r) {
-    r = { live: [0, 0, 0], shown: [0, 0, 0], revision: 0, since: now };
+    r = { live: [0, 0, 0, 0, 0], shown: [0, 0, 0, 0, 0], revision: 0, since: now };
     s.rows.set(id, r);
   }
-  for (let i = 0; i < 3; i++) r.live[i] = Math.max(0, r.live[i]! + sign * p[i]!);
+  for (let i = 0; i < r.live.length; i++) r.live[i] = Math.max(0, r.live[i]! + sign * p[i]!);
   if (!s.dirty.has(id)) {
     s.dirty.add(id);
     r.since = now;
   }
 }
 
+function same(a: Burden, b: Burden): boolean {
+  return a.every(function each(n, i) { return n === b[i]; });
+}
+
 function leave(s: Sums, site: string, now: number): void {
   const was = s.sites.get(site);
   if (!was) return;
@@ -47,22 +51,22 @@
     was = undefined;
   }
   if (was && no <= was.no) return false;
-  const next = new Map<string, Parts>();
-  for (const [id, active, reading, claimed] of rows) next.set(id, [active, reading, claimed]);
+  const next = new Map<string, Burden>();
+  for (const [id, ...p] of rows) next.set(id, p);
   for (const [id, p] of was?.rows ?? []) {
     const n = next.get(id);
-    if (!n || n[0] !== p[0] || n[1] !== p[1] || n[2] !== p[2]) add(s, id, p, -1, now);
+    if (!n || !same(n, p)) add(s, id, p, -1, now);
   }
   for (const [id, p] of next) {
     const w = was?.rows.get(id);
-    if (!w || w[0] !== p[0] || w[1] !== p[1] || w[2] !== p[2]) add(s, id, p, 1, now);
+    if (!w || !same(w, p)) add(s, id, p, 1, now);
   }
   s.sites.set(site, { life, no, shownNo: was?.shownNo ?? 0, at: now, rows: next, unsound });
   return true;
 }
 
 function isSmall(r: Row): boolean {
-  return Math.abs(r.live[1] + r.live[2] - r.shown[1] - r.shown[2]) < smallTokens && Math.abs(r.live[0] - r.shown[0]) < smallRuns;
+  return Math.abs(r.live[1] + r.live[2] - r.shown[1] - r.shown[2]) < smallTokens && Math.abs(r.live[0] - r.shown[0]) < smallRuns && r.live[3] === r.shown[3] && Math.abs(r.live[4] - r.shown[4]) < smallMoveMs;
 }
 
 // The beat: forgets sites that are silent, and shows the rows that changed under a new revision.
--- a/src/tools/simulate/fleet.ts
+++ b/src/tools/simulate/fleet.ts
@@ -7,9 +7,12 @@
 import { siteTracker, type SiteTracker } from '../../coordination/tracking/site.js';
 import { rolloutPlan, type RolloutEffect, type RolloutState } from '../../coordination/duties/rollout.js';
 import { budget } from '../../dataplane/budget.js';
+import { moves } from '../../dataplane/moves.js';
 import { assign } from '../../dataplane/policies/assign.js';
 import type { Assigned, Passage, Site } from '../../dataplane/types.js';
 import { keptIndex, type KeptIndex } from '../../state/index/kept.js';
+import { transfers } from '../../coordination/transfer/machine.js';
+import { prices } from '../../coordination/transfer/price.js';
 import { holdings, storePlace } from '../../state/index/holdings.js';
 import { routes } from '../../state/control/routes.js';
 import { fleet } from '../../state/runners/fleet.js';
@@ -57,8 +60,8 @@
   const site: Partial<Site> = {
     settings: { zone_name: zone, bound_set: bounds } as unknown as Settings, fleet: fleet.create(), table: routes.build(configurationOf(f)), weights: { [model]: 1 }, weightsSeq: 0,
     weightsAt: new Map(), board: { epoch: 0, seq: 0, runners: [], sites: 0 }, budget: budget.create(10_000, bounds.retry_ratio, bounds.retry_slack),
-    holdings: holdings.create(20_000), hot: { share: new Map(), total: 0 }, stirred: new EventEmitter(),
-    tuning: { epsilon: f.tuning.epsilon, phi: f.tuning.phi, movedTokens: f.tuning.moved_tokens, hotSet: f.tuning.hot_set, orderMethod: 'retain', orderShare: 0.25, urgency: false },
+    holdings: holdings.create(20_000), hintsUntil: Infinity, storeLeases: 0, transfers: transfers.create({ leaseMs: 4000, mostAtSource: 6, longestQueueMs: 1500 }), prices: prices.create(), hot: { share: new Map(), total: 0 }, stirred: new EventEmitter(),
+    tuning: { epsilon: f.tuning.epsilon, phi: f.tuning.phi, movedTokens: f.tuning.moved_tokens, hotSet: f.tuning.hot_set, orderMethod: 'retain', orderShare: 0.25, urgency: false, transfers: true },
   };
   return site as Site;
 }
@@ -151,7 +154,8 @@
     const place = name === storeAddr ? storePlace : s.site.fleet.byId.get(name)?.ix;
     if (place === undefined) continue;
     if (op === '+') holdings.put(s.site.holdings, salt, part, place, tokens);
-    else holdings.drop(s.site.holdings, salt, part, place);
+    else if (op === '?') holdings.expect(s.site.holdings, salt, part, place, tokens, sim.c.now);
+    else if (op === '-') holdings.drop(s.site.holdings, salt, part, place);
   }
   sim.out.messages.feed++;
   for (const slot of s.site.fleet.byId.values()) {
@@ -229,14 +233,17 @@
   slot.reading += reads;
   slot.claimed += a.claims;
   p.runners.add(slot.ix);
+  moves.begin(s.site, a, sim.c.now);
+  moves.sent(s.site, a, sim.c.now);
   for (const part of assign.shared(p)) {
     if (part.tokens < sim.f.tuning.moved_tokens) continue;
     sim.out.messages.arrivals++;
     siteTracker.arrive(s.tracker, `${a.salt} ${part.id}`, part.tokens);
-    holdings.put(s.site.holdings, a.salt!, part.id, slot.ix, part.tokens);
+    holdings.expect(s.site.holdings, a.salt!, part.id, slot.ix, part.tokens, sim.c.now);
   }
   const hop = slot.zone === s.zone ? sim.f.network.in_zone_ms : sim.f.network.cross_zone_ms;
   function done(): void {
+    moves.ended(s.site, a, sim.c.now);
     slot.active--;
     slot.reading = Math.max(0, slot.reading - reads);
     slot.claimed -= a.claims;
--- a/src/types.ts
+++ b/src/types.ts
@@ -77,8 +77,10 @@
 // The access rules in effect, and those that wait for their activation.
 export type RulesState = { seq: number; active: Record<string, string[]>; next: Record<string, string[]> | null; pending: number };
 
-// A runner's burden: requests running, prompt tokens still to be read, tokens of memory claimed.
-export type BurdenRow = [string, number, number, number];
+// A place's burden: requests running, prompt tokens still to be read, tokens of memory claimed, leases
+// held on it as a source of moves, milliseconds of moves queued to it.
+export type Burden = [number, number, number, number, number];
+export type BurdenRow = [string, ...Burden];
 
 export type FeedCall = {
   site: string; life: string; since: [number, number]; hotSeq: number; hold: number;
@@ -106,5 +108,5 @@
 
 // What may be set on the command line of the daemons; the defaults stand in tuning.ts.
 export type Tuning = {
-  epsilon: number; phi: number; movedTokens: number; hotSet: boolean; orderMethod: 'await' | 'truncate' | 'retain'; orderShare: number; urgency: boolean;
+  epsilon: number; phi: number; movedTokens: number; hotSet: boolean; orderMethod: 'await' | 'truncate' | 'retain'; orderShare: number; urgency: boolean; transfers: boolean;
 };
--- a/test/burden.test.ts
+++ b/test/burden.test.ts
@@ -40,7 +40,7 @@
     }
     for (const x of steps) {
       now += 20;
-      const rows = new Map(x.rows.map(function row([r, n]) { return [runners[r]!, [runners[r]!, 1, n, n * 2] as BurdenRow] as const; }));
+      const rows = new Map(x.rows.map(function row([r, n]) { return [runners[r]!, [runners[r]!, 1, n, n * 2, n % 3, n % 7] as BurdenRow] as const; }));
       report(x.site, [...rows.values()], x.fate);
       sums.beat(s, standsMs, now);
       for (const r of s.rows.values()) for (const n of [...r.live, ...r.shown]) assert.ok(n >= 0);
@@ -53,8 +53,8 @@
     for (const at of sites) ask(s, at.o, at.name);
     for (const at of sites) {
       for (const r of runners) {
-        const want = [0, 0, 0];
-        for (const other of sites) if (other !== at) for (const row of other.rows) if (row[0] === r) [1, 2, 3].forEach(function add(k) { want[k - 1]! += row[k] as number; });
+        const want = [0, 0, 0, 0, 0];
+        for (const other of sites) if (other !== at) for (const row of other.rows) if (row[0] === r) [1, 2, 3, 4, 5].forEach(function add(k) { want[k - 1]! += row[k] as number; });
         assert.deepEqual(others.at(at.o, r), want);
       }
     }
@@ -63,11 +63,11 @@
 
 test('a silent site, and the last life of one that came back, weigh nothing', function run() {
   const s = sums.create();
-  sums.report(s, 'x', 'life-1', 7, [['a', 3, 5000, 9000]], [], 0);
+  sums.report(s, 'x', 'life-1', 7, [['a', 3, 5000, 9000, 2, 40]], [], 0);
   sums.beat(s, standsMs, 10);
-  sums.report(s, 'x', 'life-2', 1, [['b', 1, 2000, 4000]], [], 20);
+  sums.report(s, 'x', 'life-2', 1, [['b', 1, 2000, 4000, 0, 0]], [], 20);
   sums.beat(s, standsMs, 30);
-  assert.deepEqual(sums.since(s, 0).rows, [['b', 1, 2000, 4000]]);
+  assert.deepEqual(sums.since(s, 0).rows, [['b', 1, 2000, 4000, 0, 0]]);
   assert.equal(sums.shownNo(s, 'x', 'life-1'), 0);
   sums.beat(s, standsMs, 30 + standsMs);
   assert.deepEqual(sums.since(s, 0).rows, []);
@@ -75,11 +75,11 @@
 
 test('small differences wait a few beats, large ones are told at the next', function run() {
   const s = sums.create();
-  sums.report(s, 'x', 'x', 1, [['a', 1, 100, 100]], [], 0);
+  sums.report(s, 'x', 'x', 1, [['a', 1, 100, 100, 0, 0]], [], 0);
   assert.equal(sums.beat(s, standsMs, 20), false);
-  sums.report(s, 'x', 'x', 2, [['a', 1, 5000, 100]], [], 30);
+  sums.report(s, 'x', 'x', 2, [['a', 1, 5000, 100, 0, 0]], [], 30);
   assert.equal(sums.beat(s, standsMs, 40), true);
-  sums.report(s, 'x', 'x', 3, [['a', 1, 5001, 100]], [], 50);
+  sums.report(s, 'x', 'x', 3, [['a', 1, 5001, 100, 0, 0]], [], 50);
   assert.equal(sums.beat(s, standsMs, 60), false);
   assert.equal(sums.beat(s, standsMs, 500), true);
 });
@@ -92,7 +92,7 @@
     const o = others.create();
     let n = 0;
     for (let beat = 0; beat < 50; beat++) {
-      for (let i = 0; i < sites; i++) sums.report(s, `s${i}`, `s${i}`, beat + 1, [[runners[(i + beat) % 4]!, 1, 1000 + beat * 800, 5000]], [], beat * 20);
+      for (let i = 0; i < sites; i++) sums.report(s, `s${i}`, `s${i}`, beat + 1, [[runners[(i + beat) % 4]!, 1, 1000 + beat * 800, 5000, 0, 0]], [], beat * 20);
       sums.beat(s, standsMs, beat * 20);
       n += sums.since(s, o.revision).rows.length;
       ask(s, o, 's0');
--- a/test/dataplane.test.ts
+++ b/test/dataplane.test.ts
@@ -2,6 +2,9 @@
 // go to, what counts against a runner, and who is tried first in the waiting line.
 import { strict as assert } from 'node:assert';
 import { test } from 'node:test';
+import { transfers } from '../src/coordination/transfer/machine.js';
+import { prices } from '../src/coordination/transfer/price.js';
+import { moves } from '../src/dataplane/moves.js';
 import { line } from '../src/dataplane/line.js';
 import { assign } from '../src/dataplane/policies/assign.js';
 import type { Passage, Site } from '../src/dataplane/types.js';
@@ -22,8 +25,8 @@
 
 function site(list: Runner[]): Site {
   const s: Partial<Site> = {
-    settings: { zone_name: 'z', bound_set: { version_ms: 8000 } } as Site['settings'], fleet: fleet.create(), table: routes.build(conf), weights: { m: 1 }, weightsAt: new Map(),
-    holdings: holdings.create(1000), hot: { share: new Map(), total: 100_000 }, tuning: tuning.defaults, board: { epoch: 1, seq: 1, runners: list, sites: 3 },
+    settings: { zone_name: 'z', zones: { z: 'reg', y: 'reg' }, bound_set: { version_ms: 8000 } } as unknown as Site['settings'], fleet: fleet.create(), table: routes.build(conf), weights: { m: 1 }, weightsAt: new Map(),
+    holdings: holdings.create(1000), hintsUntil: Infinity, storeLeases: 0, transfers: transfers.create({ leaseMs: 4000, mostAtSource: 3, longestQueueMs: 1500 }), prices: prices.create(), hot: { share: new Map(), total: 100_000 }, tuning: tuning.defaults, board: { epoch: 1, seq: 1, runners: list, sites: 3 },
   };
   fleet.take(s.fleet!, list);
   fleet.capAll(s.fleet!, s.table!, 3);
@@ -165,3 +168,87 @@
   assert.equal(l.beat, null);
   assert.equal(await line.wait(l, 0, 1, function never() { return false; }), false);
 });
+
+test('nothing is fetched on an expectation, on old word, beyond the leases of a source, or when told not to', function run() {
+  const s = site(['a', 'b'].map(function one(id) { return runner(id); }));
+  slot(s, 'a').othersReading = 50_000;
+  holdings.expect(s.holdings, 'all/m/1', 'aa', slot(s, 'a').ix, 12_000, 0);
+  function from(): string | null { return assign.choose(s, request(s, 12_000), 1)!.fetchFrom; }
+  assert.equal(from(), null, 'expected there, not reported');
+  holdings.put(s.holdings, 'all/m/1', 'aa', slot(s, 'a').ix, 12_000);
+  assert.equal(from(), 'a:1');
+  s.hintsUntil = 0;
+  assert.equal(from(), null, 'no word from the sequencer for long');
+  s.hintsUntil = Infinity;
+  holdings.doubt(s.holdings, slot(s, 'a').ix, 0);
+  assert.equal(from(), null, 'the place itself has been silent');
+  holdings.put(s.holdings, 'all/m/1', 'aa', slot(s, 'a').ix, 12_000);
+  slot(s, 'a').othersLeases = 3;
+  assert.equal(from(), null, 'others hold all leases on it');
+  slot(s, 'a').othersLeases = 0;
+  slot(s, 'b').othersMoveMs = 1490;
+  assert.equal(from(), null, 'moves queue at the destination');
+  slot(s, 'b').othersMoveMs = 0;
+  slot(s, 'a').verdict = 'unsound';
+  assert.equal(from(), null, 'the source is unsound');
+  slot(s, 'a').verdict = 'clear';
+  s.tuning = { ...tuning.defaults, transfers: false };
+  assert.equal(from(), null, 'transfers are off');
+});
+
+test('an expectation is priced for a while only', function run() {
+  const s = site(['a', 'b'].map(function one(id) { return runner(id); }));
+  holdings.expect(s.holdings, 'all/m/1', 'aa', slot(s, 'a').ix, 12_000, 0);
+  assert.equal(assign.choose(s, request(s, 12_000), 10)!.reads, 300);
+  assert.ok(assign.choose(s, request(s, 12_000), 60_000)!.reads > 12_000);
+});
+
+test('a request whose lease was lost meanwhile goes on without a fetch', function run() {
+  const s = site(['a', 'b'].map(function one(id) { return runner(id); }));
+  slot(s, 'a').othersReading = 50_000;
+  holdings.put(s.holdings, 'all/m/1', 'aa', slot(s, 'a').ix, 12_000);
+  const x = assign.choose(s, request(s, 12_000), 1)!;
+  slot(s, 'a').othersLeases = 3;
+  moves.begin(s, x, 1);
+  assert.deepEqual([x.fetchFrom, x.transfer], [null, null]);
+  slot(s, 'a').othersLeases = 0;
+  const y = assign.choose(s, request(s, 12_000), 1)!;
+  moves.begin(s, y, 1);
+  moves.sent(s, y, 1);
+  assert.ok(y.transfer !== null && transfers.at(s.transfers, slot(s, 'a').ix).source === 1);
+  moves.ended(s, y, 20);
+  assert.equal(transfers.at(s.transfers, slot(s, 'a').ix).source, 0);
+});
+
+test('a runner that the jury found unsound gets nothing but the one request that tries it', function run() {
+  const s = site(['a', 'b'].map(function one(id) { return runner(id); }));
+  function goes(repeatable: boolean): string {
+    const p = request(s, 60);
+    p.repeatable = repeatable;
+    p.legs = 0;
+    const a = assign.choose(s, p, 10_000)!;
+    fleet.tried(a.slot);
+    return a.slot.id;
+  }
+  fleet.rule(s.fleet, [['a', null, 0]], 'me');
+  for (let i = 0; i < 20; i++) assert.equal(goes(true), 'b');
+  fleet.rule(s.fleet, [['a', 'me', 1]], 'me');
+  assert.equal(goes(false), 'b', 'not with what may run only once');
+  assert.equal(goes(true), 'a');
+  fleet.rule(s.fleet, [['a', 'me', 1]], 'me');
+  assert.equal(goes(true), 'b', 'one trial, however often it is told');
+  fleet.rule(s.fleet, [], 'me');
+  assert.equal(slot(s, 'a').verdict, 'clear');
+});
+
+test('a suspect runner is tried again after its pause by one repeatable request', function run() {
+  const s = site(['a', 'b'].map(function one(id) { return runner(id); }));
+  fleet.turn(slot(s, 'a'), 'suspect', 0);
+  const p = request(s, 60);
+  p.repeatable = true;
+  p.legs = 0;
+  assert.equal(assign.choose(s, p, 100)!.slot.id, 'b');
+  assert.equal(assign.choose(s, p, 5000)!.slot.id, 'a');
+  slot(s, 'a').active = 1;
+  assert.equal(assign.choose(s, p, 5000)!.slot.id, 'b', 'one at a time');
+});
--- /dev/null
+++ b/test/scale.test.ts
@@ -0,0 +1,102 @@
+// The law of the exchange, counted on virtual time with the machines that the programs run: as sites
+// double, what one site sends and is sent a second does not rise, and the sequencer's answers a second
+// stay below what its beat allows. Counts only; the same on every machine.
+import { strict as assert } from 'node:assert';
+import { test } from 'node:test';
+import { Packr } from 'msgpackr';
+import { exchange, type Exchange } from '../src/coordination/exchange/machine.js';
+import { others, type Others } from '../src/state/burden/others.js';
+import { configurationHistory } from '../src/state/history/configurations.js';
+import { boardHistory } from '../src/state/history/boards.js';
+import { tuning } from '../src/protocol/settings/tuning.js';
+import type { BurdenRow, Configuration, FeedAnswer, FeedCall, Runner } from '../src/types.js';
+import { luck, type Luck } from './support/random.js';
+
+const packr = new Packr({ useRecords: false });
+const runners = 40;
+const perSite = 7;
+const seconds = 6;
+
+type SimSite = { name: string; o: Others; rows: Map<string, BurdenRow>; since: [number, number]; hotSeq: number; verdictSeq: number };
+type Counts = { sites: number; answers: number; bytesIn: number; bytesOut: number };
+
+function callOf(s: SimSite): FeedCall {
+  const burden = [...s.rows.values()];
+  return { site: s.name, life: s.name, since: s.since, hotSeq: s.hotSeq, hold: 500, burden, burdenNo: others.tell(s.o, burden), burdenSeen: s.o.revision, unsound: [], outcomes: [], verdictSeq: s.verdictSeq, held: [], report: null };
+}
+
+function take(s: SimSite, a: FeedAnswer): void {
+  if (a.burdens) others.take(s.o, a.burdens);
+  s.since = [a.epoch, a.at];
+  if (a.tracking.hot) s.hotSeq = a.tracking.hotSeq;
+  if (a.verdicts) s.verdictSeq = a.verdicts.seq;
+}
+
+function requests(l: Luck, s: SimSite, ms: number): void {
+  for (const [id] of [...s.rows]) if (luck.next(l) < ms / 150) s.rows.delete(id);
+  if (luck.next(l) >= (perSite * ms) / 1000) return;
+  const id = `i-${luck.below(l, runners)}`;
+  const long = luck.next(l) < 0.1 ? 15_000 : 300;
+  s.rows.set(id, [id, 1, long, long + 20, 0, 0]);
+}
+
+function play(n: number): Counts {
+  const l = luck.create(77);
+  const x: Exchange = exchange.create(1, tuning.defaults, n);
+  const all: SimSite[] = Array.from({ length: n }, function one(_, i) { return { name: `edge-${i}`, o: others.create(), rows: new Map(), since: [1, 0], hotSeq: 0, verdictSeq: 0 }; });
+  const open = new Map<SimSite, FeedCall>();
+  const out: Counts = { sites: n, answers: 0, bytesIn: 0, bytesOut: 0 };
+  function ask(s: SimSite, now: number): void {
+    const c = callOf(s);
+    out.bytesIn += packr.pack(c).length;
+    exchange.take(x, c, now);
+    open.set(s, c);
+  }
+  for (const s of all) ask(s, 0);
+  for (let now = 0; now < seconds * 1000; now += x.beatMs) {
+    for (const s of all) requests(l, s, x.beatMs);
+    exchange.beat(x, { runners: new Map(), sites: [] }, now);
+    for (const [s, c] of [...open]) {
+      if (!exchange.due(x, c)) continue;
+      const a = exchange.answerOf(x, c, true);
+      out.answers++;
+      out.bytesOut += packr.pack(a).length;
+      take(s, a);
+      ask(s, now);
+    }
+  }
+  return out;
+}
+
+test('as sites double, neither messages nor bytes of one site rise, and the sequencer stays within its beat', function run() {
+  const list = [20, 40, 80, 160].map(play);
+  list.forEach(function law(c, i) {
+    const perSecond = c.answers / seconds;
+    assert.ok(perSecond <= (1000 / exchange.beatOf(c.sites)) * c.sites + c.sites, `${c.sites} sites: ${perSecond} answers a second`);
+    assert.ok(perSecond <= 1100, `${c.sites} sites: ${perSecond} answers a second`);
+    if (i === 0) return;
+    const was = list[i - 1]!;
+    assert.ok(c.answers / c.sites <= (was.answers / was.sites) * 1.02, 'messages of one site');
+    assert.ok((c.bytesIn + c.bytesOut) / c.sites <= ((was.bytesIn + was.bytesOut) / was.sites) * 1.1, `bytes of one site: ${was.sites}: ${(was.bytesIn + was.bytesOut) / was.sites}, ${c.sites}: ${(c.bytesIn + c.bytesOut) / c.sites}`);
+  });
+});
+
+test('a change of one route or one runner costs the same however large the configuration and the fleet', function run() {
+  function route(i: number, ms: number): Configuration['route_list'][number] {
+    return { label: `r${i}`, hostname: 'h', path_prefix: `/${i}/`, variant: 'streaming', deadline_ms: ms, target: 's' };
+  }
+  function runner(i: number, parked: boolean): Runner {
+    return { id: `i-${i}`, service: 's', addr: `10.0.0.${i}:80`, zone: 'z', slots: 8, draining: false, parked, models: [{ label: 'm', revision: 1 }] };
+  }
+  function bytes(n: number): [number, number] {
+    const h = configurationHistory.create();
+    const b = boardHistory.create();
+    for (const step of [1, 2]) {
+      configurationHistory.take(h, { revision: step, service_list: [{ label: 's' }], route_list: Array.from({ length: n }, function one(_, i) { return route(i, i === 3 ? step : 9); }) });
+      boardHistory.take(b, { epoch: 1, seq: step, sites: 9, runners: Array.from({ length: n }, function one(_, i) { return runner(i, i === 3 && step === 2); }) });
+    }
+    return [packr.pack(configurationHistory.since(h, 1)).length, packr.pack(boardHistory.since(b, 1, 1)).length];
+  }
+  const [small, large] = [bytes(40), bytes(1400)];
+  assert.ok(large[0] <= small[0] + 8 && large[1] <= small[1] + 8, `${small} ${large}`);
+});
--- a/test/state.test.ts
+++ b/test/state.test.ts
@@ -199,15 +199,15 @@
 
 test('the index follows events, restarts, gaps and lists', function run() {
   const ix = keptIndex.create(1000, 50);
-  assert.equal(keptIndex.events(ix, 'p', { epoch: 1, next: 3, isLost: false, events: [[1, '+', 's', 'aa', 2000, 'm'], [2, '+', 's', 'bb', 20, 'm']] }), false);
-  assert.deepEqual(keptIndex.all(ix), [['+', 's', 'aa', 2000, 'p']]);
-  keptIndex.events(ix, 'p', { epoch: 1, next: 4, isLost: false, events: [[3, '-', 's', 'aa', 128, 'm']] });
+  assert.equal(keptIndex.events(ix, 'p', { epoch: 1, next: 3, isLost: false, events: [[1, '+', 'all/m/1', 'aa', 2000, 'm'], [2, '+', 'all/m/1', 'bb', 20, 'm']] }, 0), false);
+  assert.deepEqual(keptIndex.all(ix), [['+', 'all/m/1', 'aa', 2000, 'p']]);
+  keptIndex.events(ix, 'p', { epoch: 1, next: 4, isLost: false, events: [[3, '-', 'all/m/1', 'aa', 128, 'm']] }, 0);
   assert.deepEqual(keptIndex.all(ix), []);
-  assert.deepEqual(keptIndex.since(ix, 1), [['-', 's', 'aa', 0, 'p']]);
-  assert.equal(keptIndex.events(ix, 'p', { epoch: 1, next: 90, isLost: true, events: [] }), true);
-  keptIndex.list(ix, 'p', { epoch: 1, next: 95, held: [['s', 'cc', 3000, 'm']] });
-  assert.deepEqual(keptIndex.all(ix), [['+', 's', 'cc', 3000, 'p']]);
-  assert.equal(keptIndex.events(ix, 'p', { epoch: 2, next: 1, isLost: false, events: [] }), false);
+  assert.deepEqual(keptIndex.since(ix, 1), [['-', 'all/m/1', 'aa', 0, 'p']]);
+  assert.equal(keptIndex.events(ix, 'p', { epoch: 1, next: 90, isLost: true, events: [] }, 0), true);
+  keptIndex.list(ix, 'p', { epoch: 1, next: 95, held: [['all/m/1', 'cc', 3000, 'm']] }, 0);
+  assert.deepEqual(keptIndex.all(ix), [['+', 'all/m/1', 'cc', 3000, 'p']]);
+  assert.equal(keptIndex.events(ix, 'p', { epoch: 2, next: 1, isLost: false, events: [] }, 0), false);
   assert.deepEqual(keptIndex.all(ix), []);
   assert.equal(keptIndex.since(ix, 999), null);
   for (let i = 0; i < 200; i++) keptIndex.announce(ix, 'p', 's', `k${i}`, 1500);
@@ -220,10 +220,10 @@
   holdings.put(h, 's', 'a', 1, 100);
   holdings.put(h, 's', 'c', 1, 100);
   const parts = [{ id: 'a', tokens: 100 }, { id: 'b', tokens: 50 }, { id: 'c', tokens: 100 }];
-  assert.equal(holdings.prefixAt(h, 's', parts, 1), 100);
+  assert.equal(holdings.prefixAt(h, 's', parts, 1, 0), 100);
   holdings.put(h, 's', 'b', 1, 20);
-  assert.equal(holdings.prefixAt(h, 's', parts, 1), 120);
-  assert.equal(holdings.prefixAt(h, 'other', parts, 1), 0);
+  assert.equal(holdings.prefixAt(h, 's', parts, 1, 0), 120);
+  assert.equal(holdings.prefixAt(h, 'other', parts, 1, 0), 0);
 });
 
 test('the sites together never exceed the budget in any sliding window', function run() {
