--- a/src/dataplane/policies/assign.ts
+++ b/src/dataplane/policies/assign.ts
@@ -7,6 +7,7 @@
 import { prices, type Prices, type Where } from '../../coordination/transfer/price.js';
 import { identity } from '../../state/index/identity.js';
 import { holdings, storePlace } from '../../state/index/holdings.js';
+import { channels } from '../../state/runners/channels.js';
 import { fleet, type Slot } from '../../state/runners/fleet.js';
 import type { Part } from '../../protocol/calls/heads.js';
 import type { Assigned, Passage, Site, Source } from '../types.js';
@@ -16,6 +17,8 @@
 const zoneCost = 300;
 const shareCost = 600;
 const ownBlocks = 16;
+const copyCost = 2000;
+const newChannelCost = 250;
 const crampedCost = 3;
 const longTokens = 4096;
 const longShare = 0.7;
@@ -111,6 +114,17 @@
   return p.parts.slice(0, -1);
 }
 
+// Tokens at the head of a prompt that are worth moving. A copy of them at one more runner displaces
+// others there, which will have to be read again.
+function movable(site: Site, p: Passage): number {
+  let n = 0;
+  for (const x of shared(p)) {
+    if (x.tokens < site.tuning.movedTokens) break;
+    n += x.tokens;
+  }
+  return n;
+}
+
 // The store gets a copy of a shared part that is hot, counting this request, unless it has one.
 function saveTo(site: Site, p: Passage, salt: string, now: number): string | null {
   const store = site.table!.stores[0]?.kv_store_addr;
@@ -145,6 +159,7 @@
   let best: Assigned | null = null;
   let bestCost = Infinity;
   const draw = affinity(p);
+  const big = movable(site, p);
   const isLong = whole >= longTokens;
   const among = isLong ? forLong(of) : null;
   const claims = whole + (p.tokens?.most ?? 0);
@@ -162,6 +177,8 @@
     const reads = Math.max(ownBlocks, whole - has - moved);
     let cost = reads + moveCost + s.reading + s.othersReading + (s.active + s.othersActive) * runCost;
     if (s.zone !== site.settings.zone_name) cost += zoneCost;
+    if (big > has) cost += copyCost;
+    if (!channels.isWarm(s.agent, p.repeatable, now)) cost += newChannelCost;
     const over = s.claimed + s.othersClaimed + claims - room * 0.9;
     if (over > 0) cost += over * crampedCost;
     if (among && !among.has(s)) cost += apartCost;
--- a/src/state/runners/channels.ts
+++ b/src/state/runners/channels.ts
@@ -82,6 +82,14 @@
   }
 }
 
+// Whether a request would find a channel that it may use, and so spare the runner a new one.
+function isWarm(a: Agent, isRepeatable: boolean, now: number): boolean {
+  const free = idle(a);
+  if (free.length === 0) return false;
+  const l = lifeOf(a);
+  return idleFor(free.at(-1)!, now) <= (isRepeatable ? l.longestMs : Math.min(l.onceMs, l.longestMs));
+}
+
 // A channel broke as it was used again after so long a rest: the others that rest as long are given
 // up, and from now on channels rest for less.
 function dropped(a: Agent, ms: number): void {
@@ -92,4 +100,4 @@
   for (const s of idle(a)) if (idleFor(s, now) >= ms * droppedShare) s.destroy();
 }
 
-export const channels = { create, idleFor, retire, dropped };
+export const channels = { create, isWarm, idleFor, retire, dropped };
