--- a/src/coordination/exchange/machine.ts
+++ b/src/coordination/exchange/machine.ts
@@ -10,7 +10,7 @@
 
 const leastBeatMs = 20;
 const longestBeatMs = 250;
-const beatMsPerSite = 2.5;
+const beatMsPerSite = 1.5;
 const standsMs = 2500;
 const mostChanges = 4000;
 const mostTotal = 50_000;
--- a/src/dataplane/policies/assign.ts
+++ b/src/dataplane/policies/assign.ts
@@ -17,8 +17,10 @@
 const zoneCost = 300;
 const shareCost = 600;
 const ownBlocks = 16;
-const copyCost = 2000;
-const newChannelCost = 250;
+const copyCost = 0;
+const newChannelCost = 100;
+const queuedCost = 4000;
+const downMs = 5000;
 const crampedCost = 3;
 const longTokens = 4096;
 const longShare = 0.7;
@@ -146,10 +148,11 @@
 }
 
 // An unsound runner is tried again by one repeatable request: by this site's own judgement once its
-// pause is over and nothing of this site runs there, by the jury's when it names this site.
-function mayTry(p: Passage, s: Slot): boolean {
+// pause is over and nothing of this site runs there, by the jury's when it names this site. One to
+// which no channel came up is seldom back and takes long to try, so it rests longer.
+function mayTry(p: Passage, s: Slot, now: number): boolean {
   if (!p.repeatable || p.legs > 0 || s.active > 0) return false;
-  return s.verdict === 'try' || (s.verdict === 'clear' && s.phase !== 'sound');
+  return s.verdict === 'try' || (s.verdict === 'clear' && now >= s.until + (s.phase === 'down' ? downMs : 0));
 }
 
 function choose(site: Site, p: Passage, now: number): Assigned | null {
@@ -176,6 +179,8 @@
     const moveCost = source ? source.ms / at.readMs : 0;
     const reads = Math.max(ownBlocks, whole - has - moved);
     let cost = reads + moveCost + s.reading + s.othersReading + (s.active + s.othersActive) * runCost;
+    const queued = s.active + s.othersActive + 1 - s.slots;
+    if (queued > 0) cost += queued * queuedCost;
     if (s.zone !== site.settings.zone_name) cost += zoneCost;
     if (big > has) cost += copyCost;
     if (!channels.isWarm(s.agent, p.repeatable, now)) cost += newChannelCost;
@@ -183,7 +188,7 @@
     if (over > 0) cost += over * crampedCost;
     if (among && !among.has(s)) cost += apartCost;
     if (!isLong) cost += (s.claimed + s.othersClaimed) * besideLongCost;
-    if (s.phase !== 'sound' || s.verdict !== 'clear') cost += mayTry(p, s) ? -suspectCost : suspectCost;
+    if (s.phase !== 'sound' || s.verdict !== 'clear') cost += mayTry(p, s, now) ? -suspectCost : suspectCost;
     cost += hash.of(`${s.id} ${draw}`) * shareCost;
     if (cost < bestCost) {
       bestCost = cost;
--- a/src/dataplane/policies/deliver.ts
+++ b/src/dataplane/policies/deliver.ts
@@ -149,7 +149,7 @@
       p.legs++;
       p.maybeRun = true;
     }
-    if (x.l === 'unsure' && !x.onOld) fleet.met(a.slot, 'bad');
+    if (x.l === 'unsent' || !x.onOld) fleet.met(a.slot, 'bad');
     if (x.l === 'unsent') fleet.turn(a.slot, 'down', now);
     else if (!x.onOld) fleet.turn(a.slot, 'suspect', now);
     ringLog.note(site.log, { runner: a.slot.id, attempt: p.attempt, why: x.why, end: x.l }, 'leg broke');
@@ -214,8 +214,15 @@
   return a.slot.active + a.slot.othersActive < a.slot.slots / 2;
 }
 
+// While new weights are on their way a runner turns requests away until it has them.
+function isLoading(site: Site, p: Passage, a: Assigned): boolean {
+  if (a.slot.parked) return true;
+  const at = p.model === null ? undefined : site.weightsAt.get(p.model);
+  return at !== undefined && performance.now() - at < site.settings.bound_set.version_ms;
+}
+
 function turnedAway(site: Site, p: Passage, a: Assigned, status: number, instance: string | undefined): Next {
-  if (status === 503 && isIdle(a)) fleet.met(a.slot, 'bad');
+  if (status === 503 && isIdle(a) && !isLoading(site, p, a)) fleet.met(a.slot, 'bad');
   ringLog.note(site.log, { runner: a.slot.id, attempt: p.attempt, status, instance }, 'turned away');
   if (status === 421 && instance !== undefined && instance !== a.slot.id) a.slot.listed = false;
   else if (status === 421 && p.model !== null && a.revision !== null) {
--- a/src/state/runners/channels.ts
+++ b/src/state/runners/channels.ts
@@ -13,9 +13,9 @@
 const idleMs = 20_000;
 const promiseShare = 0.75;
 const onceMs = 2500;
-const leastMs = 150;
+const leastMs = 400;
 const droppedShare = 0.6;
-const grownShare = 1.02;
+const grownShare = 1.1;
 
 const kept = new WeakMap<Socket, Kept>();
 const lives = new WeakMap<Agent, Life>();
@@ -91,8 +91,9 @@
 }
 
 // A channel broke as it was used again after so long a rest: the others that rest as long are given
-// up, and from now on channels rest for less.
+// up, and from now on channels rest for less. One that had hardly rested was not dropped for that.
 function dropped(a: Agent, ms: number): void {
+  if (ms < leastMs) return;
   const l = lifeOf(a);
   l.longestMs = Math.max(leastMs, Math.min(l.longestMs, ms * 2));
   l.onceMs = Math.max(leastMs, Math.min(l.onceMs, ms * droppedShare));
