--- a/src/controlplane/status.ts
+++ b/src/controlplane/status.ts
@@ -32,7 +32,7 @@
     runners: (c.board.runners ?? []).map(function one(r) {
       return { id: r.id, service: r.service, addr: r.addr, zone: r.zone, draining: r.draining, parked: r.parked, models: r.models, unsoundAt: f ? exchange.unsoundAt(f, r.id) : null, verdict: f ? f.jury.cases.get(r.id)?.phase ?? 'clear' : null };
     }),
-    hot: f ? f.hot.map(function one([x, share, tokens]) { return { part: x, share, tokens }; }) : null,
+    hot: f ? [...f.hot.items.values()].map(function one({ value: [x, share, tokens] }) { return { part: x, share, tokens }; }) : null,
   };
 }
 
--- a/src/coordination/exchange/machine.ts
+++ b/src/coordination/exchange/machine.ts
@@ -6,7 +6,8 @@
 import { sums, type Sums } from '../../state/burden/sums.js';
 import { identity } from '../../state/index/identity.js';
 import { keptIndex, type KeptIndex } from '../../state/index/kept.js';
-import type { FeedAnswer, FeedCall, Tuning } from '../../types.js';
+import { itemHistory, type ItemHistory } from '../../state/history/items.js';
+import type { FeedAnswer, FeedCall, HotRow, Tracking, Tuning } from '../../types.js';
 
 const leastBeatMs = 20;
 const longestBeatMs = 250;
@@ -15,16 +16,17 @@
 const mostChanges = 4000;
 const mostTotal = 50_000;
 const gatherMs = 1500;
+const hotMs = 400;
 
 export type Exchange = {
   epoch: number; index: KeptIndex; tracker: Tracker; sums: Sums; jury: Jury; k: number; beatMs: number;
-  hot: [string, number, number][]; hotKeys: string; hotSeq: number;
+  hot: ItemHistory<HotRow>; hotSeq: number; hotAt: number;
 };
 
 function create(epoch: number, t: Tuning, k: number): Exchange {
   return {
     epoch, index: keptIndex.create(t.movedTokens, mostChanges), tracker: tracker.create(t.epsilon, t.phi, mostTotal, gatherMs),
-    sums: sums.create(), jury: jury.create(), k, beatMs: beatOf(k), hot: [], hotKeys: '', hotSeq: 0,
+    sums: sums.create(), jury: jury.create(), k, beatMs: beatOf(k), hot: itemHistory.create(), hotSeq: 0, hotAt: -Infinity,
   };
 }
 
@@ -41,6 +43,14 @@
   return { ...told, shownNo: sums.shownNo(s.sums, call.site, call.life) };
 }
 
+// The hot set as a site lacks it: the parts that came in and those that left since it was told.
+function hotOf(s: Exchange, call: FeedCall): Tracking['hot'] {
+  const known = call.since[0] === s.epoch ? call.hotSeq : -1;
+  if (known === s.hotSeq) return null;
+  const d = known < 0 ? null : itemHistory.since(s.hot, known);
+  return d ? { whole: false, upserts: d.upserts, removals: d.removals } : { whole: true, upserts: [...s.hot.items.values()].map(function row(x) { return x.value; }), removals: [] };
+}
+
 // A call without a hold only reports: it is answered with what says that the report was taken.
 function answerOf(s: Exchange, call: FeedCall, known: boolean): FeedAnswer {
   const t = s.tracker;
@@ -50,7 +60,7 @@
     epoch: s.epoch, at: isReport ? call.since[1] : keptIndex.last(s.index), whole: fresh === null, changes: fresh ?? keptIndex.all(s.index),
     burdens: isReport ? null : burdensOf(s, call), beatMs: s.beatMs,
     verdicts: !isReport && (s.jury.seq !== call.verdictSeq || call.since[0] !== s.epoch) ? { seq: s.jury.seq, rows: jury.verdicts(s.jury) } : null, taken: call.report?.seq ?? 0, known,
-    tracking: { k: s.k, total: t.total, gather: t.gather, era: t.era, hotSeq: s.hotSeq, hot: !isReport && (s.hotSeq > call.hotSeq || call.since[0] !== s.epoch) ? s.hot : null },
+    tracking: { k: s.k, total: t.total, gather: t.gather, era: t.era, hotSeq: s.hotSeq, hot: isReport ? null : hotOf(s, call) },
   };
 }
 
@@ -67,6 +77,23 @@
   jury.beat(s.jury, bench, now);
 }
 
+function hotName(h: HotRow): string {
+  return h[0];
+}
+
+// A share that is told stands until it is off by half, so that what is hot is told once and not at
+// every count.
+function showHot(s: Exchange): void {
+  const list = tracker.hot(s.tracker).map(function row(h): HotRow {
+    const was = s.hot.items.get(h.x)?.value;
+    return was && h.share < was[1] * 1.5 && h.share > was[1] / 1.5 && was[2] === h.tokens ? was : [h.x, Math.round(h.share * 1e6) / 1e6, h.tokens];
+  });
+  const isSame = list.length === s.hot.items.size && list.every(function kept(h) { return s.hot.items.get(h[0])?.value === h; });
+  if (isSame) return;
+  s.hotSeq++;
+  itemHistory.advance(s.hot, s.hotSeq, list, hotName);
+}
+
 // A slower beat for what changes slowly: who is there, what is hot, which places have fallen silent.
 function track(s: Exchange, a: { k: number; live: Set<string>; weights: Record<string, number> }, now: number): void {
   s.k = a.k;
@@ -74,12 +101,9 @@
   keptIndex.age(s.index, now);
   tracker.beat(s.tracker, a.live, now);
   tracker.retire(s.tracker, function isRetired(x) { return identity.isRetired(x.slice(0, x.lastIndexOf(' ')), a.weights); });
-  const hot = tracker.hot(s.tracker).map(function row(h): [string, number, number] { return [h.x, Math.round(h.share * 1e6) / 1e6, h.tokens]; });
-  const keys = hot.map(function key(h) { return h[0]; }).sort().join('\n');
-  if (keys === s.hotKeys) return;
-  s.hotKeys = keys;
-  s.hot = hot;
-  s.hotSeq++;
+  if (now - s.hotAt < hotMs) return;
+  s.hotAt = now;
+  showHot(s);
 }
 
 // How many sites find a runner unsound.
--- a/src/dataplane/feed.ts
+++ b/src/dataplane/feed.ts
@@ -75,7 +75,9 @@
   siteTracker.told(x.tracker, a.tracking);
   site.hot.total = a.tracking.total;
   if (a.tracking.hot) {
-    site.hot.share = new Map(a.tracking.hot.map(function pair(h) { return [h[0], h[1]] as const; }));
+    if (a.tracking.hot.whole) site.hot.share.clear();
+    for (const key of a.tracking.hot.removals) site.hot.share.delete(key);
+    for (const [key, share] of a.tracking.hot.upserts) site.hot.share.set(key, share);
     x.hotSeq = a.tracking.hotSeq;
   }
   x.beatMs = a.beatMs;
--- a/src/dataplane/policies/assign.ts
+++ b/src/dataplane/policies/assign.ts
@@ -17,7 +17,6 @@
 const zoneCost = 300;
 const shareCost = 600;
 const ownBlocks = 16;
-const copyCost = 0;
 const newChannelCost = 100;
 const queuedCost = 4000;
 const downMs = 5000;
@@ -116,17 +115,6 @@
   return p.parts.slice(0, -1);
 }
 
-// Tokens at the head of a prompt that are worth moving. A copy of them at one more runner displaces
-// others there, which will have to be read again.
-function movable(site: Site, p: Passage): number {
-  let n = 0;
-  for (const x of shared(p)) {
-    if (x.tokens < site.tuning.movedTokens) break;
-    n += x.tokens;
-  }
-  return n;
-}
-
 // The store gets a copy of a shared part that is hot, counting this request, unless it has one.
 function saveTo(site: Site, p: Passage, salt: string, now: number): string | null {
   const store = site.table!.stores[0]?.kv_store_addr;
@@ -162,7 +150,6 @@
   let best: Assigned | null = null;
   let bestCost = Infinity;
   const draw = affinity(p);
-  const big = movable(site, p);
   const isLong = whole >= longTokens;
   const among = isLong ? forLong(of) : null;
   const claims = whole + (p.tokens?.most ?? 0);
@@ -182,7 +169,6 @@
     const queued = s.active + s.othersActive + 1 - s.slots;
     if (queued > 0) cost += queued * queuedCost;
     if (s.zone !== site.settings.zone_name) cost += zoneCost;
-    if (big > has) cost += copyCost;
     if (!channels.isWarm(s.agent, p.repeatable, now)) cost += newChannelCost;
     const over = s.claimed + s.othersClaimed + claims - room * 0.9;
     if (over > 0) cost += over * crampedCost;
--- a/src/tools/simulate/fleet.ts
+++ b/src/tools/simulate/fleet.ts
@@ -58,7 +58,7 @@
 function siteOf(f: FleetFile, zone: string): Site {
   const bounds = { version_ms: 8000, retry_ratio: 0.2, retry_window_s: 10, retry_slack: 58 };
   const site: Partial<Site> = {
-    settings: { zone_name: zone, bound_set: bounds } as unknown as Settings, fleet: fleet.create(), table: routes.build(configurationOf(f)), weights: { [model]: 1 }, weightsSeq: 0,
+    settings: { zone_name: zone, zones: Object.fromEntries(Object.keys(f.zones).map(function one(z) { return [z, 'one'] as const; })), bound_set: bounds } as unknown as Settings, fleet: fleet.create(), table: routes.build(configurationOf(f)), weights: { [model]: 1 }, weightsSeq: 0,
     weightsAt: new Map(), board: { epoch: 0, seq: 0, runners: [], sites: 0 }, budget: budget.create(10_000, bounds.retry_ratio, bounds.retry_slack),
     holdings: holdings.create(20_000), hintsUntil: Infinity, storeLeases: 0, transfers: transfers.create({ leaseMs: 4000, mostAtSource: 6, longestQueueMs: 1500 }), prices: prices.create(), hot: { share: new Map(), total: 0 }, stirred: new EventEmitter(),
     tuning: { epsilon: f.tuning.epsilon, phi: f.tuning.phi, movedTokens: f.tuning.moved_tokens, hotSet: f.tuning.hot_set, orderMethod: 'retain', orderShare: 0.25, urgency: false, transfers: true },
--- a/src/types.ts
+++ b/src/types.ts
@@ -91,7 +91,8 @@
   epoch: number; at: number; whole: boolean; changes: [string, string, string, number, string][];
   burdens: { revision: number; whole: boolean; rows: BurdenRow[]; shownNo: number } | null; beatMs: number; verdicts: { seq: number; rows: Verdict[] } | null; taken: number; known: boolean; tracking: Tracking;
 };
-export type Tracking = { k: number; total: number; gather: number; era: number; hotSeq: number; hot: [string, number, number][] | null };
+export type Tracking = { k: number; total: number; gather: number; era: number; hotSeq: number; hot: { whole: boolean; upserts: HotRow[]; removals: string[] } | null };
+export type HotRow = [string, number, number];
 
 export type OperatorCall = { method: string; path: string; match: string | null; body: Uint8Array };
 export type OperatorAnswer = { status: number; body: string };
--- a/test/loopback.test.ts
+++ b/test/loopback.test.ts
@@ -4,6 +4,7 @@
 import { after, before, test } from 'node:test';
 import { Agent } from 'node:http';
 import { connect } from 'node:net';
+import { identity } from '../src/state/index/identity.js';
 import { luck } from './support/random.js';
 import { fleetStandin as fs, model, type Fleet } from './standins/fleet.js';
 
@@ -162,7 +163,8 @@
   const all = f.runners.flatMap(function ran(r) { return r.ran; });
   function saltOf(h: Record<string, string>): string { return all.find(function same(x) { return x.attempt === h['X-Attempt-Id']; })!.salt; }
   assert.notEqual(saltOf(shared), saltOf(own));
-  assert.match(saltOf(own), /t-two/);
+  assert.deepEqual(identity.parse(saltOf(shared)), { wall: 'all', model, revision: 1 });
+  assert.deepEqual(identity.parse(saltOf(own)), { wall: `t-${Buffer.from('t-two').toString('base64url')}`, model, revision: 1 });
 });
 
 test('the operator is told what is wrong, who won, and what is in force', async function run() {
--- /dev/null
+++ b/test/scale/run.ts
@@ -0,0 +1,181 @@
+// `npm run scale`: how the control plane grows with the fleet, on one machine. Three real coordinators
+// and one real site run as processes over loopback; beside them hollow sites share this process: they
+// run the real protocol modules of a site, take no traffic, and pretend to send requests. For each size
+// it prints what one site exchanges (counts, the same in like runs but for timing) and the processor
+// time of the coordinators (noisy: median and range of several windows), and fits a line to it. Bounded
+// in time; ends all that it started. Results go to target/scale.json.
+import { execFileSync } from 'node:child_process';
+import { readFileSync, writeFileSync } from 'node:fs';
+import type { Agent } from 'node:http';
+import type { Socket } from 'node:net';
+import { feeding } from '../../src/dataplane/feed.js';
+import { follow, type Follower } from '../../src/dataplane/follow.js';
+import type { Assigned, Passage, Site } from '../../src/dataplane/types.js';
+import { ringLog } from '../../src/logging/ring.js';
+import { siteProgram } from '../../src/programs/site.js';
+import { tuning } from '../../src/protocol/settings/tuning.js';
+import { identity } from '../../src/state/index/identity.js';
+import { channel } from '../../src/transport/inner/channel.js';
+import type { Settings } from '../../src/types.js';
+import { fleetStandin as fs, model, type Fleet } from '../standins/fleet.js';
+import { luck, type Luck } from '../support/random.js';
+
+const net = 79;
+const seed = 20;
+const runners = 8;
+const sizes = [15, 30, 60, 120];
+const perSecond = 7.6;
+const longShare = 0.1;
+const windowMs = 2000;
+const windows = 3;
+const settleMs = 3000;
+
+type Hollow = { site: Site; f: Follower };
+type Meter = { sockets: Set<Socket>; calls: number; closedIn: number; closedOut: number };
+
+function wait(ms: number): Promise<void> {
+  return new Promise(function run(done) { setTimeout(done, ms); });
+}
+
+function metered(): { agent: Agent; meter: Meter } {
+  const agent = channel.agent();
+  agent.maxSockets = Infinity;
+  const meter: Meter = { sockets: new Set(), calls: 0, closedIn: 0, closedOut: 0 };
+  agent.on('free', function over(socket: Socket) {
+    meter.calls++;
+    if (meter.sockets.has(socket)) return;
+    meter.sockets.add(socket);
+    socket.on('close', function closed() {
+      meter.sockets.delete(socket);
+      meter.closedIn += socket.bytesRead;
+      meter.closedOut += socket.bytesWritten;
+    });
+  });
+  return { agent, meter };
+}
+
+function bytes(m: Meter): { in: number; out: number } {
+  const n = { in: m.closedIn, out: m.closedOut };
+  for (const s of m.sockets) {
+    n.in += s.bytesRead;
+    n.out += s.bytesWritten;
+  }
+  return n;
+}
+
+function hollow(n: number, agent: Agent): Hollow {
+  const seeds = [1, 2, 3].map(function seedAt(i) { return `${fs.ip(net, i)}:${fs.ports.inner}`; });
+  const s = {
+    node_name: `hollow-${n}`, ip_addr: '127.0.0.1', zone_name: 'z1', zones: { z1: 'r1' }, bind_addrs: {}, port_range: [fs.ports.inner, fs.ports.inner], seed_addrs: seeds, is_first_start: true, beat_ms: 1000,
+    bound_set: { retry_window_s: 10, retry_ratio: 0.2, retry_slack: 58, version_ms: 8000 },
+  } as unknown as Settings;
+  return {
+    site: siteProgram.create(s, ringLog.create('site', s.node_name), tuning.defaults),
+    f: { life: `life-${n}`, via: agent, known: seeds, seeds, at: n % 3, sequencer: null, stopped: false, whole: false },
+  };
+}
+
+// Pretends a request: what it adds to a runner's burden, and for a long one the part that is sent there.
+function pretend(l: Luck, h: Hollow): void {
+  const list = [...h.site.fleet.byId.values()];
+  if (list.length === 0) return;
+  const slot = luck.pick(l, list);
+  const isLong = luck.next(l) < longShare;
+  const reads = isLong ? 15_000 : 300;
+  slot.active++;
+  slot.reading += reads;
+  slot.claimed += reads;
+  if (isLong) {
+    const part = { id: (0x1000 + luck.below(l, 400)).toString(16), tokens: 13_000 };
+    h.site.sent({ parts: [part, { id: 'ff', tokens: 2000 }] } as unknown as Passage, { slot, salt: identity.salt({ wall: 'all', model, revision: 1 }) } as unknown as Assigned);
+  }
+  h.site.burdenChanged();
+  setTimeout(function over() {
+    slot.active--;
+    slot.reading -= reads;
+    slot.claimed -= reads;
+    h.site.burdenChanged();
+  }, isLong ? 350 : 120);
+}
+
+function cpuMs(pid: number): number {
+  const fields = readFileSync(`/proc/${pid}/stat`, 'utf8').split(') ')[1]!.split(' ');
+  return (Number(fields[11]) + Number(fields[12])) * 10;
+}
+
+function memoryMb(pid: number): number {
+  return Number(/VmHWM:\s+(\d+)/.exec(readFileSync(`/proc/${pid}/status`, 'utf8'))![1]) / 1024;
+}
+
+function median(list: number[]): number {
+  return [...list].sort(function up(a, b) { return a - b; })[Math.floor(list.length / 2)]!;
+}
+
+// Least squares y = a + b·x, with the largest distance of a point from the line.
+function fit(points: [number, number][]): { at0: number; slope: number; residual: number } {
+  const n = points.length;
+  const mx = points.reduce(function sum(t, p) { return t + p[0]; }, 0) / n;
+  const my = points.reduce(function sum(t, p) { return t + p[1]; }, 0) / n;
+  const slope = points.reduce(function sum(t, p) { return t + (p[0] - mx) * (p[1] - my); }, 0) / points.reduce(function sum(t, p) { return t + (p[0] - mx) ** 2; }, 0);
+  const at0 = my - slope * mx;
+  return { at0, slope, residual: Math.max(...points.map(function far(p) { return Math.abs(p[1] - at0 - slope * p[0]); })) };
+}
+
+async function measure(f: Fleet, n: number, hollows: Hollow[], meter: Meter): Promise<Record<string, number | number[]>> {
+  const pids = [1, 2, 3].map(function pid(i) { return f.machines[i - 1]!.child!.pid!; });
+  const cores: number[] = [];
+  const most: number[] = [];
+  const before = bytes(meter);
+  const calls = meter.calls;
+  for (let w = 0; w < windows; w++) {
+    const was = pids.map(cpuMs);
+    await wait(windowMs);
+    const used = pids.map(function each(p, i) { return (cpuMs(p) - was[i]!) / windowMs; });
+    cores.push(used.reduce(function sum(a, b) { return a + b; }, 0));
+    most.push(Math.max(...used));
+  }
+  const after = bytes(meter);
+  const siteSeconds = (hollows.length * windows * windowMs) / 1000;
+  return {
+    sites: n + 1, callsPerSiteSecond: (meter.calls - calls) / siteSeconds, bytesInPerSiteSecond: (after.in - before.in) / siteSeconds, bytesOutPerSiteSecond: (after.out - before.out) / siteSeconds,
+    coordinatorsCores: median(cores), coordinatorsCoresRange: [Math.min(...cores), Math.max(...cores)], sequencerCores: median(most), coordinatorMb: Math.max(...pids.map(memoryMb)),
+  };
+}
+
+async function main(): Promise<void> {
+  const f = await fs.create(net, 1, runners);
+  const { agent, meter } = metered();
+  const hollows: Hollow[] = [];
+  const l = luck.create(seed);
+  const beat = setInterval(function send() { for (const h of hollows) if (luck.next(l) < perSecond / 50) pretend(l, h); }, 20);
+  const rows: Record<string, number | number[]>[] = [];
+  try {
+    await fs.until(function put() { return fs.operator(f, 1, 'PUT', '/v1/config', fs.configuration(3, net), 0); }, function taken(r) { return r.status === 200; }, 'the first configuration');
+    await fs.until(function ask() { return fs.ready(f, 1); }, function yes(r) { return r.status === 200; }, 'the real site');
+    for (const n of sizes) {
+      while (hollows.length < n) {
+        const h = hollow(hollows.length, agent);
+        hollows.push(h);
+        void follow.run(h.site, h.f);
+        void feeding.run(h.site, h.f);
+      }
+      await wait(settleMs);
+      rows.push(await measure(f, n, hollows, meter));
+      process.stdout.write(`${JSON.stringify(rows.at(-1))}\n`);
+    }
+  } finally {
+    clearInterval(beat);
+    for (const h of hollows) h.f.stopped = true;
+    agent.destroy();
+    await fs.stop(f);
+  }
+  const fits = Object.fromEntries(['callsPerSiteSecond', 'bytesInPerSiteSecond', 'bytesOutPerSiteSecond', 'coordinatorsCores', 'sequencerCores', 'coordinatorMb'].map(function one(k) {
+    return [k, fit(rows.map(function point(r): [number, number] { return [r.sites as number, r[k] as number]; }))] as const;
+  }));
+  const revision = execFileSync('git', ['rev-parse', '--short', 'HEAD']).toString().trim();
+  writeFileSync('target/scale.json', JSON.stringify({ seed, revision, runners, rows, fits }, null, 2));
+  process.stdout.write(`fits (value at 0, slope a site, largest residual): ${JSON.stringify(fits, null, 1)}\ncounts: calls, bytes (repeat but for timing); noisy: cores, memory\n`);
+  process.exit(0);
+}
+
+await main();
