--- a/src/dataplane/policies/assign.ts
+++ b/src/dataplane/policies/assign.ts
@@ -49,8 +49,13 @@
   return now - at > site.settings.bound_set.version_ms * 0.85;
 }
 
+// A stream that broke is better taken up at a runner under suspicion than given up.
+function mayResume(p: Passage, s: Slot): boolean {
+  return p.legs > 0 && p.repeatable && p.maybeRun && s.phase === 'suspect' && s.listed && !s.draining && !s.parked;
+}
+
 function mayTake(site: Site, p: Passage, s: Slot, now: number): boolean {
-  if (!fleet.usable(s, now) || p.runners.has(s.ix)) return false;
+  if (p.runners.has(s.ix) || !(fleet.usable(s, now) || mayResume(p, s))) return false;
   if (s.active >= Math.min(s.slots * 2, s.cap)) return false;
   return !tooOld(site, p, revisionAt(p, s), now);
 }
--- a/test/dataplane.test.ts
+++ b/test/dataplane.test.ts
@@ -252,3 +252,15 @@
   slot(s, 'a').active = 1;
   assert.equal(assign.choose(s, p, 5000)!.slot.id, 'b', 'one at a time');
 });
+
+test('what broke under way is taken up even at a suspect runner in its pause, never at one that is down', function run() {
+  const s = site(['a', 'b'].map(function one(id) { return runner(id); }));
+  const p = request(s, 60);
+  Object.assign(p, { repeatable: true, legs: 1, maybeRun: true });
+  p.runners.add(slot(s, 'a').ix);
+  fleet.turn(slot(s, 'b'), 'suspect', 0);
+  assert.equal(assign.choose(s, p, 10)!.slot.id, 'b');
+  assert.equal(assign.choose(s, request(s, 60), 10)!.slot.id, 'a', 'a new request waits for the pause');
+  fleet.turn(slot(s, 'b'), 'down', 0);
+  assert.equal(assign.choose(s, p, 10), null);
+});
