--- a/test/loopback.test.ts
+++ b/test/loopback.test.ts
@@ -159,6 +159,22 @@
   one!.breakAfter = two!.breakAfter = null;
 });
 
+test('a failure of a runner: what may be repeated goes to the other one, what may not comes back as it is', async function run() {
+  const [one, two] = f.runners;
+  one!.mode = 'fail';
+  await fs.until(async function ask() {
+    const h = heads({ 'X-Prompt-Prefix': `fa${seq}:1500,0b:100` });
+    const r = await fs.client(f, 1, h);
+    assert.notEqual(r.status, 500, 'a failure that could be mended is not passed on');
+    return { r, runs: runsOf(h['X-Attempt-Id']!) };
+  }, function mended(x) { return x.r.status === 200 && x.r.whole && x.runs === 2; }, 'an answer of the other runner');
+  two!.mode = 'fail';
+  const once = heads();
+  const r = await fs.client(f, 1, once, '/once/x');
+  assert.deepEqual([r.status, r.body, runsOf(once['X-Attempt-Id']!)], [500, 'failed', 1]);
+  one!.mode = two!.mode = 'well';
+});
+
 test('an isolated tenant has salts of its own', async function run() {
   const shared = await servedHeads({});
   const own = await servedHeads({ 'X-Api-Key': 'key-two' });
--- a/test/standins/runner.ts
+++ b/test/standins/runner.ts
@@ -3,7 +3,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 
 export type Ran = { attempt: string; tenant: string | undefined; path: string; body: string; salt: string; version: number; lastEvent: string | undefined; key: string | undefined; saveTo: string | undefined; fetchFrom: string | undefined };
-export type Mode = 'well' | 'refuse' | 'break' | 'other id' | 'garbage' | 'extra' | 'no seal' | 'hang up';
+export type Mode = 'well' | 'refuse' | 'break' | 'other id' | 'fail' | 'garbage' | 'extra' | 'no seal' | 'hang up';
 export type RunnerStandin = {
   id: string; host: string; port: number; service: string; zone: string; model: string; version: number; draining: boolean;
   mode: Mode; store: RunnerStandin | null; pieces: number; breakAfter: number | null; refuse: boolean; ran: Ran[]; orders: object[]; kept: Map<string, [string, string, number, string]>;
@@ -112,6 +112,10 @@
     case 'hang up':
       res.socket?.destroy();
       return;
+    case 'fail':
+      res.writeHead(500, { ...head, 'Content-Type': 'text/plain' });
+      res.end('failed');
+      return;
     case 'garbage':
       res.socket?.end('these bytes are no answer\r\n\r\n');
       return;
