--- a/test/scale/run.ts
+++ b/test/scale/run.ts
@@ -145,6 +145,9 @@
 
 async function main(): Promise<void> {
   const f = await fs.create(net, 1, runners);
+  for (const signal of ['SIGINT', 'SIGTERM'] as const) {
+    process.once(signal, function broken() { void fs.stop(f).then(function gone() { process.exit(1); }); });
+  }
   const { agent, meter } = metered();
   const hollows: Hollow[] = [];
   const l = luck.create(seed);
