--- a/build.mjs
+++ b/build.mjs
@@ -13,6 +13,8 @@
   platform: 'node',
   target: 'node20',
   format: 'esm',
-  banner: { js: "#!/usr/bin/env node\nimport { createRequire as requireFrom } from 'node:module'; const require = requireFrom(import.meta.url);" },
+  banner: {
+    js: "#!/usr/bin/env node\nimport { createRequire as requireFrom } from 'node:module'; const require = requireFrom(import.meta.url);",
+  },
   external: ['dtrace-provider', 'mv', 'moment', 'source-map-support', 'msgpackr-extract', 'safe-json-stringify'],
 });
--- a/src/controlplane/access.ts
+++ b/src/controlplane/access.ts
@@ -12,7 +12,11 @@
 function sight(c: Coordinator): Sight {
   const m = c.group.machine;
   return {
-    pending: c.group.state.rules.pending, wonAt: m.wonAt, leaseMs: leaveMs, freshMs: witnessMs, own: [...c.sessions.values()],
+    pending: c.group.state.rules.pending,
+    wonAt: m.wonAt,
+    leaseMs: leaveMs,
+    freshMs: witnessMs,
+    own: [...c.sessions.values()],
     witnesses: [...m.partners.values()].map(function one(p) {
       const told = c.partnerSessions.get(p.id);
       return { id: p.id, heardAt: told?.at ?? m.wonAt, revision: told?.revision ?? 0, sites: told?.sessions ?? [] };
--- a/src/controlplane/board.ts
+++ b/src/controlplane/board.ts
@@ -73,13 +73,19 @@
   const news = newer(c.board, p.have[0], p.have[1]);
   if (onlyNews && !news) return;
   p.busy = true;
-  const call: BoardCall = { board: news ? c.board : null, epoch: c.group.machine.epoch, echo: c.partnerSessions.get(id)?.no ?? 0 };
+  const call: BoardCall = {
+    board: news ? c.board : null,
+    epoch: c.group.machine.epoch,
+    echo: c.partnerSessions.get(id)?.no ?? 0,
+  };
   const r = await channel.post<BoardReply>(c.agent, addr, '/inner/board', call, legMs);
   p.busy = false;
   if (r.ok) {
     p.have = r.value.have;
     const at = performance.now();
-    const list = r.value.sessions.map(function one(s) { return { ...s, seenAt: at - s.seenAt }; });
+    const list = r.value.sessions.map(function one(s) {
+      return { ...s, seenAt: at - s.seenAt };
+    });
     c.partnerSessions.set(id, { at, no: r.value.no, revision: r.value.revision, sessions: list });
   }
   if (p.again && r.ok) {
@@ -96,12 +102,20 @@
   }
   const now = performance.now();
   const { reply } = c;
-  if (call.epoch >= c.group.machine.epoch) reply.heardUpTo = Math.max(reply.heardUpTo, reply.sentAt.get(call.echo) ?? -Infinity);
+  if (call.epoch >= c.group.machine.epoch)
+    reply.heardUpTo = Math.max(reply.heardUpTo, reply.sentAt.get(call.echo) ?? -Infinity);
   for (const no of reply.sentAt.keys()) if (no < call.echo) reply.sentAt.delete(no);
   reply.no++;
   reply.sentAt.set(reply.no, now);
-  const list = sessions.own(c).map(function aged(s) { return { ...s, seenAt: now - s.seenAt }; });
-  return { have: [c.board.epoch, c.board.seq], no: reply.no, revision: c.group.state.configuration?.revision ?? 0, sessions: list };
+  const list = sessions.own(c).map(function aged(s) {
+    return { ...s, seenAt: now - s.seenAt };
+  });
+  return {
+    have: [c.board.epoch, c.board.seq],
+    no: reply.no,
+    revision: c.group.state.configuration?.revision ?? 0,
+    sessions: list,
+  };
 }
 
 // Whether this node may give sites leave to honour access rules: the sequencer while its hold lasts,
@@ -112,7 +126,9 @@
 }
 
 function start(c: Coordinator): NodeJS.Timeout {
-  return setInterval(function refresh() { tellAll(c, false); }, refreshMs);
+  return setInterval(function refresh() {
+    tellAll(c, false);
+  }, refreshMs);
 }
 
 export const boards = { empty, newer, change, wake, receive, hasLeave, start };
--- a/src/controlplane/feed.ts
+++ b/src/controlplane/feed.ts
@@ -64,13 +64,26 @@
     states.delete(c);
     return;
   }
-  exchange.track(state(c), { k: sessions.count(c), live: new Set(sessions.all(c).values()), weights: c.group.state.weights }, performance.now());
+  exchange.track(
+    state(c),
+    { k: sessions.count(c), live: new Set(sessions.all(c).values()), weights: c.group.state.weights },
+    performance.now(),
+  );
 }
 
 // Whom the jury judges, and who may try an unsound runner.
 function benchOf(c: Coordinator, s: FeedState): Bench {
-  const serving = (c.board.runners ?? []).filter(function serves(r) { return !r.draining; });
-  return { runners: new Map(serving.map(function pair(r) { return [r.id, r.service] as const; })), sites: [...s.sums.sites.keys()] };
+  const serving = (c.board.runners ?? []).filter(function serves(r) {
+    return !r.draining;
+  });
+  return {
+    runners: new Map(
+      serving.map(function pair(r) {
+        return [r.id, r.service] as const;
+      }),
+    ),
+    sites: [...s.sums.sites.keys()],
+  };
 }
 
 function turn(c: Coordinator): void {
@@ -79,12 +92,16 @@
     exchange.beat(s, benchOf(c, s), performance.now());
     wake(s);
   }
-  setTimeout(function next() { turn(c); }, s?.beatMs ?? trackMs);
+  setTimeout(function next() {
+    turn(c);
+  }, s?.beatMs ?? trackMs);
 }
 
 function start(c: Coordinator): NodeJS.Timeout {
   turn(c);
-  return setInterval(function tick() { track(c); }, trackMs);
+  return setInterval(function tick() {
+    track(c);
+  }, trackMs);
 }
 
 export const feed = { call, start, state };
--- a/src/controlplane/kept.ts
+++ b/src/controlplane/kept.ts
@@ -20,14 +20,25 @@
 function places(c: Coordinator): Place[] {
   const services = c.group.state.configuration?.service_list ?? [];
   const out: Place[] = [];
-  for (const s of services) if (s.kv_store_addr !== undefined && out.length === 0) out.push({ name: storeName, addr: s.kv_store_addr });
-  const engines = new Set(services.filter(function engine(s) { return s.engine_kind !== undefined; }).map(function label(s) { return s.label; }));
+  for (const s of services)
+    if (s.kv_store_addr !== undefined && out.length === 0) out.push({ name: storeName, addr: s.kv_store_addr });
+  const engines = new Set(
+    services
+      .filter(function engine(s) {
+        return s.engine_kind !== undefined;
+      })
+      .map(function label(s) {
+        return s.label;
+      }),
+  );
   for (const r of runners.listed(c)) if (engines.has(r.service)) out.push({ name: r.id, addr: r.addr });
   return out;
 }
 
 function pause(ms: number): Promise<void> {
-  return new Promise(function wait(done) { setTimeout(done, ms); });
+  return new Promise(function wait(done) {
+    setTimeout(done, ms);
+  });
 }
 
 async function follow(c: Coordinator, p: Place, epoch: number, open: Map<string, string>): Promise<void> {
@@ -62,7 +73,11 @@
       return;
     }
     const now = places(c);
-    const names = new Set(now.map(function name(p) { return p.name; }));
+    const names = new Set(
+      now.map(function name(p) {
+        return p.name;
+      }),
+    );
     const s = feed.state(c);
     for (const name of [...open.keys()]) {
       if (names.has(name)) continue;
--- a/src/controlplane/news.ts
+++ b/src/controlplane/news.ts
@@ -13,24 +13,40 @@
 
 function hasNews(c: Coordinator, call: NewsCall): boolean {
   const s = c.group.state;
-  return call.whole || (s.configuration?.revision ?? 0) > call.revision || s.weightsSeq > call.weights || s.rules.seq > call.rules || boards.newer(c.board, call.board[0], call.board[1]);
+  return (
+    call.whole ||
+    (s.configuration?.revision ?? 0) > call.revision ||
+    s.weightsSeq > call.weights ||
+    s.rules.seq > call.rules ||
+    boards.newer(c.board, call.board[0], call.board[1])
+  );
 }
 
 function answerOf(c: Coordinator, call: NewsCall): NewsAnswer {
   const s = c.group.state;
   const m = c.group.machine;
   const isBehind = (s.configuration?.revision ?? 0) > call.revision || (call.whole && s.configuration !== null);
-  const configurationDelta = !isBehind || call.whole || c.configurations.current !== s.configuration ? null : configurationHistory.since(c.configurations, call.revision);
+  const configurationDelta =
+    !isBehind || call.whole || c.configurations.current !== s.configuration
+      ? null
+      : configurationHistory.since(c.configurations, call.revision);
   const isOldBoard = boards.newer(c.board, call.board[0], call.board[1]) || (call.whole && c.board.seq > 0);
-  const boardDelta = !isOldBoard || call.whole ? null : boardHistory.since(c.boardHistory, call.board[0], call.board[1]);
+  const boardDelta =
+    !isOldBoard || call.whole ? null : boardHistory.since(c.boardHistory, call.board[0], call.board[1]);
   return {
-    configuration: isBehind && !configurationDelta ? s.configuration : null, configurationDelta,
-    weights: s.weightsSeq > call.weights ? s.weights : null, weightsSeq: s.weightsSeq,
+    configuration: isBehind && !configurationDelta ? s.configuration : null,
+    configurationDelta,
+    weights: s.weightsSeq > call.weights ? s.weights : null,
+    weightsSeq: s.weightsSeq,
     rules: s.rules.seq > call.rules ? s.rules : null,
-    board: isOldBoard && !boardDelta ? c.board : null, boardDelta,
+    board: isOldBoard && !boardDelta ? c.board : null,
+    boardDelta,
     sequencer: groupDriver.sequencerControl(c.group),
-    coordinators: m.roster.map(function at(x) { return x.addr; }),
-    fresh: groupDriver.fresh(c.group), leave: boards.hasLeave(c),
+    coordinators: m.roster.map(function at(x) {
+      return x.addr;
+    }),
+    fresh: groupDriver.fresh(c.group),
+    leave: boards.hasLeave(c),
   };
 }
 
@@ -39,17 +55,22 @@
   return new Promise(function run(done) {
     if (hasNews(c, n)) return done(answerOf(c, n));
     const w: Waiter = {
-      due: function due() { return hasNews(c, n); },
+      due: function due() {
+        return hasNews(c, n);
+      },
       answer: function answer() {
         clearTimeout(timer);
         sessions.touch(c, n.site, n.life, n.revision);
         done(answerOf(c, n));
       },
     };
-    const timer = setTimeout(function over() {
-      c.waiters.delete(w);
-      w.answer();
-    }, Math.min(longestHoldMs, n.hold));
+    const timer = setTimeout(
+      function over() {
+        c.waiters.delete(w);
+        w.answer();
+      },
+      Math.min(longestHoldMs, n.hold),
+    );
     c.waiters.add(w);
   });
 }
--- a/src/controlplane/operator.ts
+++ b/src/controlplane/operator.ts
@@ -17,7 +17,11 @@
 const lookMs = 40;
 const turns = new WeakMap<Coordinator, Mutex>();
 
-const known: Record<string, string[]> = { '/v1/config': ['GET', 'PUT', 'PATCH'], '/v1/version-put': ['POST'], '/v1/status': ['GET'] };
+const known: Record<string, string[]> = {
+  '/v1/config': ['GET', 'PUT', 'PATCH'],
+  '/v1/version-put': ['POST'],
+  '/v1/status': ['GET'],
+};
 
 function turn(c: Coordinator): Mutex {
   let m = turns.get(c);
@@ -35,19 +39,27 @@
 const unsettled = fixed(503, { message: 'no sequencer is sure of its epoch; send the call again' });
 
 async function read(c: Coordinator): Promise<OperatorAnswer> {
-  if (!await groupDriver.confirm(c.group, waitMs)) return unsettled;
+  if (!(await groupDriver.confirm(c.group, waitMs))) return unsettled;
   const now = c.group.state.configuration;
   return now ? fixed(200, now) : fixed(404, { message: 'there is no configuration yet' });
 }
 
 async function change(c: Coordinator, call: OperatorCall): Promise<OperatorAnswer> {
   return turn(c).runExclusive(async function one(): Promise<OperatorAnswer> {
-    if (!await groupDriver.confirm(c.group, waitMs)) return unsettled;
+    if (!(await groupDriver.confirm(c.group, waitMs))) return unsettled;
     const v = judge.call(c.group.state, call);
     if (v.v === 'refused') return { status: v.status, body: String(answers.refusal(v.status, v.findings).body) };
     if (v.v === 'taken') return fixed(200, { message: 'taken before' });
     const ok = await groupDriver.propose(c.group, v.command);
-    ringLog.note(c.log, { ok, kind: v.command.c, revision: v.command.c === 'configure' ? v.command.configuration.revision : v.command.revision }, 'ordered');
+    ringLog.note(
+      c.log,
+      {
+        ok,
+        kind: v.command.c,
+        revision: v.command.c === 'configure' ? v.command.configuration.revision : v.command.revision,
+      },
+      'ordered',
+    );
     return ok ? fixed(200, { message: 'taken' }) : unsettled;
   });
 }
@@ -70,7 +82,9 @@
       const r = await channel.post<OperatorAnswer | null>(c.agent, to, '/inner/operator', call, Math.min(left, 1500));
       if (r.ok && r.value !== null && r.value.status !== 503) return r.value;
     }
-    await new Promise(function pause(done) { setTimeout(done, lookMs); });
+    await new Promise(function pause(done) {
+      setTimeout(done, lookMs);
+    });
   }
 }
 
@@ -79,10 +93,16 @@
   const methods = known[path];
   if (!methods) return answers.send(res, answers.refusal(404, [{ place: 'path', text: `there is no ${path}` }]));
   const method = req.method ?? '';
-  if (!methods.includes(method)) return answers.send(res, answers.refusal(405, [{ place: 'method', text: `${path} takes ${methods.join(', ')}` }]));
+  if (!methods.includes(method))
+    return answers.send(res, answers.refusal(405, [{ place: 'method', text: `${path} takes ${methods.join(', ')}` }]));
   if (path === '/v1/status') return status.handle(c, req, res);
   const body = await channel.body(req, mostBytes);
-  if (body === null) return answers.send(res, answers.refusal(413, [{ place: '(whole)', text: `over ${mostBytes} bytes, or cut short` }]), true);
+  if (body === null)
+    return answers.send(
+      res,
+      answers.refusal(413, [{ place: '(whole)', text: `over ${mostBytes} bytes, or cut short` }]),
+      true,
+    );
   const match = req.headers['if-match'];
   const r = await handOver(c, { method, path, match: typeof match === 'string' ? match : null, body });
   const a: Answer = { status: r.status, headers: { 'Content-Type': 'application/json' }, body: r.body };
--- a/src/controlplane/parts.ts
+++ b/src/controlplane/parts.ts
@@ -11,8 +11,13 @@
 export type Waiter = { due: () => boolean; answer: () => void };
 
 export type Coordinator = {
-  settings: Settings; log: Log; group: GroupDriver; agent: Agent;
-  board: Board; boardHistory: BoardHistory; configurations: ConfigurationHistory;
+  settings: Settings;
+  log: Log;
+  group: GroupDriver;
+  agent: Agent;
+  board: Board;
+  boardHistory: BoardHistory;
+  configurations: ConfigurationHistory;
   sessions: Map<string, Session>;
   partnerSessions: Map<string, Told>;
   reply: { no: number; sentAt: Map<number, number>; heardUpTo: number };
--- a/src/controlplane/rollout.ts
+++ b/src/controlplane/rollout.ts
@@ -1,7 +1,12 @@
 // Drives the roll-out planner: sends its orders with the epoch as fence while this node holds the
 // duty beyond doubt, asks runners for their state, and shows the sites what is out of use.
 import { groupDriver } from '../coordination/group/driver.js';
-import { rolloutPlan, type RolloutEffect, type RolloutEvent, type RolloutState } from '../coordination/duties/rollout.js';
+import {
+  rolloutPlan,
+  type RolloutEffect,
+  type RolloutEvent,
+  type RolloutState,
+} from '../coordination/duties/rollout.js';
 import { calls } from '../protocol/calls/pairs.js';
 import { ringLog } from '../logging/ring.js';
 import type { Coordinator } from './parts.js';
@@ -15,7 +20,11 @@
 }
 
 function addrOf(c: Coordinator, id: string): string | null {
-  return runners.listed(c).find(function same(r) { return r.id === id; })?.addr ?? null;
+  return (
+    runners.listed(c).find(function same(r) {
+      return r.id === id;
+    })?.addr ?? null
+  );
 }
 
 function feed(c: Coordinator, s: RolloutState, ev: RolloutEvent): void {
@@ -24,17 +33,28 @@
 
 function carry(c: Coordinator, s: RolloutState, f: RolloutEffect): void {
   switch (f.f) {
-    case 'park': return runners.park(c, f.id, f.on);
-    case 'learn': return runners.learn(c, f.id, f.model, f.revision);
-    case 'order': return void order(c, s, f.job.id, f.job.model, f.job.revision);
-    case 'ask': return void report(c, s, f.job.id, f.job.model);
+    case 'park':
+      return runners.park(c, f.id, f.on);
+    case 'learn':
+      return runners.learn(c, f.id, f.model, f.revision);
+    case 'order':
+      return void order(c, s, f.job.id, f.job.model, f.job.revision);
+    case 'ask':
+      return void report(c, s, f.job.id, f.job.model);
   }
 }
 
 async function order(c: Coordinator, s: RolloutState, id: string, model: string, revision: number): Promise<void> {
   const addr = addrOf(c, id);
   if (addr === null || !mayAct(c)) return;
-  const call = calls.revisionOrder({ model, revision, method: c.tuning.orderMethod, holder: c.settings.node_name, fence: c.group.machine.epoch, instance: id });
+  const call = calls.revisionOrder({
+    model,
+    revision,
+    method: c.tuning.orderMethod,
+    holder: c.settings.node_name,
+    fence: c.group.machine.epoch,
+    instance: id,
+  });
   const r = await calls.send(c.agent, addr, call, legMs);
   ringLog.note(c.log, { runner: id, revision, result: r.ok ? r.value : r.trouble.t }, 'order');
   feed(c, s, { e: 'ordered', id, result: r.ok ? r.value : null });
@@ -44,12 +64,23 @@
   const addr = addrOf(c, id);
   if (addr === null) return;
   const r = await calls.send(c.agent, addr, calls.report(), legMs);
-  const at = r.ok ? r.value.models.find(function same(m) { return m.label === model; }) : undefined;
+  const at = r.ok
+    ? r.value.models.find(function same(m) {
+        return m.label === model;
+      })
+    : undefined;
   feed(c, s, { e: 'reported', id, revision: at?.revision ?? null, isBusy: r.ok ? r.value.isBusy : false });
 }
 
 function start(c: Coordinator): NodeJS.Timeout {
-  const s = rolloutPlan.create({ share: c.tuning.orderShare, parkMs: 60, askMs: 250, settleMs: 600, giveUpMs: 6000, pauseMs: 400 });
+  const s = rolloutPlan.create({
+    share: c.tuning.orderShare,
+    parkMs: 60,
+    askMs: 250,
+    settleMs: 600,
+    giveUpMs: 6000,
+    pauseMs: 400,
+  });
   return setInterval(function beat() {
     if (!groupDriver.isSequencer(c.group) && s.jobs.size === 0) return;
     feed(c, s, { e: 'beat', runners: runners.listed(c), targets: c.group.state.weights, mayAct: mayAct(c) });
--- a/src/controlplane/runners.ts
+++ b/src/controlplane/runners.ts
@@ -26,8 +26,11 @@
   return (h.listed ?? []).map(function one(r) {
     const known = h.known.get(r.id);
     return {
-      ...r, parked: h.parked.has(r.id),
-      models: r.models.map(function at(m) { return { label: m.label, revision: Math.max(m.revision, known?.get(m.label) ?? 0) }; }),
+      ...r,
+      parked: h.parked.has(r.id),
+      models: r.models.map(function at(m) {
+        return { label: m.label, revision: Math.max(m.revision, known?.get(m.label) ?? 0) };
+      }),
     };
   });
 }
@@ -37,7 +40,10 @@
   if (!h.listed || !groupDriver.isSequencer(c.group)) return;
   const next = merged(h);
   const sites = sessions.count(c);
-  const same = c.board.epoch === c.group.machine.epoch && c.board.sites === sites && JSON.stringify(next) === JSON.stringify(c.board.runners);
+  const same =
+    c.board.epoch === c.group.machine.epoch &&
+    c.board.sites === sites &&
+    JSON.stringify(next) === JSON.stringify(c.board.runners);
   if (!same) boards.change(c, { runners: next, sites });
 }
 
@@ -71,18 +77,26 @@
   }
   if (!groupDriver.isSequencer(c.group)) return;
   h.listed = r.value;
-  const ids = new Set(r.value.map(function id(x) { return x.id; }));
+  const ids = new Set(
+    r.value.map(function id(x) {
+      return x.id;
+    }),
+  );
   for (const id of [...h.known.keys()]) if (!ids.has(id)) h.known.delete(id);
   for (const id of [...h.parked]) if (!ids.has(id)) h.parked.delete(id);
   show(c);
 }
 
 async function run(c: Coordinator): Promise<void> {
-  c.group.on('phase', function changed() { void round(c); });
+  c.group.on('phase', function changed() {
+    void round(c);
+  });
   for (;;) {
     const at = performance.now();
     await round(c);
-    await new Promise(function pause(done) { setTimeout(done, Math.max(50, pollMs - (performance.now() - at))); });
+    await new Promise(function pause(done) {
+      setTimeout(done, Math.max(50, pollMs - (performance.now() - at)));
+    });
   }
 }
 
--- a/src/controlplane/sessions.ts
+++ b/src/controlplane/sessions.ts
@@ -30,11 +30,15 @@
 
 function count(c: Coordinator): number {
   const now = performance.now();
-  const list = (peaks.get(c) ?? []).filter(function late(p) { return now - p.at < maximumMs; });
+  const list = (peaks.get(c) ?? []).filter(function late(p) {
+    return now - p.at < maximumMs;
+  });
   const n = all(c).size;
   list.push({ at: now, n });
   peaks.set(c, list);
-  return list.reduce(function most(m, p) { return Math.max(m, p.n); }, 0);
+  return list.reduce(function most(m, p) {
+    return Math.max(m, p.n);
+  }, 0);
 }
 
 export const sessions = { touch, own, all, count };
--- a/src/controlplane/status.ts
+++ b/src/controlplane/status.ts
@@ -16,23 +16,59 @@
   const now = performance.now();
   const s = c.group.state;
   const isSequencer = groupDriver.isSequencer(c.group);
-  const told = isSequencer ? [...c.partnerSessions.values()].flatMap(function all(t) { return t.sessions; }) : [];
-  const sites = new Map([...told, ...c.sessions.values()].map(function pair(x) { return [x.site, x] as const; }));
+  const told = isSequencer
+    ? [...c.partnerSessions.values()].flatMap(function all(t) {
+        return t.sessions;
+      })
+    : [];
+  const sites = new Map(
+    [...told, ...c.sessions.values()].map(function pair(x) {
+      return [x.site, x] as const;
+    }),
+  );
   const f = isSequencer ? feed.state(c) : null;
   return {
-    node: c.settings.node_name, phase: m.phase, epoch: m.epoch, sequencer: m.sequencer,
-    sure: groupDriver.fresh(c.group), acts: groupDriver.mayAct(c.group, c.settings.bound_set.lease_ms),
+    node: c.settings.node_name,
+    phase: m.phase,
+    epoch: m.epoch,
+    sequencer: m.sequencer,
+    sure: groupDriver.fresh(c.group),
+    acts: groupDriver.mayAct(c.group, c.settings.bound_set.lease_ms),
     roster: m.roster.map(function one(x) {
       const p = m.partners.get(x.id);
-      return { id: x.id, control: x.control, heardMs: x.id === m.me ? 0 : p ? Math.round(now - p.heardAt) : null, match: x.id === m.me ? m.durable : p?.match ?? null };
+      return {
+        id: x.id,
+        control: x.control,
+        heardMs: x.id === m.me ? 0 : p ? Math.round(now - p.heardAt) : null,
+        match: x.id === m.me ? m.durable : (p?.match ?? null),
+      };
+    }),
+    committed: m.committed,
+    disk: c.group.store.troubled ? 'refuses' : 'takes',
+    configuration: s.configuration?.revision ?? 0,
+    weights: s.weights,
+    rules: { active: s.rules.active, pending: s.rules.pending },
+    sites: [...sites.values()].map(function one(x) {
+      return { site: x.site, revision: x.revision, seenMs: Math.round(now - x.seenAt) };
     }),
-    committed: m.committed, disk: c.group.store.troubled ? 'refuses' : 'takes',
-    configuration: s.configuration?.revision ?? 0, weights: s.weights, rules: { active: s.rules.active, pending: s.rules.pending },
-    sites: [...sites.values()].map(function one(x) { return { site: x.site, revision: x.revision, seenMs: Math.round(now - x.seenAt) }; }),
     runners: (c.board.runners ?? []).map(function one(r) {
-      return { id: r.id, service: r.service, addr: r.addr, zone: r.zone, draining: r.draining, parked: r.parked, models: r.models, unsoundAt: f ? exchange.unsoundAt(f, r.id) : null, verdict: f ? f.jury.cases.get(r.id)?.phase ?? 'clear' : null };
+      return {
+        id: r.id,
+        service: r.service,
+        addr: r.addr,
+        zone: r.zone,
+        draining: r.draining,
+        parked: r.parked,
+        models: r.models,
+        unsoundAt: f ? exchange.unsoundAt(f, r.id) : null,
+        verdict: f ? (f.jury.cases.get(r.id)?.phase ?? 'clear') : null,
+      };
     }),
-    hot: f ? [...f.hot.items.values()].map(function one({ value: [x, share, tokens] }) { return { part: x, share, tokens }; }) : null,
+    hot: f
+      ? [...f.hot.items.values()].map(function one({ value: [x, share, tokens] }) {
+          return { part: x, share, tokens };
+        })
+      : null,
   };
 }
 
--- a/src/coordination/duties/activation.ts
+++ b/src/coordination/duties/activation.ts
@@ -6,8 +6,12 @@
 export type SiteSight = { site: string; revision: number; seenAt: number };
 export type WitnessSight = { id: string; heardAt: number; revision: number; sites: SiteSight[] };
 export type Sight = {
-  pending: number; wonAt: number; leaseMs: number; freshMs: number;
-  own: SiteSight[]; witnesses: WitnessSight[];
+  pending: number;
+  wonAt: number;
+  leaseMs: number;
+  freshMs: number;
+  own: SiteSight[];
+  witnesses: WitnessSight[];
 };
 
 const marginMs = 100;
@@ -19,10 +23,20 @@
 function mayActivate(v: Sight, now: number): boolean {
   const longest = v.leaseMs + v.freshMs + marginMs;
   if (now - v.wonAt <= longest) return false;
-  if (!v.own.every(function done(s) { return siteDone(s, v, now); })) return false;
+  if (
+    !v.own.every(function done(s) {
+      return siteDone(s, v, now);
+    })
+  )
+    return false;
   return v.witnesses.every(function done(w) {
     if (now - w.heardAt > longest) return true;
-    return w.revision >= v.pending && w.sites.every(function each(s) { return siteDone(s, v, now); });
+    return (
+      w.revision >= v.pending &&
+      w.sites.every(function each(s) {
+        return siteDone(s, v, now);
+      })
+    );
   });
 }
 
--- a/src/coordination/duties/poller.ts
+++ b/src/coordination/duties/poller.ts
@@ -11,7 +11,12 @@
   const all = new Map<string, Runner>();
   let token: string | null = null;
   for (let page = 0; page < mostPages; page++) {
-    const r: Awaited<ReturnType<typeof calls.send<import('../../protocol/calls/pairs.js').Page>>> = await calls.send(via, addr, calls.list(token), legMs);
+    const r: Awaited<ReturnType<typeof calls.send<import('../../protocol/calls/pairs.js').Page>>> = await calls.send(
+      via,
+      addr,
+      calls.list(token),
+      legMs,
+    );
     if (!r.ok) return { ok: false, trouble: r.trouble.t };
     for (const one of r.value.runners) all.set(one.id, one);
     token = r.value.next;
--- a/src/coordination/duties/rollout.ts
+++ b/src/coordination/duties/rollout.ts
@@ -6,8 +6,23 @@
 import type { OrderResult } from '../../protocol/calls/pairs.js';
 
 export type JobPhase = 'parking' | 'sending' | 'loading';
-export type Job = { id: string; model: string; revision: number; phase: JobPhase; since: number; begunAt: number; askedAt: number };
-export type RolloutTiming = { share: number; parkMs: number; askMs: number; settleMs: number; giveUpMs: number; pauseMs: number };
+export type Job = {
+  id: string;
+  model: string;
+  revision: number;
+  phase: JobPhase;
+  since: number;
+  begunAt: number;
+  askedAt: number;
+};
+export type RolloutTiming = {
+  share: number;
+  parkMs: number;
+  askMs: number;
+  settleMs: number;
+  giveUpMs: number;
+  pauseMs: number;
+};
 export type RolloutState = { timing: RolloutTiming; jobs: Map<string, Job>; restUntil: Map<string, number> };
 
 export type RolloutEvent =
@@ -47,7 +62,13 @@
   return null;
 }
 
-function begin(s: RolloutState, runners: Runner[], targets: Record<string, number>, now: number, out: RolloutEffect[]): void {
+function begin(
+  s: RolloutState,
+  runners: Runner[],
+  targets: Record<string, number>,
+  now: number,
+  out: RolloutEffect[],
+): void {
   const services = new Map<string, Runner[]>();
   for (const r of runners) {
     const of = services.get(r.service);
@@ -55,9 +76,13 @@
     else services.set(r.service, [r]);
   }
   for (const of of services.values()) {
-    const serving = of.filter(function up(r) { return !r.draining; });
+    const serving = of.filter(function up(r) {
+      return !r.draining;
+    });
     const most = Math.max(1, Math.floor(serving.length * s.timing.share));
-    let under = serving.filter(function at(r) { return s.jobs.has(r.id); }).length;
+    let under = serving.filter(function at(r) {
+      return s.jobs.has(r.id);
+    }).length;
     for (const r of serving) {
       if (under >= most) break;
       if (s.jobs.has(r.id) || (s.restUntil.get(r.id) ?? 0) > now) continue;
@@ -86,11 +111,20 @@
     for (const id of [...s.jobs.keys()]) drop(s, id, out);
     return;
   }
-  const byId = new Map(ev.runners.map(function pair(r) { return [r.id, r] as const; }));
+  const byId = new Map(
+    ev.runners.map(function pair(r) {
+      return [r.id, r] as const;
+    }),
+  );
   for (const j of [...s.jobs.values()]) {
     const r = byId.get(j.id);
     if (!r || r.draining) drop(s, j.id, out);
-    else if ((r.models.find(function at(m) { return m.label === j.model; })?.revision ?? 0) >= j.revision) drop(s, j.id, out);
+    else if (
+      (r.models.find(function at(m) {
+        return m.label === j.model;
+      })?.revision ?? 0) >= j.revision
+    )
+      drop(s, j.id, out);
     else advance(s, j, now, out);
   }
   begin(s, ev.runners, ev.targets, now, out);
@@ -105,13 +139,16 @@
   const j = s.jobs.get(ev.id);
   if (!j || j.phase !== 'sending') return;
   switch (ev.result) {
-    case 'holds': return done(s, j, j.revision, out);
+    case 'holds':
+      return done(s, j, j.revision, out);
     case 'begun':
     case 'other':
-    case null: return enter(j, 'loading', now);
+    case null:
+      return enter(j, 'loading', now);
     case 'elsewhere':
     case 'fenced':
-    case 'unknown_revision': return rest(s, j.id, now, out);
+    case 'unknown_revision':
+      return rest(s, j.id, now, out);
   }
 }
 
--- a/src/coordination/exchange/machine.ts
+++ b/src/coordination/exchange/machine.ts
@@ -19,14 +19,30 @@
 const hotMs = 400;
 
 export type Exchange = {
-  epoch: number; index: KeptIndex; tracker: Tracker; sums: Sums; jury: Jury; k: number; beatMs: number;
-  hot: ItemHistory<HotRow>; hotSeq: number; hotAt: number;
+  epoch: number;
+  index: KeptIndex;
+  tracker: Tracker;
+  sums: Sums;
+  jury: Jury;
+  k: number;
+  beatMs: number;
+  hot: ItemHistory<HotRow>;
+  hotSeq: number;
+  hotAt: number;
 };
 
 function create(epoch: number, t: Tuning, k: number): Exchange {
   return {
-    epoch, index: keptIndex.create(t.movedTokens, mostChanges), tracker: tracker.create(t.epsilon, t.phi, mostTotal, gatherMs),
-    sums: sums.create(), jury: jury.create(), k, beatMs: beatOf(k), hot: itemHistory.create(), hotSeq: 0, hotAt: -Infinity,
+    epoch,
+    index: keptIndex.create(t.movedTokens, mostChanges),
+    tracker: tracker.create(t.epsilon, t.phi, mostTotal, gatherMs),
+    sums: sums.create(),
+    jury: jury.create(),
+    k,
+    beatMs: beatOf(k),
+    hot: itemHistory.create(),
+    hotSeq: 0,
+    hotAt: -Infinity,
   };
 }
 
@@ -35,7 +51,13 @@
 }
 
 function due(s: Exchange, call: FeedCall): boolean {
-  return call.since[0] !== s.epoch || keptIndex.last(s.index) > call.since[1] || s.sums.revision > call.burdenSeen || s.hotSeq > call.hotSeq || s.jury.seq !== call.verdictSeq;
+  return (
+    call.since[0] !== s.epoch ||
+    keptIndex.last(s.index) > call.since[1] ||
+    s.sums.revision > call.burdenSeen ||
+    s.hotSeq > call.hotSeq ||
+    s.jury.seq !== call.verdictSeq
+  );
 }
 
 function burdensOf(s: Exchange, call: FeedCall): FeedAnswer['burdens'] {
@@ -48,7 +70,15 @@
   const known = call.since[0] === s.epoch ? call.hotSeq : -1;
   if (known === s.hotSeq) return null;
   const d = known < 0 ? null : itemHistory.since(s.hot, known);
-  return d ? { whole: false, upserts: d.upserts, removals: d.removals } : { whole: true, upserts: [...s.hot.items.values()].map(function row(x) { return x.value; }), removals: [] };
+  return d
+    ? { whole: false, upserts: d.upserts, removals: d.removals }
+    : {
+        whole: true,
+        upserts: [...s.hot.items.values()].map(function row(x) {
+          return x.value;
+        }),
+        removals: [],
+      };
 }
 
 // A call without a hold only reports: it is answered with what says that the report was taken.
@@ -57,10 +87,26 @@
   const isReport = call.hold === 0;
   const fresh = isReport ? [] : call.since[0] === s.epoch ? keptIndex.since(s.index, call.since[1]) : null;
   return {
-    epoch: s.epoch, at: isReport ? call.since[1] : keptIndex.last(s.index), whole: fresh === null, changes: fresh ?? keptIndex.all(s.index),
-    burdens: isReport ? null : burdensOf(s, call), beatMs: s.beatMs,
-    verdicts: !isReport && (s.jury.seq !== call.verdictSeq || call.since[0] !== s.epoch) ? { seq: s.jury.seq, rows: jury.verdicts(s.jury) } : null, taken: call.report?.seq ?? 0, known,
-    tracking: { k: s.k, total: t.total, gather: t.gather, era: t.era, hotSeq: s.hotSeq, hot: isReport ? null : hotOf(s, call) },
+    epoch: s.epoch,
+    at: isReport ? call.since[1] : keptIndex.last(s.index),
+    whole: fresh === null,
+    changes: fresh ?? keptIndex.all(s.index),
+    burdens: isReport ? null : burdensOf(s, call),
+    beatMs: s.beatMs,
+    verdicts:
+      !isReport && (s.jury.seq !== call.verdictSeq || call.since[0] !== s.epoch)
+        ? { seq: s.jury.seq, rows: jury.verdicts(s.jury) }
+        : null,
+    taken: call.report?.seq ?? 0,
+    known,
+    tracking: {
+      k: s.k,
+      total: t.total,
+      gather: t.gather,
+      era: t.era,
+      hotSeq: s.hotSeq,
+      hot: isReport ? null : hotOf(s, call),
+    },
   };
 }
 
@@ -86,9 +132,15 @@
 function showHot(s: Exchange): void {
   const list = tracker.hot(s.tracker).map(function row(h): HotRow {
     const was = s.hot.items.get(h.x)?.value;
-    return was && h.share < was[1] * 1.5 && h.share > was[1] / 1.5 && was[2] === h.tokens ? was : [h.x, Math.round(h.share * 1e6) / 1e6, h.tokens];
+    return was && h.share < was[1] * 1.5 && h.share > was[1] / 1.5 && was[2] === h.tokens
+      ? was
+      : [h.x, Math.round(h.share * 1e6) / 1e6, h.tokens];
   });
-  const isSame = list.length === s.hot.items.size && list.every(function kept(h) { return s.hot.items.get(h[0])?.value === h; });
+  const isSame =
+    list.length === s.hot.items.size &&
+    list.every(function kept(h) {
+      return s.hot.items.get(h[0])?.value === h;
+    });
   if (isSame) return;
   s.hotSeq++;
   itemHistory.advance(s.hot, s.hotSeq, list, hotName);
@@ -100,7 +152,9 @@
   s.beatMs = beatOf(a.k);
   keptIndex.age(s.index, now);
   tracker.beat(s.tracker, a.live, now);
-  tracker.retire(s.tracker, function isRetired(x) { return identity.isRetired(x.slice(0, x.lastIndexOf(' ')), a.weights); });
+  tracker.retire(s.tracker, function isRetired(x) {
+    return identity.isRetired(x.slice(0, x.lastIndexOf(' ')), a.weights);
+  });
   if (now - s.hotAt < hotMs) return;
   s.hotAt = now;
   showHot(s);
--- a/src/coordination/group/driver.ts
+++ b/src/coordination/group/driver.ts
@@ -21,8 +21,17 @@
 
 type Pending = { index: number; epoch: number; done: (ok: boolean) => void };
 export type GroupDriver = EventEmitter & {
-  machine: GroupState; store: Store; state: ControlState; agent: Agent; log: Log;
-  pending: Pending[]; outbox: Map<string, Message[]>; open: Map<string, number>; seeds: string[]; beat: NodeJS.Timeout | null; joinAt: number;
+  machine: GroupState;
+  store: Store;
+  state: ControlState;
+  agent: Agent;
+  log: Log;
+  pending: Pending[];
+  outbox: Map<string, Message[]>;
+  open: Map<string, number>;
+  seeds: string[];
+  beat: NodeJS.Timeout | null;
+  joinAt: number;
 };
 
 function innerAddr(control: string, port: number): string {
@@ -43,28 +52,70 @@
   const found = recovery.recover(dir);
   const now = performance.now();
   const seeds = seedMembers(s);
-  const firstly = found.k === 'empty' && s.is_first_start && seeds.some(function me(m) { return m.addr === addr; });
+  const firstly =
+    found.k === 'empty' &&
+    s.is_first_start &&
+    seeds.some(function me(m) {
+      return m.addr === addr;
+    });
   const none: View = { index: 0, epoch: 0, members: firstly ? seeds : [], state: control.empty() };
-  const me = found.k === 'whole' ? found.found.me : firstly ? `${addr}#first` : `${addr}#${randomBytes(6).toString('hex')}`;
+  const me =
+    found.k === 'whole' ? found.found.me : firstly ? `${addr}#first` : `${addr}#${randomBytes(6).toString('hex')}`;
   const view = found.k === 'whole' ? found.found.view : none;
   const entries = found.k === 'whole' ? found.found.entries : [];
   const epoch = found.k === 'whole' ? found.found.epoch : 0;
   const vote = found.k === 'whole' ? found.found.vote : null;
-  if (found.k === 'lost') ringLog.trouble(l, { why: found.why }, 'the disk lost what it held: joining as a new incarnation');
+  if (found.k === 'lost')
+    ringLog.trouble(l, { why: found.why }, 'the disk lost what it held: joining as a new incarnation');
   const machine = group.create({
-    me, addr, control: control_, timing, seed: randomBytes(4).readUInt32LE(0), target: Math.max(1, seeds.length),
-    epoch, vote, view, entries, now,
+    me,
+    addr,
+    control: control_,
+    timing,
+    seed: randomBytes(4).readUInt32LE(0),
+    target: Math.max(1, seeds.length),
+    epoch,
+    vote,
+    view,
+    entries,
+    now,
   });
   const nextSegment = found.k === 'whole' ? found.found.nextSegment : found.nextSegment;
   const st = store.create(dir, me, nextSegment, found.k === 'whole' ? log.last(machine) : 0, epoch, vote);
   const d: GroupDriver = Object.assign(new EventEmitter(), {
-    machine, store: st, state: view.state as ControlState, agent: channel.agent(), log: l, pending: [],
-    outbox: new Map<string, Message[]>(), open: new Map<string, number>(), seeds: seeds.map(function at(m) { return m.addr; }), beat: null, joinAt: 0,
+    machine,
+    store: st,
+    state: view.state as ControlState,
+    agent: channel.agent(),
+    log: l,
+    pending: [],
+    outbox: new Map<string, Message[]>(),
+    open: new Map<string, number>(),
+    seeds: seeds.map(function at(m) {
+      return m.addr;
+    }),
+    beat: null,
+    joinAt: 0,
   });
-  store.keepView(st, view, function tail() { return tailOf(d); }, false);
-  st.on('synced', function kept(token: number) { step(d, { e: 'synced', token }); });
-  st.on('trouble', function bad(err: Error) { ringLog.trouble(l, { why: err.message }, 'the disk refused a write'); });
-  ringLog.note(l, { me, found: found.k, last: log.last(machine), epoch, roster: machine.roster.length }, 'group opened');
+  store.keepView(
+    st,
+    view,
+    function tail() {
+      return tailOf(d);
+    },
+    false,
+  );
+  st.on('synced', function kept(token: number) {
+    step(d, { e: 'synced', token });
+  });
+  st.on('trouble', function bad(err: Error) {
+    ringLog.trouble(l, { why: err.message }, 'the disk refused a write');
+  });
+  ringLog.note(
+    l,
+    { me, found: found.k, last: log.last(machine), epoch, roster: machine.roster.length },
+    'group opened',
+  );
   return d;
 }
 
@@ -87,15 +138,24 @@
 
 function carry(d: GroupDriver, f: GroupEffect): void {
   switch (f.f) {
-    case 'send': return post(d, f.addr, f.message);
+    case 'send':
+      return post(d, f.addr, f.message);
     case 'write':
       store.write(d.store, f.records, f.token);
       return;
-    case 'deliver': return deliver(d, f);
+    case 'deliver':
+      return deliver(d, f);
     case 'install':
       d.state = f.view.state as ControlState;
       failAll(d);
-      store.keepView(d.store, f.view, function tail() { return tailOf(d); }, true);
+      store.keepView(
+        d.store,
+        f.view,
+        function tail() {
+          return tailOf(d);
+        },
+        true,
+      );
       d.emit('delivered');
       return;
     case 'phase':
@@ -106,24 +166,50 @@
     case 'trim':
       ringLog.note(d.log, { from: f.from }, 'trimmed');
       return;
-    case 'proposed': return;
+    case 'proposed':
+      return;
   }
 }
 
 function deliver(d: GroupDriver, f: GroupEffect & { f: 'deliver' }): void {
   const { entry } = f;
   if (entry.data.kind === 'order') d.state = control.apply(d.state, entry.data.command as Command);
-  if (entry.data.kind === 'roster') ringLog.note(d.log, { members: entry.data.members.map(function id(m) { return m.id; }) }, 'roster');
-  const due = d.pending.filter(function at(p) { return p.index <= entry.index; });
+  if (entry.data.kind === 'roster')
+    ringLog.note(
+      d.log,
+      {
+        members: entry.data.members.map(function id(m) {
+          return m.id;
+        }),
+      },
+      'roster',
+    );
+  const due = d.pending.filter(function at(p) {
+    return p.index <= entry.index;
+  });
   if (due.length > 0) {
-    d.pending = d.pending.filter(function later(p) { return p.index > entry.index; });
+    d.pending = d.pending.filter(function later(p) {
+      return p.index > entry.index;
+    });
     for (const p of due) p.done(p.index === entry.index && p.epoch === entry.epoch);
   }
   d.emit('delivered');
   if (d.store.bytes > compactBytes && !d.store.view) {
-    const view: View = { index: entry.index, epoch: entry.epoch, members: group.membersAt(d.machine, entry.index), state: d.state };
+    const view: View = {
+      index: entry.index,
+      epoch: entry.epoch,
+      members: group.membersAt(d.machine, entry.index),
+      state: d.state,
+    };
     group.step(d.machine, { e: 'compact', view }, performance.now());
-    store.keepView(d.store, view, function tail() { return tailOf(d); }, false);
+    store.keepView(
+      d.store,
+      view,
+      function tail() {
+        return tailOf(d);
+      },
+      false,
+    );
   }
 }
 
@@ -138,7 +224,9 @@
 function propose(d: GroupDriver, command: Command): Promise<boolean> {
   return new Promise(function run(done) {
     const out = step(d, { e: 'propose', command });
-    const p = out.find(function mine(f) { return f.f === 'proposed'; });
+    const p = out.find(function mine(f) {
+      return f.f === 'proposed';
+    });
     if (!p || p.f !== 'proposed') return done(false);
     if (d.machine.delivered >= p.index) return done(true);
     d.pending.push({ index: p.index, epoch: p.epoch, done });
@@ -152,7 +240,9 @@
     return;
   }
   d.outbox.set(addr, [message]);
-  setImmediate(function later() { sendBox(d, addr); });
+  setImmediate(function later() {
+    sendBox(d, addr);
+  });
 }
 
 function sendBox(d: GroupDriver, addr: string): void {
@@ -162,10 +252,12 @@
   const open = d.open.get(addr) ?? 0;
   if (open >= 8) return;
   d.open.set(addr, open + 1);
-  void channel.post<{ messages: Message[] }>(d.agent, addr, '/inner/group', { messages: list }, legMs).then(function answered(r) {
-    d.open.set(addr, (d.open.get(addr) ?? 1) - 1);
-    if (r.ok) for (const m of r.value.messages) step(d, { e: 'message', message: m });
-  });
+  void channel
+    .post<{ messages: Message[] }>(d.agent, addr, '/inner/group', { messages: list }, legMs)
+    .then(function answered(r) {
+      d.open.set(addr, (d.open.get(addr) ?? 1) - 1);
+      if (r.ok) for (const m of r.value.messages) step(d, { e: 'message', message: m });
+    });
 }
 
 // Takes the messages of a partner; what the machine says to it at once goes back in the answer.
@@ -182,7 +274,12 @@
   const s = d.machine;
   if (log.isMember(s, s.me) || now - d.joinAt < joinMs) return;
   d.joinAt = now;
-  const known = new Set([...d.seeds, ...s.roster.map(function at(m) { return m.addr; })]);
+  const known = new Set([
+    ...d.seeds,
+    ...s.roster.map(function at(m) {
+      return m.addr;
+    }),
+  ]);
   for (const addr of known) {
     if (addr !== s.addr) post(d, addr, { m: 'join', from: s.me, fromAddr: s.addr, to: '*', control: s.control });
   }
@@ -210,7 +307,11 @@
 
 function sequencerControl(d: GroupDriver): string | null {
   const s = d.machine;
-  return s.roster.find(function same(m) { return m.id === s.sequencer; })?.addr ?? null;
+  return (
+    s.roster.find(function same(m) {
+      return m.id === s.sequencer;
+    })?.addr ?? null
+  );
 }
 
 function fresh(d: GroupDriver): boolean {
@@ -230,4 +331,17 @@
   d.agent.destroy();
 }
 
-export const groupDriver = { create, start, step, propose, receive, confirm, isSequencer, sequencerControl, fresh, mayAct, stop, innerAddr };
+export const groupDriver = {
+  create,
+  start,
+  step,
+  propose,
+  receive,
+  confirm,
+  isSequencer,
+  sequencerControl,
+  fresh,
+  mayAct,
+  stop,
+  innerAddr,
+};
--- a/src/coordination/group/log.ts
+++ b/src/coordination/group/log.ts
@@ -39,7 +39,9 @@
 }
 
 function isMember(s: GroupState, id: string): boolean {
-  return s.roster.some(function same(m) { return m.id === id; });
+  return s.roster.some(function same(m) {
+    return m.id === id;
+  });
 }
 
 function majority(s: GroupState): number {
--- a/src/coordination/group/machine.ts
+++ b/src/coordination/group/machine.ts
@@ -4,24 +4,72 @@
 // it and it, or an entry behind it, belongs to the running epoch. Time is the steady clock only.
 import type { Member, MemberId } from '../../types.js';
 import { log } from './log.js';
-import type { Body, Entry, EntryData, GroupEffect, GroupEvent, GroupState, Message, Partner, Phase, Record_, Timing, View } from './types.js';
+import type {
+  Body,
+  Entry,
+  EntryData,
+  GroupEffect,
+  GroupEvent,
+  GroupState,
+  Message,
+  Partner,
+  Phase,
+  Record_,
+  Timing,
+  View,
+} from './types.js';
 
 const batch = 64;
 
 type Start = {
-  me: MemberId; addr: string; control: string; timing: Timing; seed: number; target: number;
-  epoch: number; vote: MemberId | null; view: View; entries: Entry[]; now: number;
+  me: MemberId;
+  addr: string;
+  control: string;
+  timing: Timing;
+  seed: number;
+  target: number;
+  epoch: number;
+  vote: MemberId | null;
+  view: View;
+  entries: Entry[];
+  now: number;
 };
 
 function create(a: Start): GroupState {
   const s: GroupState = {
-    me: a.me, addr: a.addr, control: a.control, timing: a.timing, seed: a.seed, target: a.target,
-    phase: 'learner', epoch: a.epoch, vote: a.vote,
-    base: { index: a.view.index, epoch: a.view.epoch, members: a.view.members }, entries: a.entries,
-    roster: [], rosterAt: 0, committed: a.view.index, delivered: a.view.index, durable: 0,
-    written: 0, synced: 0, writtenAt: a.now, waiting: [], marks: [], sequencer: null, heardAt: a.now, silence: 0,
-    votes: new Set(), ballotAt: a.now, partners: new Map(), beatNo: 0, beatSentAt: new Map(), beatAt: 0,
-    wonAt: 0, joinAt: 0, latestView: a.view,
+    me: a.me,
+    addr: a.addr,
+    control: a.control,
+    timing: a.timing,
+    seed: a.seed,
+    target: a.target,
+    phase: 'learner',
+    epoch: a.epoch,
+    vote: a.vote,
+    base: { index: a.view.index, epoch: a.view.epoch, members: a.view.members },
+    entries: a.entries,
+    roster: [],
+    rosterAt: 0,
+    committed: a.view.index,
+    delivered: a.view.index,
+    durable: 0,
+    written: 0,
+    synced: 0,
+    writtenAt: a.now,
+    waiting: [],
+    marks: [],
+    sequencer: null,
+    heardAt: a.now,
+    silence: 0,
+    votes: new Set(),
+    ballotAt: a.now,
+    partners: new Map(),
+    beatNo: 0,
+    beatSentAt: new Map(),
+    beatAt: 0,
+    wonAt: 0,
+    joinAt: 0,
+    latestView: a.view,
   };
   log.findRoster(s);
   s.durable = log.last(s);
@@ -64,7 +112,11 @@
 function addrOf(s: GroupState, id: MemberId): string | null {
   const p = s.partners.get(id);
   if (p) return p.addr;
-  return s.roster.find(function same(m) { return m.id === id; })?.addr ?? null;
+  return (
+    s.roster.find(function same(m) {
+      return m.id === id;
+    })?.addr ?? null
+  );
 }
 
 function send(s: GroupState, to: MemberId, body: Body, out: GroupEffect[], addr?: string): void {
@@ -74,7 +126,9 @@
 }
 
 function others(s: GroupState): Member[] {
-  return s.roster.filter(function other(m) { return m.id !== s.me; });
+  return s.roster.filter(function other(m) {
+    return m.id !== s.me;
+  });
 }
 
 function adopt(s: GroupState, epoch: number, vote: MemberId | null, now: number, out: GroupEffect[]): number {
@@ -100,7 +154,13 @@
   s.ballotAt = now;
   renewSilence(s);
   if (s.votes.size >= log.majority(s)) return campaign(s, now, out);
-  for (const m of others(s)) send(s, m.id, { m: 'canvass', epoch: s.epoch + 1, last: log.last(s), lastEpoch: log.epochAt(s, log.last(s)) ?? 0 }, out);
+  for (const m of others(s))
+    send(
+      s,
+      m.id,
+      { m: 'canvass', epoch: s.epoch + 1, last: log.last(s), lastEpoch: log.epochAt(s, log.last(s)) ?? 0 },
+      out,
+    );
 }
 
 function campaign(s: GroupState, now: number, out: GroupEffect[]): void {
@@ -116,8 +176,16 @@
 
 function partnerOf(s: GroupState, m: Member, now: number, joining: boolean): Partner {
   return {
-    id: m.id, addr: m.addr, control: m.control, next: log.last(s) + 1, match: 0, heardAt: now, sentAt: 0,
-    answered: true, ackedSentAt: 0, joining,
+    id: m.id,
+    addr: m.addr,
+    control: m.control,
+    next: log.last(s) + 1,
+    match: 0,
+    heardAt: now,
+    sentAt: 0,
+    answered: true,
+    ackedSentAt: 0,
+    joining,
   };
 }
 
@@ -169,12 +237,29 @@
     return;
   }
   const entries = log.from(s, p.next, batch);
-  send(s, p.id, { m: 'append', epoch: s.epoch, prev: p.next - 1, prevEpoch: log.epochAt(s, p.next - 1) ?? 0, entries, committed: s.committed, beat: s.beatNo }, out);
+  send(
+    s,
+    p.id,
+    {
+      m: 'append',
+      epoch: s.epoch,
+      prev: p.next - 1,
+      prevEpoch: log.epochAt(s, p.next - 1) ?? 0,
+      entries,
+      committed: s.committed,
+      beat: s.beatNo,
+    },
+    out,
+  );
 }
 
 function commit(s: GroupState, now: number, out: GroupEffect[]): void {
-  const marks = s.roster.map(function mark(m) { return m.id === s.me ? s.durable : s.partners.get(m.id)?.match ?? 0; });
-  marks.sort(function down(a, b) { return b - a; });
+  const marks = s.roster.map(function mark(m) {
+    return m.id === s.me ? s.durable : (s.partners.get(m.id)?.match ?? 0);
+  });
+  marks.sort(function down(a, b) {
+    return b - a;
+  });
   const held = marks[log.majority(s) - 1] ?? 0;
   if (held <= s.committed || log.epochAt(s, held) !== s.epoch) return;
   s.committed = held;
@@ -209,7 +294,9 @@
   let entries = m.entries;
   let prev = m.prev;
   if (prev < s.base.index) {
-    entries = entries.filter(function behind(e) { return e.index > s.base.index; });
+    entries = entries.filter(function behind(e) {
+      return e.index > s.base.index;
+    });
     prev = Math.min(s.base.index, prev + (m.entries.length - entries.length));
     if (entries.length === 0 || entries[0]!.index !== s.base.index + 1) {
       if (m.prev + m.entries.length < s.base.index || entries.length > 0) return answerAppend(s, m, s.base.index, out);
@@ -217,7 +304,13 @@
       entries = [];
     }
   } else if (log.epochAt(s, prev) !== m.prevEpoch) {
-    send(s, m.from, { m: 'appended', epoch: s.epoch, ok: false, match: Math.min(log.last(s), prev - 1), beat: m.beat }, out, m.fromAddr);
+    send(
+      s,
+      m.from,
+      { m: 'appended', epoch: s.epoch, ok: false, match: Math.min(log.last(s), prev - 1), beat: m.beat },
+      out,
+      m.fromAddr,
+    );
     return;
   }
   const fresh: Record_[] = [];
@@ -228,7 +321,9 @@
       out.push({ f: 'trim', from: e.index });
       log.trimFrom(s, e.index);
       s.durable = Math.min(s.durable, e.index - 1);
-      s.marks = s.marks.filter(function before(k) { return k.last < e.index; });
+      s.marks = s.marks.filter(function before(k) {
+        return k.last < e.index;
+      });
     }
     s.entries.push(e);
     fresh.push({ r: 'entry', entry: e });
@@ -296,7 +391,8 @@
   } else {
     p.next = Math.max(1, Math.min(p.next - 1, m.match + 1));
   }
-  if (s.phase === 'sequencer' && s.partners.has(p.id) && p.answered && (p.next <= log.last(s) || !m.ok)) feed(s, p, now, true, out);
+  if (s.phase === 'sequencer' && s.partners.has(p.id) && p.answered && (p.next <= log.last(s) || !m.ok))
+    feed(s, p, now, true, out);
 }
 
 function onBallot(s: GroupState, m: Message & { m: 'ballot' }, now: number, out: GroupEffect[]): void {
@@ -356,14 +452,22 @@
 function onMessage(s: GroupState, m: Message, now: number, out: GroupEffect[]): void {
   if (m.to !== s.me && m.m !== 'join') return;
   switch (m.m) {
-    case 'append': return onAppend(s, m, now, out);
-    case 'appended': return onAppended(s, m, now, out);
-    case 'view': return onView(s, m, now, out);
-    case 'ballot': return onBallot(s, m, now, out);
-    case 'vote': return onVote(s, m, now, out);
-    case 'canvass': return onCanvass(s, m, now, out);
-    case 'canvassed': return onCanvassed(s, m, now, out);
-    case 'join': return onJoin(s, m, now);
+    case 'append':
+      return onAppend(s, m, now, out);
+    case 'appended':
+      return onAppended(s, m, now, out);
+    case 'view':
+      return onView(s, m, now, out);
+    case 'ballot':
+      return onBallot(s, m, now, out);
+    case 'vote':
+      return onVote(s, m, now, out);
+    case 'canvass':
+      return onCanvass(s, m, now, out);
+    case 'canvassed':
+      return onCanvassed(s, m, now, out);
+    case 'join':
+      return onJoin(s, m, now);
   }
 }
 
@@ -373,8 +477,12 @@
   let last = 0;
   while (s.marks.length > 0 && s.marks[0]!.token <= s.synced) last = s.marks.shift()!.last;
   if (last > 0) s.durable = Math.max(s.durable, Math.min(last, log.last(s)));
-  const due = s.waiting.filter(function ready(w) { return w.token <= s.synced; });
-  s.waiting = s.waiting.filter(function later(w) { return w.token > s.synced; });
+  const due = s.waiting.filter(function ready(w) {
+    return w.token <= s.synced;
+  });
+  s.waiting = s.waiting.filter(function later(w) {
+    return w.token > s.synced;
+  });
   for (const w of due) {
     if (w.to === s.me) onMessage(s, { ...w.body, from: s.me, fromAddr: s.addr, to: s.me } as Message, now, out);
     else if (stillMeant(s, w.body)) send(s, w.to, w.body, out);
@@ -388,32 +496,61 @@
 }
 
 function quorumHeardAt(s: GroupState, of: (p: Partner) => number, now: number): number {
-  const at = s.roster.map(function one(m) { return m.id === s.me ? now : of(s.partners.get(m.id)!) ?? 0; });
-  at.sort(function down(a, b) { return b - a; });
+  const at = s.roster.map(function one(m) {
+    return m.id === s.me ? now : (of(s.partners.get(m.id)!) ?? 0);
+  });
+  at.sort(function down(a, b) {
+    return b - a;
+  });
   return at[log.majority(s) - 1] ?? 0;
 }
 
 function reshape(s: GroupState, now: number, out: GroupEffect[]): void {
   if (s.rosterAt > s.committed || log.epochAt(s, s.committed) !== s.epoch) return;
-  const gone = others(s).find(function silent(m) { return now - (s.partners.get(m.id)?.heardAt ?? 0) > s.timing.goneMs; });
+  const gone = others(s).find(function silent(m) {
+    return now - (s.partners.get(m.id)?.heardAt ?? 0) > s.timing.goneMs;
+  });
   for (const p of s.partners.values()) {
     if (!p.joining || now - p.heardAt > s.timing.silenceMs || p.match + batch < s.committed) continue;
-    const was = s.roster.find(function same(m) { return m.addr === p.addr; });
+    const was = s.roster.find(function same(m) {
+      return m.addr === p.addr;
+    });
     const members = was
-      ? s.roster.filter(function keep(m) { return m.id !== was.id; })
+      ? s.roster.filter(function keep(m) {
+          return m.id !== was.id;
+        })
       : [...s.roster, { id: p.id, addr: p.addr, control: p.control }];
     append(s, { kind: 'roster', members }, now, out);
     return;
   }
   if (gone && s.roster.length > s.target) {
-    append(s, { kind: 'roster', members: s.roster.filter(function keep(m) { return m.id !== gone.id; }) }, now, out);
+    append(
+      s,
+      {
+        kind: 'roster',
+        members: s.roster.filter(function keep(m) {
+          return m.id !== gone.id;
+        }),
+      },
+      now,
+      out,
+    );
   }
 }
 
 function onBeat(s: GroupState, now: number, out: GroupEffect[]): void {
   if (s.phase === 'sequencer') {
     const stalled = s.synced < s.written && now - s.writtenAt > s.timing.yieldMs;
-    const alone = now - quorumHeardAt(s, function heard(p) { return p.heardAt; }, now) > s.timing.silenceMs;
+    const alone =
+      now -
+        quorumHeardAt(
+          s,
+          function heard(p) {
+            return p.heardAt;
+          },
+          now,
+        ) >
+      s.timing.silenceMs;
     if (stalled || alone || !log.isMember(s, s.me)) {
       s.sequencer = null;
       s.heardAt = now;
@@ -421,7 +558,8 @@
       enter(s, rest(s), out);
       return;
     }
-    for (const p of [...s.partners.values()]) if (p.joining && now - p.heardAt > s.timing.goneMs) s.partners.delete(p.id);
+    for (const p of [...s.partners.values()])
+      if (p.joining && now - p.heardAt > s.timing.goneMs) s.partners.delete(p.id);
     reshape(s, now, out);
     if (now - s.beatAt >= s.timing.beatMs) {
       s.beatAt = now;
@@ -438,9 +576,15 @@
 function step(s: GroupState, ev: GroupEvent, now: number): GroupEffect[] {
   const out: GroupEffect[] = [];
   switch (ev.e) {
-    case 'beat': onBeat(s, now, out); break;
-    case 'message': onMessage(s, ev.message, now, out); break;
-    case 'synced': onSynced(s, ev.token, now, out); break;
+    case 'beat':
+      onBeat(s, now, out);
+      break;
+    case 'message':
+      onMessage(s, ev.message, now, out);
+      break;
+    case 'synced':
+      onSynced(s, ev.token, now, out);
+      break;
     case 'propose':
       if (s.phase === 'sequencer') {
         const entry = append(s, { kind: 'order', command: ev.command }, now, out);
@@ -464,13 +608,27 @@
 // is not before it was sent.
 function holdsUntil(s: GroupState, now: number): number {
   if (s.phase !== 'sequencer') return 0;
-  return quorumHeardAt(s, function acked(p) { return p.ackedSentAt; }, now) + s.timing.silenceMs;
+  return (
+    quorumHeardAt(
+      s,
+      function acked(p) {
+        return p.ackedSentAt;
+      },
+      now,
+    ) + s.timing.silenceMs
+  );
 }
 
 // A read is sure once a majority has answered a beat that was sent after the read came in.
 function sureSince(s: GroupState, now: number): number {
   if (s.phase !== 'sequencer' || log.epochAt(s, s.committed) !== s.epoch) return 0;
-  return quorumHeardAt(s, function acked(p) { return p.ackedSentAt; }, now);
+  return quorumHeardAt(
+    s,
+    function acked(p) {
+      return p.ackedSentAt;
+    },
+    now,
+  );
 }
 
 function membersAt(s: GroupState, index: number): Member[] {
--- a/src/coordination/group/types.ts
+++ b/src/coordination/group/types.ts
@@ -4,9 +4,7 @@
 
 export type Entry = { index: number; epoch: number; data: EntryData };
 export type EntryData =
-  | { kind: 'opening' }
-  | { kind: 'roster'; members: Member[] }
-  | { kind: 'order'; command: unknown };
+  { kind: 'opening' } | { kind: 'roster'; members: Member[] } | { kind: 'order'; command: unknown };
 
 export type Record_ =
   | { r: 'promise'; epoch: number; vote: MemberId | null }
@@ -25,32 +23,66 @@
   | { m: 'view'; epoch: number; view: View; beat: number }
   | { m: 'join'; control: string }
 );
-export type Body = Message extends infer T ? T extends Message ? Omit<T, 'from' | 'fromAddr' | 'to'> : never : never;
+export type Body = Message extends infer T ? (T extends Message ? Omit<T, 'from' | 'fromAddr' | 'to'> : never) : never;
 
 export type Phase = 'learner' | 'follower' | 'canvassing' | 'candidate' | 'sequencer';
 
 export type Partner = {
-  id: MemberId; addr: string; control: string;
-  next: number; match: number; heardAt: number; sentAt: number; answered: boolean;
-  ackedSentAt: number; joining: boolean;
+  id: MemberId;
+  addr: string;
+  control: string;
+  next: number;
+  match: number;
+  heardAt: number;
+  sentAt: number;
+  answered: boolean;
+  ackedSentAt: number;
+  joining: boolean;
 };
 
-export type Timing = { beatMs: number; silenceMs: number; spreadMs: number; legMs: number; goneMs: number; yieldMs: number };
+export type Timing = {
+  beatMs: number;
+  silenceMs: number;
+  spreadMs: number;
+  legMs: number;
+  goneMs: number;
+  yieldMs: number;
+};
 
 export type GroupState = {
-  me: MemberId; addr: string; control: string; timing: Timing; seed: number; target: number;
-  phase: Phase; epoch: number; vote: MemberId | null;
+  me: MemberId;
+  addr: string;
+  control: string;
+  timing: Timing;
+  seed: number;
+  target: number;
+  phase: Phase;
+  epoch: number;
+  vote: MemberId | null;
   base: { index: number; epoch: number; members: Member[] };
   entries: Entry[];
-  roster: Member[]; rosterAt: number;
-  committed: number; delivered: number; durable: number;
-  written: number; synced: number; writtenAt: number;
+  roster: Member[];
+  rosterAt: number;
+  committed: number;
+  delivered: number;
+  durable: number;
+  written: number;
+  synced: number;
+  writtenAt: number;
   waiting: { token: number; to: MemberId; body: Body }[];
   marks: { token: number; last: number }[];
-  sequencer: MemberId | null; heardAt: number; silence: number;
-  votes: Set<MemberId>; ballotAt: number;
-  partners: Map<MemberId, Partner>; beatNo: number; beatSentAt: Map<number, number>; beatAt: number;
-  wonAt: number; joinAt: number; latestView: View | null;
+  sequencer: MemberId | null;
+  heardAt: number;
+  silence: number;
+  votes: Set<MemberId>;
+  ballotAt: number;
+  partners: Map<MemberId, Partner>;
+  beatNo: number;
+  beatSentAt: Map<number, number>;
+  beatAt: number;
+  wonAt: number;
+  joinAt: number;
+  latestView: View | null;
 };
 
 export type GroupEvent =
--- a/src/coordination/soundness/jury.ts
+++ b/src/coordination/soundness/jury.ts
@@ -5,7 +5,15 @@
 // An unsound runner is tried again, after a pause that grows, by one site with a repeatable request.
 export type Word = { good: number; bad: number; at: number };
 export type CasePhase = 'clear' | 'unsound' | 'trial';
-export type Case = { words: Map<string, Word>; phase: CasePhase; since: number; offences: number; passed: number; taker: string | null; trialNo: number };
+export type Case = {
+  words: Map<string, Word>;
+  phase: CasePhase;
+  since: number;
+  offences: number;
+  passed: number;
+  taker: string | null;
+  trialNo: number;
+};
 export type Jury = { cases: Map<string, Case>; seq: number; trials: number };
 export type OutcomeRow = [string, number, number];
 export type Verdict = [string, string | null, number];
@@ -65,7 +73,11 @@
     const c = caseOf(j, id, now);
     const was = c.words.get(site);
     const ms = was ? now - was.at : 0;
-    c.words.set(site, { good: Math.min(mostGood, faded(was?.good ?? 0, ms) + good), bad: Math.min(mostBad, faded(was?.bad ?? 0, ms) + bad), at: now });
+    c.words.set(site, {
+      good: Math.min(mostGood, faded(was?.good ?? 0, ms) + good),
+      bad: Math.min(mostBad, faded(was?.bad ?? 0, ms) + bad),
+      at: now,
+    });
     if (c.phase !== 'trial' || c.taker !== site) continue;
     if (bad > 0) turn(j, c, 'unsound', now);
     else {
@@ -123,10 +135,14 @@
       const share = accusation(c, now);
       if (share > 0) accused.push({ c, share, service });
       else if (now - c.since > forgetMs && c.offences > 0) c.offences = 0;
-    } else if (c.phase === 'unsound' && now - c.since >= pauseOf(c) && b.sites.length > 0) appoint(j, c, b.sites[j.trials % b.sites.length]!, now);
-    else if (c.phase === 'trial' && now - c.since >= trialMs && b.sites.length > 0) appoint(j, c, b.sites[j.trials % b.sites.length]!, now);
+    } else if (c.phase === 'unsound' && now - c.since >= pauseOf(c) && b.sites.length > 0)
+      appoint(j, c, b.sites[j.trials % b.sites.length]!, now);
+    else if (c.phase === 'trial' && now - c.since >= trialMs && b.sites.length > 0)
+      appoint(j, c, b.sites[j.trials % b.sites.length]!, now);
   }
-  accused.sort(function worst(x, y) { return y.share - x.share; });
+  accused.sort(function worst(x, y) {
+    return y.share - x.share;
+  });
   for (const { c, service } of accused) {
     const p = pools.get(service)!;
     if (p.unsound + 1 > Math.floor(p.size * poolShare)) continue;
@@ -138,7 +154,8 @@
 // What sites are told: each unsound runner, with the site that is to try it, and the trial's number.
 function verdicts(j: Jury): Verdict[] {
   const out: Verdict[] = [];
-  for (const [id, c] of j.cases) if (c.phase !== 'clear') out.push([id, c.phase === 'trial' ? c.taker : null, c.trialNo]);
+  for (const [id, c] of j.cases)
+    if (c.phase !== 'clear') out.push([id, c.phase === 'trial' ? c.taker : null, c.trialNo]);
   return out;
 }
 
--- a/src/coordination/tracking/coordinator.ts
+++ b/src/coordination/tracking/coordinator.ts
@@ -6,15 +6,36 @@
 
 export type SiteShare = { site: string; seq: number; m: number; counts: Map<string, number>; gather: number };
 export type Tracker = {
-  epsilon: number; phi: number; mostTotal: number; gatherMs: number;
-  era: number; sites: Map<string, SiteShare>; sums: Map<string, { c: number; tokens: number }>;
-  C: number; signals: number; gather: number; gatherAt: number | null; awaited: Set<string>; total: number;
+  epsilon: number;
+  phi: number;
+  mostTotal: number;
+  gatherMs: number;
+  era: number;
+  sites: Map<string, SiteShare>;
+  sums: Map<string, { c: number; tokens: number }>;
+  C: number;
+  signals: number;
+  gather: number;
+  gatherAt: number | null;
+  awaited: Set<string>;
+  total: number;
 };
 
 function create(epsilon: number, phi: number, mostTotal: number, gatherMs: number): Tracker {
   return {
-    epsilon, phi, mostTotal, gatherMs, era: 0, sites: new Map(), sums: new Map(), C: 0,
-    signals: 0, gather: 0, gatherAt: null, awaited: new Set(), total: 0,
+    epsilon,
+    phi,
+    mostTotal,
+    gatherMs,
+    era: 0,
+    sites: new Map(),
+    sums: new Map(),
+    C: 0,
+    signals: 0,
+    gather: 0,
+    gatherAt: null,
+    awaited: new Set(),
+    total: 0,
   };
 }
 
@@ -58,7 +79,11 @@
   t.gather++;
   t.gatherAt = now;
   t.signals = 0;
-  t.awaited = new Set([...t.sites.keys()].filter(function stands(l) { return live.has(l); }));
+  t.awaited = new Set(
+    [...t.sites.keys()].filter(function stands(l) {
+      return live.has(l);
+    }),
+  );
 }
 
 // The beat: starts a gathering when k signals have come, ends it when all that stand have answered or
--- a/src/coordination/tracking/site.ts
+++ b/src/coordination/tracking/site.ts
@@ -4,14 +4,38 @@
 // counts, not increments, under a running number, so one that is lost or comes twice does no harm.
 export type SiteCount = { m: number; grown: number; tokens: number };
 export type SiteTracker = {
-  epsilon: number; life: string; era: number; k: number; S: number;
-  m: number; grown: number; counts: Map<string, SiteCount>;
-  dirty: Set<string>; totalDue: boolean; gather: number; seq: number; unanswered: Report | null;
+  epsilon: number;
+  life: string;
+  era: number;
+  k: number;
+  S: number;
+  m: number;
+  grown: number;
+  counts: Map<string, SiteCount>;
+  dirty: Set<string>;
+  totalDue: boolean;
+  gather: number;
+  seq: number;
+  unanswered: Report | null;
 };
 export type Report = { seq: number; era: number; m: number; counts: [string, number, number][]; gather: number };
 
 function create(epsilon: number, life: string): SiteTracker {
-  return { epsilon, life, era: 0, k: 0, S: 0, m: 0, grown: 0, counts: new Map(), dirty: new Set(), totalDue: false, gather: 0, seq: 0, unanswered: null };
+  return {
+    epsilon,
+    life,
+    era: 0,
+    k: 0,
+    S: 0,
+    m: 0,
+    grown: 0,
+    counts: new Map(),
+    dirty: new Set(),
+    totalDue: false,
+    gather: 0,
+    seq: 0,
+    unanswered: null,
+  };
 }
 
 // How far a counter may grow unreported: nothing while the fleet is small or unknown.
--- a/src/coordination/transfer/machine.ts
+++ b/src/coordination/transfer/machine.ts
@@ -4,18 +4,40 @@
 // part. Every transfer ends: by that report, by the end of its request, by the source's word that the
 // part is gone, or by its time; what comes after the end changes nothing. Leases are kept by the site
 // that took them and known to the others by the burden it tells; they end with the site's word.
-export type TransferPhase = 'hinted' | 'confirmed' | 'leased' | 'reserved' | 'moving' | 'visible' | 'released' | 'expired';
+export type TransferPhase =
+  'hinted' | 'confirmed' | 'leased' | 'reserved' | 'moving' | 'visible' | 'released' | 'expired';
 export type Transfer = {
-  id: number; key: string; source: number; dest: number; tokens: number; ms: number; generation: number;
-  phase: TransferPhase; since: number; leaseUntil: number; isUsed: boolean;
+  id: number;
+  key: string;
+  source: number;
+  dest: number;
+  tokens: number;
+  ms: number;
+  generation: number;
+  phase: TransferPhase;
+  since: number;
+  leaseUntil: number;
+  isUsed: boolean;
 };
 export type Hint = { isConfirmed: boolean; generation: number };
 export type Load = { leasesAtSource: number; queuedMsAtDest: number };
 export type TransferCounts = {
-  begun: number; refused: Record<Refusal, number>; expired: number; visible: number; released: number; late: number; tokens: number;
+  begun: number;
+  refused: Record<Refusal, number>;
+  expired: number;
+  visible: number;
+  released: number;
+  late: number;
+  tokens: number;
 };
 export type Refusal = 'unconfirmed' | 'source' | 'queue';
-export type Transfers = { open: Map<number, Transfer>; byPlace: Map<number, { source: number; dest: number }>; nextId: number; timing: TransferTiming; counts: TransferCounts };
+export type Transfers = {
+  open: Map<number, Transfer>;
+  byPlace: Map<number, { source: number; dest: number }>;
+  nextId: number;
+  timing: TransferTiming;
+  counts: TransferCounts;
+};
 export type TransferTiming = { leaseMs: number; mostAtSource: number; longestQueueMs: number };
 
 export type TransferEvent =
@@ -26,12 +48,32 @@
   | { e: 'beat' };
 
 function create(timing: TransferTiming): Transfers {
-  return { open: new Map(), byPlace: new Map(), nextId: 1, timing, counts: { begun: 0, refused: { unconfirmed: 0, source: 0, queue: 0 }, expired: 0, visible: 0, released: 0, late: 0, tokens: 0 } };
+  return {
+    open: new Map(),
+    byPlace: new Map(),
+    nextId: 1,
+    timing,
+    counts: {
+      begun: 0,
+      refused: { unconfirmed: 0, source: 0, queue: 0 },
+      expired: 0,
+      visible: 0,
+      released: 0,
+      late: 0,
+      tokens: 0,
+    },
+  };
 }
 
 const after: Record<TransferPhase, TransferPhase[]> = {
-  hinted: ['confirmed', 'expired'], confirmed: ['leased', 'expired'], leased: ['reserved', 'expired'], reserved: ['moving', 'expired', 'released'],
-  moving: ['visible', 'released', 'expired'], visible: ['released', 'expired'], released: [], expired: [],
+  hinted: ['confirmed', 'expired'],
+  confirmed: ['leased', 'expired'],
+  leased: ['reserved', 'expired'],
+  reserved: ['moving', 'expired', 'released'],
+  moving: ['visible', 'released', 'expired'],
+  visible: ['released', 'expired'],
+  released: [],
+  expired: [],
 };
 
 // The one place where a transfer changes its phase. A step that does not follow changes nothing.
@@ -55,7 +97,10 @@
 }
 
 function count(s: Transfers, t: Transfer, sign: 1 | -1): void {
-  for (const [place, end] of [[t.source, 'source'], [t.dest, 'dest']] as const) {
+  for (const [place, end] of [
+    [t.source, 'source'],
+    [t.dest, 'dest'],
+  ] as const) {
     const at = s.byPlace.get(place) ?? { source: 0, dest: 0 };
     at[end] += end === 'source' ? sign : sign * t.ms;
     if (at.source <= 0 && at.dest <= 0.001) s.byPlace.delete(place);
@@ -72,8 +117,24 @@
 }
 
 // Leads a hint through confirmation, lease and reservation in one step; null, and a count, if refused.
-function begin(s: Transfers, a: { key: string; source: number; dest: number; tokens: number; ms: number; hint: Hint; load: Load }, now: number): Transfer | null {
-  const t: Transfer = { id: s.nextId++, key: a.key, source: a.source, dest: a.dest, tokens: a.tokens, ms: a.ms, generation: a.hint.generation, phase: 'hinted', since: now, leaseUntil: now, isUsed: false };
+function begin(
+  s: Transfers,
+  a: { key: string; source: number; dest: number; tokens: number; ms: number; hint: Hint; load: Load },
+  now: number,
+): Transfer | null {
+  const t: Transfer = {
+    id: s.nextId++,
+    key: a.key,
+    source: a.source,
+    dest: a.dest,
+    tokens: a.tokens,
+    ms: a.ms,
+    generation: a.hint.generation,
+    phase: 'hinted',
+    since: now,
+    leaseUntil: now,
+    isUsed: false,
+  };
   const no = refusal(s, a.hint, a.load, a.ms);
   if (no) {
     s.counts.refused[no]++;
@@ -105,10 +166,17 @@
       return;
     }
     case 'kept':
-      for (const t of s.open.values()) if (t.dest === ev.place && t.key === ev.key && turn(s, t, 'visible', now) && t.isUsed) turn(s, t, 'released', now);
+      for (const t of s.open.values())
+        if (t.dest === ev.place && t.key === ev.key && turn(s, t, 'visible', now) && t.isUsed)
+          turn(s, t, 'released', now);
       return;
     case 'gone':
-      for (const t of [...s.open.values()]) if ((t.source === ev.place || (ev.key === null && t.dest === ev.place)) && (ev.key === null || t.key === ev.key)) turn(s, t, 'expired', now);
+      for (const t of [...s.open.values()])
+        if (
+          (t.source === ev.place || (ev.key === null && t.dest === ev.place)) &&
+          (ev.key === null || t.key === ev.key)
+        )
+          turn(s, t, 'expired', now);
       return;
     case 'beat':
       for (const t of [...s.open.values()]) if (now >= t.leaseUntil) turn(s, t, 'expired', now);
--- a/src/dataplane/budget.ts
+++ b/src/dataplane/budget.ts
@@ -1,7 +1,12 @@
 // The part of the shared budget of further legs that one site may use: the ratio of its own requests
 // in the running window, and its share of the slack among the sites known to be in. While the number
 // of sites is unknown there is no slack. Counted in slices so that the window slides.
-export type Budget = { windowMs: number; ratio: number; slack: number; slices: { at: number; asked: number; used: number }[] };
+export type Budget = {
+  windowMs: number;
+  ratio: number;
+  slack: number;
+  slices: { at: number; asked: number; used: number }[];
+};
 
 const sliceMs = 250;
 const margin = 0.75;
--- a/src/dataplane/feed.ts
+++ b/src/dataplane/feed.ts
@@ -23,15 +23,24 @@
 const storeName = 'store';
 
 type Exchange = {
-  tracker: SiteTracker; since: [number, number]; others: Others; beatMs: number; verdictSeq: number; hotSeq: number;
-  held: [string, string, number, string][]; told: Map<string, number>; soon: NodeJS.Timeout | null; heardAt: number;
+  tracker: SiteTracker;
+  since: [number, number];
+  others: Others;
+  beatMs: number;
+  verdictSeq: number;
+  hotSeq: number;
+  held: [string, string, number, string][];
+  told: Map<string, number>;
+  soon: NodeJS.Timeout | null;
+  heardAt: number;
 };
 
 function burdenOf(site: Site): BurdenRow[] {
   const out: BurdenRow[] = [];
   for (const s of site.fleet.byId.values()) {
     const moves = transfers.at(site.transfers, s.ix);
-    if (s.active > 0 || s.reading > 0 || moves.source > 0 || moves.dest > 0) out.push([s.id, s.active, Math.round(s.reading), s.claimed, moves.source, Math.round(moves.dest)]);
+    if (s.active > 0 || s.reading > 0 || moves.source > 0 || moves.dest > 0)
+      out.push([s.id, s.active, Math.round(s.reading), s.claimed, moves.source, Math.round(moves.dest)]);
   }
   const { source } = transfers.at(site.transfers, storePlace);
   if (source > 0) out.push([storeName, 0, 0, 0, source, 0]);
@@ -39,7 +48,13 @@
 }
 
 function unsoundOf(site: Site): string[] {
-  return [...site.fleet.byId.values()].filter(function not(s) { return s.phase !== 'sound'; }).map(function id(s) { return s.id; });
+  return [...site.fleet.byId.values()]
+    .filter(function not(s) {
+      return s.phase !== 'sound';
+    })
+    .map(function id(s) {
+      return s.id;
+    });
 }
 
 // What was met since the last call; a call that is lost takes its words with it.
@@ -55,15 +70,34 @@
 
 function callOf(site: Site, x: Exchange, hold: number): FeedCall {
   const burden = burdenOf(site);
-  x.told = new Map(burden.map(function pair(b) { return [b[0], b[2] + b[3]] as const; }));
+  x.told = new Map(
+    burden.map(function pair(b) {
+      return [b[0], b[2] + b[3]] as const;
+    }),
+  );
   const held = x.held;
   x.held = [];
   const burdenNo = others.tell(x.others, burden);
-  return { site: site.settings.node_name, life: x.tracker.life, since: x.since, hotSeq: x.hotSeq, hold, burden, burdenNo, burdenSeen: x.others.revision, unsound: unsoundOf(site), outcomes: outcomesOf(site), verdictSeq: x.verdictSeq, held, report: siteTracker.report(x.tracker) };
+  return {
+    site: site.settings.node_name,
+    life: x.tracker.life,
+    since: x.since,
+    hotSeq: x.hotSeq,
+    hold,
+    burden,
+    burdenNo,
+    burdenSeen: x.others.revision,
+    unsound: unsoundOf(site),
+    outcomes: outcomesOf(site),
+    verdictSeq: x.verdictSeq,
+    held,
+    report: siteTracker.report(x.tracker),
+  };
 }
 
 function showOthers(site: Site, x: Exchange): void {
-  for (const s of site.fleet.byId.values()) [s.othersActive, s.othersReading, s.othersClaimed, s.othersLeases, s.othersMoveMs] = others.at(x.others, s.id);
+  for (const s of site.fleet.byId.values())
+    [s.othersActive, s.othersReading, s.othersClaimed, s.othersLeases, s.othersMoveMs] = others.at(x.others, s.id);
   site.storeLeases = others.at(x.others, storeName)[3];
 }
 
@@ -134,28 +168,45 @@
 
 async function run(site: Site, f: Follower): Promise<void> {
   const x: Exchange = {
-    tracker: siteTracker.create(site.tuning.epsilon, f.life), since: [-1, 0], others: others.create(), beatMs: 0, verdictSeq: -1, hotSeq: 0, held: [], told: new Map(), soon: null, heardAt: 0,
+    tracker: siteTracker.create(site.tuning.epsilon, f.life),
+    since: [-1, 0],
+    others: others.create(),
+    beatMs: 0,
+    verdictSeq: -1,
+    hotSeq: 0,
+    held: [],
+    told: new Map(),
+    soon: null,
+    heardAt: 0,
   };
   site.sent = function sent(p, a) {
     if (a.salt === null) return;
     for (const part of assign.shared(p)) {
       if (part.tokens < site.tuning.movedTokens) continue;
       siteTracker.arrive(x.tracker, identity.key(a.salt, part.id), part.tokens);
-      if (holdings.tokensAt(site.holdings, a.salt, part.id, a.slot.ix, performance.now()) === 0) x.held.push([a.salt, part.id, part.tokens, a.slot.id]);
+      if (holdings.tokensAt(site.holdings, a.salt, part.id, a.slot.ix, performance.now()) === 0)
+        x.held.push([a.salt, part.id, part.tokens, a.slot.id]);
       holdings.expect(site.holdings, a.salt, part.id, a.slot.ix, part.tokens, performance.now());
     }
   };
   site.burdenChanged = function changed() {
     if (x.soon) return;
-    const large = [...site.fleet.byId.values()].some(function much(s) { return Math.abs(s.reading + s.claimed - (x.told.get(s.id) ?? 0)) >= tellTokens; });
+    const large = [...site.fleet.byId.values()].some(function much(s) {
+      return Math.abs(s.reading + s.claimed - (x.told.get(s.id) ?? 0)) >= tellTokens;
+    });
     if (!large) return;
-    x.soon = setTimeout(function tell() {
-      x.soon = null;
-      void say(site, f, x, 0);
-    }, Math.max(coalesceMs, x.beatMs * beatShare));
+    x.soon = setTimeout(
+      function tell() {
+        x.soon = null;
+        void say(site, f, x, 0);
+      },
+      Math.max(coalesceMs, x.beatMs * beatShare),
+    );
   };
   while (!f.stopped) {
-    siteTracker.retire(x.tracker, function retired(key) { return isRetired(site, key); });
+    siteTracker.retire(x.tracker, function retired(key) {
+      return isRetired(site, key);
+    });
     const ok = await say(site, f, x, holdMs);
     if (ok) continue;
     if (performance.now() - x.heardAt > staleMs) {
@@ -164,7 +215,9 @@
       fleet.rule(site.fleet, [], site.settings.node_name);
       showOthers(site, x);
     }
-    await new Promise(function pause(done) { setTimeout(done, 150); });
+    await new Promise(function pause(done) {
+      setTimeout(done, 150);
+    });
   }
 }
 
--- a/src/dataplane/follow.ts
+++ b/src/dataplane/follow.ts
@@ -16,7 +16,16 @@
 const pauseMs = 120;
 export const leaveMs = 2000;
 
-export type Follower = { life: string; via: Agent; known: string[]; seeds: string[]; at: number; sequencer: string | null; stopped: boolean; whole: boolean };
+export type Follower = {
+  life: string;
+  via: Agent;
+  known: string[];
+  seeds: string[];
+  at: number;
+  sequencer: string | null;
+  stopped: boolean;
+  whole: boolean;
+};
 
 function newer(a: Board, b: Board): boolean {
   return a.epoch > b.epoch || (a.epoch === b.epoch && a.seq > b.seq);
@@ -51,17 +60,35 @@
 
 function take(site: Site, f: Follower, a: NewsAnswer): void {
   f.whole = false;
-  takeConfiguration(site, unfolded(a.configuration, a.configurationDelta, function put(d) { return configurationHistory.apply(site.configuration, d); }, f));
+  takeConfiguration(
+    site,
+    unfolded(
+      a.configuration,
+      a.configurationDelta,
+      function put(d) {
+        return configurationHistory.apply(site.configuration, d);
+      },
+      f,
+    ),
+  );
   if (a.rules && a.rules.seq > site.rules.seq) {
     site.rules = a.rules;
   }
   if (a.weights && a.weightsSeq > site.weightsSeq) {
     const now = performance.now();
-    for (const [model, revision] of Object.entries(a.weights)) if ((site.weights[model] ?? 0) < revision) site.weightsAt.set(model, now);
+    for (const [model, revision] of Object.entries(a.weights))
+      if ((site.weights[model] ?? 0) < revision) site.weightsAt.set(model, now);
     site.weights = a.weights;
     site.weightsSeq = a.weightsSeq;
   }
-  const board = unfolded(a.board, a.boardDelta, function put(d) { return boardHistory.apply(site.board, d); }, f);
+  const board = unfolded(
+    a.board,
+    a.boardDelta,
+    function put(d) {
+      return boardHistory.apply(site.board, d);
+    },
+    f,
+  );
   if (board) takeBoard(site, board);
   f.sequencer = a.sequencer;
   if (a.coordinators.length > 0) {
@@ -77,8 +104,14 @@
     const to = f.known[f.at % f.known.length]!;
     const sentAt = performance.now();
     const call: NewsCall = {
-      site: site.settings.node_name, life: f.life, revision: site.table?.revision ?? 0, board: [site.board.epoch, site.board.seq],
-      weights: site.weightsSeq, rules: site.rules.seq, hold: holdMs, whole: f.whole,
+      site: site.settings.node_name,
+      life: f.life,
+      revision: site.table?.revision ?? 0,
+      board: [site.board.epoch, site.board.seq],
+      weights: site.weightsSeq,
+      rules: site.rules.seq,
+      hold: holdMs,
+      whole: f.whole,
     };
     const r = await channel.post<NewsAnswer>(f.via, to, '/inner/news', call, holdMs + slackMs);
     if (r.ok) take(site, f, r.value);
@@ -90,7 +123,10 @@
     ringLog.note(site.log, { to, why: r.ok ? 'behind' : r.trouble }, 'turning to another coordinator');
     f.at++;
     failed++;
-    if (failed % f.known.length === 0) await new Promise(function wait(done) { setTimeout(done, pauseMs); });
+    if (failed % f.known.length === 0)
+      await new Promise(function wait(done) {
+        setTimeout(done, pauseMs);
+      });
   }
 }
 
--- a/src/dataplane/front.ts
+++ b/src/dataplane/front.ts
@@ -17,11 +17,31 @@
 
 function passage(req: IncomingMessage, res: ServerResponse): Passage {
   return {
-    req, res, at: performance.now(), path: '', attempt: '', body: Buffer.alloc(0),
-    route: null as unknown as Passage['route'], service: null as unknown as Passage['service'], tenant: null, rank: 0,
-    model: null, tokens: null, parts: [], wall: 'all',
-    deadlineAt: Infinity, aimMs: 0, isStream: false, repeatable: false,
-    legs: 0, runners: new Set(), maybeRun: false, headSent: false, lastEventId: null, gone: false, events: 0,
+    req,
+    res,
+    at: performance.now(),
+    path: '',
+    attempt: '',
+    body: Buffer.alloc(0),
+    route: null as unknown as Passage['route'],
+    service: null as unknown as Passage['service'],
+    tenant: null,
+    rank: 0,
+    model: null,
+    tokens: null,
+    parts: [],
+    wall: 'all',
+    deadlineAt: Infinity,
+    aimMs: 0,
+    isStream: false,
+    repeatable: false,
+    legs: 0,
+    runners: new Set(),
+    maybeRun: false,
+    headSent: false,
+    lastEventId: null,
+    gone: false,
+    events: 0,
   };
 }
 
@@ -56,12 +76,15 @@
 }
 
 function create(site: Site): Server {
-  const server = createServer({ maxHeaderSize: mostHeaderBytes, connectionsCheckingInterval: 500, noDelay: true }, function got(req, res) {
-    walk(site, req, res).catch(function bad(err: Error) {
-      ringLog.trouble(site.log, { why: err.stack }, 'a request met an error of our own');
-      res.destroy();
-    });
-  });
+  const server = createServer(
+    { maxHeaderSize: mostHeaderBytes, connectionsCheckingInterval: 500, noDelay: true },
+    function got(req, res) {
+      walk(site, req, res).catch(function bad(err: Error) {
+        ringLog.trouble(site.log, { why: err.stack }, 'a request met an error of our own');
+        res.destroy();
+      });
+    },
+  );
   server.requestTimeout = 0;
   server.on('clientError', onClientTrouble);
   adapt(site, server);
--- a/src/dataplane/leg.ts
+++ b/src/dataplane/leg.ts
@@ -30,8 +30,10 @@
   if (a.salt !== null) list.push('X-Cache-Salt', a.salt);
   if (a.fetchFrom !== null) list.push('X-Kv-Fetch-From', a.fetchFrom);
   if (a.saveTo !== null) list.push('X-Kv-Save-To', a.saveTo);
-  if (urgency && p.model !== null) list.push('X-Urgency', String(Math.max(0, Math.min(9, 2 + p.rank * 2 + (p.route.rank ?? 0)))));
-  if (p.body.length > 0 || !['GET', 'HEAD', 'DELETE', 'OPTIONS'].includes(p.req.method ?? '')) list.push('Content-Length', String(p.body.length));
+  if (urgency && p.model !== null)
+    list.push('X-Urgency', String(Math.max(0, Math.min(9, 2 + p.rank * 2 + (p.route.rank ?? 0)))));
+  if (p.body.length > 0 || !['GET', 'HEAD', 'DELETE', 'OPTIONS'].includes(p.req.method ?? ''))
+    list.push('Content-Length', String(p.body.length));
   return list;
 }
 
@@ -39,7 +41,15 @@
   const { host, port } = ask.split(a.slot.addr);
   const now = performance.now();
   channels.retire(a.slot.agent, p.repeatable, now);
-  const req = request({ agent: a.slot.agent, host, port, method: p.req.method, path: p.req.url, headers: headersOf(p, a, urgency, now) as unknown as Record<string, string>, setHost: false });
+  const req = request({
+    agent: a.slot.agent,
+    host,
+    port,
+    method: p.req.method,
+    path: p.req.url,
+    headers: headersOf(p, a, urgency, now) as unknown as Record<string, string>,
+    setHost: false,
+  });
   let over = false;
   let written = false;
   let onOld = false;
@@ -80,14 +90,23 @@
         socket.once('connect', up);
       }
     });
-    req.on('error', function broke(err) { finish(written ? { l: 'unsure', why: err.message, onOld: broken() } : { l: 'unsent', why: err.message }); });
-    req.on('close', function closed() { finish(written ? { l: 'unsure', why: 'closed', onOld: broken() } : { l: 'unsent', why: 'closed' }); });
+    req.on('error', function broke(err) {
+      finish(written ? { l: 'unsure', why: err.message, onOld: broken() } : { l: 'unsent', why: err.message });
+    });
+    req.on('close', function closed() {
+      finish(written ? { l: 'unsure', why: 'closed', onOld: broken() } : { l: 'unsent', why: 'closed' });
+    });
     req.on('response', function head(res) {
       fleet.spoke(a.slot, performance.now());
       finish({ l: 'head', res, req });
     });
   });
-  return { end, cancel: function cancel() { req.destroy(); } };
+  return {
+    end,
+    cancel: function cancel() {
+      req.destroy();
+    },
+  };
 }
 
 export const leg = { send };
--- a/src/dataplane/line.ts
+++ b/src/dataplane/line.ts
@@ -17,7 +17,9 @@
 // Tries all that wait, in order; those that found a runner leave.
 function stir(l: Line): void {
   if (l.waiters.length === 0) return;
-  const all = [...l.waiters].sort(function first(a, b) { return a.key - b.key; });
+  const all = [...l.waiters].sort(function first(a, b) {
+    return a.key - b.key;
+  });
   for (const w of all) if (w.attempt()) w.end(true);
 }
 
@@ -34,16 +36,21 @@
 function wait(l: Line, key: number, ms: number, attempt: () => boolean): Promise<boolean> {
   return new Promise(function run(done) {
     const w: Waiter = {
-      key, attempt,
+      key,
+      attempt,
       end: function end(found) {
         clearTimeout(timer);
         leave(l, w);
         done(found);
       },
     };
-    const timer = setTimeout(function over() { w.end(attempt()); }, ms);
+    const timer = setTimeout(function over() {
+      w.end(attempt());
+    }, ms);
     l.waiters.push(w);
-    l.beat ??= setInterval(function beat() { stir(l); }, beatMs);
+    l.beat ??= setInterval(function beat() {
+      stir(l);
+    }, beatMs);
   });
 }
 
--- a/src/dataplane/moves.ts
+++ b/src/dataplane/moves.ts
@@ -8,9 +8,16 @@
 function begin(site: Site, a: Assigned, now: number): void {
   if (!a.source) return;
   const { place, key, tokens, ms, generation } = a.source;
-  const leases = place === storePlace ? site.storeLeases : site.fleet.slots[place]?.othersLeases ?? 0;
-  const load = { leasesAtSource: transfers.at(site.transfers, place).source + leases, queuedMsAtDest: transfers.at(site.transfers, a.slot.ix).dest + a.slot.othersMoveMs };
-  const t = transfers.begin(site.transfers, { key, source: place, dest: a.slot.ix, tokens, ms, hint: { isConfirmed: true, generation }, load }, now);
+  const leases = place === storePlace ? site.storeLeases : (site.fleet.slots[place]?.othersLeases ?? 0);
+  const load = {
+    leasesAtSource: transfers.at(site.transfers, place).source + leases,
+    queuedMsAtDest: transfers.at(site.transfers, a.slot.ix).dest + a.slot.othersMoveMs,
+  };
+  const t = transfers.begin(
+    site.transfers,
+    { key, source: place, dest: a.slot.ix, tokens, ms, hint: { isConfirmed: true, generation }, load },
+    now,
+  );
   if (t) a.transfer = t.id;
   else a.fetchFrom = null;
 }
--- a/src/dataplane/policies/access.ts
+++ b/src/dataplane/policies/access.ts
@@ -15,9 +15,12 @@
   if (!rules.isRuled(active, label) && (next === null || !rules.isRuled(next, label))) return { s: 'next' };
   if (performance.now() > site.leaveUntil) return { s: 'answer', answer: answers.bounce(503, againMs) };
   switch (rules.verdict(active, next, label, p.model)) {
-    case 'allowed': return { s: 'next' };
-    case 'undecided': return { s: 'answer', answer: answers.bounce(503, againMs) };
-    case 'forbidden': return { s: 'answer', answer: answers.plain(403, 'this tenant may not call this model') };
+    case 'allowed':
+      return { s: 'next' };
+    case 'undecided':
+      return { s: 'answer', answer: answers.bounce(503, againMs) };
+    case 'forbidden':
+      return { s: 'answer', answer: answers.plain(403, 'this tenant may not call this model') };
   }
 }
 
--- a/src/dataplane/policies/assign.ts
+++ b/src/dataplane/policies/assign.ts
@@ -68,9 +68,20 @@
 
 // The source a runner would best take parts from: one that has itself reported them, not long ago, under
 // the same weights and wall, that a lease can be had on, and from where the move pays.
-function bestSource(site: Site, p: Passage, salt: string, s: Slot, has: number, revision: number, at: Prices, now: number): Source | null {
+function bestSource(
+  site: Site,
+  p: Passage,
+  salt: string,
+  s: Slot,
+  has: number,
+  revision: number,
+  at: Prices,
+  now: number,
+): Source | null {
   const least = site.tuning.movedTokens;
-  const big = shared(p).find(function large(x) { return x.tokens >= least; });
+  const big = shared(p).find(function large(x) {
+    return x.tokens >= least;
+  });
   if (!big || !site.tuning.transfers || now > site.hintsUntil) return null;
   const there = holdings.places(site.holdings, salt, big.id);
   if (!there) return null;
@@ -86,11 +97,19 @@
     const where = whereIs(site, from.zone, s.zone);
     const ms = prices.move(at, n - has, where);
     const load = { leasesAtSource: transfers.at(site.transfers, place).source + from.leases, queuedMsAtDest: queuedMs };
-    if (transfers.refusal(site.transfers, { isConfirmed: held.isSure, generation: held.generation }, load, ms)) continue;
+    if (transfers.refusal(site.transfers, { isConfirmed: held.isSure, generation: held.generation }, load, ms))
+      continue;
     const gain = prices.gain(at, n - has, where, queuedMs);
     if (gain > bestGain) {
       bestGain = gain;
-      best = { place, addr: from.addr, key: identity.key(salt, big.id), tokens: n - has, ms, generation: held.generation };
+      best = {
+        place,
+        addr: from.addr,
+        key: identity.key(salt, big.id),
+        tokens: n - has,
+        ms,
+        generation: held.generation,
+      };
     }
   }
   return best;
@@ -100,13 +119,25 @@
 
 function storeOf(site: Site): From | null {
   const store = site.table!.stores[0];
-  return store?.kv_store_addr ? { addr: store.kv_store_addr, zone: store.zone_name ?? '', leases: site.storeLeases } : null;
+  return store?.kv_store_addr
+    ? { addr: store.kv_store_addr, zone: store.zone_name ?? '', leases: site.storeLeases }
+    : null;
 }
 
 function runnerSource(site: Site, p: Passage, s: Slot, place: number, revision: number): From | null {
   const from = site.fleet.slots[place];
-  if (!from || !from.listed || from.phase !== 'sound' || from.verdict !== 'clear' || from.parked || from.service !== s.service) return null;
-  return from.revisions.get(p.model!) === revision ? { addr: from.addr, zone: from.zone, leases: from.othersLeases } : null;
+  if (
+    !from ||
+    !from.listed ||
+    from.phase !== 'sound' ||
+    from.verdict !== 'clear' ||
+    from.parked ||
+    from.service !== s.service
+  )
+    return null;
+  return from.revisions.get(p.model!) === revision
+    ? { addr: from.addr, zone: from.zone, leases: from.othersLeases }
+    : null;
 }
 
 // What requests with the same session or the same shared part have in common.
@@ -136,7 +167,9 @@
 // Long prompts keep to a part of the runners, the same at every site, while there is room, so that
 // short ones find runners where nothing long is being read.
 function forLong(of: Slot[]): Set<Slot> {
-  const order = [...of].sort(function byHash(a, b) { return hash.of(a.id) - hash.of(b.id); });
+  const order = [...of].sort(function byHash(a, b) {
+    return hash.of(a.id) - hash.of(b.id);
+  });
   return new Set(order.slice(0, Math.ceil(of.length * longShare)));
 }
 
@@ -183,7 +216,19 @@
     cost += hash.of(`${s.id} ${draw}`) * shareCost;
     if (cost < bestCost) {
       bestCost = cost;
-      best = { slot: s, revision, salt, reads: reads + moveCost, claims, isLong, backlog: reads + s.reading + s.othersReading, fetchFrom: source?.addr ?? null, source, transfer: null, saveTo: null };
+      best = {
+        slot: s,
+        revision,
+        salt,
+        reads: reads + moveCost,
+        claims,
+        isLong,
+        backlog: reads + s.reading + s.othersReading,
+        fetchFrom: source?.addr ?? null,
+        source,
+        transfer: null,
+        saveTo: null,
+      };
     }
   }
   if (best && best.salt !== null) best.saveTo = saveTo(site, p, best.salt, now);
--- a/src/dataplane/policies/deliver.ts
+++ b/src/dataplane/policies/deliver.ts
@@ -99,7 +99,11 @@
 
 // Waits for the leg's head, the client's hang-up, the deadline, or, for what may be repeated, for the
 // runner to have said nothing at all to anyone, or an unsound one nothing to it, for a whole aim.
-function headOf(p: Passage, a: Assigned, l: { end: Promise<LegEnd>; cancel: () => void }): Promise<LegEnd | 'gone' | 'late' | 'mute'> {
+function headOf(
+  p: Passage,
+  a: Assigned,
+  l: { end: Promise<LegEnd>; cancel: () => void },
+): Promise<LegEnd | 'gone' | 'late' | 'mute'> {
   return new Promise(function run(done) {
     const sentAt = performance.now();
     function end(x: LegEnd | 'gone' | 'late' | 'mute'): void {
@@ -108,13 +112,22 @@
       p.res.removeListener('close', gone);
       done(x);
     }
-    function gone(): void { end('gone'); }
-    const late = setTimeout(function over() { end('late'); }, Math.max(1, p.deadlineAt - sentAt));
-    const mute = p.repeatable ? setInterval(function look() {
-      const now = performance.now();
-      const silent = now - (a.slot.verdict === 'clear' ? Math.max(sentAt, a.slot.lastByteAt) : sentAt);
-      if (silent >= Math.max(250, p.aimMs) && p.deadlineAt - now > p.aimMs) end('mute');
-    }, 50) : undefined;
+    function gone(): void {
+      end('gone');
+    }
+    const late = setTimeout(
+      function over() {
+        end('late');
+      },
+      Math.max(1, p.deadlineAt - sentAt),
+    );
+    const mute = p.repeatable
+      ? setInterval(function look() {
+          const now = performance.now();
+          const silent = now - (a.slot.verdict === 'clear' ? Math.max(sentAt, a.slot.lastByteAt) : sentAt);
+          if (silent >= Math.max(250, p.aimMs) && p.deadlineAt - now > p.aimMs) end('mute');
+        }, 50)
+      : undefined;
     p.res.on('close', gone);
     void l.end.then(end);
   });
--- a/src/dataplane/policies/limits.ts
+++ b/src/dataplane/policies/limits.ts
@@ -12,7 +12,9 @@
   return new Promise(function run(done) {
     const list: Buffer[] = [];
     let n = 0;
-    const timer = setTimeout(function late() { done({ b: 'late' }); }, bodyMs);
+    const timer = setTimeout(function late() {
+      done({ b: 'late' });
+    }, bodyMs);
     function end(x: Body): void {
       clearTimeout(timer);
       done(x);
@@ -22,9 +24,15 @@
       if (n > most) end({ b: 'large' });
       else list.push(b);
     });
-    req.on('end', function whole() { end({ b: 'whole', body: list.length === 1 ? list[0]! : Buffer.concat(list) }); });
-    req.on('error', function cut() { end({ b: 'cut' }); });
-    req.on('close', function cut() { end({ b: 'cut' }); });
+    req.on('end', function whole() {
+      end({ b: 'whole', body: list.length === 1 ? list[0]! : Buffer.concat(list) });
+    });
+    req.on('error', function cut() {
+      end({ b: 'cut' });
+    });
+    req.on('close', function cut() {
+      end({ b: 'cut' });
+    });
   });
 }
 
@@ -36,12 +44,16 @@
     if (n > headerBytes) return { s: 'answer', answer: answers.plain(431), closing: true };
   }
   const most = bodyBytes ?? Infinity;
-  if (Number(p.req.headers['content-length'] ?? 0) > most) return { s: 'answer', answer: answers.plain(413), closing: true };
+  if (Number(p.req.headers['content-length'] ?? 0) > most)
+    return { s: 'answer', answer: answers.plain(413), closing: true };
   const got = await read(p.req, most);
   switch (got.b) {
-    case 'large': return { s: 'answer', answer: answers.plain(413), closing: true };
-    case 'late': return { s: 'answer', answer: answers.plain(408), closing: true };
-    case 'cut': return { s: 'done' };
+    case 'large':
+      return { s: 'answer', answer: answers.plain(413), closing: true };
+    case 'late':
+      return { s: 'answer', answer: answers.plain(408), closing: true };
+    case 'cut':
+      return { s: 'done' };
     case 'whole':
       p.body = got.body;
       return { s: 'next' };
--- a/src/dataplane/policies/relay.ts
+++ b/src/dataplane/policies/relay.ts
@@ -38,7 +38,14 @@
   p.events++;
 }
 
-function run(site: Site, p: Passage, a: Assigned, res: IncomingMessage, req: ClientRequest, read: () => void): Promise<RelayEnd> {
+function run(
+  site: Site,
+  p: Passage,
+  a: Assigned,
+  res: IncomingMessage,
+  req: ClientRequest,
+  read: () => void,
+): Promise<RelayEnd> {
   return new Promise(function relayed(done) {
     const status = res.statusCode ?? 0;
     const byEvent = p.isStream && status >= 200 && status < 300 && res.headers['content-length'] === undefined;
@@ -55,9 +62,18 @@
       if (x !== 'whole') req.destroy();
       done(x);
     }
-    function gone(): void { end('gone'); }
-    function drained(): void { res.resume(); }
-    const late = setTimeout(function over_() { end('late'); }, Math.max(1, p.deadlineAt + graceMs - performance.now()));
+    function gone(): void {
+      end('gone');
+    }
+    function drained(): void {
+      res.resume();
+    }
+    const late = setTimeout(
+      function over_() {
+        end('late');
+      },
+      Math.max(1, p.deadlineAt + graceMs - performance.now()),
+    );
     p.res.on('close', gone);
     p.res.on('drain', drained);
     res.on('data', function more(b: Buffer) {
@@ -74,8 +90,12 @@
       p.res.end();
       end('whole');
     });
-    res.on('error', function broke() { end('broken'); });
-    res.on('close', function closed() { end('broken'); });
+    res.on('error', function broke() {
+      end('broken');
+    });
+    res.on('close', function closed() {
+      end('broken');
+    });
   });
 }
 
--- a/src/dataplane/policies/route.ts
+++ b/src/dataplane/policies/route.ts
@@ -11,11 +11,13 @@
   const url = p.req.url ?? '';
   const path = url.split('?')[0]!;
   const host = p.req.headers.host;
-  if (!path.startsWith('/') || host === undefined) return { s: 'answer', answer: answers.plain(400, 'a path and a host are needed') };
+  if (!path.startsWith('/') || host === undefined)
+    return { s: 'answer', answer: answers.plain(400, 'a path and a host are needed') };
   const route = routes.find(table, host, path);
   if (!route) return { s: 'answer', answer: answers.plain(404, 'no route') };
   const attempt = p.req.headers[names.attempt];
-  if (typeof attempt !== 'string' || attempt === '') return { s: 'answer', answer: answers.plain(400, 'an attempt id is needed') };
+  if (typeof attempt !== 'string' || attempt === '')
+    return { s: 'answer', answer: answers.plain(400, 'an attempt id is needed') };
   const label = routes.branch(route, hash.of(attempt));
   const service = label === null ? undefined : table.services.get(label);
   if (!service) return { s: 'answer', answer: answers.plain(404, 'no service') };
--- a/src/logging/ring.ts
+++ b/src/logging/ring.ts
@@ -9,7 +9,11 @@
 
 function create(name: string, node: string): Log {
   const ring = new bunyan.RingBuffer({ limit: kept });
-  const logger = bunyan.createLogger({ name, node, streams: [{ level: 'debug', type: 'raw', stream: ring as unknown as NodeJS.WritableStream }] });
+  const logger = bunyan.createLogger({
+    name,
+    node,
+    streams: [{ level: 'debug', type: 'raw', stream: ring as unknown as NodeJS.WritableStream }],
+  });
   return { logger, ring, shownAt: -Infinity, shown: 0 };
 }
 
@@ -19,7 +23,11 @@
 
 function line(r: Record<string, unknown>): string {
   const { time, msg, v, pid, hostname, name, level, ...rest } = r;
-  void v; void pid; void hostname; void name; void level;
+  void v;
+  void pid;
+  void hostname;
+  void name;
+  void level;
   return `${(time as Date).toISOString()} ${String(msg)} ${JSON.stringify(rest)}\n`;
 }
 
--- a/src/milletcleat.ts
+++ b/src/milletcleat.ts
@@ -7,7 +7,8 @@
 import { ringLog } from './logging/ring.js';
 import type { ToolEnd, ToolFlags } from './tools/types.js';
 
-const cli = meow(`
+const cli = meow(
+  `
   Usage
     $ milletcleat site                        carries the traffic of clients to runners
     $ milletcleat coordinator                 keeps the control state and brings it to all
@@ -39,13 +40,20 @@
     --json               output for programs
 
     --help, --version
-`, {
-  importMeta: import.meta, allowUnknownFlags: false,
-  flags: {
-    ...tuning.flags, control: { type: 'string' }, match: { type: 'number' }, part: { type: 'string' },
-    change: { type: 'string', isMultiple: true }, json: { type: 'boolean', default: false },
+`,
+  {
+    importMeta: import.meta,
+    allowUnknownFlags: false,
+    flags: {
+      ...tuning.flags,
+      control: { type: 'string' },
+      match: { type: 'number' },
+      part: { type: 'string' },
+      change: { type: 'string', isMultiple: true },
+      json: { type: 'boolean', default: false },
+    },
   },
-});
+);
 
 function fail(status: number, text: string): never {
   process.stderr.write(`${text}\n`);
@@ -64,14 +72,19 @@
     ringLog.trouble(log, { why: err.stack }, 'ending');
     process.exit(1);
   });
-  process.on('SIGUSR2', function show() { ringLog.flush(log); });
+  process.on('SIGUSR2', function show() {
+    ringLog.flush(log);
+  });
   process.on('SIGHUP', function reread() {
     const again = settings.read(path, part);
     if (again.ok) Object.assign(read.value, again.value);
     else ringLog.trouble(log, { findings: again.trouble }, 'the changed settings are not taken');
   });
   try {
-    const start = part === 'site' ? (await import('./programs/site.js')).siteProgram.start : (await import('./programs/coordinator.js')).coordinatorProgram.start;
+    const start =
+      part === 'site'
+        ? (await import('./programs/site.js')).siteProgram.start
+        : (await import('./programs/coordinator.js')).coordinatorProgram.start;
     await start(read.value, log, tuned.value);
   } catch (err) {
     ringLog.trouble(log, { why: (err as Error).stack }, 'could not start');
@@ -81,13 +94,20 @@
 
 async function tool(name: string, args: string[], flags: ToolFlags): Promise<ToolEnd | null> {
   switch (name) {
-    case 'check': return (await import('./tools/check.js')).checkTool.run(args, flags);
-    case 'status': return (await import('./tools/status.js')).statusTool.run(args, flags);
-    case 'config': return (await import('./tools/config.js')).configTool.run(args, flags);
-    case 'log': return (await import('./tools/inspect.js')).inspectTool.run(args, flags);
-    case 'simulate': return (await import('./tools/simulate/run.js')).simulateTool.run(args, flags);
-    case 'import': return (await import('./tools/import.js')).importTool.run(args, flags);
-    default: return null;
+    case 'check':
+      return (await import('./tools/check.js')).checkTool.run(args, flags);
+    case 'status':
+      return (await import('./tools/status.js')).statusTool.run(args, flags);
+    case 'config':
+      return (await import('./tools/config.js')).configTool.run(args, flags);
+    case 'log':
+      return (await import('./tools/inspect.js')).inspectTool.run(args, flags);
+    case 'simulate':
+      return (await import('./tools/simulate/run.js')).simulateTool.run(args, flags);
+    case 'import':
+      return (await import('./tools/import.js')).importTool.run(args, flags);
+    default:
+      return null;
   }
 }
 
--- a/src/programs/coordinator.ts
+++ b/src/programs/coordinator.ts
@@ -24,20 +24,42 @@
 async function start(s: Settings, log: Log, tuning: Tuning): Promise<void> {
   const group = groupDriver.create(s, log);
   const c: Coordinator = {
-    settings: s, log, group, agent: channel.agent(), board: boards.empty(), boardHistory: boardHistory.create(), configurations: configurationHistory.create(),
-    sessions: new Map(), partnerSessions: new Map(), reply: { no: 0, sentAt: new Map(), heardUpTo: -Infinity }, waiters: new Set(), tuning,
+    settings: s,
+    log,
+    group,
+    agent: channel.agent(),
+    board: boards.empty(),
+    boardHistory: boardHistory.create(),
+    configurations: configurationHistory.create(),
+    sessions: new Map(),
+    partnerSessions: new Map(),
+    reply: { no: 0, sentAt: new Map(), heardUpTo: -Infinity },
+    waiters: new Set(),
+    tuning,
   };
   group.on('delivered', function news() {
     if (group.state.configuration) configurationHistory.take(c.configurations, group.state.configuration);
     boards.wake(c);
   });
   await channel.listen(s.ip_addr, s.port_range[0], {
-    '/inner/group': function messages(b) { return groupDriver.receive(group, b.messages); },
-    '/inner/board': function board(b) { return boards.receive(c, b); },
-    '/inner/news': function question(b) { return news.call(c, b); },
-    '/inner/feed': function exchange(b) { return feed.call(c, b); },
-    '/inner/status': function view() { return status.own(c); },
-    '/inner/operator': function call(b) { return operator.decide(c, b); },
+    '/inner/group': function messages(b) {
+      return groupDriver.receive(group, b.messages);
+    },
+    '/inner/board': function board(b) {
+      return boards.receive(c, b);
+    },
+    '/inner/news': function question(b) {
+      return news.call(c, b);
+    },
+    '/inner/feed': function exchange(b) {
+      return feed.call(c, b);
+    },
+    '/inner/status': function view() {
+      return status.own(c);
+    },
+    '/inner/operator': function call(b) {
+      return operator.decide(c, b);
+    },
   });
   const door = createServer(function got(req, res) {
     operator.handle(c, req, res).catch(function bad(err: Error) {
@@ -58,7 +80,9 @@
   access.start(c);
   kept.start(c);
   process.on('SIGTERM', function term() {
-    void groupDriver.stop(group).then(function gone() { process.exit(0); });
+    void groupDriver.stop(group).then(function gone() {
+      process.exit(0);
+    });
   });
 }
 
--- a/src/programs/site.ts
+++ b/src/programs/site.ts
@@ -29,11 +29,37 @@
 function create(s: Settings, log: Log, tuning: Tuning): Site {
   const b = s.bound_set;
   return {
-    settings: s, log, fleet: fleet.create(), configuration: null, table: null, weights: {}, weightsSeq: 0, weightsAt: new Map(), rules: { seq: 0, active: {}, next: null, pending: 0 }, leaveUntil: -Infinity,
+    settings: s,
+    log,
+    fleet: fleet.create(),
+    configuration: null,
+    table: null,
+    weights: {},
+    weightsSeq: 0,
+    weightsAt: new Map(),
+    rules: { seq: 0, active: {}, next: null, pending: 0 },
+    leaveUntil: -Infinity,
     board: { epoch: 0, seq: 0, runners: null, sites: 0 },
-    budget: budget.create(b.retry_window_s * 1000, b.retry_ratio, b.retry_slack), holdings: holdings.create(20_000), hintsUntil: -Infinity, storeLeases: 0, transfers: transfers.create(moveTiming), prices: prices.create(), hot: { share: new Map(), total: 0 }, tuning,
-    readRate: 0, leaving: false, closing: false, line: line.create(), open: new Set(), stirred: new EventEmitter().setMaxListeners(0), burdenChanged: function none() { /* set by the feed */ },
-    sent: function none() { /* set by the feed */ },
+    budget: budget.create(b.retry_window_s * 1000, b.retry_ratio, b.retry_slack),
+    holdings: holdings.create(20_000),
+    hintsUntil: -Infinity,
+    storeLeases: 0,
+    transfers: transfers.create(moveTiming),
+    prices: prices.create(),
+    hot: { share: new Map(), total: 0 },
+    tuning,
+    readRate: 0,
+    leaving: false,
+    closing: false,
+    line: line.create(),
+    open: new Set(),
+    stirred: new EventEmitter().setMaxListeners(0),
+    burdenChanged: function none() {
+      /* set by the feed */
+    },
+    sent: function none() {
+      /* set by the feed */
+    },
   };
 }
 
@@ -65,18 +91,32 @@
     answers.send(res, answers.plain(req.url === '/v1/ready' ? (isReady(site) ? 200 : 503) : 404));
   });
   await listen(probe, s.bind_addrs.ready_probe!);
-  const seeds = s.seed_addrs.map(function inner(a) { return groupDriver.innerAddr(a, s.port_range[0]); });
+  const seeds = s.seed_addrs.map(function inner(a) {
+    return groupDriver.innerAddr(a, s.port_range[0]);
+  });
   const f: Follower = {
-    life: randomBytes(6).toString('hex'), via: channel.agent(), known: seeds, seeds,
-    at: Math.floor(hash.of(s.node_name) * seeds.length), sequencer: null, stopped: false, whole: false,
+    life: randomBytes(6).toString('hex'),
+    via: channel.agent(),
+    known: seeds,
+    seeds,
+    at: Math.floor(hash.of(s.node_name) * seeds.length),
+    sequencer: null,
+    stopped: false,
+    whole: false,
   };
   const server = front.create(site);
-  site.stirred.on('configuration', function changed() { front.adapt(site, server); });
+  site.stirred.on('configuration', function changed() {
+    front.adapt(site, server);
+  });
   await listen(server, s.bind_addrs.front_addr!);
   void follow.run(site, f);
   void feeding.run(site, f);
-  setInterval(function beat() { sweep(site); }, sweepMs);
-  process.on('SIGTERM', function term() { void leave(site, f, server); });
+  setInterval(function beat() {
+    sweep(site);
+  }, sweepMs);
+  process.on('SIGTERM', function term() {
+    void leave(site, f, server);
+  });
 }
 
 async function leave(site: Site, f: Follower, server: Server): Promise<void> {
@@ -84,11 +124,18 @@
   site.leaving = true;
   const graceMs = site.settings.bound_set.grace_s * 1000;
   const endAt = performance.now() + graceMs * 0.9;
-  await new Promise(function listed(done) { setTimeout(done, Math.min(2500, graceMs * 0.35)); });
+  await new Promise(function listed(done) {
+    setTimeout(done, Math.min(2500, graceMs * 0.35));
+  });
   site.closing = true;
   server.close();
   server.closeIdleConnections();
-  setTimeout(function over() { process.exit(0); }, Math.max(0, endAt - performance.now()));
+  setTimeout(
+    function over() {
+      process.exit(0);
+    },
+    Math.max(0, endAt - performance.now()),
+  );
   await drained(site, server);
   f.stopped = true;
   process.exit(0);
@@ -98,9 +145,14 @@
 // nothing has been open for a while after the idle channels were closed.
 async function drained(site: Site, server: Server): Promise<void> {
   for (;;) {
-    while (site.open.size > 0) await new Promise(function idle(done) { site.stirred.once('idle', done); });
+    while (site.open.size > 0)
+      await new Promise(function idle(done) {
+        site.stirred.once('idle', done);
+      });
     server.closeIdleConnections();
-    await new Promise(function quiet(done) { setTimeout(done, quietMs); });
+    await new Promise(function quiet(done) {
+      setTimeout(done, quietMs);
+    });
     if (site.open.size === 0) return;
   }
 }
--- a/src/protocol/calls/heads.ts
+++ b/src/protocol/calls/heads.ts
@@ -4,14 +4,51 @@
 export type Tokens = { prompt: number; most: number };
 
 export const names = {
-  attempt: 'x-attempt-id', timeLeft: 'x-time-left-ms', prefix: 'x-prompt-prefix', lastEvent: 'last-event-id', seal: 'x-server-seal',
-  tenant: 'x-tenant', expectInstance: 'x-expect-instance', notRun: 'x-not-run', retryAfter: 'retry-after', instance: 'x-instance',
-  model: 'x-model', tokens: 'x-token-counts', salt: 'x-cache-salt', urgency: 'x-urgency', fetchFrom: 'x-kv-fetch-from',
-  saveTo: 'x-kv-save-to', versions: 'x-weight-versions', expectVersion: 'x-expect-version', key: 'x-api-key',
+  attempt: 'x-attempt-id',
+  timeLeft: 'x-time-left-ms',
+  prefix: 'x-prompt-prefix',
+  lastEvent: 'last-event-id',
+  seal: 'x-server-seal',
+  tenant: 'x-tenant',
+  expectInstance: 'x-expect-instance',
+  notRun: 'x-not-run',
+  retryAfter: 'retry-after',
+  instance: 'x-instance',
+  model: 'x-model',
+  tokens: 'x-token-counts',
+  salt: 'x-cache-salt',
+  urgency: 'x-urgency',
+  fetchFrom: 'x-kv-fetch-from',
+  saveTo: 'x-kv-save-to',
+  versions: 'x-weight-versions',
+  expectVersion: 'x-expect-version',
+  key: 'x-api-key',
 } as const;
 
-const hop = new Set(['connection', 'keep-alive', 'proxy-connection', 'proxy-authenticate', 'proxy-authorization', 'te', 'trailer', 'transfer-encoding', 'upgrade', 'expect', 'content-length']);
-const ours = new Set<string>([names.timeLeft, names.tenant, names.expectInstance, names.salt, names.urgency, names.fetchFrom, names.saveTo, names.expectVersion, names.key]);
+const hop = new Set([
+  'connection',
+  'keep-alive',
+  'proxy-connection',
+  'proxy-authenticate',
+  'proxy-authorization',
+  'te',
+  'trailer',
+  'transfer-encoding',
+  'upgrade',
+  'expect',
+  'content-length',
+]);
+const ours = new Set<string>([
+  names.timeLeft,
+  names.tenant,
+  names.expectInstance,
+  names.salt,
+  names.urgency,
+  names.fetchFrom,
+  names.saveTo,
+  names.expectVersion,
+  names.key,
+]);
 
 function parts(raw: string | undefined): Part[] {
   if (!raw) return [];
@@ -67,7 +104,7 @@
   if (bare) return Number(bare[1]);
   for (const one of raw.split(/[,;]/)) {
     const m = /^\s*([^=:\s]+)\s*[=:]\s*(\d+)\s*$/.exec(one);
-    if (m && (m[1] === model)) return Number(m[2]);
+    if (m && m[1] === model) return Number(m[2]);
   }
   return null;
 }
--- a/src/protocol/calls/pairs.ts
+++ b/src/protocol/calls/pairs.ts
@@ -6,7 +6,10 @@
 import { ask, type AskTrouble } from '../../transport/http/ask.js';
 
 export type Call<A> = {
-  method: 'GET' | 'POST'; path: string; headers?: Record<string, string>; body?: unknown;
+  method: 'GET' | 'POST';
+  path: string;
+  headers?: Record<string, string>;
+  body?: unknown;
   read: (status: number, body: unknown) => A | null;
 };
 export type CallTrouble = AskTrouble | { t: 'status'; status: number } | { t: 'unreadable' };
@@ -30,21 +33,35 @@
 
 const modelAt = type({ label: string(), revision: number() });
 const instanceShape = type({
-  instance_id: string(), target: string(), address: string(), zone_name: string(), slot_count: number(),
-  condition: string(), model_list: optional(nullable(array(modelAt))),
+  instance_id: string(),
+  target: string(),
+  address: string(),
+  zone_name: string(),
+  slot_count: number(),
+  condition: string(),
+  model_list: optional(nullable(array(modelAt))),
 });
 const pageShape = type({ instance_list: array(instanceShape), next_token: optional(nullable(string())) });
 export type Page = { runners: Runner[]; next: string | null };
 
 function list(pageToken: string | null): Call<Page> {
   return {
-    method: 'GET', path: pageToken === null ? '/instances' : `/instances?page_token=${encodeURIComponent(pageToken)}`,
+    method: 'GET',
+    path: pageToken === null ? '/instances' : `/instances?page_token=${encodeURIComponent(pageToken)}`,
     read: function page(status, body) {
       if (status !== 200 || !is(body, pageShape)) return null;
       const runners = body.instance_list.map(function one(i): Runner {
         return {
-          id: i.instance_id, service: i.target, addr: i.address, zone: i.zone_name, slots: i.slot_count, draining: i.condition !== 'serving', parked: false,
-          models: (i.model_list ?? []).map(function at(m) { return { label: m.label, revision: m.revision }; }),
+          id: i.instance_id,
+          service: i.target,
+          addr: i.address,
+          zone: i.zone_name,
+          slots: i.slot_count,
+          draining: i.condition !== 'serving',
+          parked: false,
+          models: (i.model_list ?? []).map(function at(m) {
+            return { label: m.label, revision: m.revision };
+          }),
         };
       });
       return { runners, next: body.next_token ?? null };
@@ -53,17 +70,35 @@
 }
 
 const reportShape = type({
-  model_list: array(modelAt), is_busy: boolean(), call_seq: number(),
-  queued: number(), active: number(), kv_used_tokens: number(), kv_total_tokens: number(),
+  model_list: array(modelAt),
+  is_busy: boolean(),
+  call_seq: number(),
+  queued: number(),
+  active: number(),
+  kv_used_tokens: number(),
+  kv_total_tokens: number(),
 });
-export type Report = { models: { label: string; revision: number }[]; isBusy: boolean; seq: number; queued: number; active: number };
+export type Report = {
+  models: { label: string; revision: number }[];
+  isBusy: boolean;
+  seq: number;
+  queued: number;
+  active: number;
+};
 
 function report(): Call<Report> {
   return {
-    method: 'GET', path: '/v1/report',
+    method: 'GET',
+    path: '/v1/report',
     read: function state(status, body) {
       if (status !== 200 || !is(body, reportShape)) return null;
-      return { models: body.model_list, isBusy: body.is_busy, seq: body.call_seq, queued: body.queued, active: body.active };
+      return {
+        models: body.model_list,
+        isBusy: body.is_busy,
+        seq: body.call_seq,
+        queued: body.queued,
+        active: body.active,
+      };
     },
   };
 }
@@ -71,20 +106,62 @@
 export type OrderResult = 'begun' | 'holds' | 'other' | 'fenced' | 'elsewhere' | 'unknown_revision';
 export type Method = 'await' | 'truncate' | 'retain';
 
-function revisionOrder(o: { model: string; revision: number; method: Method; holder: string; fence: number; instance: string; expected?: number }): Call<OrderResult> {
-  const results: Record<number, OrderResult> = { 202: 'begun', 200: 'holds', 409: 'other', 412: 'fenced', 421: 'elsewhere', 400: 'unknown_revision' };
-  const body: Record<string, unknown> = { op_kind: 'revision', model_name: o.model, revision: o.revision, method: o.method, holder_name: o.holder, fence_no: o.fence };
+function revisionOrder(o: {
+  model: string;
+  revision: number;
+  method: Method;
+  holder: string;
+  fence: number;
+  instance: string;
+  expected?: number;
+}): Call<OrderResult> {
+  const results: Record<number, OrderResult> = {
+    202: 'begun',
+    200: 'holds',
+    409: 'other',
+    412: 'fenced',
+    421: 'elsewhere',
+    400: 'unknown_revision',
+  };
+  const body: Record<string, unknown> = {
+    op_kind: 'revision',
+    model_name: o.model,
+    revision: o.revision,
+    method: o.method,
+    holder_name: o.holder,
+    fence_no: o.fence,
+  };
   if (o.expected !== undefined) body.expected = o.expected;
-  return { method: 'POST', path: '/v1/order', headers: { 'X-Expect-Instance': o.instance }, body, read: function result(status) { return results[status] ?? null; } };
+  return {
+    method: 'POST',
+    path: '/v1/order',
+    headers: { 'X-Expect-Instance': o.instance },
+    body,
+    read: function result(status) {
+      return results[status] ?? null;
+    },
+  };
 }
 
 const eventShape = tuple([number(), string(), string(), string(), number(), string()]);
-const eventsShape = type({ epoch_no: number(), next_token: number(), is_lost: boolean(), event_list: array(eventShape) });
-export type KeptEvents = { epoch: number; next: number; isLost: boolean; events: [number, string, string, string, number, string][] };
+const eventsShape = type({
+  epoch_no: number(),
+  next_token: number(),
+  is_lost: boolean(),
+  event_list: array(eventShape),
+});
+export type KeptEvents = {
+  epoch: number;
+  next: number;
+  isLost: boolean;
+  events: [number, string, string, string, number, string][];
+};
 
 function events(since: number, waitMs: number): Call<KeptEvents> {
   return {
-    method: 'GET', path: `/v1/kv-events?since_at=${since}`, headers: { 'Wait-Ms': String(waitMs) },
+    method: 'GET',
+    path: `/v1/kv-events?since_at=${since}`,
+    headers: { 'Wait-Ms': String(waitMs) },
     read: function some(status, body) {
       if (status !== 200 || !is(body, eventsShape)) return null;
       return { epoch: body.epoch_no, next: body.next_token, isLost: body.is_lost, events: body.event_list };
@@ -92,12 +169,17 @@
   };
 }
 
-const heldShape = type({ epoch_no: number(), next_token: number(), is_held: array(tuple([string(), string(), number(), string()])) });
+const heldShape = type({
+  epoch_no: number(),
+  next_token: number(),
+  is_held: array(tuple([string(), string(), number(), string()])),
+});
 export type Kept = { epoch: number; next: number; held: [string, string, number, string][] };
 
 function keptList(): Call<Kept> {
   return {
-    method: 'GET', path: '/v1/kv-list',
+    method: 'GET',
+    path: '/v1/kv-list',
     read: function all(status, body) {
       if (status !== 200 || !is(body, heldShape)) return null;
       return { epoch: body.epoch_no, next: body.next_token, held: body.is_held };
--- a/src/protocol/configuration/patch.ts
+++ b/src/protocol/configuration/patch.ts
@@ -12,7 +12,9 @@
 function merged(old: Item[], upserts: Item[]): Item[] {
   const out = [...old];
   for (const item of upserts) {
-    const at = out.findIndex(function same(o) { return o.label === item.label; });
+    const at = out.findIndex(function same(o) {
+      return o.label === item.label;
+    });
     if (at >= 0) out[at] = item;
     else out.push(item);
   }
@@ -20,7 +22,12 @@
 }
 
 function named(list: unknown): list is Item[] {
-  return Array.isArray(list) && list.every(function each(i) { return isTable(i) && typeof i.label === 'string'; });
+  return (
+    Array.isArray(list) &&
+    list.every(function each(i) {
+      return isTable(i) && typeof i.label === 'string';
+    })
+  );
 }
 
 function apply(current: Configuration, raw: unknown): Outcome<unknown, Finding[]> {
@@ -30,19 +37,31 @@
   const removals = raw.removals ?? {};
   const upserts = raw.upserts ?? {};
   if (!isTable(removals)) found.push({ place: 'removals', text: 'expected a table of lists' });
-  else for (const [key, names] of Object.entries(removals)) {
-    const old = next[key];
-    if (!Array.isArray(names) || names.some(function odd(n) { return typeof n !== 'string'; })) found.push({ place: `removals.${key}`, text: 'expected a list of labels' });
-    else if (named(old)) next[key] = old.filter(function keep(o) { return !names.includes(o.label); });
-  }
+  else
+    for (const [key, names] of Object.entries(removals)) {
+      const old = next[key];
+      if (
+        !Array.isArray(names) ||
+        names.some(function odd(n) {
+          return typeof n !== 'string';
+        })
+      )
+        found.push({ place: `removals.${key}`, text: 'expected a list of labels' });
+      else if (named(old))
+        next[key] = old.filter(function keep(o) {
+          return !names.includes(o.label);
+        });
+    }
   if (!isTable(upserts)) found.push({ place: 'upserts', text: 'expected a table of lists' });
-  else for (const [key, items] of Object.entries(upserts)) {
-    const old = next[key] ?? [];
-    if (isTable(items) && (next[key] === undefined || isTable(next[key]))) next[key] = { ...(next[key] as Lists | undefined), ...items };
-    else if (!named(items)) found.push({ place: `upserts.${key}`, text: 'expected a list of items with a label' });
-    else if (!named(old)) found.push({ place: `upserts.${key}`, text: 'is not a list of items' });
-    else next[key] = merged(old, items);
-  }
+  else
+    for (const [key, items] of Object.entries(upserts)) {
+      const old = next[key] ?? [];
+      if (isTable(items) && (next[key] === undefined || isTable(next[key])))
+        next[key] = { ...(next[key] as Lists | undefined), ...items };
+      else if (!named(items)) found.push({ place: `upserts.${key}`, text: 'expected a list of items with a label' });
+      else if (!named(old)) found.push({ place: `upserts.${key}`, text: 'is not a list of items' });
+      else next[key] = merged(old, items);
+    }
   return found.length > 0 ? { ok: false, trouble: found } : { ok: true, value: next };
 }
 
--- a/src/protocol/findings.ts
+++ b/src/protocol/findings.ts
@@ -15,7 +15,11 @@
 }
 
 function text(list: Finding[]): string {
-  return list.map(function line(f) { return `${f.place}: ${f.text}`; }).join('\n');
+  return list
+    .map(function line(f) {
+      return `${f.place}: ${f.text}`;
+    })
+    .join('\n');
 }
 
 export const findings = { of, text };
--- a/src/protocol/settings/check.ts
+++ b/src/protocol/settings/check.ts
@@ -2,7 +2,20 @@
 // missing field becomes a finding with its place; fields that are not known are ignored.
 import { readFileSync } from 'node:fs';
 import { load } from 'js-yaml';
-import { array, boolean, integer, min, nonempty, nullable, number, optional, record, size, string, type } from 'superstruct';
+import {
+  array,
+  boolean,
+  integer,
+  min,
+  nonempty,
+  nullable,
+  number,
+  optional,
+  record,
+  size,
+  string,
+  type,
+} from 'superstruct';
 import type { Finding, Outcome, Settings } from '../../types.js';
 import { findings } from '../findings.js';
 
@@ -10,7 +23,9 @@
 const addr = nonempty(string());
 
 const shape = type({
-  node_name: nonempty(string()), ip_addr: nonempty(string()), zone_name: nonempty(string()),
+  node_name: nonempty(string()),
+  ip_addr: nonempty(string()),
+  zone_name: nonempty(string()),
   zones: record(string(), string()),
   bind_addrs: type({ front_addr: optional(addr), ready_probe: optional(addr), control_addr: optional(addr) }),
   port_range: size(array(min(integer(), 1)), 2),
@@ -19,15 +34,29 @@
   data_dir: optional(nullable(string())),
   beat_ms: atLeastZero,
   bound_set: type({
-    contact_ms: atLeastZero, ack_ms: atLeastZero, catch_up_s: atLeastZero, drain_ms: atLeastZero, grace_s: atLeastZero,
-    apply_ms: atLeastZero, retry_ratio: atLeastZero, retry_window_s: min(number(), 0, { exclusive: true }), retry_slack: atLeastZero,
-    transit_ms: atLeastZero, lease_ms: atLeastZero, thaw_ms: atLeastZero, version_ms: atLeastZero, reuse_after_s: atLeastZero,
+    contact_ms: atLeastZero,
+    ack_ms: atLeastZero,
+    catch_up_s: atLeastZero,
+    drain_ms: atLeastZero,
+    grace_s: atLeastZero,
+    apply_ms: atLeastZero,
+    retry_ratio: atLeastZero,
+    retry_window_s: min(number(), 0, { exclusive: true }),
+    retry_slack: atLeastZero,
+    transit_ms: atLeastZero,
+    lease_ms: atLeastZero,
+    thaw_ms: atLeastZero,
+    version_ms: atLeastZero,
+    reuse_after_s: atLeastZero,
   }),
   cloud_api: type({ address: addr, rate_per_s: min(number(), 0, { exclusive: true }), lag_ms: atLeastZero }),
 });
 
 type Part = 'site' | 'coordinator';
-const neededAddrs: Record<Part, (keyof Settings['bind_addrs'])[]> = { site: ['front_addr', 'ready_probe'], coordinator: ['control_addr'] };
+const neededAddrs: Record<Part, (keyof Settings['bind_addrs'])[]> = {
+  site: ['front_addr', 'ready_probe'],
+  coordinator: ['control_addr'],
+};
 
 function check(raw: unknown, part: Part): Outcome<Settings, Finding[]> {
   const found = findings.of(raw, shape);
@@ -36,9 +65,11 @@
     const s = raw as Settings;
     for (const need of neededAddrs[part]) {
       if (!s.bind_addrs[need]) lacks.push({ place: `bind_addrs.${need}`, text: `a ${part} needs this address` });
-      else if (!/^[\d.]+:\d+$/.test(s.bind_addrs[need] ?? '')) lacks.push({ place: `bind_addrs.${need}`, text: 'expected IP:PORT' });
+      else if (!/^[\d.]+:\d+$/.test(s.bind_addrs[need] ?? ''))
+        lacks.push({ place: `bind_addrs.${need}`, text: 'expected IP:PORT' });
     }
-    if (part === 'coordinator' && !s.data_dir) lacks.push({ place: 'data_dir', text: 'a coordinator needs a folder on a disk' });
+    if (part === 'coordinator' && !s.data_dir)
+      lacks.push({ place: 'data_dir', text: 'a coordinator needs a folder on a disk' });
     s.seed_addrs.forEach(function each(a, i) {
       if (!/^[\d.]+:\d+$/.test(a)) lacks.push({ place: `seed_addrs.${i}`, text: 'expected IP:PORT' });
     });
--- a/src/state/burden/others.ts
+++ b/src/state/burden/others.ts
@@ -2,7 +2,13 @@
 // takes off what this site itself had reported by then, which leaves the burden of the others.
 import type { Burden, BurdenRow } from '../../types.js';
 
-export type Others = { revision: number; no: number; shown: number; sums: Map<string, Burden>; reports: { no: number; rows: Map<string, Burden> }[] };
+export type Others = {
+  revision: number;
+  no: number;
+  shown: number;
+  sums: Map<string, Burden>;
+  reports: { no: number; rows: Map<string, Burden> }[];
+};
 
 const most = 400;
 const none: Burden = [0, 0, 0, 0, 0];
@@ -14,7 +20,14 @@
 // Remembers a report on its way out, and gives it its number.
 function tell(o: Others, rows: BurdenRow[]): number {
   o.no++;
-  o.reports.push({ no: o.no, rows: new Map(rows.map(function pair([id, ...p]) { return [id, p] as const; })) });
+  o.reports.push({
+    no: o.no,
+    rows: new Map(
+      rows.map(function pair([id, ...p]) {
+        return [id, p] as const;
+      }),
+    ),
+  });
   if (o.reports.length > most) o.reports.shift();
   return o.no;
 }
@@ -25,7 +38,12 @@
   else if (t.revision < o.revision) return;
   o.revision = t.revision;
   for (const [id, ...p] of t.rows) {
-    if (p.some(function any(n) { return n > 0; })) o.sums.set(id, p);
+    if (
+      p.some(function any(n) {
+        return n > 0;
+      })
+    )
+      o.sums.set(id, p);
     else o.sums.delete(id);
   }
   while (o.reports.length > 0 && o.reports[0]!.no < t.shownNo) o.reports.shift();
@@ -35,8 +53,10 @@
 function at(o: Others, id: string): Burden {
   const sum = o.sums.get(id);
   if (!sum) return none;
-  const own = o.reports[0]?.no === o.shown ? o.reports[0]!.rows.get(id) ?? none : none;
-  return sum.map(function rest(n, i) { return Math.max(0, n - own[i]!); }) as Burden;
+  const own = o.reports[0]?.no === o.shown ? (o.reports[0]!.rows.get(id) ?? none) : none;
+  return sum.map(function rest(n, i) {
+    return Math.max(0, n - own[i]!);
+  }) as Burden;
 }
 
 // Without word from the sequencer for long, nothing is known of the others.
--- a/src/state/burden/sums.ts
+++ b/src/state/burden/sums.ts
@@ -5,8 +5,22 @@
 import type { Burden, BurdenRow } from '../../types.js';
 
 type Row = { live: Burden; shown: Burden; revision: number; since: number };
-export type SiteReport = { life: string; no: number; shownNo: number; at: number; rows: Map<string, Burden>; unsound: string[] };
-export type Sums = { revision: number; floor: number; rows: Map<string, Row>; dirty: Set<string>; sites: Map<string, SiteReport>; cache: Map<number, Told> };
+export type SiteReport = {
+  life: string;
+  no: number;
+  shownNo: number;
+  at: number;
+  rows: Map<string, Burden>;
+  unsound: string[];
+};
+export type Sums = {
+  revision: number;
+  floor: number;
+  rows: Map<string, Row>;
+  dirty: Set<string>;
+  sites: Map<string, SiteReport>;
+  cache: Map<number, Told>;
+};
 export type Told = { revision: number; whole: boolean; rows: BurdenRow[] };
 
 const smallTokens = 768;
@@ -33,7 +47,9 @@
 }
 
 function same(a: Burden, b: Burden): boolean {
-  return a.every(function each(n, i) { return n === b[i]; });
+  return a.every(function each(n, i) {
+    return n === b[i];
+  });
 }
 
 function leave(s: Sums, site: string, now: number): void {
@@ -44,7 +60,15 @@
 }
 
 // Takes a report; one that is older than the last of the same life changes nothing. False then.
-function report(s: Sums, site: string, life: string, no: number, rows: BurdenRow[], unsound: string[], now: number): boolean {
+function report(
+  s: Sums,
+  site: string,
+  life: string,
+  no: number,
+  rows: BurdenRow[],
+  unsound: string[],
+  now: number,
+): boolean {
   let was = s.sites.get(site);
   if (was && was.life !== life) {
     leave(s, site, now);
@@ -66,7 +90,12 @@
 }
 
 function isSmall(r: Row): boolean {
-  return Math.abs(r.live[1] + r.live[2] - r.shown[1] - r.shown[2]) < smallTokens && Math.abs(r.live[0] - r.shown[0]) < smallRuns && r.live[3] === r.shown[3] && Math.abs(r.live[4] - r.shown[4]) < smallMoveMs;
+  return (
+    Math.abs(r.live[1] + r.live[2] - r.shown[1] - r.shown[2]) < smallTokens &&
+    Math.abs(r.live[0] - r.shown[0]) < smallRuns &&
+    r.live[3] === r.shown[3] &&
+    Math.abs(r.live[4] - r.shown[4]) < smallMoveMs
+  );
 }
 
 // The beat: forgets sites that are silent, and shows the rows that changed under a new revision.
@@ -76,7 +105,12 @@
   const due: Row[] = [];
   for (const id of s.dirty) {
     const r = s.rows.get(id)!;
-    if (r.live.every(function same(n, i) { return n === r.shown[i]; })) s.dirty.delete(id);
+    if (
+      r.live.every(function same(n, i) {
+        return n === r.shown[i];
+      })
+    )
+      s.dirty.delete(id);
     else if (!isSmall(r) || now - r.since >= smallMs) {
       due.push(r);
       s.dirty.delete(id);
@@ -98,7 +132,14 @@
 function prune(s: Sums): void {
   const before = s.revision - remembered;
   for (const [id, r] of s.rows) {
-    if (r.revision > before || s.dirty.has(id) || r.shown.some(function any(n) { return n > 0; })) continue;
+    if (
+      r.revision > before ||
+      s.dirty.has(id) ||
+      r.shown.some(function any(n) {
+        return n > 0;
+      })
+    )
+      continue;
     s.rows.delete(id);
     s.floor = Math.max(s.floor, r.revision);
   }
@@ -111,7 +152,14 @@
   const whole = revision < s.floor || revision <= 0 || revision > s.revision;
   const rows: BurdenRow[] = [];
   for (const [id, r] of s.rows) {
-    if (whole ? r.shown.some(function any(n) { return n > 0; }) : r.revision > revision) rows.push([id, ...r.shown]);
+    if (
+      whole
+        ? r.shown.some(function any(n) {
+            return n > 0;
+          })
+        : r.revision > revision
+    )
+      rows.push([id, ...r.shown]);
   }
   const told = { revision: s.revision, whole, rows };
   s.cache.set(revision, told);
--- a/src/state/control/judge.ts
+++ b/src/state/control/judge.ts
@@ -7,16 +7,17 @@
 import type { Command, ControlState } from './reducer.js';
 
 export type Verdict =
-  | { v: 'refused'; status: number; findings: Finding[] }
-  | { v: 'taken' }
-  | { v: 'order'; command: Command };
+  { v: 'refused'; status: number; findings: Finding[] } | { v: 'taken' } | { v: 'order'; command: Command };
 
 function refused(status: number, place: string, text: string): Verdict {
   return { v: 'refused', status, findings: [{ place, text }] };
 }
 
 function digest(call: OperatorCall): string {
-  return createHash('sha256').update(`${call.method} ${call.match ?? ''}\n`).update(call.body).digest('base64');
+  return createHash('sha256')
+    .update(`${call.method} ${call.match ?? ''}\n`)
+    .update(call.body)
+    .digest('base64');
 }
 
 function parsed(body: Uint8Array): { ok: true; value: unknown } | { ok: false; why: string } {
@@ -32,7 +33,8 @@
   if (s.taken.includes(id)) return { v: 'taken' };
   const json = parsed(call.body);
   if (!json.ok) return refused(400, '(whole)', json.why);
-  if (call.match === null || !/^"?\d+"?$/.test(call.match.trim())) return refused(400, 'If-Match', 'expected the revision that the call builds on');
+  if (call.match === null || !/^"?\d+"?$/.test(call.match.trim()))
+    return refused(400, 'If-Match', 'expected the revision that the call builds on');
   const base = Number(call.match.replaceAll('"', '').trim());
   const now = s.configuration?.revision ?? 0;
   if (base !== now) return refused(412, 'If-Match', `the revision in place is ${now}`);
@@ -56,8 +58,10 @@
   const raw = json.value as { model_name?: unknown; revision?: unknown } | null;
   const findings: Finding[] = [];
   if (typeof raw !== 'object' || raw === null) return refused(400, '(whole)', 'expected a table');
-  if (typeof raw.model_name !== 'string' || raw.model_name === '') findings.push({ place: 'model_name', text: 'expected a name' });
-  if (!Number.isSafeInteger(raw.revision) || (raw.revision as number) < 1) findings.push({ place: 'revision', text: 'expected a whole number from 1' });
+  if (typeof raw.model_name !== 'string' || raw.model_name === '')
+    findings.push({ place: 'model_name', text: 'expected a name' });
+  if (!Number.isSafeInteger(raw.revision) || (raw.revision as number) < 1)
+    findings.push({ place: 'revision', text: 'expected a whole number from 1' });
   if (findings.length > 0) return { v: 'refused', status: 400, findings };
   const model = raw.model_name as string;
   const revision = raw.revision as number;
--- a/src/state/control/reducer.ts
+++ b/src/state/control/reducer.ts
@@ -21,13 +21,20 @@
 const remembered = 256;
 
 function empty(): ControlState {
-  return { configuration: null, taken: [], weights: {}, weightsSeq: 0, rules: { seq: 0, active: {}, next: null, pending: 0 } };
+  return {
+    configuration: null,
+    taken: [],
+    weights: {},
+    weightsSeq: 0,
+    rules: { seq: 0, active: {}, next: null, pending: 0 },
+  };
 }
 
 function ruled(s: ControlState, c: Configuration): RulesState {
   const next = rules.of(c);
   const was = s.rules;
-  if (rules.same(next, was.active)) return was.next === null ? was : { seq: was.seq + 1, active: was.active, next: null, pending: 0 };
+  if (rules.same(next, was.active))
+    return was.next === null ? was : { seq: was.seq + 1, active: was.active, next: null, pending: 0 };
   if (s.configuration === null) return { seq: was.seq + 1, active: next, next: null, pending: 0 };
   if (was.next !== null && rules.same(next, was.next)) return was;
   return { seq: was.seq + 1, active: was.active, next, pending: c.revision };
@@ -37,7 +44,12 @@
   switch (c.c) {
     case 'configure':
       if ((s.configuration?.revision ?? 0) >= c.configuration.revision) return s;
-      return { ...s, rules: ruled(s, c.configuration), configuration: c.configuration, taken: [...s.taken, c.call].slice(-remembered) };
+      return {
+        ...s,
+        rules: ruled(s, c.configuration),
+        configuration: c.configuration,
+        taken: [...s.taken, c.call].slice(-remembered),
+      };
     case 'weights':
       if ((s.weights[c.model] ?? 0) >= c.revision) return s;
       return { ...s, weights: { ...s.weights, [c.model]: c.revision }, weightsSeq: s.weightsSeq + 1 };
--- a/src/state/history/boards.ts
+++ b/src/state/history/boards.ts
@@ -5,7 +5,14 @@
 import { itemHistory, type ItemDelta, type ItemHistory } from './items.js';
 
 export type BoardDelta = { from: number; epoch: number; seq: number; sites: number; runners: ItemDelta<Runner> };
-export type BoardHistory = { epoch: number; seq: number; sites: number; runners: ItemHistory<Runner>; isKnown: boolean; steps: Set<number> };
+export type BoardHistory = {
+  epoch: number;
+  seq: number;
+  sites: number;
+  runners: ItemHistory<Runner>;
+  isKnown: boolean;
+  steps: Set<number>;
+};
 
 const remembered = 512;
 
--- a/src/state/history/configurations.ts
+++ b/src/state/history/configurations.ts
@@ -5,18 +5,30 @@
 import { itemHistory, type ItemDelta, type ItemHistory } from './items.js';
 
 export type ConfigurationDelta = {
-  from: number; rest: Record<string, unknown>;
-  routes: ItemDelta<Route>; services: ItemDelta<Service>; tenants: ItemDelta<Tenant> | null;
+  from: number;
+  rest: Record<string, unknown>;
+  routes: ItemDelta<Route>;
+  services: ItemDelta<Service>;
+  tenants: ItemDelta<Tenant> | null;
 };
 export type ConfigurationHistory = {
-  current: Configuration | null; revisions: Set<number>;
-  routes: ItemHistory<Route>; services: ItemHistory<Service>; tenants: ItemHistory<Tenant>;
+  current: Configuration | null;
+  revisions: Set<number>;
+  routes: ItemHistory<Route>;
+  services: ItemHistory<Service>;
+  tenants: ItemHistory<Tenant>;
 };
 
 const remembered = 256;
 
 function create(): ConfigurationHistory {
-  return { current: null, revisions: new Set(), routes: itemHistory.create(), services: itemHistory.create(), tenants: itemHistory.create() };
+  return {
+    current: null,
+    revisions: new Set(),
+    routes: itemHistory.create(),
+    services: itemHistory.create(),
+    tenants: itemHistory.create(),
+  };
 }
 
 function label(x: { label: string }): string {
@@ -47,7 +59,8 @@
   const tenants = itemHistory.since(h.tenants, revision);
   if (!routes || !services || !tenants) return null;
   const { route_list: r, service_list: s, tenant_list: t, ...rest } = c;
-  void r; void s;
+  void r;
+  void s;
   return { from: revision, rest, routes, services, tenants: t === undefined ? null : tenants };
 }
 
--- a/src/state/history/items.ts
+++ b/src/state/history/items.ts
@@ -1,7 +1,12 @@
 // Remembers, for a list of named items that changes by steps, at which step each item last changed or
 // left, so that whoever stands at an earlier step is told only the difference. Steps only rise. From
 // before the floor nothing is remembered, and the whole list has to be told.
-export type ItemHistory<T> = { floor: number; at: number; items: Map<string, { value: T; text: string; at: number }>; gone: Map<string, number> };
+export type ItemHistory<T> = {
+  floor: number;
+  at: number;
+  items: Map<string, { value: T; text: string; at: number }>;
+  gone: Map<string, number>;
+};
 export type ItemDelta<T> = { upserts: T[]; removals: string[]; count: number };
 
 const mostGone = 2000;
@@ -15,7 +20,11 @@
   h.floor = at;
   h.at = at;
   h.gone.clear();
-  h.items = new Map(list.map(function pair(x) { return [name(x), { value: x, text: JSON.stringify(x), at }] as const; }));
+  h.items = new Map(
+    list.map(function pair(x) {
+      return [name(x), { value: x, text: JSON.stringify(x), at }] as const;
+    }),
+  );
 }
 
 // Takes the list as it is at a later step.
@@ -57,7 +66,11 @@
 // Applies a difference to the list it was made for; null when the outcome is not of the length told,
 // which means that the lists were not the same and the whole one has to be asked for.
 function apply<T>(list: T[], d: ItemDelta<T>, name: (x: T) => string): T[] | null {
-  const change = new Map(d.upserts.map(function pair(x) { return [name(x), x] as const; }));
+  const change = new Map(
+    d.upserts.map(function pair(x) {
+      return [name(x), x] as const;
+    }),
+  );
   const left = new Set(d.removals);
   const out: T[] = [];
   for (const x of list) {
--- a/src/state/index/holdings.ts
+++ b/src/state/index/holdings.ts
@@ -73,7 +73,14 @@
 
 // Tokens of the prompt, counted from its start along the chain, that a place keeps without a gap: what
 // may be expected there, or only what the place itself has reported.
-function prefixAt(h: Holdings, salt: string, parts: { id: string; tokens: number }[], place: number, now: number, onlySure = false): number {
+function prefixAt(
+  h: Holdings,
+  salt: string,
+  parts: { id: string; tokens: number }[],
+  place: number,
+  now: number,
+  onlySure = false,
+): number {
   let n = 0;
   for (const p of parts) {
     const held = heldAt(h, salt, p.id, place);
--- a/src/state/index/kept.ts
+++ b/src/state/index/kept.ts
@@ -6,8 +6,22 @@
 
 // Signs: + and - as the place itself reports; ? as a site expects; ~ a place has been silent for long.
 export type Change = ['+' | '-' | '?' | '~', string, string, number, string];
-export type PlaceIndex = { epoch: number; next: number; parts: Map<string, number>; needsList: boolean; heardAt: number; isSilent: boolean };
-export type KeptIndex = { least: number; places: Map<string, PlaceIndex>; changes: Change[]; first: number; most: number; refused: number };
+export type PlaceIndex = {
+  epoch: number;
+  next: number;
+  parts: Map<string, number>;
+  needsList: boolean;
+  heardAt: number;
+  isSilent: boolean;
+};
+export type KeptIndex = {
+  least: number;
+  places: Map<string, PlaceIndex>;
+  changes: Change[];
+  first: number;
+  most: number;
+  refused: number;
+};
 
 const silentMs = 3500;
 
@@ -90,7 +104,8 @@
     p.epoch = e.epoch;
   } else if (e.isLost) p.needsList = true;
   p.next = e.next;
-  for (const [, sign, salt, part, tokens, model] of e.events) if (fits(ix, salt, model)) set(ix, place, p, salt, part, sign === '-' && tokens < ix.least ? 0 : tokens);
+  for (const [, sign, salt, part, tokens, model] of e.events)
+    if (fits(ix, salt, model)) set(ix, place, p, salt, part, sign === '-' && tokens < ix.least ? 0 : tokens);
   return p.needsList;
 }
 
@@ -98,7 +113,8 @@
   const p = placeOf(ix, place);
   heard(ix, place, p, now);
   const there = new Map<string, [string, string, number]>();
-  for (const [salt, part, tokens, model] of k.held) if (tokens >= ix.least && fits(ix, salt, model)) there.set(identity.key(salt, part), [salt, part, tokens]);
+  for (const [salt, part, tokens, model] of k.held)
+    if (tokens >= ix.least && fits(ix, salt, model)) there.set(identity.key(salt, part), [salt, part, tokens]);
   for (const key of [...p.parts.keys()]) {
     if (there.has(key)) continue;
     const [salt, part] = key.split(' ') as [string, string];
@@ -120,7 +136,8 @@
 // A part that a site has just sent to be read there: told on at once, and believed until the place's
 // own events say otherwise.
 function announce(ix: KeptIndex, place: string, salt: string, part: string, tokens: number): void {
-  if (tokens >= ix.least && !ix.places.get(place)?.parts.has(identity.key(salt, part))) push(ix, ['?', salt, part, tokens, place]);
+  if (tokens >= ix.least && !ix.places.get(place)?.parts.has(identity.key(salt, part)))
+    push(ix, ['?', salt, part, tokens, place]);
 }
 
 function since(ix: KeptIndex, n: number): Change[] | null {
--- a/src/state/log/recover.ts
+++ b/src/state/log/recover.ts
@@ -8,7 +8,13 @@
 
 export type SegmentHead = { r: 'head'; me: string; after: number; epoch: number; vote: string | null; reset: boolean };
 export type Recovered = {
-  me: string; epoch: number; vote: string | null; view: View; entries: Entry[]; nextSegment: number; committed: number;
+  me: string;
+  epoch: number;
+  vote: string | null;
+  view: View;
+  entries: Entry[];
+  nextSegment: number;
+  committed: number;
 };
 export type Recovery =
   | { k: 'empty'; nextSegment: number }
@@ -21,7 +27,9 @@
     const m = new RegExp(`^${prefix}-(\\d+)$`).exec(name);
     if (m) out.push({ name, no: Number(m[1]) });
   }
-  return out.sort(function up(a, b) { return a.no - b.no; });
+  return out.sort(function up(a, b) {
+    return a.no - b.no;
+  });
 }
 
 function newestView(dir: string, names: string[]): View | null {
@@ -32,7 +40,9 @@
   return null;
 }
 
-type Replayed = { ok: true; me: string; epoch: number; vote: string | null; entries: Entry[]; committed: number } | { ok: false; why: string };
+type Replayed =
+  | { ok: true; me: string; epoch: number; vote: string | null; entries: Entry[]; committed: number }
+  | { ok: false; why: string };
 
 // Plays the records of the segments, in order, on top of a view.
 function replay(view: View, segments: { name: string; values: (Record_ | SegmentHead)[] }[]): Replayed {
@@ -50,7 +60,8 @@
         me = v.me;
         promised(v);
         if (v.reset && v.after === view.index) entries = [];
-        if (v.after > view.index + entries.length) return { ok: false, why: `${seg.name} follows entry ${v.after}, which is not there` };
+        if (v.after > view.index + entries.length)
+          return { ok: false, why: `${seg.name} follows entry ${v.after}, which is not there` };
       } else if (v.r === 'promise') promised(v);
       else if (v.r === 'committed') committed = Math.max(committed, v.index);
       else {
@@ -84,7 +95,11 @@
   });
   const r = replay(view, segments);
   if (!r.ok) return { k: 'lost', why: r.why, nextSegment };
-  return { k: 'whole', found: { me: r.me, epoch: r.epoch, vote: r.vote, view, entries: r.entries, nextSegment, committed: r.committed }, torn };
+  return {
+    k: 'whole',
+    found: { me: r.me, epoch: r.epoch, vote: r.vote, view, entries: r.entries, nextSegment, committed: r.committed },
+    torn,
+  };
 }
 
 export const recovery = { recover, replay, numbered };
--- a/src/state/log/store.ts
+++ b/src/state/log/store.ts
@@ -14,9 +14,18 @@
 type Tail = { epoch: number; vote: string | null; entries: Entry[] };
 type NextView = { view: View; tail: () => Tail; installed: boolean };
 export type Store = EventEmitter & {
-  dir: string; me: string; file: FileHandle | null; segment: number; queue: PQueue; jobs: Job[];
+  dir: string;
+  me: string;
+  file: FileHandle | null;
+  segment: number;
+  queue: PQueue;
+  jobs: Job[];
   view: NextView | null;
-  bytes: number; kept: number; promised: { epoch: number; vote: string | null }; troubled: boolean; closed: boolean;
+  bytes: number;
+  kept: number;
+  promised: { epoch: number; vote: string | null };
+  troubled: boolean;
+  closed: boolean;
 };
 
 const again = 250;
@@ -24,13 +33,30 @@
 function create(dir: string, me: string, nextSegment: number, kept: number, epoch: number, vote: string | null): Store {
   mkdirSync(dir, { recursive: true });
   return Object.assign(new EventEmitter(), {
-    dir, me, file: null, segment: nextSegment, queue: new PQueue({ concurrency: 1 }), jobs: [], view: null,
-    bytes: 0, kept, promised: { epoch, vote }, troubled: false, closed: false,
+    dir,
+    me,
+    file: null,
+    segment: nextSegment,
+    queue: new PQueue({ concurrency: 1 }),
+    jobs: [],
+    view: null,
+    bytes: 0,
+    kept,
+    promised: { epoch, vote },
+    troubled: false,
+    closed: false,
   });
 }
 
 function headOf(s: Store): Buffer {
-  const h: SegmentHead = { r: 'head', me: s.me, after: s.kept, epoch: s.promised.epoch, vote: s.promised.vote, reset: false };
+  const h: SegmentHead = {
+    r: 'head',
+    me: s.me,
+    after: s.kept,
+    epoch: s.promised.epoch,
+    vote: s.promised.vote,
+    reset: false,
+  };
   return records.frame(h);
 }
 
@@ -52,7 +78,10 @@
 }
 
 function schedule(s: Store): void {
-  if (s.queue.size === 0) void s.queue.add(function run() { return flush(s); });
+  if (s.queue.size === 0)
+    void s.queue.add(function run() {
+      return flush(s);
+    });
 }
 
 async function flush(s: Store): Promise<void> {
@@ -71,7 +100,9 @@
   const batch = s.jobs;
   s.jobs = [];
   try {
-    const bufs = batch.map(function body(j) { return j.buf; });
+    const bufs = batch.map(function body(j) {
+      return j.buf;
+    });
     if (!s.file) {
       bufs.unshift(headOf(s));
       await openSegment(s);
@@ -102,8 +133,13 @@
   s.emit('trouble', err);
   const old = s.file;
   s.file = null;
-  if (old) await old.close().catch(function ignore() { /* the file is given up */ });
-  setTimeout(function retry() { schedule(s); }, again).unref();
+  if (old)
+    await old.close().catch(function ignore() {
+      /* the file is given up */
+    });
+  setTimeout(function retry() {
+    schedule(s);
+  }, again).unref();
 }
 
 function write(s: Store, list: Record_[], token: number): void {
@@ -132,9 +168,18 @@
   if (old) await old.close();
   const first = s.segment;
   const tail = next.tail();
-  const head: SegmentHead = { r: 'head', me: s.me, after: next.view.index, epoch: tail.epoch, vote: tail.vote, reset: next.installed };
+  const head: SegmentHead = {
+    r: 'head',
+    me: s.me,
+    after: next.view.index,
+    epoch: tail.epoch,
+    vote: tail.vote,
+    reset: next.installed,
+  };
   const file = await openSegment(s);
-  const held = tail.entries.map(function one(entry) { return records.frame({ r: 'entry', entry }); });
+  const held = tail.entries.map(function one(entry) {
+    return records.frame({ r: 'entry', entry });
+  });
   await file.writeFile(Buffer.concat([records.frame(head), ...held]));
   await file.sync();
   await sweep(s, next.view.index, first);
--- a/src/state/runners/channels.ts
+++ b/src/state/runners/channels.ts
@@ -65,7 +65,9 @@
 }
 
 function idle(a: Agent): Socket[] {
-  return Object.values(a.freeSockets).flatMap(function all(list) { return list as Socket[] | undefined ?? []; });
+  return Object.values(a.freeSockets).flatMap(function all(list) {
+    return (list as Socket[] | undefined) ?? [];
+  });
 }
 
 // Before a request goes out: gives up the channels that were idle for too long to be trusted with it.
@@ -74,7 +76,11 @@
   const most = isRepeatable ? l.longestMs : Math.min(l.onceMs, l.longestMs);
   const free = idle(a);
   if (free.length === 0) return;
-  const freshest = Math.min(...free.map(function age(s) { return idleFor(s, now); }));
+  const freshest = Math.min(
+    ...free.map(function age(s) {
+      return idleFor(s, now);
+    }),
+  );
   if (freshest > most) for (const s of free) s.destroy();
   else {
     l.onceMs = Math.min(onceMs, l.onceMs * grownShare);
--- a/src/state/runners/fleet.ts
+++ b/src/state/runners/fleet.ts
@@ -9,11 +9,35 @@
 export type Ruling = 'clear' | 'unsound' | 'try';
 export type Phase = 'sound' | 'suspect' | 'down';
 export type Slot = {
-  ix: number; id: string; service: string; addr: string; zone: string; slots: number;
-  listed: boolean; draining: boolean; parked: boolean; revisions: Map<string, number>;
-  phase: Phase; until: number; troubles: number; lastByteAt: number;
-  active: number; reading: number; claimed: number; othersActive: number; othersReading: number; othersClaimed: number; othersLeases: number; othersMoveMs: number;
-  agent: Agent; cap: number; good: number; bad: number; verdict: Ruling; trialNo: number; triedNo: number;
+  ix: number;
+  id: string;
+  service: string;
+  addr: string;
+  zone: string;
+  slots: number;
+  listed: boolean;
+  draining: boolean;
+  parked: boolean;
+  revisions: Map<string, number>;
+  phase: Phase;
+  until: number;
+  troubles: number;
+  lastByteAt: number;
+  active: number;
+  reading: number;
+  claimed: number;
+  othersActive: number;
+  othersReading: number;
+  othersClaimed: number;
+  othersLeases: number;
+  othersMoveMs: number;
+  agent: Agent;
+  cap: number;
+  good: number;
+  bad: number;
+  verdict: Ruling;
+  trialNo: number;
+  triedNo: number;
 };
 export type Fleet = { slots: Slot[]; byId: Map<string, Slot>; byService: Map<string, Slot[]> };
 
@@ -28,11 +52,35 @@
 
 function add(f: Fleet, r: Runner): Slot {
   const s: Slot = {
-    ix: f.slots.length, id: r.id, service: r.service, addr: r.addr, zone: r.zone, slots: r.slots,
-    listed: true, draining: r.draining, parked: r.parked, revisions: new Map(),
-    phase: 'sound', until: 0, troubles: 0, lastByteAt: performance.now(),
-    active: 0, reading: 0, claimed: 0, othersActive: 0, othersReading: 0, othersClaimed: 0, othersLeases: 0, othersMoveMs: 0,
-    agent: channels.create(leastCap), cap: leastCap, good: 0, bad: 0, verdict: 'clear', trialNo: 0, triedNo: 0,
+    ix: f.slots.length,
+    id: r.id,
+    service: r.service,
+    addr: r.addr,
+    zone: r.zone,
+    slots: r.slots,
+    listed: true,
+    draining: r.draining,
+    parked: r.parked,
+    revisions: new Map(),
+    phase: 'sound',
+    until: 0,
+    troubles: 0,
+    lastByteAt: performance.now(),
+    active: 0,
+    reading: 0,
+    claimed: 0,
+    othersActive: 0,
+    othersReading: 0,
+    othersClaimed: 0,
+    othersLeases: 0,
+    othersMoveMs: 0,
+    agent: channels.create(leastCap),
+    cap: leastCap,
+    good: 0,
+    bad: 0,
+    verdict: 'clear',
+    trialNo: 0,
+    triedNo: 0,
   };
   f.slots.push(s);
   f.byId.set(r.id, s);
--- a/src/tools/check.ts
+++ b/src/tools/check.ts
@@ -1,7 +1,20 @@
 // `milletcleat check`: settings, configurations and deploy files, by the checks the daemons use.
 import { extname } from 'node:path';
 import { parse as parseToml } from 'smol-toml';
-import { array, boolean, enums, integer, max, min, nonempty, number, optional, record, string, type } from 'superstruct';
+import {
+  array,
+  boolean,
+  enums,
+  integer,
+  max,
+  min,
+  nonempty,
+  number,
+  optional,
+  record,
+  string,
+  type,
+} from 'superstruct';
 import type { Finding, Outcome } from '../types.js';
 import { configurationCheck } from '../protocol/configuration/check.js';
 import { findings } from '../protocol/findings.js';
@@ -11,26 +24,39 @@
 
 const deployShape = type({
   build: nonempty(string()),
-  roles: record(string(), type({
-    run: nonempty(string()), on: nonempty(string()), count: optional(min(integer(), 1)), share: optional(max(min(number(), 0, { exclusive: true }), 1)),
-    apart: optional(boolean()), serves: optional(array(enums(['edge', 'control']))), template: optional(string()), env: optional(record(string(), string())),
-  })),
+  roles: record(
+    string(),
+    type({
+      run: nonempty(string()),
+      on: nonempty(string()),
+      count: optional(min(integer(), 1)),
+      share: optional(max(min(number(), 0, { exclusive: true }), 1)),
+      apart: optional(boolean()),
+      serves: optional(array(enums(['edge', 'control']))),
+      template: optional(string()),
+      env: optional(record(string(), string())),
+    }),
+  ),
 });
 
 function deploy(raw: unknown): Finding[] {
   const found = findings.of(raw, deployShape);
   if (found.length > 0) return found;
-  const roles = Object.entries((raw as { roles: Record<string, { on: string; count?: number; share?: number; serves?: string[] }> }).roles);
+  const roles = Object.entries(
+    (raw as { roles: Record<string, { on: string; count?: number; share?: number; serves?: string[] }> }).roles,
+  );
   const onClass = new Map<string, number>();
   const served = new Map<string, string>();
   for (const [name, r] of roles) {
-    if ((r.count === undefined) === (r.share === undefined)) found.push({ place: `roles.${name}`, text: 'needs either count or share' });
+    if ((r.count === undefined) === (r.share === undefined))
+      found.push({ place: `roles.${name}`, text: 'needs either count or share' });
     const n = (onClass.get(r.on) ?? 0) + 1;
     onClass.set(r.on, n);
     if (n > 2) found.push({ place: `roles.${name}.on`, text: `${r.on} already runs two roles` });
     for (const s of r.serves ?? []) {
       const key = `${r.on} ${s}`;
-      if (served.has(key)) found.push({ place: `roles.${name}.serves`, text: `${s} is already served on ${r.on} by ${served.get(key)}` });
+      if (served.has(key))
+        found.push({ place: `roles.${name}.serves`, text: `${s} is already served on ${r.on} by ${served.get(key)}` });
       served.set(key, name);
     }
   }
@@ -66,16 +92,38 @@
 }
 
 function run(args: string[], flags: ToolFlags): ToolEnd {
-  if (args.length === 0) return toolEnd.usage('check takes files: settings (.yaml), configurations (.json), deploy files (.toml)');
+  if (args.length === 0)
+    return toolEnd.usage('check takes files: settings (.yaml), configurations (.json), deploy files (.toml)');
   const part = flags.part ?? 'site';
   if (part !== 'site' && part !== 'coordinator') return toolEnd.usage('--part is site or coordinator');
-  const all = args.map(function one(file) { return { file, ...of(file, part) }; });
-  const bad = all.some(function some(a) { return a.found.length > 0; });
-  if (flags.json) return bad ? toolEnd.trouble('', JSON.stringify(all, null, 2)) : toolEnd.well(JSON.stringify(all, null, 2));
-  const good = all.filter(function none(a) { return a.found.length === 0; }).map(function line(a) { return `${a.file}: ${a.kind}, no findings`; }).join('\n');
-  const err = all.filter(function some(a) { return a.found.length > 0; }).map(function lines(a) {
-    return a.found.map(function line(f) { return f.place.startsWith(a.file) ? `${f.place}: ${f.text}` : `${a.file}: ${f.place}: ${f.text}`; }).join('\n');
-  }).join('\n');
+  const all = args.map(function one(file) {
+    return { file, ...of(file, part) };
+  });
+  const bad = all.some(function some(a) {
+    return a.found.length > 0;
+  });
+  if (flags.json)
+    return bad ? toolEnd.trouble('', JSON.stringify(all, null, 2)) : toolEnd.well(JSON.stringify(all, null, 2));
+  const good = all
+    .filter(function none(a) {
+      return a.found.length === 0;
+    })
+    .map(function line(a) {
+      return `${a.file}: ${a.kind}, no findings`;
+    })
+    .join('\n');
+  const err = all
+    .filter(function some(a) {
+      return a.found.length > 0;
+    })
+    .map(function lines(a) {
+      return a.found
+        .map(function line(f) {
+          return f.place.startsWith(a.file) ? `${f.place}: ${f.text}` : `${a.file}: ${f.place}: ${f.text}`;
+        })
+        .join('\n');
+    })
+    .join('\n');
   return bad ? toolEnd.trouble(err, good) : toolEnd.well(good);
 }
 
--- a/src/tools/config.ts
+++ b/src/tools/config.ts
@@ -21,8 +21,15 @@
 async function change(method: 'PUT' | 'PATCH', addr: string, file: string, flags: ToolFlags): Promise<ToolEnd> {
   const body = readFile.json(file);
   if (!body.ok) return toolEnd.trouble(findings.text(body.trouble));
-  if (flags.match === undefined) return toolEnd.usage('give --match N: the revision that the change builds on (0 for the first)');
-  const r = await controlCall.call(addr, method, '/v1/config', { 'Content-Type': 'application/json', 'If-Match': String(flags.match) }, JSON.stringify(body.value));
+  if (flags.match === undefined)
+    return toolEnd.usage('give --match N: the revision that the change builds on (0 for the first)');
+  const r = await controlCall.call(
+    addr,
+    method,
+    '/v1/config',
+    { 'Content-Type': 'application/json', 'If-Match': String(flags.match) },
+    JSON.stringify(body.value),
+  );
   if (!r.ok) return toolEnd.trouble(`${r.trouble}; the change may be in force or not: send it again unchanged`);
   return r.value.status === 200 ? toolEnd.well('taken') : toolEnd.trouble(controlCall.refused(r.value));
 }
@@ -30,33 +37,55 @@
 // Lists whose items have a label are compared by label, not by their place in the list.
 function byLabel(x: unknown): unknown {
   if (Array.isArray(x)) {
-    const named = x.length > 0 && x.every(function has(i) { return typeof i === 'object' && i !== null && typeof (i as { label?: unknown }).label === 'string'; });
+    const named =
+      x.length > 0 &&
+      x.every(function has(i) {
+        return typeof i === 'object' && i !== null && typeof (i as { label?: unknown }).label === 'string';
+      });
     if (!named) return x;
-    return Object.fromEntries(x.map(function pair(i) { return [(i as { label: string }).label, byLabel(i)]; }));
+    return Object.fromEntries(
+      x.map(function pair(i) {
+        return [(i as { label: string }).label, byLabel(i)];
+      }),
+    );
   }
-  if (typeof x === 'object' && x !== null) return Object.fromEntries(Object.entries(x).map(function pair([k, v]) { return [k, byLabel(v)]; }));
+  if (typeof x === 'object' && x !== null)
+    return Object.fromEntries(
+      Object.entries(x).map(function pair([k, v]) {
+        return [k, byLabel(v)];
+      }),
+    );
   return x;
 }
 
 function diff(a: unknown, b: unknown): { path: string; type: string; was?: unknown; now?: unknown }[] {
   return microdiff(byLabel(a) as Record<string, unknown>, byLabel(b) as Record<string, unknown>).map(function one(d) {
-    return { path: d.path.join('.'), type: d.type, ...('oldValue' in d ? { was: d.oldValue as unknown } : {}), ...('value' in d ? { now: d.value as unknown } : {}) };
+    return {
+      path: d.path.join('.'),
+      type: d.type,
+      ...('oldValue' in d ? { was: d.oldValue as unknown } : {}),
+      ...('value' in d ? { now: d.value as unknown } : {}),
+    };
   });
 }
 
 function diffText(list: ReturnType<typeof diff>): string {
   if (list.length === 0) return 'no difference';
-  return list.map(function line(d) {
-    if (d.type === 'CREATE') return `+ ${d.path}: ${JSON.stringify(d.now)}`;
-    if (d.type === 'REMOVE') return `- ${d.path}: ${JSON.stringify(d.was)}`;
-    return `~ ${d.path}: ${JSON.stringify(d.was)} -> ${JSON.stringify(d.now)}`;
-  }).join('\n');
+  return list
+    .map(function line(d) {
+      if (d.type === 'CREATE') return `+ ${d.path}: ${JSON.stringify(d.now)}`;
+      if (d.type === 'REMOVE') return `- ${d.path}: ${JSON.stringify(d.was)}`;
+      return `~ ${d.path}: ${JSON.stringify(d.was)} -> ${JSON.stringify(d.now)}`;
+    })
+    .join('\n');
 }
 
 async function run(args: string[], flags: ToolFlags): Promise<ToolEnd> {
   const [verb, file, ...more] = args;
-  if (!['get', 'put', 'patch', 'diff'].includes(verb ?? '')) return toolEnd.usage('config takes get, put FILE, patch FILE or diff FILE');
-  if (more.length > 0 || (verb === 'get') !== (file === undefined)) return toolEnd.usage(verb === 'get' ? 'config get takes no file' : `config ${verb} takes one file`);
+  if (!['get', 'put', 'patch', 'diff'].includes(verb ?? ''))
+    return toolEnd.usage('config takes get, put FILE, patch FILE or diff FILE');
+  if (more.length > 0 || (verb === 'get') !== (file === undefined))
+    return toolEnd.usage(verb === 'get' ? 'config get takes no file' : `config ${verb} takes one file`);
   if (!controlCall.isAddr(flags.control)) return toolEnd.usage('give --control IP:PORT');
   if (verb === 'put' || verb === 'patch') return change(verb === 'put' ? 'PUT' : 'PATCH', flags.control, file!, flags);
   const now = await current(flags.control);
--- a/src/tools/control.ts
+++ b/src/tools/control.ts
@@ -7,13 +7,33 @@
 const waitMs = 4000;
 const mostRedirects = 2;
 
-async function call(addr: string, method: string, path: string, headers: Record<string, string>, body?: string): Promise<Outcome<Reply, string>> {
+async function call(
+  addr: string,
+  method: string,
+  path: string,
+  headers: Record<string, string>,
+  body?: string,
+): Promise<Outcome<Reply, string>> {
   const agent = new Agent({ keepAlive: false });
   let to = addr;
   for (let i = 0; i <= mostRedirects; i++) {
-    const r = await ask.send({ agent, addr: to, method, path, headers, body: body === undefined ? undefined : Buffer.from(body), waitMs, connectMs: 2000 });
+    const r = await ask.send({
+      agent,
+      addr: to,
+      method,
+      path,
+      headers,
+      body: body === undefined ? undefined : Buffer.from(body),
+      waitMs,
+      connectMs: 2000,
+    });
     if (!r.ok) {
-      const why = r.trouble.t === 'silent' ? `said nothing for ${waitMs} ms` : r.trouble.sent ? `broke off: ${r.trouble.why}` : `cannot be reached: ${r.trouble.why}`;
+      const why =
+        r.trouble.t === 'silent'
+          ? `said nothing for ${waitMs} ms`
+          : r.trouble.sent
+            ? `broke off: ${r.trouble.why}`
+            : `cannot be reached: ${r.trouble.why}`;
       return { ok: false, trouble: `${to} ${why}` };
     }
     const next = r.value.headers.location;
@@ -34,17 +54,31 @@
   let detail = '';
   try {
     const b = JSON.parse(r.body.toString('utf8')) as { message?: string; findings?: { place: string; text: string }[] };
-    detail = b.findings ? b.findings.map(function line(f) { return `\n  ${f.place}: ${f.text}`; }).join('') : b.message ? `\n  ${b.message}` : '';
+    detail = b.findings
+      ? b.findings
+          .map(function line(f) {
+            return `\n  ${f.place}: ${f.text}`;
+          })
+          .join('')
+      : b.message
+        ? `\n  ${b.message}`
+        : '';
   } catch {
     detail = '';
   }
   switch (r.status) {
-    case 412: return `another revision is in place; read it again and build on that one${detail}`;
-    case 400: return `the call is not valid; nothing was changed${detail}`;
-    case 404: return `there is nothing there${detail}`;
-    case 413: return `the call is too large${detail}`;
-    case 503: return `the core has no sequencer that is sure of itself; nothing is known of this call's fate, send it again${detail}`;
-    default: return `status ${r.status}${detail}`;
+    case 412:
+      return `another revision is in place; read it again and build on that one${detail}`;
+    case 400:
+      return `the call is not valid; nothing was changed${detail}`;
+    case 404:
+      return `there is nothing there${detail}`;
+    case 413:
+      return `the call is too large${detail}`;
+    case 503:
+      return `the core has no sequencer that is sure of itself; nothing is known of this call's fate, send it again${detail}`;
+    default:
+      return `status ${r.status}${detail}`;
   }
 }
 
--- a/src/tools/import.ts
+++ b/src/tools/import.ts
@@ -23,7 +23,9 @@
 
 function pairs(m: unknown): { key: Node; name: string; value: unknown }[] {
   if (!isMap(m)) return [];
-  return (m as YAMLMap).items.map(function one(p: Pair) { return { key: p.key as Node, name: String(isScalar(p.key) ? p.key.value : p.key), value: p.value }; });
+  return (m as YAMLMap).items.map(function one(p: Pair) {
+    return { key: p.key as Node, name: String(isScalar(p.key) ? p.key.value : p.key), value: p.value };
+  });
 }
 
 function scalar(v: unknown): unknown {
@@ -67,7 +69,8 @@
         if (h.name === 'path' && typeof scalar(h.value) === 'string') s.health_path = scalar(h.value) as string;
         else leave(r, h.key, `${at}.${h.name}`, 'health is learned from requests; only the path is carried over');
       }
-    } else if (f.name === 'servers') leave(r, f.key, at, 'runners come from the platform\'s list, not from the configuration');
+    } else if (f.name === 'servers')
+      leave(r, f.key, at, "runners come from the platform's list, not from the configuration");
     else leave(r, f.key, at, 'has no counterpart');
   }
   return s;
@@ -117,7 +120,13 @@
   }
   const split = weighted.get(target);
   return {
-    label: name, hostname: where.host, path_prefix: where.prefix, variant: 'non_idempotent', deadline_ms: deadlineMs, tries: 1, public: true,
+    label: name,
+    hostname: where.host,
+    path_prefix: where.prefix,
+    variant: 'non_idempotent',
+    deadline_ms: deadlineMs,
+    tries: 1,
+    public: true,
     ...(split ? { branches: split } : { target }),
   };
 }
@@ -129,9 +138,14 @@
   const list: Route[] = [];
   const top = pairs(yaml.doc.contents);
   for (const t of top) if (t.name !== 'http') leave(r, t.key, t.name, 'only http is carried over');
-  const http = pairs(top.find(function is(t) { return t.name === 'http'; })?.value);
+  const http = pairs(
+    top.find(function is(t) {
+      return t.name === 'http';
+    })?.value,
+  );
   for (const h of http) {
-    if (h.name === 'services') for (const s of pairs(h.value)) service(r, s.name, s.value, `http.services.${s.name}`, services, weighted);
+    if (h.name === 'services')
+      for (const s of pairs(h.value)) service(r, s.name, s.value, `http.services.${s.name}`, services, weighted);
     else if (h.name !== 'routers') {
       const inner = pairs(h.value);
       if (inner.length === 0) leave(r, h.key, `http.${h.name}`, 'has no counterpart');
@@ -150,14 +164,19 @@
 
 function run(args: string[], flags: ToolFlags): ToolEnd {
   const [file, ...more] = args;
-  if (file === undefined || more.length > 0) return toolEnd.usage('import takes one file: a dynamic configuration of Traefik in YAML');
+  if (file === undefined || more.length > 0)
+    return toolEnd.usage('import takes one file: a dynamic configuration of Traefik in YAML');
   const yaml = readFile.yaml(file);
   if (!yaml.ok) return toolEnd.trouble(findings.text(yaml.trouble));
   const { configuration, left } = convert(file, yaml.value);
   if (configuration.route_list.length === 0) left.push({ place: file, text: 'no route could be carried over' });
-  const wrong = configurationCheck.check(configuration).map(function at(f): Finding { return { place: file, text: `the result is not valid: ${f.place}: ${f.text}` }; });
+  const wrong = configurationCheck.check(configuration).map(function at(f): Finding {
+    return { place: file, text: `the result is not valid: ${f.place}: ${f.text}` };
+  });
   const all = [...left, ...wrong];
-  const out = flags.json ? JSON.stringify({ configuration, left: all }, null, 2) : JSON.stringify(configuration, null, 2);
+  const out = flags.json
+    ? JSON.stringify({ configuration, left: all }, null, 2)
+    : JSON.stringify(configuration, null, 2);
   return all.length > 0 ? toolEnd.trouble(flags.json ? '' : findings.text(all), out) : toolEnd.well(out);
 }
 
--- a/src/tools/inspect.ts
+++ b/src/tools/inspect.ts
@@ -13,7 +13,9 @@
 type FileLine = { file: string; bytes: number; good: number; records: number; entries: string; heads: string };
 
 function span(values: (Record_ | SegmentHead)[]): string {
-  const at = values.flatMap(function index(v) { return v.r === 'entry' ? [v.entry.index] : []; });
+  const at = values.flatMap(function index(v) {
+    return v.r === 'entry' ? [v.entry.index] : [];
+  });
   return at.length === 0 ? '-' : `${Math.min(...at)}..${Math.max(...at)}`;
 }
 
@@ -21,22 +23,41 @@
   const raw = readFileSync(join(dir, name));
   const { values, good } = records.readAll(raw);
   const list = values as (Record_ | SegmentHead)[];
-  const head = list.find(function first(v): v is SegmentHead { return v.r === 'head'; });
-  return { file: name, bytes: raw.length, good, records: list.length, entries: span(list), heads: head ? `${head.me}, after ${head.after}, epoch ${head.epoch}` : 'no head' };
+  const head = list.find(function first(v): v is SegmentHead {
+    return v.r === 'head';
+  });
+  return {
+    file: name,
+    bytes: raw.length,
+    good,
+    records: list.length,
+    entries: span(list),
+    heads: head ? `${head.me}, after ${head.after}, epoch ${head.epoch}` : 'no head',
+  };
 }
 
 function viewLine(dir: string, name: string): FileLine {
   const raw = readFileSync(join(dir, name));
   const { values, good } = records.readAll(raw);
   const v = values[0] as View | undefined;
-  return { file: name, bytes: raw.length, good, records: values.length, entries: v ? `view at ${v.index}` : '-', heads: v ? `epoch ${v.epoch}, roster of ${v.members.length}` : 'not whole' };
+  return {
+    file: name,
+    bytes: raw.length,
+    good,
+    records: values.length,
+    entries: v ? `view at ${v.index}` : '-',
+    heads: v ? `epoch ${v.epoch}, roster of ${v.members.length}` : 'not whole',
+  };
 }
 
 function commandText(c: Command): string {
   switch (c.c) {
-    case 'configure': return `configuration ${c.configuration.revision}`;
-    case 'weights': return `weights ${c.model}=${c.revision}`;
-    case 'activate': return `access rules of ${c.revision} in effect`;
+    case 'configure':
+      return `configuration ${c.configuration.revision}`;
+    case 'weights':
+      return `weights ${c.model}=${c.revision}`;
+    case 'activate':
+      return `access rules of ${c.revision} in effect`;
   }
 }
 
@@ -46,8 +67,12 @@
   if (!existsSync(dir)) return toolEnd.trouble(`${dir}: there is no such folder`);
   if (!statSync(dir).isDirectory()) return toolEnd.trouble(`${dir}: is not a folder`);
   const names = readdirSync(dir);
-  const views = recovery.numbered(names, 'view').map(function one(f) { return viewLine(dir, f.name); });
-  const segments = recovery.numbered(names, 'segment').map(function one(f) { return segment(dir, f.name); });
+  const views = recovery.numbered(names, 'view').map(function one(f) {
+    return viewLine(dir, f.name);
+  });
+  const segments = recovery.numbered(names, 'segment').map(function one(f) {
+    return segment(dir, f.name);
+  });
   const files = [...views, ...segments];
   if (files.length === 0) return toolEnd.trouble(`${dir}: holds no log: neither a view nor a segment`);
   const r = recovery.recover(dir);
@@ -56,21 +81,44 @@
   if (r.k === 'lost') found.push(`lost: ${r.why}`);
   const whole = r.k === 'whole' ? r.found : null;
   const state = whole?.view.state as ControlState | undefined;
-  const summary = whole ? {
-    member: whole.me, epoch: whole.epoch, vote: whole.vote, view: whole.view.index, last: whole.view.index + whole.entries.length, committed: whole.committed,
-    configurationInView: state?.configuration?.revision ?? 0, roster: whole.view.members.map(function id(m) { return m.id; }),
-    entries: whole.entries.map(function one(e) {
-      return { index: e.index, epoch: e.epoch, what: e.data.kind === 'order' ? commandText(e.data.command as Command) : e.data.kind === 'roster' ? `roster of ${e.data.members.length}` : 'opening of an epoch' };
-    }),
-  } : null;
+  const summary = whole
+    ? {
+        member: whole.me,
+        epoch: whole.epoch,
+        vote: whole.vote,
+        view: whole.view.index,
+        last: whole.view.index + whole.entries.length,
+        committed: whole.committed,
+        configurationInView: state?.configuration?.revision ?? 0,
+        roster: whole.view.members.map(function id(m) {
+          return m.id;
+        }),
+        entries: whole.entries.map(function one(e) {
+          return {
+            index: e.index,
+            epoch: e.epoch,
+            what:
+              e.data.kind === 'order'
+                ? commandText(e.data.command as Command)
+                : e.data.kind === 'roster'
+                  ? `roster of ${e.data.members.length}`
+                  : 'opening of an epoch',
+          };
+        }),
+      }
+    : null;
   if (flags.json) {
     const out = JSON.stringify({ files, summary, findings: found, note }, null, 2);
     return found.length > 0 ? toolEnd.trouble('', out) : toolEnd.well(out);
   }
-  const lines = files.map(function line(f) { return `${f.file}: ${f.bytes} bytes, ${f.records} records, entries ${f.entries}; ${f.heads}`; });
+  const lines = files.map(function line(f) {
+    return `${f.file}: ${f.bytes} bytes, ${f.records} records, entries ${f.entries}; ${f.heads}`;
+  });
   if (summary) {
     lines.push(`member ${summary.member}, promised epoch ${summary.epoch}, vote ${summary.vote ?? 'none'}`);
-    lines.push(`view at ${summary.view} (configuration ${summary.configurationInView}, roster ${summary.roster.join(', ') || 'empty'}), log up to ${summary.last}`);
+    lines.push(
+      `view at ${summary.view} (configuration ${summary.configurationInView}, roster ${summary.roster.join(', ') || 'empty'}), log up to ${summary.last}`,
+    );
     for (const e of summary.entries) lines.push(`  ${e.index} epoch ${e.epoch}: ${e.what}`);
     lines.push(`known here to be committed up to ${summary.committed}; ${note}`);
   }
--- a/src/tools/read.ts
+++ b/src/tools/read.ts
@@ -8,10 +8,14 @@
 function why(err: unknown): string {
   const e = err as NodeJS.ErrnoException;
   switch (e.code) {
-    case 'ENOENT': return 'there is no such file';
-    case 'EISDIR': return 'is a folder';
-    case 'EACCES': return 'may not be read';
-    default: return e.message;
+    case 'ENOENT':
+      return 'there is no such file';
+    case 'EISDIR':
+      return 'is a folder';
+    case 'EACCES':
+      return 'may not be read';
+    default:
+      return e.message;
   }
 }
 
@@ -39,7 +43,12 @@
   const lines = new LineCounter();
   const doc = parseDocument(t.value, { lineCounter: lines });
   if (doc.errors.length > 0) {
-    return { ok: false, trouble: doc.errors.map(function one(e) { return { place: `${file}:${e.linePos?.[0].line ?? 1}`, text: e.message.split('\n')[0]! }; }) };
+    return {
+      ok: false,
+      trouble: doc.errors.map(function one(e) {
+        return { place: `${file}:${e.linePos?.[0].line ?? 1}`, text: e.message.split('\n')[0]! };
+      }),
+    };
   }
   return { ok: true, value: { doc, lines } };
 }
--- a/src/tools/simulate/clock.ts
+++ b/src/tools/simulate/clock.ts
@@ -1,6 +1,14 @@
 // Virtual time and seeded luck: events run in the order of their times, a heap keeps them.
 type Due = { at: number; no: number; run: () => void };
-export type Clock = { now: number; heap: Due[]; no: number; seed: number; after: (ms: number, run: () => void) => void; next: () => number; below: (n: number) => number };
+export type Clock = {
+  now: number;
+  heap: Due[];
+  no: number;
+  seed: number;
+  after: (ms: number, run: () => void) => void;
+  next: () => number;
+  below: (n: number) => number;
+};
 
 function before(a: Due, b: Due): boolean {
   return a.at < b.at || (a.at === b.at && a.no < b.no);
@@ -36,8 +44,13 @@
 
 function create(seed: number): Clock {
   const c: Clock = {
-    now: 0, heap: [], no: 0, seed: (Math.imul(seed, 2654435761) ^ 0x9e3779b9) >>> 0,
-    after: function after(ms, run) { push(c.heap, { at: c.now + ms, no: c.no++, run }); },
+    now: 0,
+    heap: [],
+    no: 0,
+    seed: (Math.imul(seed, 2654435761) ^ 0x9e3779b9) >>> 0,
+    after: function after(ms, run) {
+      push(c.heap, { at: c.now + ms, no: c.no++, run });
+    },
     next: function next() {
       c.seed = (c.seed + 0x6d2b79f5) >>> 0;
       let t = c.seed;
@@ -45,7 +58,9 @@
       t ^= t + Math.imul(t ^ (t >>> 7), t | 61);
       return ((t ^ (t >>> 14)) >>> 0) / 4294967296;
     },
-    below: function below(n) { return Math.floor(c.next() * n); },
+    below: function below(n) {
+      return Math.floor(c.next() * n);
+    },
   };
   return c;
 }
--- a/src/tools/simulate/core.ts
+++ b/src/tools/simulate/core.ts
@@ -8,15 +8,36 @@
 const syncMs = 5;
 const tickMs = 50;
 
-export type SimCore = { nodes: { addr: string; up: boolean; machine: GroupState }[]; messages: number; clock: Clock; delayMs: number };
+export type SimCore = {
+  nodes: { addr: string; up: boolean; machine: GroupState }[];
+  messages: number;
+  clock: Clock;
+  delayMs: number;
+};
 
 function create(clock: Clock, n: number, delayMs: number): SimCore {
-  const members = Array.from({ length: n }, function one(_, i) { return { id: `c${i}#first`, addr: `c${i}`, control: `c${i}` }; });
+  const members = Array.from({ length: n }, function one(_, i) {
+    return { id: `c${i}#first`, addr: `c${i}`, control: `c${i}` };
+  });
   const view: View = { index: 0, epoch: 0, members, state: null };
   const c: SimCore = {
-    clock, delayMs, messages: 0,
+    clock,
+    delayMs,
+    messages: 0,
     nodes: members.map(function node(m, i) {
-      const machine = group.create({ me: m.id, addr: m.addr, control: m.control, timing, seed: i * 7919 + clock.below(1e6), target: n, epoch: 0, vote: null, view, entries: [], now: clock.now });
+      const machine = group.create({
+        me: m.id,
+        addr: m.addr,
+        control: m.control,
+        timing,
+        seed: i * 7919 + clock.below(1e6),
+        target: n,
+        epoch: 0,
+        vote: null,
+        view,
+        entries: [],
+        now: clock.now,
+      });
       return { addr: m.addr, up: true, machine };
     }),
   };
@@ -26,37 +47,60 @@
 
 function tick(c: SimCore, addr: string): void {
   step(c, addr, { e: 'beat' });
-  c.clock.after(tickMs, function again() { tick(c, addr); });
+  c.clock.after(tickMs, function again() {
+    tick(c, addr);
+  });
 }
 
 function step(c: SimCore, addr: string, ev: GroupEvent): void {
-  const node = c.nodes.find(function same(x) { return x.addr === addr; });
+  const node = c.nodes.find(function same(x) {
+    return x.addr === addr;
+  });
   if (!node?.up) return;
   for (const f of group.step(node.machine, ev, c.clock.now)) {
     if (f.f === 'send') {
       c.messages++;
       const copy = structuredClone(f.message);
-      c.clock.after(c.delayMs, function arrive() { step(c, f.addr, { e: 'message', message: copy }); });
+      c.clock.after(c.delayMs, function arrive() {
+        step(c, f.addr, { e: 'message', message: copy });
+      });
     } else if (f.f === 'write') {
       const { token } = f;
-      c.clock.after(syncMs, function kept() { step(c, addr, { e: 'synced', token }); });
+      c.clock.after(syncMs, function kept() {
+        step(c, addr, { e: 'synced', token });
+      });
     }
   }
 }
 
 function sequencer(c: SimCore): string | null {
-  return c.nodes.find(function leads(n) { return n.up && n.machine.phase === 'sequencer'; })?.addr ?? null;
+  return (
+    c.nodes.find(function leads(n) {
+      return n.up && n.machine.phase === 'sequencer';
+    })?.addr ?? null
+  );
 }
 
 function down(c: SimCore, addr: string, forMs: number): void {
-  const node = c.nodes.find(function same(x) { return x.addr === addr; })!;
+  const node = c.nodes.find(function same(x) {
+    return x.addr === addr;
+  })!;
   if (!node.up) return;
   node.up = false;
   const m = node.machine;
   c.clock.after(forMs, function back() {
     node.machine = group.create({
-      me: m.me, addr: m.addr, control: m.control, timing, seed: m.seed, target: m.target, epoch: m.epoch, vote: m.vote,
-      view: m.latestView!, entries: m.entries, now: c.clock.now,
+      me: m.me,
+      addr: m.addr,
+      control: m.control,
+      timing,
+      seed: m.seed,
+      target: m.target,
+      epoch: m.epoch,
+      vote: m.vote,
+      view: m.latestView!,
+      entries: m.entries,
+      now: c.clock.now,
     });
     node.up = true;
   });
--- a/src/tools/simulate/file.ts
+++ b/src/tools/simulate/file.ts
@@ -1,19 +1,59 @@
 // The fleet file of the simulator: its shape, its checks, and the changes that it may name.
-import { array, boolean, enums, integer, max, min, nonempty, number, optional, record, size, string, type } from 'superstruct';
+import {
+  array,
+  boolean,
+  enums,
+  integer,
+  max,
+  min,
+  nonempty,
+  number,
+  optional,
+  record,
+  size,
+  string,
+  type,
+} from 'superstruct';
 import type { Finding, Outcome } from '../../types.js';
 import { findings } from '../../protocol/findings.js';
 
 export type Traffic = {
-  name: string; per_s: number; shared_tokens: number; things: number; skew: number; own_tokens: number; out_tokens: number;
-  aim_ms: number; deadline_ms: number; tries: number; resumable: boolean; tenants: number; isolated: number;
+  name: string;
+  per_s: number;
+  shared_tokens: number;
+  things: number;
+  skew: number;
+  own_tokens: number;
+  out_tokens: number;
+  aim_ms: number;
+  deadline_ms: number;
+  tries: number;
+  resumable: boolean;
+  tenants: number;
+  isolated: number;
+};
+export type SimTrouble = {
+  kind: 'runner_crash' | 'site_kill' | 'coordinator_kill' | 'store_loss' | 'new_weights';
+  at_s: number;
+  for_s: number;
+  count: number;
+  zone?: string;
 };
-export type SimTrouble = { kind: 'runner_crash' | 'site_kill' | 'coordinator_kill' | 'store_loss' | 'new_weights'; at_s: number; for_s: number; count: number; zone?: string };
 export type FleetFile = {
-  seed: number; seconds: number;
+  seed: number;
+  seconds: number;
   zones: Record<string, { sites: number; runners: number; clients: number }>;
   coordinators: number;
   network: { in_zone_ms: number; cross_zone_ms: number; client_ms: number };
-  runner: { slots: number; kv_tokens: number; read_tokens_per_ms: number; step_ms: number; step_ms_per_slot: number; move_tokens_per_ms: number; load_s: number };
+  runner: {
+    slots: number;
+    kv_tokens: number;
+    read_tokens_per_ms: number;
+    step_ms: number;
+    step_ms_per_slot: number;
+    move_tokens_per_ms: number;
+    load_s: number;
+  };
   store?: { kv_tokens: number };
   traffic: Traffic[];
   tuning: { epsilon: number; phi: number; hot_set: boolean; moved_tokens: number };
@@ -27,22 +67,52 @@
 const count = min(integer(), 0);
 
 const shape = type({
-  seed: integer(), seconds: max(above, 3600),
+  seed: integer(),
+  seconds: max(above, 3600),
   zones: record(nonempty(string()), type({ sites: count, runners: count, clients: zeroUp })),
   coordinators: max(min(integer(), 1), 9),
   network: type({ in_zone_ms: zeroUp, cross_zone_ms: zeroUp, client_ms: zeroUp }),
   runner: type({
-    slots: min(integer(), 1), kv_tokens: min(integer(), 1), read_tokens_per_ms: above, step_ms: above, step_ms_per_slot: zeroUp, move_tokens_per_ms: above, load_s: zeroUp,
+    slots: min(integer(), 1),
+    kv_tokens: min(integer(), 1),
+    read_tokens_per_ms: above,
+    step_ms: above,
+    step_ms_per_slot: zeroUp,
+    move_tokens_per_ms: above,
+    load_s: zeroUp,
   }),
   store: optional(type({ kv_tokens: min(integer(), 1) })),
-  traffic: size(array(type({
-    name: nonempty(string()), per_s: zeroUp, shared_tokens: count, things: min(integer(), 1), skew: zeroUp, own_tokens: count, out_tokens: min(integer(), 1),
-    aim_ms: above, deadline_ms: above, tries: min(integer(), 1), resumable: boolean(), tenants: min(integer(), 1), isolated: share,
-  })), 1, 100),
+  traffic: size(
+    array(
+      type({
+        name: nonempty(string()),
+        per_s: zeroUp,
+        shared_tokens: count,
+        things: min(integer(), 1),
+        skew: zeroUp,
+        own_tokens: count,
+        out_tokens: min(integer(), 1),
+        aim_ms: above,
+        deadline_ms: above,
+        tries: min(integer(), 1),
+        resumable: boolean(),
+        tenants: min(integer(), 1),
+        isolated: share,
+      }),
+    ),
+    1,
+    100,
+  ),
   tuning: type({ epsilon: above, phi: above, hot_set: boolean(), moved_tokens: min(integer(), 1) }),
-  troubles: array(type({
-    kind: enums(['runner_crash', 'site_kill', 'coordinator_kill', 'store_loss', 'new_weights']), at_s: zeroUp, for_s: zeroUp, count: min(integer(), 1), zone: optional(string()),
-  })),
+  troubles: array(
+    type({
+      kind: enums(['runner_crash', 'site_kill', 'coordinator_kill', 'store_loss', 'new_weights']),
+      at_s: zeroUp,
+      for_s: zeroUp,
+      count: min(integer(), 1),
+      zone: optional(string()),
+    }),
+  ),
   changes: optional(array(type({ name: nonempty(string()), set: record(string(), type({}) as never) }))),
 });
 
@@ -56,27 +126,53 @@
   const changes = (raw as { changes?: unknown } | null)?.changes;
   if (changes !== undefined) {
     if (!Array.isArray(changes)) found.push({ place: 'changes', text: 'expected a list' });
-    else changes.forEach(function each(c: { name?: unknown; set?: unknown } | null, i) {
-      if (typeof c?.name !== 'string' || c.name === '') found.push({ place: `changes.${i}.name`, text: 'expected a name' });
-      if (typeof c?.set !== 'object' || c.set === null) found.push({ place: `changes.${i}.set`, text: 'expected a table of places and values' });
-    });
+    else
+      changes.forEach(function each(c: { name?: unknown; set?: unknown } | null, i) {
+        if (typeof c?.name !== 'string' || c.name === '')
+          found.push({ place: `changes.${i}.name`, text: 'expected a name' });
+        if (typeof c?.set !== 'object' || c.set === null)
+          found.push({ place: `changes.${i}.set`, text: 'expected a table of places and values' });
+      });
   }
   if (found.length > 0) return { ok: false, trouble: found };
   const f = raw as FleetFile;
   const zones = Object.values(f.zones);
-  if (!zones.some(function has(z) { return z.sites > 0; })) found.push({ place: 'zones', text: 'there is no site' });
-  if (!zones.some(function has(z) { return z.runners > 0; })) found.push({ place: 'zones', text: 'there is no runner' });
-  if (!zones.some(function has(z) { return z.clients > 0; })) found.push({ place: 'zones', text: 'there are no clients' });
-  if (!f.traffic.some(function some(t) { return t.per_s > 0; })) found.push({ place: 'traffic', text: 'there is no traffic' });
+  if (
+    !zones.some(function has(z) {
+      return z.sites > 0;
+    })
+  )
+    found.push({ place: 'zones', text: 'there is no site' });
+  if (
+    !zones.some(function has(z) {
+      return z.runners > 0;
+    })
+  )
+    found.push({ place: 'zones', text: 'there is no runner' });
+  if (
+    !zones.some(function has(z) {
+      return z.clients > 0;
+    })
+  )
+    found.push({ place: 'zones', text: 'there are no clients' });
+  if (
+    !f.traffic.some(function some(t) {
+      return t.per_s > 0;
+    })
+  )
+    found.push({ place: 'traffic', text: 'there is no traffic' });
   if (f.tuning.epsilon > f.tuning.phi) found.push({ place: 'tuning.epsilon', text: 'must not be above phi' });
   f.troubles.forEach(function each(t, i) {
-    if (t.zone !== undefined && f.zones[t.zone] === undefined) found.push({ place: `troubles.${i}.zone`, text: `unknown zone ${t.zone}` });
+    if (t.zone !== undefined && f.zones[t.zone] === undefined)
+      found.push({ place: `troubles.${i}.zone`, text: `unknown zone ${t.zone}` });
   });
   return found.length > 0 ? { ok: false, trouble: found } : { ok: true, value: f };
 }
 
 function changed(f: FleetFile, name: string): Outcome<FleetFile, Finding[]> {
-  const c = f.changes?.find(function same(x) { return x.name === name; });
+  const c = f.changes?.find(function same(x) {
+    return x.name === name;
+  });
   if (!c) return { ok: false, trouble: [{ place: 'changes', text: `there is no change named ${name}` }] };
   const copy = structuredClone({ ...f, changes: undefined }) as unknown as Record<string, unknown>;
   const found: Finding[] = [];
@@ -85,7 +181,8 @@
     let at: Record<string, unknown> | undefined = copy;
     for (const step of path.slice(0, -1)) at = at?.[step] as Record<string, unknown> | undefined;
     const last = path.at(-1)!;
-    if (typeof at !== 'object' || at === null || !(last in at)) found.push({ place: `changes.${name}.${place}`, text: 'there is no such place in the file' });
+    if (typeof at !== 'object' || at === null || !(last in at))
+      found.push({ place: `changes.${name}.${place}`, text: 'there is no such place in the file' });
     else at[last] = value;
   }
   if (found.length > 0) return { ok: false, trouble: found };
