--- a/src/tools/simulate/fleet.ts
+++ b/src/tools/simulate/fleet.ts
@@ -34,34 +34,104 @@
 
 export type Tally = { name: string; asked: number; inAim: number; late: number; bounced: number; failed: number };
 export type Result = {
-  kinds: Tally[]; worst: { from: number; share: number }[]; prompt: { read: number; readAgain: number; kept: number; moved: number };
-  messages: { group: number; feed: number; tracking: number; arrivals: number }; secondLegs: number; noSequencerMs: number;
+  kinds: Tally[];
+  worst: { from: number; share: number }[];
+  prompt: { read: number; readAgain: number; kept: number; moved: number };
+  messages: { group: number; feed: number; tracking: number; arrivals: number };
+  secondLegs: number;
+  noSequencerMs: number;
 };
 
-type SimSite = { name: string; zone: string; up: boolean; site: Site; tracker: SiteTracker; felt: Map<string, number>; at: number; seen: string };
+type SimSite = {
+  name: string;
+  zone: string;
+  up: boolean;
+  site: Site;
+  tracker: SiteTracker;
+  felt: Map<string, number>;
+  at: number;
+  seen: string;
+};
 type Sim = {
-  f: FleetFile; c: Clock; core: SimCore; sites: SimSite[]; runners: Map<string, SimRunner>; store: { kept: Map<string, number>; held: number; room: number } | null;
-  index: KeptIndex; tracking: Tracker; rollout: RolloutState; named: number; parked: Set<string>; listed: Runner[]; leader: string | null; leaderSince: number;
-  everRead: Set<string>; out: Result; windows: Map<number, { asked: number; good: number }>; attempts: number;
+  f: FleetFile;
+  c: Clock;
+  core: SimCore;
+  sites: SimSite[];
+  runners: Map<string, SimRunner>;
+  store: { kept: Map<string, number>; held: number; room: number } | null;
+  index: KeptIndex;
+  tracking: Tracker;
+  rollout: RolloutState;
+  named: number;
+  parked: Set<string>;
+  listed: Runner[];
+  leader: string | null;
+  leaderSince: number;
+  everRead: Set<string>;
+  out: Result;
+  windows: Map<number, { asked: number; good: number }>;
+  attempts: number;
 };
 
 function configurationOf(f: FleetFile): Configuration {
   return {
     revision: 1,
     route_list: f.traffic.map(function one(t) {
-      return { label: t.name, hostname: t.name, path_prefix: '/', variant: 'streaming' as const, deadline_ms: t.deadline_ms, target_ms: t.aim_ms, target: service, tries: t.tries, resumable: t.resumable };
+      return {
+        label: t.name,
+        hostname: t.name,
+        path_prefix: '/',
+        variant: 'streaming' as const,
+        deadline_ms: t.deadline_ms,
+        target_ms: t.aim_ms,
+        target: service,
+        tries: t.tries,
+        resumable: t.resumable,
+      };
     }),
-    service_list: [{ label: service, engine_kind: { slot_count: f.runner.slots, kv_capacity: f.runner.kv_tokens } }, ...(f.store ? [{ label: 'store', kv_store_addr: storeAddr }] : [])],
+    service_list: [
+      { label: service, engine_kind: { slot_count: f.runner.slots, kv_capacity: f.runner.kv_tokens } },
+      ...(f.store ? [{ label: 'store', kv_store_addr: storeAddr }] : []),
+    ],
   };
 }
 
 function siteOf(f: FleetFile, zone: string): Site {
   const bounds = { version_ms: 8000, retry_ratio: 0.2, retry_window_s: 10, retry_slack: 58 };
   const site: Partial<Site> = {
-    settings: { zone_name: zone, zones: Object.fromEntries(Object.keys(f.zones).map(function one(z) { return [z, 'one'] as const; })), bound_set: bounds } as unknown as Settings, fleet: fleet.create(), table: routes.build(configurationOf(f)), weights: { [model]: 1 }, weightsSeq: 0,
-    weightsAt: new Map(), board: { epoch: 0, seq: 0, runners: [], sites: 0 }, budget: budget.create(10_000, bounds.retry_ratio, bounds.retry_slack),
-    holdings: holdings.create(20_000), hintsUntil: Infinity, storeLeases: 0, transfers: transfers.create({ leaseMs: 4000, mostAtSource: 6, longestQueueMs: 1500 }), prices: prices.create(), hot: { share: new Map(), total: 0 }, stirred: new EventEmitter(),
-    tuning: { epsilon: f.tuning.epsilon, phi: f.tuning.phi, movedTokens: f.tuning.moved_tokens, hotSet: f.tuning.hot_set, orderMethod: 'retain', orderShare: 0.25, urgency: false, transfers: true },
+    settings: {
+      zone_name: zone,
+      zones: Object.fromEntries(
+        Object.keys(f.zones).map(function one(z) {
+          return [z, 'one'] as const;
+        }),
+      ),
+      bound_set: bounds,
+    } as unknown as Settings,
+    fleet: fleet.create(),
+    table: routes.build(configurationOf(f)),
+    weights: { [model]: 1 },
+    weightsSeq: 0,
+    weightsAt: new Map(),
+    board: { epoch: 0, seq: 0, runners: [], sites: 0 },
+    budget: budget.create(10_000, bounds.retry_ratio, bounds.retry_slack),
+    holdings: holdings.create(20_000),
+    hintsUntil: Infinity,
+    storeLeases: 0,
+    transfers: transfers.create({ leaseMs: 4000, mostAtSource: 6, longestQueueMs: 1500 }),
+    prices: prices.create(),
+    hot: { share: new Map(), total: 0 },
+    stirred: new EventEmitter(),
+    tuning: {
+      epsilon: f.tuning.epsilon,
+      phi: f.tuning.phi,
+      movedTokens: f.tuning.moved_tokens,
+      hotSet: f.tuning.hot_set,
+      orderMethod: 'retain',
+      orderShare: 0.25,
+      urgency: false,
+      transfers: true,
+    },
   };
   return site as Site;
 }
@@ -73,31 +143,80 @@
   for (const [zone, z] of Object.entries(f.zones)) {
     for (let i = 0; i < z.sites; i++) {
       const name = `${zone}-site-${i}`;
-      sites.push({ name, zone, up: true, site: siteOf(f, zone), tracker: siteTracker.create(f.tuning.epsilon, name), felt: new Map(), at: 0, seen: '' });
+      sites.push({
+        name,
+        zone,
+        up: true,
+        site: siteOf(f, zone),
+        tracker: siteTracker.create(f.tuning.epsilon, name),
+        felt: new Map(),
+        at: 0,
+        seen: '',
+      });
     }
-    for (let i = 0; i < z.runners; i++) runners.set(`${zone}-runner-${i}`, simRunner.create(`${zone}-runner-${i}`, zone, f.runner.kv_tokens));
+    for (let i = 0; i < z.runners; i++)
+      runners.set(`${zone}-runner-${i}`, simRunner.create(`${zone}-runner-${i}`, zone, f.runner.kv_tokens));
   }
   const sim: Sim = {
-    f, c, core: simCore.create(c, f.coordinators, f.network.cross_zone_ms), sites, runners, store: f.store ? { kept: new Map(), held: 0, room: f.store.kv_tokens } : null,
-    index: keptIndex.create(f.tuning.moved_tokens, 1e6), tracking: tracker.create(f.tuning.epsilon, f.tuning.phi, 50_000, 1500),
-    rollout: rolloutPlan.create({ share: 0.25, parkMs: 60, askMs: 250, settleMs: 600, giveUpMs: 6000, pauseMs: 400 }), named: 1, parked: new Set(), listed: [],
-    leader: null, leaderSince: 0, everRead: new Set(), windows: new Map(), attempts: 0,
+    f,
+    c,
+    core: simCore.create(c, f.coordinators, f.network.cross_zone_ms),
+    sites,
+    runners,
+    store: f.store ? { kept: new Map(), held: 0, room: f.store.kv_tokens } : null,
+    index: keptIndex.create(f.tuning.moved_tokens, 1e6),
+    tracking: tracker.create(f.tuning.epsilon, f.tuning.phi, 50_000, 1500),
+    rollout: rolloutPlan.create({ share: 0.25, parkMs: 60, askMs: 250, settleMs: 600, giveUpMs: 6000, pauseMs: 400 }),
+    named: 1,
+    parked: new Set(),
+    listed: [],
+    leader: null,
+    leaderSince: 0,
+    everRead: new Set(),
+    windows: new Map(),
+    attempts: 0,
     out: {
-      kinds: f.traffic.map(function one(t) { return { name: t.name, asked: 0, inAim: 0, late: 0, bounced: 0, failed: 0 }; }), worst: [],
-      prompt: { read: 0, readAgain: 0, kept: 0, moved: 0 }, messages: { group: 0, feed: 0, tracking: 0, arrivals: 0 }, secondLegs: 0, noSequencerMs: 0,
+      kinds: f.traffic.map(function one(t) {
+        return { name: t.name, asked: 0, inAim: 0, late: 0, bounced: 0, failed: 0 };
+      }),
+      worst: [],
+      prompt: { read: 0, readAgain: 0, kept: 0, moved: 0 },
+      messages: { group: 0, feed: 0, tracking: 0, arrivals: 0 },
+      secondLegs: 0,
+      noSequencerMs: 0,
     },
   };
   return sim;
 }
 
 function list(sim: Sim): Runner[] {
-  return [...sim.runners.values()].filter(function up(r) { return r.up; }).map(function one(r) {
-    return { id: r.id, service, addr: r.id, zone: r.zone, slots: sim.f.runner.slots, draining: false, parked: sim.parked.has(r.id), models: [{ label: model, revision: r.revision }] };
-  });
+  return [...sim.runners.values()]
+    .filter(function up(r) {
+      return r.up;
+    })
+    .map(function one(r) {
+      return {
+        id: r.id,
+        service,
+        addr: r.id,
+        zone: r.zone,
+        slots: sim.f.runner.slots,
+        draining: false,
+        parked: sim.parked.has(r.id),
+        models: [{ label: model, revision: r.revision }],
+      };
+    });
 }
 
 function show(sim: Sim): void {
-  for (const s of sim.sites) if (s.up) fleet.take(s.site.fleet, sim.listed.map(function one(r) { return { ...r, parked: sim.parked.has(r.id) }; }));
+  for (const s of sim.sites)
+    if (s.up)
+      fleet.take(
+        s.site.fleet,
+        sim.listed.map(function one(r) {
+          return { ...r, parked: sim.parked.has(r.id) };
+        }),
+      );
 }
 
 function poll(sim: Sim): void {
@@ -105,7 +224,9 @@
     sim.listed = list(sim);
     show(sim);
   }
-  sim.c.after(boardMs, function again() { poll(sim); });
+  sim.c.after(boardMs, function again() {
+    poll(sim);
+  });
 }
 
 function beat(sim: Sim): void {
@@ -119,8 +240,22 @@
     for (const r of sim.runners.values()) for (const [key, n] of r.kept) told(sim, '+', key, n, r.id);
     if (sim.store) for (const [key, n] of sim.store.kept) told(sim, '+', key, n, storeAddr);
   }
-  tracker.beat(sim.tracking, new Set(sim.sites.filter(function up(s) { return s.up; }).map(function life(s) { return s.tracker.life; })), sim.c.now);
-  sim.c.after(beatMs, function again() { beat(sim); });
+  tracker.beat(
+    sim.tracking,
+    new Set(
+      sim.sites
+        .filter(function up(s) {
+          return s.up;
+        })
+        .map(function life(s) {
+          return s.tracker.life;
+        }),
+    ),
+    sim.c.now,
+  );
+  sim.c.after(beatMs, function again() {
+    beat(sim);
+  });
 }
 
 function told(sim: Sim, sign: '+' | '-', key: string, tokens: number, place: string): void {
@@ -131,9 +266,13 @@
 
 // One exchange of a site with the sequencer: burdens, changes of the index, counts, the hot set.
 function exchange(sim: Sim, s: SimSite): void {
-  sim.c.after(feedMs, function again() { exchange(sim, s); });
+  sim.c.after(feedMs, function again() {
+    exchange(sim, s);
+  });
   if (!s.up || sim.leader === null) return;
-  const k = sim.sites.filter(function up(x) { return x.up; }).length;
+  const k = sim.sites.filter(function up(x) {
+    return x.up;
+  }).length;
   const report = siteTracker.report(s.tracker);
   if (report) {
     sim.out.messages.tracking++;
@@ -143,7 +282,11 @@
   siteTracker.told(s.tracker, { k, total: sim.tracking.total, gather: sim.tracking.gather, era: sim.tracking.era });
   s.site.board.sites = k;
   s.site.hot.total = sim.tracking.total;
-  s.site.hot.share = new Map(tracker.hot(sim.tracking).map(function pair(h) { return [h.x, h.share] as const; }));
+  s.site.hot.share = new Map(
+    tracker.hot(sim.tracking).map(function pair(h) {
+      return [h.x, h.share] as const;
+    }),
+  );
   if (s.seen !== `${sim.leader} ${sim.leaderSince}`) {
     s.seen = `${sim.leader} ${sim.leaderSince}`;
     s.at = 0;
@@ -180,11 +323,27 @@
   const tenant = sim.c.below(t.tenants);
   const wall = tenant < Math.round(t.tenants * t.isolated) ? `t-${tenant}` : 'all';
   const id = ++sim.attempts;
-  const parts: SimPart[] = [{ id: `${t.name}${pickThing(sim.c, t)}`, tokens: t.shared_tokens }, { id: `own${id}`, tokens: t.own_tokens }];
+  const parts: SimPart[] = [
+    { id: `${t.name}${pickThing(sim.c, t)}`, tokens: t.shared_tokens },
+    { id: `own${id}`, tokens: t.own_tokens },
+  ];
   const p: Partial<Passage> = {
-    at: now, attempt: `a${id}`, body: Buffer.alloc(0), route: table.hosts.get(t.name)![0]!, service: table.services.get(service)!, model, wall, parts,
-    tokens: { prompt: t.shared_tokens + t.own_tokens, most: t.out_tokens }, deadlineAt: now + t.deadline_ms, aimMs: t.aim_ms, isStream: true, repeatable: t.resumable,
-    legs: 0, runners: new Set(), maybeRun: false,
+    at: now,
+    attempt: `a${id}`,
+    body: Buffer.alloc(0),
+    route: table.hosts.get(t.name)![0]!,
+    service: table.services.get(service)!,
+    model,
+    wall,
+    parts,
+    tokens: { prompt: t.shared_tokens + t.own_tokens, most: t.out_tokens },
+    deadlineAt: now + t.deadline_ms,
+    aimMs: t.aim_ms,
+    isStream: true,
+    repeatable: t.resumable,
+    legs: 0,
+    runners: new Set(),
+    maybeRun: false,
   };
   return p as Passage;
 }
@@ -192,8 +351,15 @@
 function arrive(sim: Sim, t: Traffic, zone: string): void {
   const now = sim.c.now;
   const tally = sim.out.kinds[sim.f.traffic.indexOf(t)]!;
-  const near = sim.sites.filter(function here(s) { return s.up && s.zone === zone; });
-  const all = near.length > 0 ? near : sim.sites.filter(function up(s) { return s.up; });
+  const near = sim.sites.filter(function here(s) {
+    return s.up && s.zone === zone;
+  });
+  const all =
+    near.length > 0
+      ? near
+      : sim.sites.filter(function up(s) {
+          return s.up;
+        });
   tally.asked++;
   const slot = Math.floor(now / 2000);
   const w = sim.windows.get(slot) ?? { asked: 0, good: 0 };
@@ -211,7 +377,12 @@
 function deliver(sim: Sim, s: SimSite, p: Passage, t: Traffic, tally: Tally, w: { good: number }): void {
   const now = sim.c.now;
   const again = p.legs > 0;
-  if (now >= p.deadlineAt || !s.up || (again && (p.legs >= t.tries || (p.maybeRun && !p.repeatable) || !budget.take(s.site.budget, now, s.site.board.sites)))) {
+  if (
+    now >= p.deadlineAt ||
+    !s.up ||
+    (again &&
+      (p.legs >= t.tries || (p.maybeRun && !p.repeatable) || !budget.take(s.site.budget, now, s.site.board.sites)))
+  ) {
     if (p.maybeRun || !s.up) tally.failed++;
     else tally.bounced++;
     return;
@@ -219,7 +390,10 @@
   if (again) sim.out.secondLegs++;
   const a = assign.choose(s.site, p, now);
   if (!a) {
-    if (now - p.at < t.aim_ms * 0.23) sim.c.after(25, function later() { deliver(sim, s, p, t, tally, w); });
+    if (now - p.at < t.aim_ms * 0.23)
+      sim.c.after(25, function later() {
+        deliver(sim, s, p, t, tally, w);
+      });
     else tally.bounced++;
     return;
   }
@@ -266,19 +440,39 @@
       deliver(sim, s, p, t, tally, w);
       return;
     }
-    if (r.active >= sim.f.runner.slots) r.queue.push(function later() { run(sim, s, p, a, t, tally, w, r, done); });
+    if (r.active >= sim.f.runner.slots)
+      r.queue.push(function later() {
+        run(sim, s, p, a, t, tally, w, r, done);
+      });
     else run(sim, s, p, a, t, tally, w, r, done);
   });
 }
 
-function run(sim: Sim, s: SimSite, p: Passage, a: Assigned, t: Traffic, tally: Tally, w: { good: number }, r: SimRunner, done: () => void): void {
+function run(
+  sim: Sim,
+  s: SimSite,
+  p: Passage,
+  a: Assigned,
+  t: Traffic,
+  tally: Tally,
+  w: { good: number },
+  r: SimRunner,
+  done: () => void,
+): void {
   const { c, f, out } = sim;
   const life = r.life;
   r.active++;
   let read = 0;
   let moved = 0;
   let unbroken = true;
-  const from = a.fetchFrom === storeAddr ? sim.store?.kept : a.fetchFrom === null ? undefined : sim.runners.get(a.fetchFrom)?.up ? sim.runners.get(a.fetchFrom)!.kept : undefined;
+  const from =
+    a.fetchFrom === storeAddr
+      ? sim.store?.kept
+      : a.fetchFrom === null
+        ? undefined
+        : sim.runners.get(a.fetchFrom)?.up
+          ? sim.runners.get(a.fetchFrom)!.kept
+          : undefined;
   for (const part of p.parts) {
     const key = `${a.salt} ${part.id}`;
     if (unbroken && r.kept.has(key)) out.prompt.kept += part.tokens;
@@ -301,7 +495,8 @@
       for (const gone of simRunner.keep(r, key, part.tokens)) told(sim, '-', gone, sim.f.tuning.moved_tokens, r.id);
       if (!had) told(sim, '+', key, part.tokens, r.id);
       if (a.saveTo !== null && sim.store && !sim.store.kept.has(key)) {
-        for (const gone of simRunner.keep(sim.store, key, part.tokens)) told(sim, '-', gone, sim.f.tuning.moved_tokens, storeAddr);
+        for (const gone of simRunner.keep(sim.store, key, part.tokens))
+          told(sim, '-', gone, sim.f.tuning.moved_tokens, storeAddr);
         told(sim, '+', key, part.tokens, storeAddr);
       }
     }
@@ -326,7 +521,19 @@
 }
 
 // A runner that dies under a request is felt a while later; what may be repeated goes on elsewhere.
-function watch(sim: Sim, s: SimSite, p: Passage, a: Assigned, t: Traffic, tally: Tally, w: { good: number }, r: SimRunner, life: number, end: number, done: () => void): void {
+function watch(
+  sim: Sim,
+  s: SimSite,
+  p: Passage,
+  a: Assigned,
+  t: Traffic,
+  tally: Tally,
+  w: { good: number },
+  r: SimRunner,
+  life: number,
+  end: number,
+  done: () => void,
+): void {
   if (sim.c.now >= end) return;
   sim.c.after(Math.min(feltMs, end - sim.c.now), function look() {
     if (r.life === life) return watch(sim, s, p, a, t, tally, w, r, life, end, done);
@@ -340,8 +547,15 @@
 
 function rolloutBeat(sim: Sim): void {
   const mayAct = sim.leader !== null && sim.c.now - sim.leaderSince >= leaseMs;
-  for (const x of rolloutPlan.step(sim.rollout, { e: 'beat', runners: list(sim), targets: { [model]: sim.named }, mayAct }, sim.c.now)) carry(sim, x);
-  sim.c.after(rolloutMs, function again() { rolloutBeat(sim); });
+  for (const x of rolloutPlan.step(
+    sim.rollout,
+    { e: 'beat', runners: list(sim), targets: { [model]: sim.named }, mayAct },
+    sim.c.now,
+  ))
+    carry(sim, x);
+  sim.c.after(rolloutMs, function again() {
+    rolloutBeat(sim);
+  });
 }
 
 function carry(sim: Sim, x: RolloutEffect): void {
@@ -364,9 +578,15 @@
       for (const [key, n] of r.kept) told(sim, '-', key, n, r.id);
       simRunner.empty(r);
     });
-    for (const y of rolloutPlan.step(sim.rollout, { e: 'ordered', id: r.id, result: 'begun' }, sim.c.now)) carry(sim, y);
+    for (const y of rolloutPlan.step(sim.rollout, { e: 'ordered', id: r.id, result: 'begun' }, sim.c.now))
+      carry(sim, y);
   } else {
-    for (const y of rolloutPlan.step(sim.rollout, { e: 'reported', id: r.id, revision: r.revision, isBusy: sim.c.now < r.busyUntil }, sim.c.now)) carry(sim, y);
+    for (const y of rolloutPlan.step(
+      sim.rollout,
+      { e: 'reported', id: r.id, revision: r.revision, isBusy: sim.c.now < r.busyUntil },
+      sim.c.now,
+    ))
+      carry(sim, y);
   }
 }
 
@@ -381,7 +601,13 @@
   const ms = t.for_s * 1000;
   switch (t.kind) {
     case 'runner_crash':
-      for (const r of some(sim.c, [...sim.runners.values()].filter(function here(x) { return x.up && (!t.zone || x.zone === t.zone); }), t.count)) {
+      for (const r of some(
+        sim.c,
+        [...sim.runners.values()].filter(function here(x) {
+          return x.up && (!t.zone || x.zone === t.zone);
+        }),
+        t.count,
+      )) {
         r.up = false;
         r.life++;
         r.active = 0;
@@ -389,17 +615,35 @@
         r.readFreeAt = 0;
         for (const [key, n] of r.kept) told(sim, '-', key, n, r.id);
         simRunner.empty(r);
-        sim.c.after(ms, function back() { r.up = true; r.revision = sim.named; });
+        sim.c.after(ms, function back() {
+          r.up = true;
+          r.revision = sim.named;
+        });
       }
       return;
     case 'site_kill':
-      for (const s of some(sim.c, sim.sites.filter(function here(x) { return x.up && (!t.zone || x.zone === t.zone); }), t.count)) {
+      for (const s of some(
+        sim.c,
+        sim.sites.filter(function here(x) {
+          return x.up && (!t.zone || x.zone === t.zone);
+        }),
+        t.count,
+      )) {
         s.up = false;
-        sim.c.after(ms, function back() { s.up = true; });
+        sim.c.after(ms, function back() {
+          s.up = true;
+        });
       }
       return;
     case 'coordinator_kill':
-      for (const n of some(sim.c, sim.core.nodes.filter(function up(x) { return x.up; }), t.count)) simCore.down(sim.core, n.addr, ms);
+      for (const n of some(
+        sim.c,
+        sim.core.nodes.filter(function up(x) {
+          return x.up;
+        }),
+        t.count,
+      ))
+        simCore.down(sim.core, n.addr, ms);
       return;
     case 'store_loss':
       if (!sim.store) return;
@@ -419,12 +663,18 @@
 function traffic(sim: Sim, t: Traffic): void {
   if (t.per_s <= 0) return;
   const zones = Object.entries(sim.f.zones);
-  const sum = zones.reduce(function add(n, [, z]) { return n + z.clients; }, 0);
+  const sum = zones.reduce(function add(n, [, z]) {
+    return n + z.clients;
+  }, 0);
   function next(): void {
     sim.c.after((-Math.log(1 - sim.c.next()) * 1000) / t.per_s, function come() {
       if (sim.c.now >= warmMs + sim.f.seconds * 1000) return;
       let at = sim.c.next() * sum;
-      const zone = zones.find(function here([, z]) { at -= z.clients; return at < 0; }) ?? zones[0]!;
+      const zone =
+        zones.find(function here([, z]) {
+          at -= z.clients;
+          return at < 0;
+        }) ?? zones[0]!;
       arrive(sim, t, zone[0]);
       next();
     });
@@ -444,11 +694,20 @@
   sim.out.noSequencerMs = 0;
   poll(sim);
   for (const t of f.traffic) traffic(sim, t);
-  for (const t of f.troubles) sim.c.after(t.at_s * 1000, function now() { strike(sim, t); });
+  for (const t of f.troubles)
+    sim.c.after(t.at_s * 1000, function now() {
+      strike(sim, t);
+    });
   clock.run(sim.c, warmMs + f.seconds * 1000 + 15_000);
   sim.out.messages.group = sim.core.messages;
-  sim.out.worst = [...sim.windows].map(function one([slot, w]) { return { from: slot * 2 - warmMs / 1000, share: w.asked === 0 ? 1 : w.good / w.asked }; })
-    .sort(function low(a, b) { return a.share - b.share || a.from - b.from; }).slice(0, 2);
+  sim.out.worst = [...sim.windows]
+    .map(function one([slot, w]) {
+      return { from: slot * 2 - warmMs / 1000, share: w.asked === 0 ? 1 : w.good / w.asked };
+    })
+    .sort(function low(a, b) {
+      return a.share - b.share || a.from - b.from;
+    })
+    .slice(0, 2);
   return sim.out;
 }
 
--- a/src/tools/simulate/run.ts
+++ b/src/tools/simulate/run.ts
@@ -12,24 +12,69 @@
 function rows(r: Result): [string, string][] {
   const out: [string, string][] = [];
   for (const k of r.kinds) {
-    out.push([`${k.name}: asked`, String(k.asked)], [`${k.name}: in aim`, percent(k.inAim, k.asked)], [`${k.name}: late`, percent(k.late, k.asked)]);
+    out.push(
+      [`${k.name}: asked`, String(k.asked)],
+      [`${k.name}: in aim`, percent(k.inAim, k.asked)],
+      [`${k.name}: late`, percent(k.late, k.asked)],
+    );
     out.push([`${k.name}: bounced`, percent(k.bounced, k.asked)], [`${k.name}: failed`, percent(k.failed, k.asked)]);
   }
-  r.worst.forEach(function each(w, i) { out.push([`worst two seconds, ${i + 1}`, `${percent(w.share, 1)} in aim from ${w.from} s`]); });
+  r.worst.forEach(function each(w, i) {
+    out.push([`worst two seconds, ${i + 1}`, `${percent(w.share, 1)} in aim from ${w.from} s`]);
+  });
   const p = r.prompt;
   const all = p.read + p.kept + p.moved;
-  out.push(['prompt tokens found kept', percent(p.kept, all)], ['prompt tokens moved', percent(p.moved, all)], ['prompt tokens read', percent(p.read, all)], ['of these read again', percent(p.readAgain, p.read)]);
+  out.push(
+    ['prompt tokens found kept', percent(p.kept, all)],
+    ['prompt tokens moved', percent(p.moved, all)],
+    ['prompt tokens read', percent(p.read, all)],
+    ['of these read again', percent(p.readAgain, p.read)],
+  );
   out.push(['second legs', String(r.secondLegs)], ['without a sequencer', `${r.noSequencerMs} ms`]);
-  out.push(['messages of the group', String(r.messages.group)], ['exchanges with the sequencer', String(r.messages.feed)], ['tracking reports', `${r.messages.tracking} for ${r.messages.arrivals} arrivals`]);
+  out.push(
+    ['messages of the group', String(r.messages.group)],
+    ['exchanges with the sequencer', String(r.messages.feed)],
+    ['tracking reports', `${r.messages.tracking} for ${r.messages.arrivals} arrivals`],
+  );
   return out;
 }
 
 function text(all: { name: string; result: Result }[]): string {
-  const columns = all.map(function col(a) { return [a.name, ...rows(a.result).map(function v(x) { return x[1]; })]; });
-  const names = ['', ...rows(all[0]!.result).map(function n(x) { return x[0]; })];
-  const width = Math.max(...names.map(function len(n) { return n.length; }));
-  const widths = columns.map(function most(c) { return Math.max(...c.map(function len(v) { return v.length; })); });
-  return names.map(function line(n, i) { return `${n.padEnd(width)}  ${columns.map(function cell(c, j) { return c[i]!.padEnd(widths[j]!); }).join('  ')}`.trimEnd(); }).join('\n');
+  const columns = all.map(function col(a) {
+    return [
+      a.name,
+      ...rows(a.result).map(function v(x) {
+        return x[1];
+      }),
+    ];
+  });
+  const names = [
+    '',
+    ...rows(all[0]!.result).map(function n(x) {
+      return x[0];
+    }),
+  ];
+  const width = Math.max(
+    ...names.map(function len(n) {
+      return n.length;
+    }),
+  );
+  const widths = columns.map(function most(c) {
+    return Math.max(
+      ...c.map(function len(v) {
+        return v.length;
+      }),
+    );
+  });
+  return names
+    .map(function line(n, i) {
+      return `${n.padEnd(width)}  ${columns
+        .map(function cell(c, j) {
+          return c[i]!.padEnd(widths[j]!);
+        })
+        .join('  ')}`.trimEnd();
+    })
+    .join('\n');
 }
 
 function run(args: string[], flags: ToolFlags): ToolEnd {
@@ -38,14 +83,30 @@
   const yaml = readFile.yaml(file);
   if (!yaml.ok) return toolEnd.trouble(findings.text(yaml.trouble));
   const base = fleetFile.check(yaml.value.doc.toJS());
-  if (!base.ok) return toolEnd.trouble(base.trouble.map(function line(f) { return `${file}: ${f.place}: ${f.text}`; }).join('\n'));
+  if (!base.ok)
+    return toolEnd.trouble(
+      base.trouble
+        .map(function line(f) {
+          return `${file}: ${f.place}: ${f.text}`;
+        })
+        .join('\n'),
+    );
   const plays: { name: string; file: FleetFile }[] = [{ name: 'as it is', file: base.value }];
   for (const name of flags.change ?? []) {
     const c = fleetFile.changed(base.value, name);
-    if (!c.ok) return toolEnd.trouble(c.trouble.map(function line(f) { return `${file}: ${f.place}: ${f.text}`; }).join('\n'));
+    if (!c.ok)
+      return toolEnd.trouble(
+        c.trouble
+          .map(function line(f) {
+            return `${file}: ${f.place}: ${f.text}`;
+          })
+          .join('\n'),
+      );
     plays.push({ name, file: c.value });
   }
-  const all = plays.map(function one(p) { return { name: p.name, result: simFleet.play(p.file) }; });
+  const all = plays.map(function one(p) {
+    return { name: p.name, result: simFleet.play(p.file) };
+  });
   return toolEnd.well(flags.json ? JSON.stringify(all, null, 2) : text(all));
 }
 
--- a/src/tools/simulate/runner.ts
+++ b/src/tools/simulate/runner.ts
@@ -4,12 +4,35 @@
 
 export type SimPart = { id: string; tokens: number };
 export type SimRunner = {
-  id: string; zone: string; up: boolean; life: number; readFreeAt: number; active: number; queue: (() => void)[];
-  kept: Map<string, number>; held: number; revision: number; busyUntil: number; room: number;
+  id: string;
+  zone: string;
+  up: boolean;
+  life: number;
+  readFreeAt: number;
+  active: number;
+  queue: (() => void)[];
+  kept: Map<string, number>;
+  held: number;
+  revision: number;
+  busyUntil: number;
+  room: number;
 };
 
 function create(id: string, zone: string, room: number): SimRunner {
-  return { id, zone, up: true, life: 0, readFreeAt: 0, active: 0, queue: [], kept: new Map(), held: 0, revision: 1, busyUntil: 0, room };
+  return {
+    id,
+    zone,
+    up: true,
+    life: 0,
+    readFreeAt: 0,
+    active: 0,
+    queue: [],
+    kept: new Map(),
+    held: 0,
+    revision: 1,
+    busyUntil: 0,
+    room,
+  };
 }
 
 function keep(r: { kept: Map<string, number>; held: number; room: number }, key: string, tokens: number): string[] {
@@ -38,7 +61,14 @@
 
 // When the first token comes and when the last one has been written, for a prompt of which `read`
 // tokens must be read and `moved` are fetched.
-function times(f: FleetFile, r: SimRunner, now: number, read: number, moved: number, out: number): { first: number; end: number } {
+function times(
+  f: FleetFile,
+  r: SimRunner,
+  now: number,
+  read: number,
+  moved: number,
+  out: number,
+): { first: number; end: number } {
   const from = Math.max(now, r.readFreeAt);
   r.readFreeAt = from + read / f.runner.read_tokens_per_ms;
   const first = r.readFreeAt + moved / f.runner.move_tokens_per_ms + f.runner.step_ms;
--- a/src/tools/status.ts
+++ b/src/tools/status.ts
@@ -4,8 +4,23 @@
 import { toolEnd, type ToolEnd, type ToolFlags } from './types.js';
 
 function table(rows: string[][]): string {
-  const widths = rows[0]!.map(function most(_, i) { return Math.max(...rows.map(function len(r) { return r[i]!.length; })); });
-  return rows.map(function line(r) { return `  ${r.map(function cell(c, i) { return c.padEnd(widths[i]!); }).join('  ').trimEnd()}`; }).join('\n');
+  const widths = rows[0]!.map(function most(_, i) {
+    return Math.max(
+      ...rows.map(function len(r) {
+        return r[i]!.length;
+      }),
+    );
+  });
+  return rows
+    .map(function line(r) {
+      return `  ${r
+        .map(function cell(c, i) {
+          return c.padEnd(widths[i]!);
+        })
+        .join('  ')
+        .trimEnd()}`;
+    })
+    .join('\n');
 }
 
 function block(title: string, head: string[], rows: string[][]): string {
@@ -13,19 +28,65 @@
 }
 
 function text(s: StatusAnswer): string {
-  const view = s.phase === 'sequencer' ? 'the sequencer' : `${s.phase}, not the sequencer: sites, soundness and hot set may be missing`;
+  const view =
+    s.phase === 'sequencer'
+      ? 'the sequencer'
+      : `${s.phase}, not the sequencer: sites, soundness and hot set may be missing`;
   return [
     `told by ${s.node} (${view})`,
     `epoch ${s.epoch}, sequencer ${s.sequencer ?? 'none'}, ${s.sure ? 'sure of its epoch' : 'not sure of its epoch'}, duties ${s.acts ? 'held' : 'not held here'}`,
     `configuration ${s.configuration}, ${s.committed} entries committed, the disk ${s.disk} writes`,
     `access rules: ${Object.keys(s.rules.active).length} tenants under a rule${s.rules.pending > 0 ? `, revision ${s.rules.pending} waits for its activation` : ''}`,
-    `weights named: ${Object.entries(s.weights).map(function one([m, r]) { return `${m}=${r}`; }).join(', ') || 'none'}`,
-    block('roster', ['member', 'control', 'heard ms ago', 'holds up to'], s.roster.map(function row(m) { return [m.id, m.control, String(m.heardMs ?? '?'), String(m.match ?? '?')]; })),
-    block('sites', ['site', 'revision', 'seen ms ago'], s.sites.map(function row(x) { return [x.site, String(x.revision), String(x.seenMs)]; })),
-    block('runners', ['runner', 'service', 'address', 'zone', 'state', 'weights', 'unsound at', 'verdict'], s.runners.map(function row(r) {
-      return [r.id, r.service, r.addr, r.zone, r.draining ? 'draining' : r.parked ? 'under order' : 'serving', r.models.map(function at(m) { return `${m.label}=${m.revision}`; }).join(',') || '-', r.unsoundAt === null ? '?' : `${r.unsoundAt} sites`, r.verdict ?? '?'];
-    })),
-    s.hot === null ? 'hot parts: known to the sequencer only' : block('hot parts', ['salt and part', 'share', 'tokens'], s.hot.slice(0, 20).map(function row(h) { return [h.part, h.share.toFixed(4), String(h.tokens)]; })),
+    `weights named: ${
+      Object.entries(s.weights)
+        .map(function one([m, r]) {
+          return `${m}=${r}`;
+        })
+        .join(', ') || 'none'
+    }`,
+    block(
+      'roster',
+      ['member', 'control', 'heard ms ago', 'holds up to'],
+      s.roster.map(function row(m) {
+        return [m.id, m.control, String(m.heardMs ?? '?'), String(m.match ?? '?')];
+      }),
+    ),
+    block(
+      'sites',
+      ['site', 'revision', 'seen ms ago'],
+      s.sites.map(function row(x) {
+        return [x.site, String(x.revision), String(x.seenMs)];
+      }),
+    ),
+    block(
+      'runners',
+      ['runner', 'service', 'address', 'zone', 'state', 'weights', 'unsound at', 'verdict'],
+      s.runners.map(function row(r) {
+        return [
+          r.id,
+          r.service,
+          r.addr,
+          r.zone,
+          r.draining ? 'draining' : r.parked ? 'under order' : 'serving',
+          r.models
+            .map(function at(m) {
+              return `${m.label}=${m.revision}`;
+            })
+            .join(',') || '-',
+          r.unsoundAt === null ? '?' : `${r.unsoundAt} sites`,
+          r.verdict ?? '?',
+        ];
+      }),
+    ),
+    s.hot === null
+      ? 'hot parts: known to the sequencer only'
+      : block(
+          'hot parts',
+          ['salt and part', 'share', 'tokens'],
+          s.hot.slice(0, 20).map(function row(h) {
+            return [h.part, h.share.toFixed(4), String(h.tokens)];
+          }),
+        ),
   ].join('\n');
 }
 
--- a/src/tools/types.ts
+++ b/src/tools/types.ts
@@ -2,7 +2,12 @@
 // 1 findings or trouble, 2 wrong usage).
 export type ToolEnd = { status: 0 | 1 | 2; out: string; err: string };
 export type ToolFlags = {
-  settings?: string; control?: string; match?: number; json: boolean; change?: string[]; part?: string;
+  settings?: string;
+  control?: string;
+  match?: number;
+  json: boolean;
+  change?: string[];
+  part?: string;
 };
 
 function well(out: string): ToolEnd {
--- a/src/transport/http/answer.ts
+++ b/src/transport/http/answer.ts
@@ -15,7 +15,14 @@
 }
 
 function refusal(status: number, found: Finding[]): Answer {
-  return json(status, { message: found.map(function line(f) { return `${f.place}: ${f.text}`; }).join('; '), findings: found });
+  return json(status, {
+    message: found
+      .map(function line(f) {
+        return `${f.place}: ${f.text}`;
+      })
+      .join('; '),
+    findings: found,
+  });
 }
 
 function packed(body: Uint8Array): Answer {
--- a/src/transport/http/ask.ts
+++ b/src/transport/http/ask.ts
@@ -7,8 +7,14 @@
 export type Reply = { status: number; headers: IncomingHttpHeaders; body: Buffer };
 export type AskTrouble = { t: 'silent' } | { t: 'broken'; why: string; sent: boolean };
 export type Ask = {
-  agent: Agent; addr: string; method: string; path: string;
-  headers?: Record<string, string>; body?: Uint8Array; waitMs: number; connectMs?: number;
+  agent: Agent;
+  addr: string;
+  method: string;
+  path: string;
+  headers?: Record<string, string>;
+  body?: Uint8Array;
+  waitMs: number;
+  connectMs?: number;
 };
 
 function split(addr: string): { host: string; port: number } {
@@ -35,24 +41,36 @@
       end({ ok: false, trouble: { t: 'silent' } });
       req.destroy();
     }, a.waitMs);
-    const early = a.connectMs === undefined ? undefined : setTimeout(function slow() {
-      if (connected) return;
-      end({ ok: false, trouble: { t: 'broken', why: 'no channel', sent: false } });
-      req.destroy();
-    }, a.connectMs);
+    const early =
+      a.connectMs === undefined
+        ? undefined
+        : setTimeout(function slow() {
+            if (connected) return;
+            end({ ok: false, trouble: { t: 'broken', why: 'no channel', sent: false } });
+            req.destroy();
+          }, a.connectMs);
     req.on('socket', function got(socket) {
       if (!socket.connecting) connected = true;
-      else socket.once('connect', function up() { connected = true; });
+      else
+        socket.once('connect', function up() {
+          connected = true;
+        });
+    });
+    req.on('error', function broke(err) {
+      end({ ok: false, trouble: { t: 'broken', why: err.message, sent: connected } });
     });
-    req.on('error', function broke(err) { end({ ok: false, trouble: { t: 'broken', why: err.message, sent: connected } }); });
     req.on('response', function got(res) {
       const parts: Buffer[] = [];
-      res.on('data', function more(b: Buffer) { parts.push(b); });
+      res.on('data', function more(b: Buffer) {
+        parts.push(b);
+      });
       res.on('end', function whole() {
         if (!res.complete) return;
         end({ ok: true, value: { status: res.statusCode ?? 0, headers: res.headers, body: Buffer.concat(parts) } });
       });
-      res.on('close', function cut() { end({ ok: false, trouble: { t: 'broken', why: 'answer cut short', sent: true } }); });
+      res.on('close', function cut() {
+        end({ ok: false, trouble: { t: 'broken', why: 'answer cut short', sent: true } });
+      });
     });
     req.end(a.body);
   });
--- a/src/transport/inner/channel.ts
+++ b/src/transport/inner/channel.ts
@@ -15,7 +15,13 @@
   return new Agent({ keepAlive: true, maxSockets: 64, scheduling: 'lifo' });
 }
 
-async function post<T>(via: Agent, addr: string, path: string, value: unknown, waitMs: number): Promise<Outcome<T, string>> {
+async function post<T>(
+  via: Agent,
+  addr: string,
+  path: string,
+  value: unknown,
+  waitMs: number,
+): Promise<Outcome<T, string>> {
   const r = await ask.send({ agent: via, addr, method: 'POST', path, body: packr.pack(value), waitMs });
   if (!r.ok) return { ok: false, trouble: r.trouble.t === 'silent' ? 'silent' : r.trouble.why };
   if (r.value.status !== 200) return { ok: false, trouble: `status ${r.value.status}` };
@@ -37,8 +43,12 @@
         parts.length = 0;
       } else parts.push(b);
     });
-    req.on('end', function whole() { done(Buffer.concat(parts)); });
-    req.on('close', function cut() { done(null); });
+    req.on('end', function whole() {
+      done(Buffer.concat(parts));
+    });
+    req.on('close', function cut() {
+      done(null);
+    });
   });
 }
 
@@ -56,10 +66,14 @@
 
 function listen(host: string, port: number, handlers: Handlers): Promise<Server> {
   return new Promise(function run(done, fail) {
-    const server = createServer(function got(req, res) { void handle(handlers, req, res); });
+    const server = createServer(function got(req, res) {
+      void handle(handlers, req, res);
+    });
     server.keepAliveTimeout = 60_000;
     server.on('error', fail);
-    server.listen(port, host, function up() { done(server); });
+    server.listen(port, host, function up() {
+      done(server);
+    });
   });
 }
 
--- a/test/access.test.ts
+++ b/test/access.test.ts
@@ -31,7 +31,12 @@
 test('while a change waits only what it changes is undecided', function run() {
   const now = rules.of(conf(1, ['a', 'b']));
   const next = rules.of(conf(2, ['b', 'c']));
-  assert.deepEqual(['a', 'b', 'c', 'd'].map(function each(m) { return rules.verdict(now, next, 't', m); }), ['undecided', 'allowed', 'undecided', 'forbidden']);
+  assert.deepEqual(
+    ['a', 'b', 'c', 'd'].map(function each(m) {
+      return rules.verdict(now, next, 't', m);
+    }),
+    ['undecided', 'allowed', 'undecided', 'forbidden'],
+  );
 });
 
 test('the first rules are in effect at once, later ones after their activation', function run() {
@@ -52,19 +57,34 @@
 const freshMs = 1500;
 const stepMs = 50;
 
-type Coord = { state: ControlState; sessions: Map<number, { seenAt: number; revision: number }>; told: WitnessSight | null; replies: number[]; heardUpTo: number; echo: number };
+type Coord = {
+  state: ControlState;
+  sessions: Map<number, { seenAt: number; revision: number }>;
+  told: WitnessSight | null;
+  replies: number[];
+  heardUpTo: number;
+  echo: number;
+};
 type Sit = { at: number; revision: number; rules: RulesState; leaveUntil: number };
 
 function play(l: Luck): { changes: number; undecided: number } {
   let now = 0;
   const start = configured(control.empty(), conf(1, ['a']));
-  const coords: Coord[] = [0, 1, 2].map(function one() { return { state: start, sessions: new Map(), told: null, replies: [], heardUpTo: -Infinity, echo: -1 }; });
-  const sites: Sit[] = [0, 1, 2, 3, 4].map(function one(i) { return { at: i % 3, revision: 0, rules: start.rules, leaveUntil: -Infinity }; });
+  const coords: Coord[] = [0, 1, 2].map(function one() {
+    return { state: start, sessions: new Map(), told: null, replies: [], heardUpTo: -Infinity, echo: -1 };
+  });
+  const sites: Sit[] = [0, 1, 2, 3, 4].map(function one(i) {
+    return { at: i % 3, revision: 0, rules: start.rules, leaveUntil: -Infinity };
+  });
   const cut = new Set<string>();
   let changes = 0;
   let undecided = 0;
-  function up(a: string, b: string): boolean { return !cut.has(`${a}>${b}`) && !cut.has(`${b}>${a}`); }
-  function leave(i: number): boolean { return i === 0 || now - coords[i]!.heardUpTo < freshMs; }
+  function up(a: string, b: string): boolean {
+    return !cut.has(`${a}>${b}`) && !cut.has(`${b}>${a}`);
+  }
+  function leave(i: number): boolean {
+    return i === 0 || now - coords[i]!.heardUpTo < freshMs;
+  }
   for (let step = 0; step < 2500; step++) {
     now += stepMs;
     const head = coords[0]!;
@@ -87,7 +107,14 @@
       c.replies.push(now);
       if (luck.next(l) < 0.2) continue;
       c.echo = c.replies.length - 1;
-      c.told = { id: `c${i}`, heardAt: now, revision: c.state.configuration!.revision, sites: [...c.sessions].map(function each([site, x]) { return { site: `s${site}`, ...x }; }) };
+      c.told = {
+        id: `c${i}`,
+        heardAt: now,
+        revision: c.state.configuration!.revision,
+        sites: [...c.sessions].map(function each([site, x]) {
+          return { site: `s${site}`, ...x };
+        }),
+      };
     }
     sites.forEach(function ask(s, n) {
       if (!up(`s${n}`, `c${s.at}`)) {
@@ -103,9 +130,15 @@
       if (leave(s.at)) s.leaveUntil = Math.max(s.leaveUntil, now + leaseMs);
     });
     if (head.state.rules.pending > 0) {
-      const own = [...head.sessions].map(function each([site, x]) { return { site: `s${site}`, ...x }; });
-      const witnesses = [1, 2].map(function each(i) { return coords[i]!.told ?? { id: `c${i}`, heardAt: 0, revision: 0, sites: [] }; });
-      if (activation.mayActivate({ pending: head.state.rules.pending, wonAt: 0, leaseMs, freshMs, own, witnesses }, now)) {
+      const own = [...head.sessions].map(function each([site, x]) {
+        return { site: `s${site}`, ...x };
+      });
+      const witnesses = [1, 2].map(function each(i) {
+        return coords[i]!.told ?? { id: `c${i}`, heardAt: 0, revision: 0, sites: [] };
+      });
+      if (
+        activation.mayActivate({ pending: head.state.rules.pending, wonAt: 0, leaseMs, freshMs, own, witnesses }, now)
+      ) {
         head.state = control.apply(head.state, { c: 'activate', revision: head.state.rules.pending });
       }
     }
--- a/test/burden.test.ts
+++ b/test/burden.test.ts
@@ -20,45 +20,65 @@
 const step: fc.Arbitrary<Step> = fc.record({
   site: fc.integer({ min: 0, max: 4 }),
   rows: fc.array(fc.tuple(fc.integer({ min: 0, max: 3 }), fc.integer({ min: 0, max: 20_000 })), { maxLength: 4 }),
-  fate: fc.constantFrom<Step['fate']>('arrives', 'arrives', 'lost', 'late', 'twice'), asks: fc.boolean(),
+  fate: fc.constantFrom<Step['fate']>('arrives', 'arrives', 'lost', 'late', 'twice'),
+  asks: fc.boolean(),
 });
 
 test('once reports arrive again, every site sees exactly what the others have', function run() {
-  fc.assert(fc.property(fc.array(step, { minLength: 5, maxLength: 80 }), function holds(steps) {
-    const s = sums.create();
-    const sites = Array.from({ length: 5 }, function one(_, i) { return { name: `s${i}`, o: others.create(), rows: [] as BurdenRow[] }; });
-    const late: (() => void)[] = [];
-    let now = 0;
-    function report(i: number, rows: BurdenRow[], fate: Step['fate']): void {
-      const at = sites[i]!;
-      at.rows = rows;
-      const no = others.tell(at.o, rows);
-      function arrive(): void { sums.report(s, at.name, at.name, no, rows, [], now); }
-      if (fate === 'late') late.push(arrive);
-      if (fate === 'arrives' || fate === 'twice') arrive();
-      if (fate === 'twice') late.push(arrive);
-    }
-    for (const x of steps) {
-      now += 20;
-      const rows = new Map(x.rows.map(function row([r, n]) { return [runners[r]!, [runners[r]!, 1, n, n * 2, n % 3, n % 7] as BurdenRow] as const; }));
-      report(x.site, [...rows.values()], x.fate);
+  fc.assert(
+    fc.property(fc.array(step, { minLength: 5, maxLength: 80 }), function holds(steps) {
+      const s = sums.create();
+      const sites = Array.from({ length: 5 }, function one(_, i) {
+        return { name: `s${i}`, o: others.create(), rows: [] as BurdenRow[] };
+      });
+      const late: (() => void)[] = [];
+      let now = 0;
+      function report(i: number, rows: BurdenRow[], fate: Step['fate']): void {
+        const at = sites[i]!;
+        at.rows = rows;
+        const no = others.tell(at.o, rows);
+        function arrive(): void {
+          sums.report(s, at.name, at.name, no, rows, [], now);
+        }
+        if (fate === 'late') late.push(arrive);
+        if (fate === 'arrives' || fate === 'twice') arrive();
+        if (fate === 'twice') late.push(arrive);
+      }
+      for (const x of steps) {
+        now += 20;
+        const rows = new Map(
+          x.rows.map(function row([r, n]) {
+            return [runners[r]!, [runners[r]!, 1, n, n * 2, n % 3, n % 7] as BurdenRow] as const;
+          }),
+        );
+        report(x.site, [...rows.values()], x.fate);
+        sums.beat(s, standsMs, now);
+        for (const r of s.rows.values()) for (const n of [...r.live, ...r.shown]) assert.ok(n >= 0);
+        if (x.asks) ask(s, sites[x.site]!.o, sites[x.site]!.name);
+      }
+      for (const arrive of late) arrive();
+      sites.forEach(function again(at, i) {
+        report(i, at.rows, 'arrives');
+      });
+      now += 1000;
       sums.beat(s, standsMs, now);
-      for (const r of s.rows.values()) for (const n of [...r.live, ...r.shown]) assert.ok(n >= 0);
-      if (x.asks) ask(s, sites[x.site]!.o, sites[x.site]!.name);
-    }
-    for (const arrive of late) arrive();
-    sites.forEach(function again(at, i) { report(i, at.rows, 'arrives'); });
-    now += 1000;
-    sums.beat(s, standsMs, now);
-    for (const at of sites) ask(s, at.o, at.name);
-    for (const at of sites) {
-      for (const r of runners) {
-        const want = [0, 0, 0, 0, 0];
-        for (const other of sites) if (other !== at) for (const row of other.rows) if (row[0] === r) [1, 2, 3, 4, 5].forEach(function add(k) { want[k - 1]! += row[k] as number; });
-        assert.deepEqual(others.at(at.o, r), want);
+      for (const at of sites) ask(s, at.o, at.name);
+      for (const at of sites) {
+        for (const r of runners) {
+          const want = [0, 0, 0, 0, 0];
+          for (const other of sites)
+            if (other !== at)
+              for (const row of other.rows)
+                if (row[0] === r)
+                  [1, 2, 3, 4, 5].forEach(function add(k) {
+                    want[k - 1]! += row[k] as number;
+                  });
+          assert.deepEqual(others.at(at.o, r), want);
+        }
       }
-    }
-  }), { seed: 5, numRuns: 300 });
+    }),
+    { seed: 5, numRuns: 300 },
+  );
 });
 
 test('a silent site, and the last life of one that came back, weigh nothing', function run() {
@@ -92,7 +112,16 @@
     const o = others.create();
     let n = 0;
     for (let beat = 0; beat < 50; beat++) {
-      for (let i = 0; i < sites; i++) sums.report(s, `s${i}`, `s${i}`, beat + 1, [[runners[(i + beat) % 4]!, 1, 1000 + beat * 800, 5000, 0, 0]], [], beat * 20);
+      for (let i = 0; i < sites; i++)
+        sums.report(
+          s,
+          `s${i}`,
+          `s${i}`,
+          beat + 1,
+          [[runners[(i + beat) % 4]!, 1, 1000 + beat * 800, 5000, 0, 0]],
+          [],
+          beat * 20,
+        );
       sums.beat(s, standsMs, beat * 20);
       n += sums.since(s, o.revision).rows.length;
       ask(s, o, 's0');
--- a/test/channels.test.ts
+++ b/test/channels.test.ts
@@ -12,8 +12,21 @@
 // A socket that has just carried an answer, put back among the free ones as the agent would.
 function rest(a: Agent, keepAlive?: string): Kept & Socket {
   const s = {
-    destroyed: false, idleMs: 0, _httpMessage: { res: { headers: keepAlive === undefined ? {} : { 'keep-alive': keepAlive } } },
-    setKeepAlive() { /* no wire here */ }, setTimeout(ms: number) { s.idleMs = ms; }, on() { /* nothing comes */ }, destroy() { s.destroyed = true; },
+    destroyed: false,
+    idleMs: 0,
+    _httpMessage: { res: { headers: keepAlive === undefined ? {} : { 'keep-alive': keepAlive } } },
+    setKeepAlive() {
+      /* no wire here */
+    },
+    setTimeout(ms: number) {
+      s.idleMs = ms;
+    },
+    on() {
+      /* nothing comes */
+    },
+    destroy() {
+      s.destroyed = true;
+    },
   };
   const keeping = a as unknown as Keeping;
   assert.equal(keeping.keepSocketAlive(s), true);
@@ -58,7 +71,11 @@
   const t = rest(fresh);
   for (let i = 0; i < 60; i++) channels.retire(fresh, true, performance.now());
   assert.equal(t.destroyed, false);
-  assert.equal(channels.isWarm(fresh, false, performance.now() + 2000), true, 'without further drops the rests grow again');
+  assert.equal(
+    channels.isWarm(fresh, false, performance.now() + 2000),
+    true,
+    'without further drops the rests grow again',
+  );
 });
 
 test('a reset on a channel that had hardly rested is no drop of an idle one', function run() {
--- a/test/configuration.test.ts
+++ b/test/configuration.test.ts
@@ -6,7 +6,15 @@
 import type { Configuration, Route } from '../src/types.js';
 
 function route(over: Partial<Route> = {}): Route {
-  return { label: 'r1', hostname: 'a.example', path_prefix: '/p/', variant: 'streaming', deadline_ms: 1000, target: 's1', ...over };
+  return {
+    label: 'r1',
+    hostname: 'a.example',
+    path_prefix: '/p/',
+    variant: 'streaming',
+    deadline_ms: 1000,
+    target: 's1',
+    ...over,
+  };
 }
 
 function good(over: object = {}): Configuration {
@@ -14,7 +22,9 @@
 }
 
 function places(c: unknown): string[] {
-  return configurationCheck.check(c).map(function place(f) { return f.place; });
+  return configurationCheck.check(c).map(function place(f) {
+    return f.place;
+  });
 }
 
 test('a good configuration has no findings', function run() {
@@ -25,24 +35,57 @@
 test('each fault is found at its place', function run() {
   assert.deepEqual(places(good({ route_list: [route({ target: 'nobody' })] })), ['route_list.0.target']);
   assert.deepEqual(places(good({ route_list: [route(), route({ label: 'r2' })] })), ['route_list.1']);
-  assert.deepEqual(places(good({ route_list: [route({ target: undefined, branches: [{ target: 's1', share: 0 }] })] })), ['route_list.0.branches']);
+  assert.deepEqual(
+    places(good({ route_list: [route({ target: undefined, branches: [{ target: 's1', share: 0 }] })] })),
+    ['route_list.0.branches'],
+  );
   assert.deepEqual(places(good({ route_list: [route({ deadline_ms: 0 })] })), ['route_list.0.deadline_ms']);
-  assert.deepEqual(places(good({ tenant_list: [{ label: 'a', api_keys: ['k'] }, { label: 'b', api_keys: ['k'] }] })), ['tenant_list.1.api_keys.0']);
+  assert.deepEqual(
+    places(
+      good({
+        tenant_list: [
+          { label: 'a', api_keys: ['k'] },
+          { label: 'b', api_keys: ['k'] },
+        ],
+      }),
+    ),
+    ['tenant_list.1.api_keys.0'],
+  );
   assert.deepEqual(places(good({ revision: 'three' })), ['revision']);
   assert.deepEqual(places(null), ['(whole)']);
 });
 
 test('all findings are reported together', function run() {
-  const bad = good({ route_list: [route({ target: 'nobody', deadline_ms: 0 }), route({ label: 'r2', target: 'no', hostname: 'b.example' })] });
+  const bad = good({
+    route_list: [
+      route({ target: 'nobody', deadline_ms: 0 }),
+      route({ label: 'r2', target: 'no', hostname: 'b.example' }),
+    ],
+  });
   assert.equal(places(bad).length, 3);
 });
 
 test('a change merges by label, removes by name and leaves the rest', function run() {
   const before = good({ unknown: 7, route_list: [route(), route({ label: 'r2', path_prefix: '/q/' })] });
-  const r = patch.apply(before, { revision: 5, upserts: { route_list: [route({ deadline_ms: 9 })] }, removals: { route_list: ['r2'] } });
+  const r = patch.apply(before, {
+    revision: 5,
+    upserts: { route_list: [route({ deadline_ms: 9 })] },
+    removals: { route_list: ['r2'] },
+  });
   assert.ok(r.ok);
   assert.deepEqual(r.value, { ...before, revision: 5, route_list: [route({ deadline_ms: 9 })] });
-  const wrong = patch.apply(before, { revision: 5, upserts: { route_list: [{ nolabel: 1 }] }, removals: { route_list: 'r2' } });
+  const wrong = patch.apply(before, {
+    revision: 5,
+    upserts: { route_list: [{ nolabel: 1 }] },
+    removals: { route_list: 'r2' },
+  });
   assert.ok(!wrong.ok);
-  assert.deepEqual(wrong.trouble.map(function place(f) { return f.place; }).sort(), ['removals.route_list', 'upserts.route_list']);
+  assert.deepEqual(
+    wrong.trouble
+      .map(function place(f) {
+        return f.place;
+      })
+      .sort(),
+    ['removals.route_list', 'upserts.route_list'],
+  );
 });
--- a/test/dataplane.test.ts
+++ b/test/dataplane.test.ts
@@ -15,18 +15,47 @@
 import type { Configuration, Runner } from '../src/types.js';
 
 const conf: Configuration = {
-  revision: 1, route_list: [{ label: 'r', hostname: 'h', path_prefix: '/', variant: 'streaming', deadline_ms: 6000, target: 's' }],
-  service_list: [{ label: 's', max_conns: 90, engine_kind: { slot_count: 8, kv_capacity: 100_000 } }, { label: 'store', kv_store_addr: '9.9.9.9:1' }],
+  revision: 1,
+  route_list: [{ label: 'r', hostname: 'h', path_prefix: '/', variant: 'streaming', deadline_ms: 6000, target: 's' }],
+  service_list: [
+    { label: 's', max_conns: 90, engine_kind: { slot_count: 8, kv_capacity: 100_000 } },
+    { label: 'store', kv_store_addr: '9.9.9.9:1' },
+  ],
 };
 
 function runner(id: string, revision = 1, over: Partial<Runner> = {}): Runner {
-  return { id, service: 's', addr: `${id}:1`, zone: 'z', slots: 8, draining: false, parked: false, models: [{ label: 'm', revision }], ...over };
+  return {
+    id,
+    service: 's',
+    addr: `${id}:1`,
+    zone: 'z',
+    slots: 8,
+    draining: false,
+    parked: false,
+    models: [{ label: 'm', revision }],
+    ...over,
+  };
 }
 
 function site(list: Runner[]): Site {
   const s: Partial<Site> = {
-    settings: { zone_name: 'z', zones: { z: 'reg', y: 'reg' }, bound_set: { version_ms: 8000 } } as unknown as Site['settings'], fleet: fleet.create(), table: routes.build(conf), weights: { m: 1 }, weightsAt: new Map(),
-    holdings: holdings.create(1000), hintsUntil: Infinity, storeLeases: 0, transfers: transfers.create({ leaseMs: 4000, mostAtSource: 3, longestQueueMs: 1500 }), prices: prices.create(), hot: { share: new Map(), total: 100_000 }, tuning: tuning.defaults, board: { epoch: 1, seq: 1, runners: list, sites: 3 },
+    settings: {
+      zone_name: 'z',
+      zones: { z: 'reg', y: 'reg' },
+      bound_set: { version_ms: 8000 },
+    } as unknown as Site['settings'],
+    fleet: fleet.create(),
+    table: routes.build(conf),
+    weights: { m: 1 },
+    weightsAt: new Map(),
+    holdings: holdings.create(1000),
+    hintsUntil: Infinity,
+    storeLeases: 0,
+    transfers: transfers.create({ leaseMs: 4000, mostAtSource: 3, longestQueueMs: 1500 }),
+    prices: prices.create(),
+    hot: { share: new Map(), total: 100_000 },
+    tuning: tuning.defaults,
+    board: { epoch: 1, seq: 1, runners: list, sites: 3 },
   };
   fleet.take(s.fleet!, list);
   fleet.capAll(s.fleet!, s.table!, 3);
@@ -37,8 +66,18 @@
 
 function request(s: Site, shared: number, own = 300, id = 'aa'): Passage {
   const p: Partial<Passage> = {
-    attempt: `a${n++}`, body: Buffer.alloc(0), service: s.table!.services.get('s')!, model: 'm', wall: 'all', parts: [{ id, tokens: shared }, { id: `own${n}`, tokens: own }],
-    tokens: { prompt: shared + own, most: 50 }, runners: new Set(), route: conf.route_list[0]!,
+    attempt: `a${n++}`,
+    body: Buffer.alloc(0),
+    service: s.table!.services.get('s')!,
+    model: 'm',
+    wall: 'all',
+    parts: [
+      { id, tokens: shared },
+      { id: `own${n}`, tokens: own },
+    ],
+    tokens: { prompt: shared + own, most: 50 },
+    runners: new Set(),
+    route: conf.route_list[0]!,
   };
   return p as Passage;
 }
@@ -50,7 +89,11 @@
 const eight = ['a', 'b', 'c', 'd', 'e', 'f', 'g', 'h'];
 
 test('the runner that keeps the shared part is assigned, unless others are far less burdened', function run() {
-  const s = site(eight.map(function one(id) { return runner(id); }));
+  const s = site(
+    eight.map(function one(id) {
+      return runner(id);
+    }),
+  );
   function among(tokens: number): string[] {
     const seen = new Set<string>();
     for (let i = 0; i < 200; i++) seen.add(assign.choose(s, request(s, tokens, 300, `x${i}`), 0)!.slot.id);
@@ -60,7 +103,12 @@
   assert.equal(long.length, 6, 'long prompts keep to a part of the runners');
   assert.equal(among(60).length, 8, 'short ones go to all');
   for (const id of long) slot(s, id).reading = 20_000;
-  assert.ok(among(12_000).every(function apart(id) { return !long.includes(id); }), 'while there is room');
+  assert.ok(
+    among(12_000).every(function apart(id) {
+      return !long.includes(id);
+    }),
+    'while there is room',
+  );
   for (const id of long) slot(s, id).reading = 0;
   const [home, other] = long as [string, string];
   holdings.put(s.holdings, 'all/m/1', 'aa', slot(s, home).ix, 12_000);
@@ -81,13 +129,21 @@
 });
 
 test('short prompts keep away from where long ones run', function run() {
-  const s = site(['a', 'b'].map(function one(id) { return runner(id); }));
+  const s = site(
+    ['a', 'b'].map(function one(id) {
+      return runner(id);
+    }),
+  );
   slot(s, 'a').othersClaimed = 40_000;
   for (let i = 0; i < 20; i++) assert.equal(assign.choose(s, request(s, 60, 200, `p${i}`), 0)!.slot.id, 'b');
 });
 
 test('a runner whose memory is claimed is avoided', function run() {
-  const s = site(['a', 'b'].map(function one(id) { return runner(id); }));
+  const s = site(
+    ['a', 'b'].map(function one(id) {
+      return runner(id);
+    }),
+  );
   const first = assign.choose(s, request(s, 12_000), 0)!.slot;
   first.othersClaimed = 95_000;
   assert.notEqual(assign.choose(s, request(s, 12_000), 0)!.slot.id, first.id);
@@ -159,21 +215,37 @@
       return open;
     });
   }
-  const all = [waiter('late and low', 1, 100), waiter('late and high', 0, 100), waiter('early and low', 1, 0), waiter('early and high', 0, 50)];
+  const all = [
+    waiter('late and low', 1, 100),
+    waiter('late and high', 0, 100),
+    waiter('early and low', 1, 0),
+    waiter('early and high', 0, 50),
+  ];
   line.stir(l);
   open = true;
   line.stir(l);
   assert.deepEqual(await Promise.all(all), [true, true, true, true]);
   assert.deepEqual(order, ['early and high', 'early and low', 'late and high', 'late and low']);
   assert.equal(l.beat, null);
-  assert.equal(await line.wait(l, 0, 1, function never() { return false; }), false);
+  assert.equal(
+    await line.wait(l, 0, 1, function never() {
+      return false;
+    }),
+    false,
+  );
 });
 
 test('nothing is fetched on an expectation, on old word, beyond the leases of a source, or when told not to', function run() {
-  const s = site(['a', 'b'].map(function one(id) { return runner(id); }));
+  const s = site(
+    ['a', 'b'].map(function one(id) {
+      return runner(id);
+    }),
+  );
   slot(s, 'a').othersReading = 50_000;
   holdings.expect(s.holdings, 'all/m/1', 'aa', slot(s, 'a').ix, 12_000, 0);
-  function from(): string | null { return assign.choose(s, request(s, 12_000), 1)!.fetchFrom; }
+  function from(): string | null {
+    return assign.choose(s, request(s, 12_000), 1)!.fetchFrom;
+  }
   assert.equal(from(), null, 'expected there, not reported');
   holdings.put(s.holdings, 'all/m/1', 'aa', slot(s, 'a').ix, 12_000);
   assert.equal(from(), 'a:1');
@@ -197,14 +269,22 @@
 });
 
 test('an expectation is priced for a while only', function run() {
-  const s = site(['a', 'b'].map(function one(id) { return runner(id); }));
+  const s = site(
+    ['a', 'b'].map(function one(id) {
+      return runner(id);
+    }),
+  );
   holdings.expect(s.holdings, 'all/m/1', 'aa', slot(s, 'a').ix, 12_000, 0);
   assert.equal(assign.choose(s, request(s, 12_000), 10)!.reads, 300);
   assert.ok(assign.choose(s, request(s, 12_000), 60_000)!.reads > 12_000);
 });
 
 test('a request whose lease was lost meanwhile goes on without a fetch', function run() {
-  const s = site(['a', 'b'].map(function one(id) { return runner(id); }));
+  const s = site(
+    ['a', 'b'].map(function one(id) {
+      return runner(id);
+    }),
+  );
   slot(s, 'a').othersReading = 50_000;
   holdings.put(s.holdings, 'all/m/1', 'aa', slot(s, 'a').ix, 12_000);
   const x = assign.choose(s, request(s, 12_000), 1)!;
@@ -221,7 +301,11 @@
 });
 
 test('a runner that the jury found unsound gets nothing but the one request that tries it', function run() {
-  const s = site(['a', 'b'].map(function one(id) { return runner(id); }));
+  const s = site(
+    ['a', 'b'].map(function one(id) {
+      return runner(id);
+    }),
+  );
   function goes(repeatable: boolean): string {
     const p = request(s, 60);
     p.repeatable = repeatable;
@@ -242,7 +326,11 @@
 });
 
 test('a suspect runner is tried again after its pause by one repeatable request', function run() {
-  const s = site(['a', 'b'].map(function one(id) { return runner(id); }));
+  const s = site(
+    ['a', 'b'].map(function one(id) {
+      return runner(id);
+    }),
+  );
   fleet.turn(slot(s, 'a'), 'suspect', 0);
   const p = request(s, 60);
   p.repeatable = true;
@@ -254,7 +342,11 @@
 });
 
 test('what broke under way is taken up even at a suspect runner in its pause, never at one that is down', function run() {
-  const s = site(['a', 'b'].map(function one(id) { return runner(id); }));
+  const s = site(
+    ['a', 'b'].map(function one(id) {
+      return runner(id);
+    }),
+  );
   const p = request(s, 60);
   Object.assign(p, { repeatable: true, legs: 1, maybeRun: true });
   p.runners.add(slot(s, 'a').ix);
--- a/test/group-rules.test.ts
+++ b/test/group-rules.test.ts
@@ -6,7 +6,9 @@
 import type { Body, Entry, GroupEffect, GroupState, Message, View } from '../src/coordination/group/types.js';
 import { timing } from './sim/world.js';
 
-const members = ['a', 'b', 'c'].map(function one(x) { return { id: `${x}#first`, addr: x, control: x }; });
+const members = ['a', 'b', 'c'].map(function one(x) {
+  return { id: `${x}#first`, addr: x, control: x };
+});
 const view: View = { index: 0, epoch: 0, members, state: null };
 
 function entry(index: number, epoch: number): Entry {
@@ -14,7 +16,19 @@
 }
 
 function machine(me: string, epoch: number, entries: Entry[], now = 0): GroupState {
-  return group.create({ me: `${me}#first`, addr: me, control: me, timing, seed: 1, target: 3, epoch, vote: null, view, entries, now });
+  return group.create({
+    me: `${me}#first`,
+    addr: me,
+    control: me,
+    timing,
+    seed: 1,
+    target: 3,
+    epoch,
+    vote: null,
+    view,
+    entries,
+    now,
+  });
 }
 
 function from(x: string, body: Body): Message {
@@ -26,7 +40,9 @@
 }
 
 function sent(out: GroupEffect[], m: Body['m']): Message[] {
-  return out.flatMap(function one(f) { return f.f === 'send' && f.message.m === m ? [f.message] : []; });
+  return out.flatMap(function one(f) {
+    return f.f === 'send' && f.message.m === m ? [f.message] : [];
+  });
 }
 
 function elected(entries: Entry[]): GroupState {
@@ -60,21 +76,43 @@
 
 test('a vote is not given to a log that lacks what is held here', function run() {
   const s = machine('a', 3, [entry(1, 2), entry(2, 3)]);
-  for (const [last, lastEpoch, ok] of [[1, 2, false], [9, 2, false], [1, 3, false], [2, 3, true]] as const) {
+  for (const [last, lastEpoch, ok] of [
+    [1, 2, false],
+    [9, 2, false],
+    [1, 3, false],
+    [2, 3, true],
+  ] as const) {
     const fresh = machine('a', 3, [entry(1, 2), entry(2, 3)]);
     group.step(fresh, { e: 'message', message: from('b', { m: 'ballot', epoch: 4, last, lastEpoch }) }, 5000);
-    assert.deepEqual(sent(syncAll(fresh, 5001), 'vote').map(function given(v) { return (v as { ok: boolean }).ok; }), [ok], `log up to ${last} of epoch ${lastEpoch}`);
-    const canvassed = sent(group.step(s, { e: 'message', message: from('b', { m: 'canvass', epoch: 4, last, lastEpoch }) }, 5000), 'canvassed');
+    assert.deepEqual(
+      sent(syncAll(fresh, 5001), 'vote').map(function given(v) {
+        return (v as { ok: boolean }).ok;
+      }),
+      [ok],
+      `log up to ${last} of epoch ${lastEpoch}`,
+    );
+    const canvassed = sent(
+      group.step(s, { e: 'message', message: from('b', { m: 'canvass', epoch: 4, last, lastEpoch }) }, 5000),
+      'canvassed',
+    );
     assert.equal((canvassed[0] as { ok: boolean }).ok, ok);
   }
 });
 
 test('one vote an epoch, and none before its promise is synced', function run() {
   const s = machine('a', 3, []);
-  const first = group.step(s, { e: 'message', message: from('b', { m: 'ballot', epoch: 4, last: 0, lastEpoch: 0 }) }, 5000);
+  const first = group.step(
+    s,
+    { e: 'message', message: from('b', { m: 'ballot', epoch: 4, last: 0, lastEpoch: 0 }) },
+    5000,
+  );
   assert.equal(sent(first, 'vote').length, 0);
   assert.equal((sent(syncAll(s, 5001), 'vote')[0] as { ok: boolean }).ok, true);
-  const second = group.step(s, { e: 'message', message: from('c', { m: 'ballot', epoch: 4, last: 9, lastEpoch: 3 }) }, 9000);
+  const second = group.step(
+    s,
+    { e: 'message', message: from('c', { m: 'ballot', epoch: 4, last: 9, lastEpoch: 3 }) },
+    9000,
+  );
   assert.equal((sent(second, 'vote')[0] as { ok: boolean }).ok, false);
 });
 
@@ -82,7 +120,14 @@
   const s = machine('a', 3, [], 4000);
   const ballot = from('c', { m: 'ballot', epoch: 9, last: 9, lastEpoch: 8 });
   assert.deepEqual(group.step(s, { e: 'message', message: ballot }, 4100), [], 'just started');
-  group.step(s, { e: 'message', message: from('b', { m: 'append', epoch: 4, prev: 0, prevEpoch: 0, entries: [], committed: 0, beat: 1 }) }, 6000);
+  group.step(
+    s,
+    {
+      e: 'message',
+      message: from('b', { m: 'append', epoch: 4, prev: 0, prevEpoch: 0, entries: [], committed: 0, beat: 1 }),
+    },
+    6000,
+  );
   assert.deepEqual(group.step(s, { e: 'message', message: ballot }, 6600), [], 'heard one');
   assert.equal(s.epoch, 4);
   group.step(s, { e: 'message', message: ballot }, 6000 + timing.silenceMs + 1);
@@ -96,7 +141,11 @@
   const [beat] = sent(group.step(s, { e: 'beat' }, 2450), 'append') as { beat: number; to: string }[];
   const sentAt = s.beatSentAt.get(beat!.beat)!;
   const x = beat!.to.split('#')[0]!;
-  group.step(s, { e: 'message', message: from(x, { m: 'appended', epoch: 4, ok: true, match: 1, beat: beat!.beat }) }, 2700);
+  group.step(
+    s,
+    { e: 'message', message: from(x, { m: 'appended', epoch: 4, ok: true, match: 1, beat: beat!.beat }) },
+    2700,
+  );
   assert.equal(group.holdsUntil(s, 2700), sentAt + timing.silenceMs);
   group.step(s, { e: 'beat' }, 2700 + timing.silenceMs + 1);
   assert.equal(s.phase, 'follower');
@@ -105,9 +154,51 @@
 
 test('a follower trims what the sequencer does not hold, and nothing that it does', function run() {
   const s = machine('a', 3, [entry(1, 2), entry(2, 2), entry(3, 2)]);
-  const out = group.step(s, { e: 'message', message: from('b', { m: 'append', epoch: 4, prev: 1, prevEpoch: 2, entries: [entry(2, 4)], committed: 1, beat: 1 }) }, 100);
-  assert.ok(out.some(function trim(f) { return f.f === 'trim' && f.from === 2; }));
-  assert.deepEqual(s.entries.map(function at(e) { return [e.index, e.epoch]; }), [[1, 2], [2, 4]]);
-  group.step(s, { e: 'message', message: from('b', { m: 'append', epoch: 4, prev: 0, prevEpoch: 0, entries: [entry(1, 2)], committed: 1, beat: 2 }) }, 110);
+  const out = group.step(
+    s,
+    {
+      e: 'message',
+      message: from('b', {
+        m: 'append',
+        epoch: 4,
+        prev: 1,
+        prevEpoch: 2,
+        entries: [entry(2, 4)],
+        committed: 1,
+        beat: 1,
+      }),
+    },
+    100,
+  );
+  assert.ok(
+    out.some(function trim(f) {
+      return f.f === 'trim' && f.from === 2;
+    }),
+  );
+  assert.deepEqual(
+    s.entries.map(function at(e) {
+      return [e.index, e.epoch];
+    }),
+    [
+      [1, 2],
+      [2, 4],
+    ],
+  );
+  group.step(
+    s,
+    {
+      e: 'message',
+      message: from('b', {
+        m: 'append',
+        epoch: 4,
+        prev: 0,
+        prevEpoch: 0,
+        entries: [entry(1, 2)],
+        committed: 1,
+        beat: 2,
+      }),
+    },
+    110,
+  );
   assert.equal(s.entries.length, 2, 'an old message trims nothing');
 });
--- a/test/group.test.ts
+++ b/test/group.test.ts
@@ -22,14 +22,20 @@
   drive(w, ms, 50);
   assert.ok(w.acked.size > before, 'the group goes on when calm');
   world.checkAcked(w);
-  const up = [...w.nodes.values()].filter(function on(n) { return n.up; });
+  const up = [...w.nodes.values()].filter(function on(n) {
+    return n.up;
+  });
   const s = world.sequencer(w)!;
   world.run(w, 1500);
-  for (const n of up) if (log.isMember(s.machine!, n.machine!.me)) assert.equal(n.machine!.delivered, w.order.length, `${n.addr} has all`);
+  for (const n of up)
+    if (log.isMember(s.machine!, n.machine!.me))
+      assert.equal(n.machine!.delivered, w.order.length, `${n.addr} has all`);
 }
 
 function others(w: World, n: Node): string[] {
-  return [...w.nodes.keys()].filter(function not(a) { return a !== n.addr; });
+  return [...w.nodes.keys()].filter(function not(a) {
+    return a !== n.addr;
+  });
 }
 
 function cut(w: World, n: Node, oneWay: boolean): void {
@@ -41,18 +47,32 @@
 
 function anyTrouble(w: World): void {
   const all = [...w.nodes.values()];
-  const n = luck.next(w.l) < 0.5 ? world.sequencer(w) ?? all[0]! : luck.pick(w.l, all);
+  const n = luck.next(w.l) < 0.5 ? (world.sequencer(w) ?? all[0]!) : luck.pick(w.l, all);
   const ms = 200 + luck.below(w.l, 4000);
   switch (luck.below(w.l, 9)) {
-    case 0: return world.down(w, n, 'kill', ms);
-    case 1: return world.down(w, n, 'power', ms);
-    case 2: n.frozenUntil = w.now + ms; return;
-    case 3: n.stalledUntil = w.now + ms; return;
-    case 4: return cut(w, n, false);
-    case 5: return cut(w, n, true);
-    case 6: w.loss = 0.2; return;
-    case 7: w.cuts.clear(); w.loss = 0; return;
-    case 8: return world.compact(w, n);
+    case 0:
+      return world.down(w, n, 'kill', ms);
+    case 1:
+      return world.down(w, n, 'power', ms);
+    case 2:
+      n.frozenUntil = w.now + ms;
+      return;
+    case 3:
+      n.stalledUntil = w.now + ms;
+      return;
+    case 4:
+      return cut(w, n, false);
+    case 5:
+      return cut(w, n, true);
+    case 6:
+      w.loss = 0.2;
+      return;
+    case 7:
+      w.cuts.clear();
+      w.loss = 0;
+      return;
+    case 8:
+      return world.compact(w, n);
   }
 }
 
@@ -104,7 +124,12 @@
     settles(w);
     const roster = world.sequencer(w)!.machine!.roster;
     assert.equal(roster.length, 3);
-    assert.ok(roster.some(function me(m) { return m.addr === s.addr && m.id !== `${s.addr}#first`; }), 'the wiped one is back as a new incarnation');
+    assert.ok(
+      roster.some(function me(m) {
+        return m.addr === s.addr && m.id !== `${s.addr}#first`;
+      }),
+      'the wiped one is back as a new incarnation',
+    );
   }
 });
 
@@ -113,7 +138,9 @@
   world.run(w, 3000);
   drive(w, 500, 20);
   const s = world.sequencer(w)!;
-  const [one, two] = others(w, s).map(function node(a) { return w.nodes.get(a)!; });
+  const [one, two] = others(w, s).map(function node(a) {
+    return w.nodes.get(a)!;
+  });
   world.down(w, one!, 'kill', 100_000);
   world.down(w, two!, 'wipe', 300);
   world.run(w, 1500);
@@ -136,7 +163,12 @@
       drive(w, 5000, 40);
     }
     settles(w);
-    const roster = world.sequencer(w)!.machine!.roster.map(function at(m) { return m.addr; }).sort();
+    const roster = world
+      .sequencer(w)!
+      .machine!.roster.map(function at(m) {
+        return m.addr;
+      })
+      .sort();
     assert.deepEqual(roster, ['n0:1', 'n1:1', 'n2:1']);
   }
 });
--- a/test/history.test.ts
+++ b/test/history.test.ts
@@ -13,48 +13,83 @@
 }
 
 function sorted(c: Configuration): unknown {
-  function byLabel(a: { label: string }, b: { label: string }): number { return a.label < b.label ? -1 : 1; }
-  return { ...c, route_list: [...c.route_list].sort(byLabel), service_list: [...c.service_list].sort(byLabel), tenant_list: c.tenant_list && [...c.tenant_list].sort(byLabel) };
+  function byLabel(a: { label: string }, b: { label: string }): number {
+    return a.label < b.label ? -1 : 1;
+  }
+  return {
+    ...c,
+    route_list: [...c.route_list].sort(byLabel),
+    service_list: [...c.service_list].sort(byLabel),
+    tenant_list: c.tenant_list && [...c.tenant_list].sort(byLabel),
+  };
 }
 
 const drawn = fc.record({
-  routes: fc.uniqueArray(fc.tuple(fc.integer({ min: 0, max: 12 }), fc.integer({ min: 1, max: 3 })), { selector: function label(x) { return x[0]; }, maxLength: 12 }),
+  routes: fc.uniqueArray(fc.tuple(fc.integer({ min: 0, max: 12 }), fc.integer({ min: 1, max: 3 })), {
+    selector: function label(x) {
+      return x[0];
+    },
+    maxLength: 12,
+  }),
   tenants: fc.option(fc.uniqueArray(fc.integer({ min: 0, max: 5 }), { maxLength: 5 }), { nil: undefined }),
-  limit: fc.integer({ min: 1, max: 3 }), gap: fc.integer({ min: 1, max: 5 }),
+  limit: fc.integer({ min: 1, max: 3 }),
+  gap: fc.integer({ min: 1, max: 5 }),
 });
 
 test('a site at any earlier revision reaches the one in force, by a difference or whole', function run() {
-  fc.assert(fc.property(fc.array(drawn, { minLength: 2, maxLength: 12 }), function holds(list) {
-    const h = configurationHistory.create();
-    const all: Configuration[] = [];
-    let revision = 0;
-    for (const d of list) {
-      revision += d.gap;
-      const c: Configuration = {
-        revision, route_list: d.routes.map(function one([n, ms]) { return route(`r${n}`, ms); }), service_list: [{ label: 's' }], limits: { header_bytes: d.limit },
-        ...(d.tenants ? { tenant_list: d.tenants.map(function one(n) { return { label: `t${n}`, api_keys: [`k${n}`] }; }) } : {}),
-      };
-      all.push(c);
-      configurationHistory.take(h, c);
-      for (const was of all) {
-        const delta = configurationHistory.since(h, was.revision);
-        if (delta === null) continue;
-        const next = configurationHistory.apply(was, JSON.parse(JSON.stringify(delta)));
-        assert.ok(next);
-        assert.deepEqual(sorted(next), sorted(c));
+  fc.assert(
+    fc.property(fc.array(drawn, { minLength: 2, maxLength: 12 }), function holds(list) {
+      const h = configurationHistory.create();
+      const all: Configuration[] = [];
+      let revision = 0;
+      for (const d of list) {
+        revision += d.gap;
+        const c: Configuration = {
+          revision,
+          route_list: d.routes.map(function one([n, ms]) {
+            return route(`r${n}`, ms);
+          }),
+          service_list: [{ label: 's' }],
+          limits: { header_bytes: d.limit },
+          ...(d.tenants
+            ? {
+                tenant_list: d.tenants.map(function one(n) {
+                  return { label: `t${n}`, api_keys: [`k${n}`] };
+                }),
+              }
+            : {}),
+        };
+        all.push(c);
+        configurationHistory.take(h, c);
+        for (const was of all) {
+          const delta = configurationHistory.since(h, was.revision);
+          if (delta === null) continue;
+          const next = configurationHistory.apply(was, JSON.parse(JSON.stringify(delta)));
+          assert.ok(next);
+          assert.deepEqual(sorted(next), sorted(c));
+        }
+        assert.equal(configurationHistory.since(h, revision + 1), null);
+        assert.equal(configurationHistory.since(h, 0), null);
       }
-      assert.equal(configurationHistory.since(h, revision + 1), null);
-      assert.equal(configurationHistory.since(h, 0), null);
-    }
-  }), { seed: 8, numRuns: 200 });
+    }),
+    { seed: 8, numRuns: 200 },
+  );
 });
 
 test('one changed route among many is told alone', function run() {
   const h = configurationHistory.create();
-  const many = Array.from({ length: 1400 }, function one(_, i) { return route(`r${i}`, 1000); });
+  const many = Array.from({ length: 1400 }, function one(_, i) {
+    return route(`r${i}`, 1000);
+  });
   const first: Configuration = { revision: 3, route_list: many, service_list: [{ label: 's' }] };
   configurationHistory.take(h, first);
-  configurationHistory.take(h, { ...first, revision: 5, route_list: many.map(function change(r) { return r.label === 'r7' ? route('r7', 2000) : { ...r }; }) });
+  configurationHistory.take(h, {
+    ...first,
+    revision: 5,
+    route_list: many.map(function change(r) {
+      return r.label === 'r7' ? route('r7', 2000) : { ...r };
+    }),
+  });
   const d = configurationHistory.since(h, 3)!;
   assert.equal(d.routes.upserts.length, 1);
   assert.ok(JSON.stringify(d).length < 600);
@@ -75,35 +110,57 @@
   return { id, service: 's', addr: `${id}:1`, zone: 'z', slots: 8, draining: false, parked, models: [] };
 }
 
-const boardSteps = fc.array(fc.tuple(fc.uniqueArray(fc.tuple(fc.integer({ min: 0, max: 8 }), fc.boolean()), { selector: function id(x) { return x[0]; }, maxLength: 8 }), fc.integer({ min: 1, max: 3 }), fc.integer({ min: 0, max: 9 })), { minLength: 2, maxLength: 15 });
+const boardSteps = fc.array(
+  fc.tuple(
+    fc.uniqueArray(fc.tuple(fc.integer({ min: 0, max: 8 }), fc.boolean()), {
+      selector: function id(x) {
+        return x[0];
+      },
+      maxLength: 8,
+    }),
+    fc.integer({ min: 1, max: 3 }),
+    fc.integer({ min: 0, max: 9 }),
+  ),
+  { minLength: 2, maxLength: 15 },
+);
 
 test('boards of one epoch are told by differences, a new epoch whole, also where steps were passed over', function run() {
-  fc.assert(fc.property(boardSteps, function holds(list) {
-    const everything: Board[] = [];
-    let board: Board = { epoch: 1, seq: 0, runners: [], sites: 0 };
-    for (const [rows, gap, newEpoch] of list) {
-      const epoch = board.epoch + (newEpoch === 0 ? 1 : 0);
-      board = { epoch, seq: epoch === board.epoch ? board.seq + gap : 1, runners: rows.map(function one([n, parked]) { return runner(`i${n}`, parked); }), sites: gap };
-      everything.push(board);
-    }
-    const h = boardHistory.create();
-    everything.forEach(function each(b, i) {
-      if (i % 2 === 1 && i < everything.length - 1) return;
-      boardHistory.take(h, b);
-      for (const was of everything.slice(0, i + 1)) {
-        const delta = boardHistory.since(h, was.epoch, was.seq);
-        if (was.epoch !== b.epoch) assert.equal(delta, null);
-        if (delta === null) continue;
-        const next = boardHistory.apply(was, delta);
-        assert.ok(next);
-        assert.deepEqual([...next.runners!].sort(byId), [...b.runners!].sort(byId));
-        assert.deepEqual([next.epoch, next.seq, next.sites], [b.epoch, b.seq, b.sites]);
+  fc.assert(
+    fc.property(boardSteps, function holds(list) {
+      const everything: Board[] = [];
+      let board: Board = { epoch: 1, seq: 0, runners: [], sites: 0 };
+      for (const [rows, gap, newEpoch] of list) {
+        const epoch = board.epoch + (newEpoch === 0 ? 1 : 0);
+        board = {
+          epoch,
+          seq: epoch === board.epoch ? board.seq + gap : 1,
+          runners: rows.map(function one([n, parked]) {
+            return runner(`i${n}`, parked);
+          }),
+          sites: gap,
+        };
+        everything.push(board);
       }
-    });
-    const before = everything.at(-1)!;
-    const delta = boardHistory.since(h, before.epoch, before.seq);
-    assert.equal(delta?.runners.upserts.length ?? 0, 0);
-  }), { seed: 21, numRuns: 300 });
+      const h = boardHistory.create();
+      everything.forEach(function each(b, i) {
+        if (i % 2 === 1 && i < everything.length - 1) return;
+        boardHistory.take(h, b);
+        for (const was of everything.slice(0, i + 1)) {
+          const delta = boardHistory.since(h, was.epoch, was.seq);
+          if (was.epoch !== b.epoch) assert.equal(delta, null);
+          if (delta === null) continue;
+          const next = boardHistory.apply(was, delta);
+          assert.ok(next);
+          assert.deepEqual([...next.runners!].sort(byId), [...b.runners!].sort(byId));
+          assert.deepEqual([next.epoch, next.seq, next.sites], [b.epoch, b.seq, b.sites]);
+        }
+      });
+      const before = everything.at(-1)!;
+      const delta = boardHistory.since(h, before.epoch, before.seq);
+      assert.equal(delta?.runners.upserts.length ?? 0, 0);
+    }),
+    { seed: 21, numRuns: 300 },
+  );
 });
 
 function byId(a: Runner, b: Runner): number {
@@ -112,7 +169,9 @@
 
 test('what left long ago is forgotten in a bounded way, and told whole to who missed it', function run() {
   const h = itemHistory.create<{ label: string }>();
-  function label(x: { label: string }): string { return x.label; }
+  function label(x: { label: string }): string {
+    return x.label;
+  }
   itemHistory.reset(h, 1, [{ label: 'stays' }], label);
   for (let at = 2; at < 3000; at++) itemHistory.advance(h, at, [{ label: 'stays' }, { label: `x${at}` }], label);
   assert.ok(h.gone.size <= 2000);
--- a/test/rollout.test.ts
+++ b/test/rollout.test.ts
@@ -3,7 +3,12 @@
 // may not act sends nothing.
 import { strict as assert } from 'node:assert';
 import { test } from 'node:test';
-import { rolloutPlan, type RolloutEffect, type RolloutState, type RolloutTiming } from '../src/coordination/duties/rollout.js';
+import {
+  rolloutPlan,
+  type RolloutEffect,
+  type RolloutState,
+  type RolloutTiming,
+} from '../src/coordination/duties/rollout.js';
 import type { Runner } from '../src/types.js';
 import { luck } from './support/random.js';
 
@@ -12,13 +17,30 @@
 type Sim = { revision: number; until: number; next: number };
 
 function runner(id: string, revision: number): Runner {
-  return { id, service: 's', addr: id, zone: 'z', slots: 4, draining: false, parked: false, models: [{ label: 'm', revision }] };
+  return {
+    id,
+    service: 's',
+    addr: id,
+    zone: 'z',
+    slots: 4,
+    draining: false,
+    parked: false,
+    models: [{ label: 'm', revision }],
+  };
 }
 
-function play(seed: number, n: number, lossy: boolean): { s: RolloutState; sims: Map<string, Sim>; orders: number; mostAtOnce: number; ms: number } {
+function play(
+  seed: number,
+  n: number,
+  lossy: boolean,
+): { s: RolloutState; sims: Map<string, Sim>; orders: number; mostAtOnce: number; ms: number } {
   const l = luck.create(seed);
   const s = rolloutPlan.create(timing);
-  const sims = new Map<string, Sim>(Array.from({ length: n }, function one(_, i): [string, Sim] { return [`r${i}`, { revision: 1, until: 0, next: 1 }]; }));
+  const sims = new Map<string, Sim>(
+    Array.from({ length: n }, function one(_, i): [string, Sim] {
+      return [`r${i}`, { revision: 1, until: 0, next: 1 }];
+    }),
+  );
   const learned = new Map<string, number>();
   let orders = 0;
   let mostAtOnce = 0;
@@ -32,28 +54,55 @@
       if (!lost || luck.next(l) < 0.5) {
         if (r.revision < f.job.revision) Object.assign(r, { until: now + 400, next: f.job.revision });
       }
-      for (const x of rolloutPlan.step(s, { e: 'ordered', id: f.job.id, result: lost ? null : r.revision >= f.job.revision ? 'holds' : 'begun' }, now)) answer(x);
+      for (const x of rolloutPlan.step(
+        s,
+        { e: 'ordered', id: f.job.id, result: lost ? null : r.revision >= f.job.revision ? 'holds' : 'begun' },
+        now,
+      ))
+        answer(x);
     }
     if (f.f === 'ask') {
       const r = sims.get(f.job.id)!;
       const lost = lossy && luck.next(l) < 0.2;
-      for (const x of rolloutPlan.step(s, { e: 'reported', id: f.job.id, revision: lost ? null : r.revision, isBusy: r.until > now }, now)) answer(x);
+      for (const x of rolloutPlan.step(
+        s,
+        { e: 'reported', id: f.job.id, revision: lost ? null : r.revision, isBusy: r.until > now },
+        now,
+      ))
+        answer(x);
     }
   }
   while (now < 60_000) {
     now += 40;
     for (const r of sims.values()) if (r.until > 0 && now >= r.until) Object.assign(r, { revision: r.next, until: 0 });
-    mostAtOnce = Math.max(mostAtOnce, [...sims.values()].filter(function busy(r) { return r.until > now; }).length);
-    const list = [...sims.keys()].map(function one(id) { return runner(id, learned.get(id) ?? 1); });
+    mostAtOnce = Math.max(
+      mostAtOnce,
+      [...sims.values()].filter(function busy(r) {
+        return r.until > now;
+      }).length,
+    );
+    const list = [...sims.keys()].map(function one(id) {
+      return runner(id, learned.get(id) ?? 1);
+    });
     for (const f of rolloutPlan.step(s, { e: 'beat', runners: list, targets: { m: 2 }, mayAct: true }, now)) answer(f);
-    if ([...sims.values()].every(function all(r) { return r.revision === 2; }) && s.jobs.size === 0) break;
+    if (
+      [...sims.values()].every(function all(r) {
+        return r.revision === 2;
+      }) &&
+      s.jobs.size === 0
+    )
+      break;
   }
   return { s, sims, orders, mostAtOnce, ms: now };
 }
 
 test('all runners come to the named weights, a share at once', function run() {
   const r = play(1, 12, false);
-  assert.ok([...r.sims.values()].every(function all(x) { return x.revision === 2; }));
+  assert.ok(
+    [...r.sims.values()].every(function all(x) {
+      return x.revision === 2;
+    }),
+  );
   assert.equal(r.orders, 12);
   assert.ok(r.mostAtOnce <= 3);
   assert.ok(r.ms < 4000, `${r.ms} ms`);
@@ -62,7 +111,12 @@
 test('lost orders and answers only cost time', function run() {
   for (let seed = 1; seed <= 30; seed++) {
     const r = play(seed, 9, true);
-    assert.ok([...r.sims.values()].every(function all(x) { return x.revision === 2; }), `seed ${seed}`);
+    assert.ok(
+      [...r.sims.values()].every(function all(x) {
+        return x.revision === 2;
+      }),
+      `seed ${seed}`,
+    );
     assert.ok(r.mostAtOnce <= 2);
   }
 });
@@ -79,7 +133,11 @@
 
 test('a draining runner gets no order, nor does one that is up to date', function run() {
   const s = rolloutPlan.create(timing);
-  const out = rolloutPlan.step(s, { e: 'beat', runners: [{ ...runner('a', 1), draining: true }, runner('b', 2)], targets: { m: 2 }, mayAct: true }, 0);
+  const out = rolloutPlan.step(
+    s,
+    { e: 'beat', runners: [{ ...runner('a', 1), draining: true }, runner('b', 2)], targets: { m: 2 }, mayAct: true },
+    0,
+  );
   assert.deepEqual(out, []);
 });
 
@@ -88,7 +146,9 @@
   const list = [runner('a', 1)];
   rolloutPlan.step(s, { e: 'beat', runners: list, targets: { m: 2 }, mayAct: true }, 0);
   rolloutPlan.step(s, { e: 'beat', runners: list, targets: { m: 2 }, mayAct: true }, 60);
-  assert.deepEqual(rolloutPlan.step(s, { e: 'ordered', id: 'a', result: 'fenced' }, 70), [{ f: 'park', id: 'a', on: false }]);
+  assert.deepEqual(rolloutPlan.step(s, { e: 'ordered', id: 'a', result: 'fenced' }, 70), [
+    { f: 'park', id: 'a', on: false },
+  ]);
   assert.deepEqual(rolloutPlan.step(s, { e: 'beat', runners: list, targets: { m: 2 }, mayAct: true }, 100), []);
   assert.equal(rolloutPlan.step(s, { e: 'beat', runners: list, targets: { m: 2 }, mayAct: true }, 500).length, 1);
 });
@@ -103,11 +163,24 @@
   assert.equal(beat(60)[0]!.f, 'order');
   rolloutPlan.step(s, { e: 'ordered', id: 'a', result: null }, 100);
   assert.equal(beat(400)[0]!.f, 'ask');
-  assert.deepEqual(rolloutPlan.step(s, { e: 'reported', id: 'a', revision: 1, isBusy: false }, 410), [], 'its report may be old');
+  assert.deepEqual(
+    rolloutPlan.step(s, { e: 'reported', id: 'a', revision: 1, isBusy: false }, 410),
+    [],
+    'its report may be old',
+  );
   assert.deepEqual(rolloutPlan.step(s, { e: 'reported', id: 'a', revision: 1, isBusy: true }, 900), [], 'under way');
-  assert.deepEqual(rolloutPlan.step(s, { e: 'reported', id: 'a', revision: null, isBusy: false }, 910), [], 'no report');
+  assert.deepEqual(
+    rolloutPlan.step(s, { e: 'reported', id: 'a', revision: null, isBusy: false }, 910),
+    [],
+    'no report',
+  );
   assert.equal(rolloutPlan.step(s, { e: 'reported', id: 'a', revision: 1, isBusy: false }, 920)[0]!.f, 'order');
   assert.deepEqual(rolloutPlan.step(s, { e: 'reported', id: 'a', revision: 2, isBusy: false }, 1000), [], 'not asked');
   rolloutPlan.step(s, { e: 'ordered', id: 'a', result: 'begun' }, 1010);
-  assert.deepEqual(rolloutPlan.step(s, { e: 'reported', id: 'a', revision: 2, isBusy: false }, 1400).map(function f(x) { return x.f; }), ['learn', 'park']);
+  assert.deepEqual(
+    rolloutPlan.step(s, { e: 'reported', id: 'a', revision: 2, isBusy: false }, 1400).map(function f(x) {
+      return x.f;
+    }),
+    ['learn', 'park'],
+  );
 });
--- a/test/scale.test.ts
+++ b/test/scale.test.ts
@@ -17,12 +17,33 @@
 const perSite = 7;
 const seconds = 6;
 
-type SimSite = { name: string; o: Others; rows: Map<string, BurdenRow>; since: [number, number]; hotSeq: number; verdictSeq: number };
+type SimSite = {
+  name: string;
+  o: Others;
+  rows: Map<string, BurdenRow>;
+  since: [number, number];
+  hotSeq: number;
+  verdictSeq: number;
+};
 type Counts = { sites: number; answers: number; bytesIn: number; bytesOut: number };
 
 function callOf(s: SimSite): FeedCall {
   const burden = [...s.rows.values()];
-  return { site: s.name, life: s.name, since: s.since, hotSeq: s.hotSeq, hold: 500, burden, burdenNo: others.tell(s.o, burden), burdenSeen: s.o.revision, unsound: [], outcomes: [], verdictSeq: s.verdictSeq, held: [], report: null };
+  return {
+    site: s.name,
+    life: s.name,
+    since: s.since,
+    hotSeq: s.hotSeq,
+    hold: 500,
+    burden,
+    burdenNo: others.tell(s.o, burden),
+    burdenSeen: s.o.revision,
+    unsound: [],
+    outcomes: [],
+    verdictSeq: s.verdictSeq,
+    held: [],
+    report: null,
+  };
 }
 
 function take(s: SimSite, a: FeedAnswer): void {
@@ -43,7 +64,9 @@
 function play(n: number): Counts {
   const l = luck.create(77);
   const x: Exchange = exchange.create(1, tuning.defaults, n);
-  const all: SimSite[] = Array.from({ length: n }, function one(_, i) { return { name: `edge-${i}`, o: others.create(), rows: new Map(), since: [1, 0], hotSeq: 0, verdictSeq: 0 }; });
+  const all: SimSite[] = Array.from({ length: n }, function one(_, i) {
+    return { name: `edge-${i}`, o: others.create(), rows: new Map(), since: [1, 0], hotSeq: 0, verdictSeq: 0 };
+  });
   const open = new Map<SimSite, FeedCall>();
   const out: Counts = { sites: n, answers: 0, bytesIn: 0, bytesOut: 0 };
   function ask(s: SimSite, now: number): void {
@@ -70,15 +93,24 @@
 
 test('as sites double, neither messages nor bytes of one site rise, and the sequencer stays within its beat', function run(t) {
   const list = [20, 40, 80, 160].map(play);
-  for (const c of list) t.diagnostic(`${c.sites} sites: ${(c.answers / c.sites / seconds).toFixed(2)} answers, ${Math.round(c.bytesIn / c.sites / seconds)} bytes out and ${Math.round(c.bytesOut / c.sites / seconds)} in, a site and second`);
+  for (const c of list)
+    t.diagnostic(
+      `${c.sites} sites: ${(c.answers / c.sites / seconds).toFixed(2)} answers, ${Math.round(c.bytesIn / c.sites / seconds)} bytes out and ${Math.round(c.bytesOut / c.sites / seconds)} in, a site and second`,
+    );
   list.forEach(function law(c, i) {
     const perSecond = c.answers / seconds;
-    assert.ok(perSecond <= (1000 / exchange.beatOf(c.sites)) * c.sites + c.sites, `${c.sites} sites: ${perSecond} answers a second`);
+    assert.ok(
+      perSecond <= (1000 / exchange.beatOf(c.sites)) * c.sites + c.sites,
+      `${c.sites} sites: ${perSecond} answers a second`,
+    );
     assert.ok(perSecond <= 1100, `${c.sites} sites: ${perSecond} answers a second`);
     if (i === 0) return;
     const was = list[i - 1]!;
     assert.ok(c.answers / c.sites <= (was.answers / was.sites) * 1.02, 'messages of one site');
-    assert.ok((c.bytesIn + c.bytesOut) / c.sites <= ((was.bytesIn + was.bytesOut) / was.sites) * 1.1, `bytes of one site: ${was.sites}: ${(was.bytesIn + was.bytesOut) / was.sites}, ${c.sites}: ${(c.bytesIn + c.bytesOut) / c.sites}`);
+    assert.ok(
+      (c.bytesIn + c.bytesOut) / c.sites <= ((was.bytesIn + was.bytesOut) / was.sites) * 1.1,
+      `bytes of one site: ${was.sites}: ${(was.bytesIn + was.bytesOut) / was.sites}, ${c.sites}: ${(c.bytesIn + c.bytesOut) / c.sites}`,
+    );
   });
 });
 
@@ -87,14 +119,36 @@
     return { label: `r${i}`, hostname: 'h', path_prefix: `/${i}/`, variant: 'streaming', deadline_ms: ms, target: 's' };
   }
   function runner(i: number, parked: boolean): Runner {
-    return { id: `i-${i}`, service: 's', addr: `10.0.0.${i}:80`, zone: 'z', slots: 8, draining: false, parked, models: [{ label: 'm', revision: 1 }] };
+    return {
+      id: `i-${i}`,
+      service: 's',
+      addr: `10.0.0.${i}:80`,
+      zone: 'z',
+      slots: 8,
+      draining: false,
+      parked,
+      models: [{ label: 'm', revision: 1 }],
+    };
   }
   function bytes(n: number): [number, number] {
     const h = configurationHistory.create();
     const b = boardHistory.create();
     for (const step of [1, 2]) {
-      configurationHistory.take(h, { revision: step, service_list: [{ label: 's' }], route_list: Array.from({ length: n }, function one(_, i) { return route(i, i === 3 ? step : 9); }) });
-      boardHistory.take(b, { epoch: 1, seq: step, sites: 9, runners: Array.from({ length: n }, function one(_, i) { return runner(i, i === 3 && step === 2); }) });
+      configurationHistory.take(h, {
+        revision: step,
+        service_list: [{ label: 's' }],
+        route_list: Array.from({ length: n }, function one(_, i) {
+          return route(i, i === 3 ? step : 9);
+        }),
+      });
+      boardHistory.take(b, {
+        epoch: 1,
+        seq: step,
+        sites: 9,
+        runners: Array.from({ length: n }, function one(_, i) {
+          return runner(i, i === 3 && step === 2);
+        }),
+      });
     }
     return [packr.pack(configurationHistory.since(h, 1)).length, packr.pack(boardHistory.since(b, 1, 1)).length];
   }
--- a/test/scale/run.ts
+++ b/test/scale/run.ts
@@ -35,7 +35,9 @@
 type Meter = { sockets: Set<Socket>; calls: number; closedIn: number; closedOut: number };
 
 function wait(ms: number): Promise<void> {
-  return new Promise(function run(done) { setTimeout(done, ms); });
+  return new Promise(function run(done) {
+    setTimeout(done, ms);
+  });
 }
 
 function metered(): { agent: Agent; meter: Meter } {
@@ -65,9 +67,19 @@
 }
 
 function hollow(n: number, agent: Agent): Hollow {
-  const seeds = [1, 2, 3].map(function seedAt(i) { return `${fs.ip(net, i)}:${fs.ports.inner}`; });
+  const seeds = [1, 2, 3].map(function seedAt(i) {
+    return `${fs.ip(net, i)}:${fs.ports.inner}`;
+  });
   const s = {
-    node_name: `hollow-${n}`, ip_addr: '127.0.0.1', zone_name: 'z1', zones: { z1: 'r1' }, bind_addrs: {}, port_range: [fs.ports.inner, fs.ports.inner], seed_addrs: seeds, is_first_start: true, beat_ms: 1000,
+    node_name: `hollow-${n}`,
+    ip_addr: '127.0.0.1',
+    zone_name: 'z1',
+    zones: { z1: 'r1' },
+    bind_addrs: {},
+    port_range: [fs.ports.inner, fs.ports.inner],
+    seed_addrs: seeds,
+    is_first_start: true,
+    beat_ms: 1000,
     bound_set: { retry_window_s: 10, retry_ratio: 0.2, retry_slack: 58, version_ms: 8000 },
   } as unknown as Settings;
   return {
@@ -88,15 +100,21 @@
   slot.claimed += reads;
   if (isLong) {
     const part = { id: (0x1000 + luck.below(l, 400)).toString(16), tokens: 13_000 };
-    h.site.sent({ parts: [part, { id: 'ff', tokens: 2000 }] } as unknown as Passage, { slot, salt: identity.salt({ wall: 'all', model, revision: 1 }) } as unknown as Assigned);
+    h.site.sent(
+      { parts: [part, { id: 'ff', tokens: 2000 }] } as unknown as Passage,
+      { slot, salt: identity.salt({ wall: 'all', model, revision: 1 }) } as unknown as Assigned,
+    );
   }
   h.site.burdenChanged();
-  setTimeout(function over() {
-    slot.active--;
-    slot.reading -= reads;
-    slot.claimed -= reads;
-    h.site.burdenChanged();
-  }, isLong ? 350 : 120);
+  setTimeout(
+    function over() {
+      slot.active--;
+      slot.reading -= reads;
+      slot.claimed -= reads;
+      h.site.burdenChanged();
+    },
+    isLong ? 350 : 120,
+  );
 }
 
 function cpuMs(pid: number): number {
@@ -109,21 +127,50 @@
 }
 
 function median(list: number[]): number {
-  return [...list].sort(function up(a, b) { return a - b; })[Math.floor(list.length / 2)]!;
+  return [...list].sort(function up(a, b) {
+    return a - b;
+  })[Math.floor(list.length / 2)]!;
 }
 
 // Least squares y = a + b·x, with the largest distance of a point from the line.
 function fit(points: [number, number][]): { at0: number; slope: number; residual: number } {
   const n = points.length;
-  const mx = points.reduce(function sum(t, p) { return t + p[0]; }, 0) / n;
-  const my = points.reduce(function sum(t, p) { return t + p[1]; }, 0) / n;
-  const slope = points.reduce(function sum(t, p) { return t + (p[0] - mx) * (p[1] - my); }, 0) / points.reduce(function sum(t, p) { return t + (p[0] - mx) ** 2; }, 0);
+  const mx =
+    points.reduce(function sum(t, p) {
+      return t + p[0];
+    }, 0) / n;
+  const my =
+    points.reduce(function sum(t, p) {
+      return t + p[1];
+    }, 0) / n;
+  const slope =
+    points.reduce(function sum(t, p) {
+      return t + (p[0] - mx) * (p[1] - my);
+    }, 0) /
+    points.reduce(function sum(t, p) {
+      return t + (p[0] - mx) ** 2;
+    }, 0);
   const at0 = my - slope * mx;
-  return { at0, slope, residual: Math.max(...points.map(function far(p) { return Math.abs(p[1] - at0 - slope * p[0]); })) };
+  return {
+    at0,
+    slope,
+    residual: Math.max(
+      ...points.map(function far(p) {
+        return Math.abs(p[1] - at0 - slope * p[0]);
+      }),
+    ),
+  };
 }
 
-async function measure(f: Fleet, n: number, hollows: Hollow[], meter: Meter): Promise<Record<string, number | number[]>> {
-  const pids = [1, 2, 3].map(function pid(i) { return f.machines[i - 1]!.child!.pid!; });
+async function measure(
+  f: Fleet,
+  n: number,
+  hollows: Hollow[],
+  meter: Meter,
+): Promise<Record<string, number | number[]>> {
+  const pids = [1, 2, 3].map(function pid(i) {
+    return f.machines[i - 1]!.child!.pid!;
+  });
   const cores: number[] = [];
   const most: number[] = [];
   const before = bytes(meter);
@@ -131,31 +178,67 @@
   for (let w = 0; w < windows; w++) {
     const was = pids.map(cpuMs);
     await wait(windowMs);
-    const used = pids.map(function each(p, i) { return (cpuMs(p) - was[i]!) / windowMs; });
-    cores.push(used.reduce(function sum(a, b) { return a + b; }, 0));
+    const used = pids.map(function each(p, i) {
+      return (cpuMs(p) - was[i]!) / windowMs;
+    });
+    cores.push(
+      used.reduce(function sum(a, b) {
+        return a + b;
+      }, 0),
+    );
     most.push(Math.max(...used));
   }
   const after = bytes(meter);
   const siteSeconds = (hollows.length * windows * windowMs) / 1000;
   return {
-    sites: n + 1, callsPerSiteSecond: (meter.calls - calls) / siteSeconds, bytesInPerSiteSecond: (after.in - before.in) / siteSeconds, bytesOutPerSiteSecond: (after.out - before.out) / siteSeconds,
-    coordinatorsCores: median(cores), coordinatorsCoresRange: [Math.min(...cores), Math.max(...cores)], sequencerCores: median(most), coordinatorMb: Math.max(...pids.map(memoryMb)),
+    sites: n + 1,
+    callsPerSiteSecond: (meter.calls - calls) / siteSeconds,
+    bytesInPerSiteSecond: (after.in - before.in) / siteSeconds,
+    bytesOutPerSiteSecond: (after.out - before.out) / siteSeconds,
+    coordinatorsCores: median(cores),
+    coordinatorsCoresRange: [Math.min(...cores), Math.max(...cores)],
+    sequencerCores: median(most),
+    coordinatorMb: Math.max(...pids.map(memoryMb)),
   };
 }
 
 async function main(): Promise<void> {
   const f = await fs.create(net, 1, runners);
   for (const signal of ['SIGINT', 'SIGTERM'] as const) {
-    process.once(signal, function broken() { void fs.stop(f).then(function gone() { process.exit(1); }); });
+    process.once(signal, function broken() {
+      void fs.stop(f).then(function gone() {
+        process.exit(1);
+      });
+    });
   }
   const { agent, meter } = metered();
   const hollows: Hollow[] = [];
   const l = luck.create(seed);
-  const beat = setInterval(function send() { for (const h of hollows) if (luck.next(l) < perSecond / 50) pretend(l, h); }, 20);
+  const beat = setInterval(function send() {
+    for (const h of hollows) if (luck.next(l) < perSecond / 50) pretend(l, h);
+  }, 20);
   const rows: Record<string, number | number[]>[] = [];
   try {
-    await fs.until(function put() { return fs.operator(f, 1, 'PUT', '/v1/config', fs.configuration(3, net), 0); }, function taken(r) { return r.status === 200; }, 'the first configuration', startMs);
-    await fs.until(function ask() { return fs.ready(f, 1); }, function yes(r) { return r.status === 200; }, 'the real site', startMs);
+    await fs.until(
+      function put() {
+        return fs.operator(f, 1, 'PUT', '/v1/config', fs.configuration(3, net), 0);
+      },
+      function taken(r) {
+        return r.status === 200;
+      },
+      'the first configuration',
+      startMs,
+    );
+    await fs.until(
+      function ask() {
+        return fs.ready(f, 1);
+      },
+      function yes(r) {
+        return r.status === 200;
+      },
+      'the real site',
+      startMs,
+    );
     for (const n of sizes) {
       while (hollows.length < n) {
         const h = hollow(hollows.length, agent);
@@ -173,12 +256,30 @@
     agent.destroy();
     await fs.stop(f);
   }
-  const fits = Object.fromEntries(['callsPerSiteSecond', 'bytesInPerSiteSecond', 'bytesOutPerSiteSecond', 'coordinatorsCores', 'sequencerCores', 'coordinatorMb'].map(function one(k) {
-    return [k, fit(rows.map(function point(r): [number, number] { return [r.sites as number, r[k] as number]; }))] as const;
-  }));
+  const fits = Object.fromEntries(
+    [
+      'callsPerSiteSecond',
+      'bytesInPerSiteSecond',
+      'bytesOutPerSiteSecond',
+      'coordinatorsCores',
+      'sequencerCores',
+      'coordinatorMb',
+    ].map(function one(k) {
+      return [
+        k,
+        fit(
+          rows.map(function point(r): [number, number] {
+            return [r.sites as number, r[k] as number];
+          }),
+        ),
+      ] as const;
+    }),
+  );
   const revision = execFileSync('git', ['rev-parse', '--short', 'HEAD']).toString().trim();
   writeFileSync('target/scale.json', JSON.stringify({ seed, revision, runners, rows, fits }, null, 2));
-  process.stdout.write(`fits (value at 0, slope a site, largest residual): ${JSON.stringify(fits, null, 1)}\ncounts: calls, bytes (repeat but for timing); noisy: cores, memory\n`);
+  process.stdout.write(
+    `fits (value at 0, slope a site, largest residual): ${JSON.stringify(fits, null, 1)}\ncounts: calls, bytes (repeat but for timing); noisy: cores, memory\n`,
+  );
   process.exit(0);
 }
 
--- a/test/sim/world.ts
+++ b/test/sim/world.ts
@@ -5,23 +5,55 @@
 import { group } from '../../src/coordination/group/machine.js';
 import { log } from '../../src/coordination/group/log.js';
 import { recovery, type SegmentHead } from '../../src/state/log/recover.js';
-import type { GroupEffect, GroupEvent, GroupState, Message, Record_, Timing, View } from '../../src/coordination/group/types.js';
+import type {
+  GroupEffect,
+  GroupEvent,
+  GroupState,
+  Message,
+  Record_,
+  Timing,
+  View,
+} from '../../src/coordination/group/types.js';
 import type { Member } from '../../src/types.js';
 import { luck, type Luck } from '../support/random.js';
 
 export const timing: Timing = { beatMs: 150, silenceMs: 700, spreadMs: 500, legMs: 400, goneMs: 1500, yieldMs: 700 };
 export const leaseMs = 3000;
 
-type Disk = { view: View; kept: (Record_ | SegmentHead)[]; pending: { token: number; records: (Record_ | SegmentHead)[]; view: View | null }[] };
+type Disk = {
+  view: View;
+  kept: (Record_ | SegmentHead)[];
+  pending: { token: number; records: (Record_ | SegmentHead)[]; view: View | null }[];
+};
 export type Node = {
-  addr: string; up: boolean; frozenUntil: number; stalledUntil: number; life: number;
-  disk: Disk | null; machine: GroupState | null; state: number[]; syncing: boolean; held: { at: number; run: () => void }[];
+  addr: string;
+  up: boolean;
+  frozenUntil: number;
+  stalledUntil: number;
+  life: number;
+  disk: Disk | null;
+  machine: GroupState | null;
+  state: number[];
+  syncing: boolean;
+  held: { at: number; run: () => void }[];
 };
 type Due = { at: number; no: number; run: () => void };
 export type World = {
-  l: Luck; now: number; due: Due[]; no: number; nodes: Map<string, Node>; cuts: Set<string>; loss: number;
-  order: { index: number; value: number; epoch: number }[]; acked: Set<number>; proposed: Map<string, number>; winners: Map<number, string>;
-  lastAct: { who: string; epoch: number; at: number } | null; seeds: Member[]; nextValue: number; incarnation: number;
+  l: Luck;
+  now: number;
+  due: Due[];
+  no: number;
+  nodes: Map<string, Node>;
+  cuts: Set<string>;
+  loss: number;
+  order: { index: number; value: number; epoch: number }[];
+  acked: Set<number>;
+  proposed: Map<string, number>;
+  winners: Map<number, string>;
+  lastAct: { who: string; epoch: number; at: number } | null;
+  seeds: Member[];
+  nextValue: number;
+  incarnation: number;
 };
 
 function member(addr: string): Member {
@@ -30,12 +62,29 @@
 
 function create(seed: number, addrs: string[]): World {
   const w: World = {
-    l: luck.create(seed), now: 1000, due: [], no: 0, nodes: new Map(), cuts: new Set(), loss: 0, order: [], acked: new Set(),
-    proposed: new Map(), winners: new Map(), lastAct: null, seeds: addrs.map(member), nextValue: 1, incarnation: 0,
+    l: luck.create(seed),
+    now: 1000,
+    due: [],
+    no: 0,
+    nodes: new Map(),
+    cuts: new Set(),
+    loss: 0,
+    order: [],
+    acked: new Set(),
+    proposed: new Map(),
+    winners: new Map(),
+    lastAct: null,
+    seeds: addrs.map(member),
+    nextValue: 1,
+    incarnation: 0,
   };
   for (const a of addrs) {
     const n = add(w, a);
-    n.disk = { view: { index: 0, epoch: 0, members: w.seeds, state: [] }, kept: [head(`${a}#first`, 0, 0, null, false)], pending: [] };
+    n.disk = {
+      view: { index: 0, epoch: 0, members: w.seeds, state: [] },
+      kept: [head(`${a}#first`, 0, 0, null, false)],
+      pending: [],
+    };
     boot(w, n);
   }
   return w;
@@ -46,7 +95,18 @@
 }
 
 function add(w: World, addr: string): Node {
-  const n: Node = { addr, up: false, frozenUntil: 0, stalledUntil: 0, life: 0, disk: null, machine: null, state: [], syncing: false, held: [] };
+  const n: Node = {
+    addr,
+    up: false,
+    frozenUntil: 0,
+    stalledUntil: 0,
+    life: 0,
+    disk: null,
+    machine: null,
+    state: [],
+    syncing: false,
+    held: [],
+  };
   w.nodes.set(addr, n);
   return n;
 }
@@ -66,10 +126,19 @@
   n.disk.pending = [];
   const r = recovery.replay(n.disk.view, [{ name: 'disk', values: n.disk.kept }]);
   assert.ok(r.ok, r.ok ? '' : r.why);
-  n.state = [...n.disk.view.state as number[]];
+  n.state = [...(n.disk.view.state as number[])];
   n.machine = group.create({
-    me: r.me, addr: n.addr, control: n.addr, timing, seed: luck.below(w.l, 1e9), target: w.seeds.length,
-    epoch: r.epoch, vote: r.vote, view: n.disk.view, entries: r.entries, now: w.now,
+    me: r.me,
+    addr: n.addr,
+    control: n.addr,
+    timing,
+    seed: luck.below(w.l, 1e9),
+    target: w.seeds.length,
+    epoch: r.epoch,
+    vote: r.vote,
+    view: n.disk.view,
+    entries: r.entries,
+    now: w.now,
   });
   const life = n.life;
   function tick(): void {
@@ -85,14 +154,19 @@
 
 function whenAwake(w: World, n: Node, life: number, run: () => void): void {
   if (n.life !== life || !n.up) return;
-  if (w.now < n.frozenUntil) at(w, n.frozenUntil - w.now + 1, function later() { whenAwake(w, n, life, run); });
+  if (w.now < n.frozenUntil)
+    at(w, n.frozenUntil - w.now + 1, function later() {
+      whenAwake(w, n, life, run);
+    });
   else run();
 }
 
 function join(w: World, n: Node): void {
   const s = n.machine!;
   if (log.isMember(s, s.me) || luck.next(w.l) > 0.2) return;
-  for (const other of w.nodes.keys()) if (other !== n.addr) deliver(w, n.addr, other, { m: 'join', from: s.me, fromAddr: n.addr, to: '*', control: n.addr });
+  for (const other of w.nodes.keys())
+    if (other !== n.addr)
+      deliver(w, n.addr, other, { m: 'join', from: s.me, fromAddr: n.addr, to: '*', control: n.addr });
 }
 
 function deliver(w: World, from: string, to: string, message: Message): void {
@@ -103,7 +177,9 @@
     at(w, 1 + luck.below(w.l, luck.next(w.l) < 0.05 ? 300 : 8), function arrive() {
       const n = w.nodes.get(to);
       if (!n?.up) return;
-      whenAwake(w, n, n.life, function take() { step(w, n, { e: 'message', message: copy }); });
+      whenAwake(w, n, n.life, function take() {
+        step(w, n, { e: 'message', message: copy });
+      });
     });
   }
 }
@@ -118,15 +194,21 @@
 function carry(w: World, n: Node, f: GroupEffect): void {
   const s = n.machine!;
   switch (f.f) {
-    case 'send': return deliver(w, n.addr, f.addr, f.message);
+    case 'send':
+      return deliver(w, n.addr, f.addr, f.message);
     case 'write':
       n.disk!.pending.push({ token: f.token, records: structuredClone(f.records), view: null });
       return sync(w, n);
     case 'install':
-      n.state = [...f.view.state as number[]];
-      n.disk!.pending.push({ token: 0, records: [head(s.me, f.view.index, s.epoch, s.vote, true)], view: structuredClone(f.view) });
+      n.state = [...(f.view.state as number[])];
+      n.disk!.pending.push({
+        token: 0,
+        records: [head(s.me, f.view.index, s.epoch, s.vote, true)],
+        view: structuredClone(f.view),
+      });
       return sync(w, n);
-    case 'deliver': return delivered(w, n, f.entry);
+    case 'deliver':
+      return delivered(w, n, f.entry);
     case 'phase':
       if (f.phase === 'sequencer') {
         const was = w.winners.get(f.epoch);
@@ -134,15 +216,21 @@
         w.winners.set(f.epoch, s.me);
       }
       return;
-    default: return;
+    default:
+      return;
   }
 }
 
 function delivered(w: World, n: Node, entry: import('../../src/coordination/group/types.js').Entry): void {
   const s = n.machine!;
-  const value = entry.data.kind === 'order' ? entry.data.command as number : 0;
+  const value = entry.data.kind === 'order' ? (entry.data.command as number) : 0;
   const known = w.order[entry.index - 1];
-  if (known) assert.deepEqual({ value, epoch: entry.epoch }, { value: known.value, epoch: known.epoch }, `entry ${entry.index} differs at ${n.addr}`);
+  if (known)
+    assert.deepEqual(
+      { value, epoch: entry.epoch },
+      { value: known.value, epoch: known.epoch },
+      `entry ${entry.index} differs at ${n.addr}`,
+    );
   else {
     assert.equal(entry.index, w.order.length + 1, 'entries are delivered without a gap');
     w.order.push({ index: entry.index, value, epoch: entry.epoch });
@@ -166,7 +254,10 @@
       keep(n.disk!, b.records, b.view);
       token = Math.max(token, b.token);
     }
-    if (token > 0) whenAwake(w, n, life, function told() { step(w, n, { e: 'synced', token }); });
+    if (token > 0)
+      whenAwake(w, n, life, function told() {
+        step(w, n, { e: 'synced', token });
+      });
     if (n.disk!.pending.length > 0) sync(w, n);
   }
   at(w, 2 + luck.below(w.l, 12), done);
@@ -219,13 +310,21 @@
     const some = how === 'kill' ? rest.length : luck.below(w.l, rest.length + 1);
     for (const b of rest.slice(0, some)) keep(n.disk!, b.records, b.view);
   }
-  at(w, ms, function back() { boot(w, n); });
+  at(w, ms, function back() {
+    boot(w, n);
+  });
 }
 
 function sequencer(w: World): Node | null {
   let best: Node | null = null;
   for (const n of w.nodes.values()) {
-    if (n.up && n.machine!.phase === 'sequencer' && w.now >= n.frozenUntil && (!best || n.machine!.epoch > best.machine!.epoch)) best = n;
+    if (
+      n.up &&
+      n.machine!.phase === 'sequencer' &&
+      w.now >= n.frozenUntil &&
+      (!best || n.machine!.epoch > best.machine!.epoch)
+    )
+      best = n;
   }
   return best;
 }
@@ -241,15 +340,30 @@
 function compact(w: World, n: Node): void {
   const s = n.machine!;
   if (!n.up || s.committed <= s.base.index || w.now < n.frozenUntil) return;
-  const view: View = { index: s.committed, epoch: log.epochAt(s, s.committed)!, members: group.membersAt(s, s.committed), state: [...n.state] };
+  const view: View = {
+    index: s.committed,
+    epoch: log.epochAt(s, s.committed)!,
+    members: group.membersAt(s, s.committed),
+    state: [...n.state],
+  };
   step(w, n, { e: 'compact', view });
-  const tail = s.entries.map(function one(entry): Record_ { return { r: 'entry', entry: structuredClone(entry) }; });
-  n.disk!.pending.push({ token: 0, records: [head(s.me, view.index, s.epoch, s.vote, false), ...tail], view: structuredClone(view) });
+  const tail = s.entries.map(function one(entry): Record_ {
+    return { r: 'entry', entry: structuredClone(entry) };
+  });
+  n.disk!.pending.push({
+    token: 0,
+    records: [head(s.me, view.index, s.epoch, s.vote, false), ...tail],
+    view: structuredClone(view),
+  });
   sync(w, n);
 }
 
 function checkAcked(w: World): void {
-  const values = new Set(w.order.map(function value(o) { return o.value; }));
+  const values = new Set(
+    w.order.map(function value(o) {
+      return o.value;
+    }),
+  );
   for (const v of w.acked) assert.ok(values.has(v), `acked ${v} is not in the order`);
 }
 
--- a/test/soundness.test.ts
+++ b/test/soundness.test.ts
@@ -8,18 +8,33 @@
 
 function bench(runners: number, sites: number): Bench {
   return {
-    runners: new Map(Array.from({ length: runners }, function one(_, i) { return [`r${i}`, 's'] as const; })),
-    sites: Array.from({ length: sites }, function one(_, i) { return `e${i}`; }),
+    runners: new Map(
+      Array.from({ length: runners }, function one(_, i) {
+        return [`r${i}`, 's'] as const;
+      }),
+    ),
+    sites: Array.from({ length: sites }, function one(_, i) {
+      return `e${i}`;
+    }),
   };
 }
 
 function unsound(j: Jury): string[] {
-  return jury.verdicts(j).map(function id(v) { return v[0]; });
+  return jury.verdicts(j).map(function id(v) {
+    return v[0];
+  });
 }
 
 // Every site sends to a runner drawn by luck; those in `grey` break a part of what they get, and sites
 // leave alone who is unsound unless they are asked to try.
-function play(j: Jury, b: Bench, grey: Map<string, number>, fromMs: number, toMs: number, seed: number): { broken: number; sent: number } {
+function play(
+  j: Jury,
+  b: Bench,
+  grey: Map<string, number>,
+  fromMs: number,
+  toMs: number,
+  seed: number,
+): { broken: number; sent: number } {
   const l = luck.create(seed);
   const ids = [...b.runners.keys()];
   let broken = 0;
@@ -29,10 +44,18 @@
     for (const site of b.sites) {
       if (luck.next(l) > 0.15) continue;
       const now_ = jury.verdicts(j);
-      const mine = now_.find(function named(v) { return v[1] === site && !tried.has(v[2]); });
+      const mine = now_.find(function named(v) {
+        return v[1] === site && !tried.has(v[2]);
+      });
       if (mine) tried.add(mine[2]);
-      const out = new Set(now_.map(function id(v) { return v[0]; }));
-      const free = ids.filter(function well(id) { return !out.has(id); });
+      const out = new Set(
+        now_.map(function id(v) {
+          return v[0];
+        }),
+      );
+      const free = ids.filter(function well(id) {
+        return !out.has(id);
+      });
       const id = mine ? mine[0] : luck.pick(l, free);
       const bad = luck.next(l) < (grey.get(id) ?? 0);
       sent++;
@@ -47,7 +70,12 @@
 test('runners that fail a part of what they get are out for all within a second, and the rest stay in', function run() {
   const b = bench(40, 70);
   const j = jury.create();
-  const grey = new Map([['r1', 0.45], ['r2', 0.45], ['r3', 1], ['r4', 0.45]]);
+  const grey = new Map([
+    ['r1', 0.45],
+    ['r2', 0.45],
+    ['r3', 1],
+    ['r4', 0.45],
+  ]);
   play(j, b, grey, 0, 1000, 1);
   assert.deepEqual(unsound(j).sort(), ['r1', 'r2', 'r3', 'r4']);
   const after = play(j, b, grey, 1000, 8000, 2);
@@ -77,26 +105,51 @@
 test('rare broken answers everywhere, as under a garbling trouble, take out nobody for long', function run() {
   const b = bench(42, 73);
   const j = jury.create();
-  const all = new Map([...b.runners.keys()].map(function pair(id) { return [id, 0.03] as const; }));
+  const all = new Map(
+    [...b.runners.keys()].map(function pair(id) {
+      return [id, 0.03] as const;
+    }),
+  );
   play(j, b, all, 0, 6000, 6);
   assert.ok(unsound(j).length <= 2, unsound(j).join());
 });
 
 test('whatever sites say, a quarter of a pool at most is out, and words without sense change nothing', function run() {
-  const row = fc.tuple(fc.oneof(fc.integer({ min: 0, max: 11 }).map(function id(n) { return `r${n}`; }), fc.constant('ghost')), fc.oneof(fc.integer({ min: 0, max: 5 }), fc.constant(NaN), fc.constant(-3)), fc.integer({ min: 0, max: 50 }));
-  fc.assert(fc.property(fc.array(fc.tuple(fc.integer({ min: 0, max: 8 }), fc.array(row as fc.Arbitrary<[string, number, number]>, { maxLength: 12 })), { maxLength: 150 }), function holds(words) {
-    const b = bench(12, 9);
-    const j = jury.create();
-    let now = 0;
-    for (const [site, rows] of words) {
-      now += 40;
-      jury.hear(j, `e${site}`, rows, now);
-      jury.beat(j, b, now);
-      assert.ok(unsound(j).length <= 3);
-      assert.ok(!unsound(j).includes('ghost'));
-      for (const [, taker] of jury.verdicts(j)) assert.ok(taker === null || b.sites.includes(taker));
-    }
-  }), { seed: 13, numRuns: 150 });
+  const row = fc.tuple(
+    fc.oneof(
+      fc.integer({ min: 0, max: 11 }).map(function id(n) {
+        return `r${n}`;
+      }),
+      fc.constant('ghost'),
+    ),
+    fc.oneof(fc.integer({ min: 0, max: 5 }), fc.constant(NaN), fc.constant(-3)),
+    fc.integer({ min: 0, max: 50 }),
+  );
+  fc.assert(
+    fc.property(
+      fc.array(
+        fc.tuple(
+          fc.integer({ min: 0, max: 8 }),
+          fc.array(row as fc.Arbitrary<[string, number, number]>, { maxLength: 12 }),
+        ),
+        { maxLength: 150 },
+      ),
+      function holds(words) {
+        const b = bench(12, 9);
+        const j = jury.create();
+        let now = 0;
+        for (const [site, rows] of words) {
+          now += 40;
+          jury.hear(j, `e${site}`, rows, now);
+          jury.beat(j, b, now);
+          assert.ok(unsound(j).length <= 3);
+          assert.ok(!unsound(j).includes('ghost'));
+          for (const [, taker] of jury.verdicts(j)) assert.ok(taker === null || b.sites.includes(taker));
+        }
+      },
+    ),
+    { seed: 13, numRuns: 150 },
+  );
 });
 
 test('a runner that left is forgotten', function run() {
--- a/test/standins/runner.ts
+++ b/test/standins/runner.ts
@@ -2,20 +2,72 @@
 // tells of them, takes orders for new weights, and remembers every request it ran.
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 
-export type Ran = { attempt: string; tenant: string | undefined; path: string; body: string; salt: string; version: number; lastEvent: string | undefined; key: string | undefined; saveTo: string | undefined; fetchFrom: string | undefined };
+export type Ran = {
+  attempt: string;
+  tenant: string | undefined;
+  path: string;
+  body: string;
+  salt: string;
+  version: number;
+  lastEvent: string | undefined;
+  key: string | undefined;
+  saveTo: string | undefined;
+  fetchFrom: string | undefined;
+};
 export type Mode = 'well' | 'refuse' | 'break' | 'other id' | 'fail' | 'garbage' | 'extra' | 'no seal' | 'hang up';
 export type RunnerStandin = {
-  id: string; host: string; port: number; service: string; zone: string; model: string; version: number; draining: boolean;
-  mode: Mode; store: RunnerStandin | null; pieces: number; breakAfter: number | null; refuse: boolean; ran: Ran[]; orders: object[]; kept: Map<string, [string, string, number, string]>;
-  events: [number, string, string, string, number, string][]; server: Server; waiters: Set<() => void>;
+  id: string;
+  host: string;
+  port: number;
+  service: string;
+  zone: string;
+  model: string;
+  version: number;
+  draining: boolean;
+  mode: Mode;
+  store: RunnerStandin | null;
+  pieces: number;
+  breakAfter: number | null;
+  refuse: boolean;
+  ran: Ran[];
+  orders: object[];
+  kept: Map<string, [string, string, number, string]>;
+  events: [number, string, string, string, number, string][];
+  server: Server;
+  waiters: Set<() => void>;
 };
 
-function start(o: { id: string; host: string; port: number; service: string; zone: string; model: string }): Promise<RunnerStandin> {
+function start(o: {
+  id: string;
+  host: string;
+  port: number;
+  service: string;
+  zone: string;
+  model: string;
+}): Promise<RunnerStandin> {
   const r = {
-    ...o, version: 1, draining: false, mode: 'well', store: null, pieces: 4, breakAfter: null, refuse: false, ran: [], orders: [], kept: new Map(), events: [], waiters: new Set(),
+    ...o,
+    version: 1,
+    draining: false,
+    mode: 'well',
+    store: null,
+    pieces: 4,
+    breakAfter: null,
+    refuse: false,
+    ran: [],
+    orders: [],
+    kept: new Map(),
+    events: [],
+    waiters: new Set(),
   } as unknown as RunnerStandin;
-  r.server = createServer(function got(req, res) { void handle(r, req, res); });
-  return new Promise(function run(done) { r.server.listen(o.port, o.host, function up() { done(r); }); });
+  r.server = createServer(function got(req, res) {
+    void handle(r, req, res);
+  });
+  return new Promise(function run(done) {
+    r.server.listen(o.port, o.host, function up() {
+      done(r);
+    });
+  });
 }
 
 async function text(req: IncomingMessage): Promise<string> {
@@ -33,7 +85,17 @@
   const url = new URL(req.url ?? '/', 'http://runner');
   const body = await text(req);
   if (url.pathname === '/v1/report') {
-    return json(res, 200, { phase: 'whole', model_list: [{ label: r.model, revision: r.version, adapter_list: [] }], is_busy: false, call_seq: r.orders.length, queued: 0, active: 0, kv_used_tokens: 0, kv_total_tokens: 1000, handle_list: 0 });
+    return json(res, 200, {
+      phase: 'whole',
+      model_list: [{ label: r.model, revision: r.version, adapter_list: [] }],
+      is_busy: false,
+      call_seq: r.orders.length,
+      queued: 0,
+      active: 0,
+      kv_used_tokens: 0,
+      kv_total_tokens: 1000,
+      handle_list: 0,
+    });
   }
   if (url.pathname === '/v1/order') {
     const o = JSON.parse(body) as { revision: number };
@@ -45,8 +107,10 @@
     }
     return json(res, holds ? 200 : 202, {});
   }
-  if (url.pathname === '/v1/kv-list') return json(res, 200, { epoch_no: 1, next_token: r.events.length + 1, is_held: [...r.kept.values()] });
-  if (url.pathname === '/v1/kv-events') return keptEvents(r, Number(url.searchParams.get('since_at')), Number(req.headers['wait-ms'] ?? 0), res);
+  if (url.pathname === '/v1/kv-list')
+    return json(res, 200, { epoch_no: 1, next_token: r.events.length + 1, is_held: [...r.kept.values()] });
+  if (url.pathname === '/v1/kv-events')
+    return keptEvents(r, Number(url.searchParams.get('since_at')), Number(req.headers['wait-ms'] ?? 0), res);
   return generate(r, req, res, body);
 }
 
@@ -54,7 +118,14 @@
   function answer(): void {
     clearTimeout(timer);
     r.waiters.delete(answer);
-    json(res, 200, { epoch_no: 1, next_token: r.events.length + 1, is_lost: false, event_list: r.events.filter(function after(e) { return e[0] >= since; }) });
+    json(res, 200, {
+      epoch_no: 1,
+      next_token: r.events.length + 1,
+      is_lost: false,
+      event_list: r.events.filter(function after(e) {
+        return e[0] >= since;
+      }),
+    });
   }
   const timer = setTimeout(answer, Math.min(waitMs, 1000));
   if (r.events.length + 1 > since) answer();
@@ -85,14 +156,34 @@
   const h = req.headers as Record<string, string | undefined>;
   const attempt = h['x-attempt-id'];
   if (attempt === undefined) return void res.writeHead(400, { 'X-Not-Run': '1' }).end();
-  if (h['x-expect-instance'] !== undefined && h['x-expect-instance'] !== r.id) return void res.writeHead(421, { 'X-Instance': r.id, 'X-Attempt-Id': attempt }).end();
-  if (h['x-expect-version'] !== undefined && Number(h['x-expect-version']) !== r.version) return void res.writeHead(421, { 'X-Attempt-Id': attempt }).end();
-  if (r.refuse || r.mode === 'refuse') return void res.writeHead(503, { 'X-Not-Run': '1', 'X-Attempt-Id': attempt }).end();
-  r.ran.push({ attempt, tenant: h['x-tenant'], path: req.url ?? '', body, salt: h['x-cache-salt'] ?? '', version: r.version, lastEvent: h['last-event-id'], key: h['x-api-key'], saveTo: h['x-kv-save-to'], fetchFrom: h['x-kv-fetch-from'] });
-  if (r.store && h['x-kv-save-to'] === `${r.store.host}:${r.store.port}`) keep(r.store, h['x-cache-salt'] ?? '', h['x-prompt-prefix'] ?? '');
+  if (h['x-expect-instance'] !== undefined && h['x-expect-instance'] !== r.id)
+    return void res.writeHead(421, { 'X-Instance': r.id, 'X-Attempt-Id': attempt }).end();
+  if (h['x-expect-version'] !== undefined && Number(h['x-expect-version']) !== r.version)
+    return void res.writeHead(421, { 'X-Attempt-Id': attempt }).end();
+  if (r.refuse || r.mode === 'refuse')
+    return void res.writeHead(503, { 'X-Not-Run': '1', 'X-Attempt-Id': attempt }).end();
+  r.ran.push({
+    attempt,
+    tenant: h['x-tenant'],
+    path: req.url ?? '',
+    body,
+    salt: h['x-cache-salt'] ?? '',
+    version: r.version,
+    lastEvent: h['last-event-id'],
+    key: h['x-api-key'],
+    saveTo: h['x-kv-save-to'],
+    fetchFrom: h['x-kv-fetch-from'],
+  });
+  if (r.store && h['x-kv-save-to'] === `${r.store.host}:${r.store.port}`)
+    keep(r.store, h['x-cache-salt'] ?? '', h['x-prompt-prefix'] ?? '');
   if (r.mode !== 'well') return spoil(r, res, attempt);
   if (h['x-prompt-prefix']) keep(r, h['x-cache-salt'] ?? '', h['x-prompt-prefix']);
-  res.writeHead(200, { 'Content-Type': 'text/event-stream', 'X-Attempt-Id': attempt, 'X-Server-Seal': `seal-${r.id}`, 'X-Weight-Versions': `${r.model}=${r.version}` });
+  res.writeHead(200, {
+    'Content-Type': 'text/event-stream',
+    'X-Attempt-Id': attempt,
+    'X-Server-Seal': `seal-${r.id}`,
+    'X-Weight-Versions': `${r.model}=${r.version}`,
+  });
   const first = Number(h['last-event-id'] ?? 0) + 1;
   for (let i = first; i <= r.pieces; i++) {
     if (r.breakAfter !== null && h['last-event-id'] === undefined && i > r.breakAfter) {
@@ -136,14 +227,18 @@
       const { socket } = res;
       res.writeHead(200, head);
       for (let i = 1; i <= r.pieces; i++) res.write(`id: ${i}\ndata: piece ${i}\n\n`);
-      res.end(function sent() { socket?.write('HTTP/1.1 200 OK\r\nX-Attempt-Id: late\r\nContent-Length: 5\r\n\r\nextra'); });
+      res.end(function sent() {
+        socket?.write('HTTP/1.1 200 OK\r\nX-Attempt-Id: late\r\nContent-Length: 5\r\n\r\nextra');
+      });
     }
   }
 }
 
 function stop(r: RunnerStandin): Promise<void> {
   return new Promise(function run(done) {
-    r.server.close(function closed() { done(); });
+    r.server.close(function closed() {
+      done();
+    });
     r.server.closeAllConnections();
   });
 }
--- a/test/state.test.ts
+++ b/test/state.test.ts
@@ -1,7 +1,16 @@
 // State kept and state derived: the log on disk against torn, missing and doubled writes, the judge of
 // operator calls, the index of kept parts, the budget of further legs, routes and the cut of streams.
 import { strict as assert } from 'node:assert';
-import { appendFileSync, mkdtempSync, readdirSync, readFileSync, rmSync, truncateSync, unlinkSync, writeFileSync } from 'node:fs';
+import {
+  appendFileSync,
+  mkdtempSync,
+  readdirSync,
+  readFileSync,
+  rmSync,
+  truncateSync,
+  unlinkSync,
+  writeFileSync,
+} from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { test } from 'node:test';
@@ -19,7 +28,12 @@
 import type { Entry, View } from '../src/coordination/group/types.js';
 import type { Configuration, OperatorCall } from '../src/types.js';
 
-const view0: View = { index: 0, epoch: 0, members: [{ id: 'a#first', addr: 'a', control: 'a' }], state: control.empty() };
+const view0: View = {
+  index: 0,
+  epoch: 0,
+  members: [{ id: 'a#first', addr: 'a', control: 'a' }],
+  state: control.empty(),
+};
 
 function entry(index: number, epoch: number): Entry {
   return { index, epoch, data: { kind: 'order', command: index } };
@@ -27,13 +41,22 @@
 
 function synced(s: Store, token: number): Promise<void> {
   return new Promise(function run(done) {
-    s.on('synced', function kept(t: number) { if (t >= token) done(); });
+    s.on('synced', function kept(t: number) {
+      if (t >= token) done();
+    });
   });
 }
 
 async function filled(dir: string, n: number): Promise<void> {
   const s = store.create(dir, 'a#first', 1, 0, 0, null);
-  store.keepView(s, view0, function tail() { return { epoch: 0, vote: null, entries: [] }; }, false);
+  store.keepView(
+    s,
+    view0,
+    function tail() {
+      return { epoch: 0, vote: null, entries: [] };
+    },
+    false,
+  );
   store.write(s, [{ r: 'promise', epoch: 2, vote: 'a#first' }], 1);
   for (let i = 1; i <= n; i++) store.write(s, [{ r: 'entry', entry: entry(i, 2) }], i + 1);
   await synced(s, n + 1);
@@ -74,7 +97,9 @@
       const r = recovery.recover(dir);
       assert.ok(r.k === 'whole' && r.torn.length === 1);
       assert.ok(r.found.entries.length < 10);
-      r.found.entries.forEach(function each(e, i) { assert.equal(e.index, i + 1); });
+      r.found.entries.forEach(function each(e, i) {
+        assert.equal(e.index, i + 1);
+      });
     }
     const bad = Buffer.from(whole);
     bad[bad.length - 3]! ^= 0xff;
@@ -93,10 +118,14 @@
     await store.close(s);
     const before = recovery.recover(dir);
     assert.ok(before.k === 'whole' && before.found.entries.length === 11);
-    const middle = recovery.numbered(readdirSync(dir), 'segment').find(function old(f) { return f.no < 50; })!;
+    const middle = recovery.numbered(readdirSync(dir), 'segment').find(function old(f) {
+      return f.no < 50;
+    })!;
     truncateSync(join(dir, middle.name), 60);
     assert.equal(recovery.recover(dir).k, 'lost');
-    const bare = recovery.replay(view0, [{ name: 's', values: [{ r: 'head', me: 'a#first', after: 3, epoch: 2, vote: null, reset: false }] }]);
+    const bare = recovery.replay(view0, [
+      { name: 's', values: [{ r: 'head', me: 'a#first', after: 3, epoch: 2, vote: null, reset: false }] },
+    ]);
     assert.equal(bare.ok, false, 'a head alone says so too');
     unlinkSync(join(dir, middle.name));
     assert.equal(recovery.recover(dir).k, 'lost');
@@ -108,25 +137,53 @@
     await filled(dir, 10);
     const s = store.create(dir, 'a#first', 50, 10, 2, 'a#first');
     const view: View = { ...view0, index: 8, epoch: 2 };
-    store.keepView(s, view, function tail() { return { epoch: 2, vote: 'a#first', entries: [entry(9, 2), entry(10, 2)] }; }, false);
+    store.keepView(
+      s,
+      view,
+      function tail() {
+        return { epoch: 2, vote: 'a#first', entries: [entry(9, 2), entry(10, 2)] };
+      },
+      false,
+    );
     store.write(s, [{ r: 'entry', entry: entry(11, 2) }], 1);
     await synced(s, 1);
     await store.close(s);
     const r = recovery.recover(dir);
     assert.ok(r.k === 'whole');
     assert.equal(r.found.view.index, 8);
-    assert.deepEqual(r.found.entries.map(function at(e) { return e.index; }), [9, 10, 11]);
+    assert.deepEqual(
+      r.found.entries.map(function at(e) {
+        return e.index;
+      }),
+      [9, 10, 11],
+    );
     assert.equal(recovery.numbered(readdirSync(dir), 'segment').length, 1);
   });
 });
 
 test('an entry of a later epoch trims what stood there', function run() {
-  const r = recovery.replay(view0, [{ name: 's', values: [
-    { r: 'head', me: 'a#first', after: 0, epoch: 0, vote: null, reset: false },
-    { r: 'entry', entry: entry(1, 1) }, { r: 'entry', entry: entry(2, 1) }, { r: 'entry', entry: entry(3, 1) }, { r: 'entry', entry: entry(2, 2) },
-  ] }]);
+  const r = recovery.replay(view0, [
+    {
+      name: 's',
+      values: [
+        { r: 'head', me: 'a#first', after: 0, epoch: 0, vote: null, reset: false },
+        { r: 'entry', entry: entry(1, 1) },
+        { r: 'entry', entry: entry(2, 1) },
+        { r: 'entry', entry: entry(3, 1) },
+        { r: 'entry', entry: entry(2, 2) },
+      ],
+    },
+  ]);
   assert.ok(r.ok);
-  assert.deepEqual(r.entries.map(function at(e) { return [e.index, e.epoch]; }), [[1, 1], [2, 2]]);
+  assert.deepEqual(
+    r.entries.map(function at(e) {
+      return [e.index, e.epoch];
+    }),
+    [
+      [1, 1],
+      [2, 2],
+    ],
+  );
 });
 
 test('garbage behind the log is no record', function run() {
@@ -139,7 +196,9 @@
 });
 
 const base: Configuration = {
-  revision: 4, route_list: [{ label: 'r', hostname: 'h', path_prefix: '/', variant: 'idempotent', deadline_ms: 5, target: 's' }], service_list: [{ label: 's' }],
+  revision: 4,
+  route_list: [{ label: 'r', hostname: 'h', path_prefix: '/', variant: 'idempotent', deadline_ms: 5, target: 's' }],
+  service_list: [{ label: 's' }],
 };
 
 function put(match: string | null, c: unknown, method = 'PUT'): OperatorCall {
@@ -170,12 +229,20 @@
   assert.equal(next.configuration!.route_list.length, 0);
   assert.equal(judge.call(next, change).v, 'taken');
   assert.equal(judge.call(next, first).v, 'taken');
-  assert.equal(status(s, put('4', { revision: 7, upserts: { route_list: [{ ...base.route_list[0], target: 'x' }] } }, 'PATCH')), 400);
+  assert.equal(
+    status(s, put('4', { revision: 7, upserts: { route_list: [{ ...base.route_list[0], target: 'x' }] } }, 'PATCH')),
+    400,
+  );
 });
 
 test('weights are named once and never go back', function run() {
   function name(revision: unknown): OperatorCall {
-    return { method: 'POST', path: '/v1/version-put', match: null, body: Buffer.from(JSON.stringify({ model_name: 'm', revision })) };
+    return {
+      method: 'POST',
+      path: '/v1/version-put',
+      match: null,
+      body: Buffer.from(JSON.stringify({ model_name: 'm', revision })),
+    };
   }
   const s = taken(control.empty(), name(2));
   assert.equal(judge.call(s, name(2)).v, 'taken');
@@ -186,20 +253,49 @@
 
 test('the longest prefix wins and shares follow the draw', function run() {
   const t = routes.build({
-    ...base, route_list: [
-      { ...base.route_list[0]!, label: 'a', path_prefix: '/x/' }, { ...base.route_list[0]!, label: 'b', path_prefix: '/x/y/', branches: [{ target: 's', share: 1 }, { target: 'q', share: 3 }] },
+    ...base,
+    route_list: [
+      { ...base.route_list[0]!, label: 'a', path_prefix: '/x/' },
+      {
+        ...base.route_list[0]!,
+        label: 'b',
+        path_prefix: '/x/y/',
+        branches: [
+          { target: 's', share: 1 },
+          { target: 'q', share: 3 },
+        ],
+      },
     ],
   });
   assert.equal(routes.find(t, 'H:80', '/x/y/z')!.label, 'b');
   assert.equal(routes.find(t, 'h', '/x/yz')!.label, 'a');
   assert.equal(routes.find(t, 'h', '/q'), null);
   const b = routes.find(t, 'h', '/x/y/')!;
-  assert.deepEqual([routes.branch(b, 0), routes.branch(b, 0.24), routes.branch(b, 0.26), routes.branch(b, 0.999)], ['s', 's', 'q', 'q']);
+  assert.deepEqual(
+    [routes.branch(b, 0), routes.branch(b, 0.24), routes.branch(b, 0.26), routes.branch(b, 0.999)],
+    ['s', 's', 'q', 'q'],
+  );
 });
 
 test('the index follows events, restarts, gaps and lists', function run() {
   const ix = keptIndex.create(1000, 50);
-  assert.equal(keptIndex.events(ix, 'p', { epoch: 1, next: 3, isLost: false, events: [[1, '+', 'all/m/1', 'aa', 2000, 'm'], [2, '+', 'all/m/1', 'bb', 20, 'm']] }, 0), false);
+  assert.equal(
+    keptIndex.events(
+      ix,
+      'p',
+      {
+        epoch: 1,
+        next: 3,
+        isLost: false,
+        events: [
+          [1, '+', 'all/m/1', 'aa', 2000, 'm'],
+          [2, '+', 'all/m/1', 'bb', 20, 'm'],
+        ],
+      },
+      0,
+    ),
+    false,
+  );
   assert.deepEqual(keptIndex.all(ix), [['+', 'all/m/1', 'aa', 2000, 'p']]);
   keptIndex.events(ix, 'p', { epoch: 1, next: 4, isLost: false, events: [[3, '-', 'all/m/1', 'aa', 128, 'm']] }, 0);
   assert.deepEqual(keptIndex.all(ix), []);
@@ -219,7 +315,11 @@
   const h = holdings.create(10);
   holdings.put(h, 's', 'a', 1, 100);
   holdings.put(h, 's', 'c', 1, 100);
-  const parts = [{ id: 'a', tokens: 100 }, { id: 'b', tokens: 50 }, { id: 'c', tokens: 100 }];
+  const parts = [
+    { id: 'a', tokens: 100 },
+    { id: 'b', tokens: 50 },
+    { id: 'c', tokens: 100 },
+  ];
   assert.equal(holdings.prefixAt(h, 's', parts, 1, 0), 100);
   holdings.put(h, 's', 'b', 1, 20);
   assert.equal(holdings.prefixAt(h, 's', parts, 1, 0), 120);
@@ -227,24 +327,37 @@
 });
 
 test('the sites together never exceed the budget in any sliding window', function run() {
-  fc.assert(fc.property(fc.integer({ min: 1, max: 12 }), fc.array(fc.tuple(fc.integer({ min: 0, max: 400 }), fc.boolean()), { minLength: 50, maxLength: 400 }), function holds(k, steps) {
-    const sites = Array.from({ length: k }, function one() { return budget.create(10_000, 0.2, 58); });
-    const asked: number[] = [];
-    const used: number[] = [];
-    let now = 0;
-    steps.forEach(function each([gap, burst], i) {
-      now += gap;
-      const b = sites[i % k]!;
-      budget.asked(b, now);
-      asked.push(now);
-      for (let j = 0; j < (burst ? 20 : 1); j++) if (budget.take(b, now, k)) used.push(now);
-    });
-    for (const end of used) {
-      const n = used.filter(function inside(t) { return t <= end && t > end - 10_000; }).length;
-      const a = asked.filter(function inside(t) { return t <= end && t > end - 20_000; }).length;
-      assert.ok(n <= 0.2 * a + 58, `${n} of ${a}`);
-    }
-  }), { numRuns: 60, seed: 11 });
+  fc.assert(
+    fc.property(
+      fc.integer({ min: 1, max: 12 }),
+      fc.array(fc.tuple(fc.integer({ min: 0, max: 400 }), fc.boolean()), { minLength: 50, maxLength: 400 }),
+      function holds(k, steps) {
+        const sites = Array.from({ length: k }, function one() {
+          return budget.create(10_000, 0.2, 58);
+        });
+        const asked: number[] = [];
+        const used: number[] = [];
+        let now = 0;
+        steps.forEach(function each([gap, burst], i) {
+          now += gap;
+          const b = sites[i % k]!;
+          budget.asked(b, now);
+          asked.push(now);
+          for (let j = 0; j < (burst ? 20 : 1); j++) if (budget.take(b, now, k)) used.push(now);
+        });
+        for (const end of used) {
+          const n = used.filter(function inside(t) {
+            return t <= end && t > end - 10_000;
+          }).length;
+          const a = asked.filter(function inside(t) {
+            return t <= end && t > end - 20_000;
+          }).length;
+          assert.ok(n <= 0.2 * a + 58, `${n} of ${a}`);
+        }
+      },
+    ),
+    { numRuns: 60, seed: 11 },
+  );
 });
 
 test('without a known number of sites there is no slack', function run() {
@@ -256,19 +369,62 @@
 
 test('however a stream is cut into chunks, the same whole events come out', function run() {
   const text = 'id: 1\ndata: a\n\nid: 2\ndata: bb\n\nx-weight-versions: m=3\nid: 3\ndata: c\n\nid: 4\nda';
-  fc.assert(fc.property(fc.array(fc.integer({ min: 1, max: text.length - 1 })), function holds(cuts) {
-    const c = eventCut.create();
-    const at = [0, ...[...new Set(cuts)].sort(function up(a, b) { return a - b; }), text.length];
-    const got = at.slice(1).flatMap(function part(end, i) { return eventCut.take(c, Buffer.from(text.slice(at[i]!, end))); });
-    assert.deepEqual(got.map(function id(e) { return e.id; }), ['1', '2', '3']);
-    assert.equal(got.map(function body(e) { return e.bytes.toString(); }).join('') + c.rest.toString(), text);
-  }), { seed: 3, numRuns: 200 });
+  fc.assert(
+    fc.property(fc.array(fc.integer({ min: 1, max: text.length - 1 })), function holds(cuts) {
+      const c = eventCut.create();
+      const at = [
+        0,
+        ...[...new Set(cuts)].sort(function up(a, b) {
+          return a - b;
+        }),
+        text.length,
+      ];
+      const got = at.slice(1).flatMap(function part(end, i) {
+        return eventCut.take(c, Buffer.from(text.slice(at[i]!, end)));
+      });
+      assert.deepEqual(
+        got.map(function id(e) {
+          return e.id;
+        }),
+        ['1', '2', '3'],
+      );
+      assert.equal(
+        got
+          .map(function body(e) {
+            return e.bytes.toString();
+          })
+          .join('') + c.rest.toString(),
+        text,
+      );
+    }),
+    { seed: 3, numRuns: 200 },
+  );
 });
 
 test('heads of one connection and of the system do not go on', function run() {
-  const raw = ['Host', 'h', 'Connection', 'x-one, close', 'X-One', '1', 'X-Api-Key', 'k', 'X-Tenant', 'me', 'X-Cache-Salt', 's', 'X-Other', 'o', 'Transfer-Encoding', 'chunked'];
+  const raw = [
+    'Host',
+    'h',
+    'Connection',
+    'x-one, close',
+    'X-One',
+    '1',
+    'X-Api-Key',
+    'k',
+    'X-Tenant',
+    'me',
+    'X-Cache-Salt',
+    's',
+    'X-Other',
+    'o',
+    'Transfer-Encoding',
+    'chunked',
+  ];
   assert.deepEqual(heads.onward(raw, 'x-one, close'), ['Host', 'h', 'X-Other', 'o']);
-  assert.deepEqual(heads.parts('5c:800,91:410'), [{ id: '5c', tokens: 800 }, { id: '91', tokens: 410 }]);
+  assert.deepEqual(heads.parts('5c:800,91:410'), [
+    { id: '5c', tokens: 800 },
+    { id: '91', tokens: 410 },
+  ]);
   assert.deepEqual(heads.parts('5c:800,zz'), []);
   assert.equal(heads.versions('m=3', 'm'), 3);
   assert.equal(heads.versions('q=3', 'm'), null);
--- a/test/tools.test.ts
+++ b/test/tools.test.ts
@@ -16,9 +16,15 @@
   return new Promise(function run(done) {
     const c = spawn(process.execPath, ['target/milletcleat.mjs', ...args]);
     const r: Run = { status: null, out: '', err: '' };
-    c.stdout.on('data', function more(b) { r.out += String(b); });
-    c.stderr.on('data', function more(b) { r.err += String(b); });
-    c.on('close', function over(status) { done({ ...r, status }); });
+    c.stdout.on('data', function more(b) {
+      r.out += String(b);
+    });
+    c.stderr.on('data', function more(b) {
+      r.err += String(b);
+    });
+    c.on('close', function over(status) {
+      done({ ...r, status });
+    });
   });
 }
 
@@ -32,11 +38,22 @@
   assert.doesNotMatch(r.err + r.out, /^\s+at .*\(.*:\d+:\d+\)/m, 'no stack trace');
 }
 
-before(async function up() {
-  dir = mkdtempSync(join(tmpdir(), 'milletcleat-tools-'));
-  f = await fs.create(72, 1, 2);
-  await fs.until(function ask() { return cli('status', '--control', control(1), '--json'); }, function led(r) { return r.status === 0 && (JSON.parse(r.out) as { phase: string }).phase === 'sequencer'; }, 'a sequencer');
-}, { timeout: 60_000 });
+before(
+  async function up() {
+    dir = mkdtempSync(join(tmpdir(), 'milletcleat-tools-'));
+    f = await fs.create(72, 1, 2);
+    await fs.until(
+      function ask() {
+        return cli('status', '--control', control(1), '--json');
+      },
+      function led(r) {
+        return r.status === 0 && (JSON.parse(r.out) as { phase: string }).phase === 'sequencer';
+      },
+      'a sequencer',
+    );
+  },
+  { timeout: 60_000 },
+);
 
 after(async function down() {
   await fs.stop(f);
@@ -50,28 +67,72 @@
 test('config put, get, diff and patch against a running system', async function run() {
   const first = file('first.json', JSON.stringify(fs.configuration(3)));
   assert.equal((await cli('config', 'put', first, '--control', control(2))).status, 2);
-  assert.deepEqual(await cli('config', 'put', first, '--control', control(2), '--match', '0'), { status: 0, out: 'taken\n', err: '' });
+  assert.deepEqual(await cli('config', 'put', first, '--control', control(2), '--match', '0'), {
+    status: 0,
+    out: 'taken\n',
+    err: '',
+  });
   const got = await cli('config', 'get', '--control', control(3));
   assert.deepEqual(JSON.parse(got.out), fs.configuration(3));
   const next = fs.configuration(4) as { tenant_list: object[] };
   next.tenant_list.reverse();
   next.tenant_list.push({ label: 't-three', api_keys: ['key-three'] });
   const d = await cli('config', 'diff', file('next.json', JSON.stringify(next)), '--control', control(1));
-  assert.deepEqual(d.out.trim().split('\n').sort(), ['+ tenant_list.t-three: {"label":"t-three","api_keys":["key-three"]}', '~ revision: 3 -> 4']);
+  assert.deepEqual(d.out.trim().split('\n').sort(), [
+    '+ tenant_list.t-three: {"label":"t-three","api_keys":["key-three"]}',
+    '~ revision: 3 -> 4',
+  ]);
   const again = await cli('config', 'put', first, '--control', control(1), '--match', '0');
   assert.equal(again.status, 0, 'the same call again is known');
-  const stale = await cli('config', 'patch', file('p.json', '{"revision": 9}'), '--control', control(1), '--match', '1');
+  const stale = await cli(
+    'config',
+    'patch',
+    file('p.json', '{"revision": 9}'),
+    '--control',
+    control(1),
+    '--match',
+    '1',
+  );
   assert.equal(stale.status, 1);
   assert.match(stale.err, /another revision is in place/);
-  const bad = await cli('config', 'patch', file('q.json', '{"revision": 9, "upserts": {"route_list": [{"label": "x"}]}}'), '--control', control(1), '--match', '3');
+  const bad = await cli(
+    'config',
+    'patch',
+    file('q.json', '{"revision": 9, "upserts": {"route_list": [{"label": "x"}]}}'),
+    '--control',
+    control(1),
+    '--match',
+    '3',
+  );
   assert.equal(bad.status, 1);
   assert.match(bad.err, /not valid; nothing was changed\n {2}route_list\.2\./);
-  assert.equal((await cli('config', 'patch', file('r.json', '{"revision": 9, "removals": {"route_list": ["once"]}}'), '--control', control(1), '--match', '3')).status, 0);
+  assert.equal(
+    (
+      await cli(
+        'config',
+        'patch',
+        file('r.json', '{"revision": 9, "removals": {"route_list": ["once"]}}'),
+        '--control',
+        control(1),
+        '--match',
+        '3',
+      )
+    ).status,
+    0,
+  );
   for (const r of [stale, bad]) plain(r);
 });
 
 test('status tells the epoch, the roster, sites and runners', async function run() {
-  const r = await fs.until(function ask() { return cli('status', '--control', control(2)); }, function sees(x) { return /edge-1 +9/.test(x.out) && /i-1/.test(x.out); }, 'the site at revision 9');
+  const r = await fs.until(
+    function ask() {
+      return cli('status', '--control', control(2));
+    },
+    function sees(x) {
+      return /edge-1 +9/.test(x.out) && /i-1/.test(x.out);
+    },
+    'the site at revision 9',
+  );
   assert.equal(r.status, 0);
   assert.match(r.out, /^epoch \d+, sequencer 127/m);
   assert.equal(r.out.match(/#first/g)!.length >= 3, true);
@@ -92,11 +153,30 @@
   assert.equal((await cli('check', 'deploy/system.toml')).status, 0);
   const good = file('good.json', JSON.stringify(fs.configuration(1)));
   assert.equal((await cli('check', good, '--json')).status, 0);
-  const r = await cli('check',
-    file('bad.toml', 'build = "x"\n[roles.a]\nrun = "x"\non = "edge"\nserves = ["edge"]\n[roles.b]\nrun = "x"\non = "edge"\nshare = 2\n'),
-    file('torn.toml', 'build = \n'), file('bad.json', '{"revision": 0}'), file('torn.json', '{"revision": '), file('bad.yaml', 'node_name: 3\n'), join(dir, 'missing.yaml'), dir);
+  const r = await cli(
+    'check',
+    file(
+      'bad.toml',
+      'build = "x"\n[roles.a]\nrun = "x"\non = "edge"\nserves = ["edge"]\n[roles.b]\nrun = "x"\non = "edge"\nshare = 2\n',
+    ),
+    file('torn.toml', 'build = \n'),
+    file('bad.json', '{"revision": 0}'),
+    file('torn.json', '{"revision": '),
+    file('bad.yaml', 'node_name: 3\n'),
+    join(dir, 'missing.yaml'),
+    dir,
+  );
   assert.equal(r.status, 1);
-  for (const place of ['bad.toml: roles.b.share', 'torn.toml:1', 'bad.json: revision', 'bad.json: route_list', 'torn.json: ', 'bad.yaml: node_name', 'missing.yaml: there is no such file']) assert.ok(r.err.includes(place), `${place} in ${r.err}`);
+  for (const place of [
+    'bad.toml: roles.b.share',
+    'torn.toml:1',
+    'bad.json: revision',
+    'bad.json: route_list',
+    'torn.json: ',
+    'bad.yaml: node_name',
+    'missing.yaml: there is no such file',
+  ])
+    assert.ok(r.err.includes(place), `${place} in ${r.err}`);
   plain(r);
   assert.equal((await cli('check')).status, 2);
 });
@@ -105,14 +185,25 @@
   const data = f.machines[0]!.dir;
   await fs.end(f.machines[0]!, 'SIGKILL');
   const names = readdirSync(data);
-  const before_ = names.map(function read(n) { return readFileSync(join(data, n)); });
+  const before_ = names.map(function read(n) {
+    return readFileSync(join(data, n));
+  });
   const r = await cli('log', 'inspect', data);
   assert.equal(r.status, 0, r.err);
   assert.match(r.out, /configuration 3/);
   assert.match(r.out, /configuration 9/);
   assert.match(r.out, /known here to be committed up to \d+/);
-  const last = names.filter(function seg(n) { return n.startsWith('segment'); }).sort(function up(a, b) { return Number(a.slice(8)) - Number(b.slice(8)); }).at(-1)!;
-  names.forEach(function same(n, i) { assert.deepEqual(readFileSync(join(data, n)), before_[i]); });
+  const last = names
+    .filter(function seg(n) {
+      return n.startsWith('segment');
+    })
+    .sort(function up(a, b) {
+      return Number(a.slice(8)) - Number(b.slice(8));
+    })
+    .at(-1)!;
+  names.forEach(function same(n, i) {
+    assert.deepEqual(readFileSync(join(data, n)), before_[i]);
+  });
   appendFileSync(join(data, last), 'torn');
   const t = await cli('log', 'inspect', data, '--json');
   assert.equal(t.status, 1);
@@ -126,13 +217,43 @@
 test('import carries over what it can and lists the rest with its line', async function run() {
   const r = await cli('import', 'test/data/traefik.yaml', '--json');
   assert.equal(r.status, 1);
-  const { configuration, left } = JSON.parse(r.out) as { configuration: Record<string, object[]>; left: { place: string; text: string }[] };
-  assert.deepEqual(configuration.route_list, [{
-    label: 'shop', hostname: 'shop.example', path_prefix: '/api/', variant: 'non_idempotent', deadline_ms: 30000, tries: 1, public: true, branches: [{ target: 'one', share: 3 }, { target: 'two', share: 1 }],
-  }]);
-  assert.deepEqual(configuration.service_list, [{ label: 'one', health_path: '/up' }, { label: 'two', health_path: '/health' }]);
-  assert.deepEqual(left.map(function at(x) { return Number(x.place.split(':')[1]); }).sort(function up(a, b) { return a - b; }), [6, 7, 10, 13, 19, 23, 31]);
-  const whole = file('whole.yaml', 'http:\n  routers:\n    a: { rule: "Host(`a.example`)", service: s }\n  services:\n    s: { loadBalancer: {} }\n');
+  const { configuration, left } = JSON.parse(r.out) as {
+    configuration: Record<string, object[]>;
+    left: { place: string; text: string }[];
+  };
+  assert.deepEqual(configuration.route_list, [
+    {
+      label: 'shop',
+      hostname: 'shop.example',
+      path_prefix: '/api/',
+      variant: 'non_idempotent',
+      deadline_ms: 30000,
+      tries: 1,
+      public: true,
+      branches: [
+        { target: 'one', share: 3 },
+        { target: 'two', share: 1 },
+      ],
+    },
+  ]);
+  assert.deepEqual(configuration.service_list, [
+    { label: 'one', health_path: '/up' },
+    { label: 'two', health_path: '/health' },
+  ]);
+  assert.deepEqual(
+    left
+      .map(function at(x) {
+        return Number(x.place.split(':')[1]);
+      })
+      .sort(function up(a, b) {
+        return a - b;
+      }),
+    [6, 7, 10, 13, 19, 23, 31],
+  );
+  const whole = file(
+    'whole.yaml',
+    'http:\n  routers:\n    a: { rule: "Host(`a.example`)", service: s }\n  services:\n    s: { loadBalancer: {} }\n',
+  );
   assert.equal((await cli('import', whole)).status, 0);
   assert.equal((await cli('import', file('empty.yaml', ''))).status, 1);
   const torn = await cli('import', file('torn.yaml', 'http: [\n'));
@@ -142,14 +263,26 @@
 });
 
 test('simulate gives the same output for the same seed, and findings for a bad file', async function run() {
-  const small = readFileSync('examples/fleet.yaml', 'utf8').replace('seconds: 30', 'seconds: 6').replace(/at_s: \d+/g, 'at_s: 2');
+  const small = readFileSync('examples/fleet.yaml', 'utf8')
+    .replace('seconds: 30', 'seconds: 6')
+    .replace(/at_s: \d+/g, 'at_s: 2');
   const good = file('fleet.yaml', small);
-  const [a, b, c] = await Promise.all([cli('simulate', good, '--change', 'a zone less'), cli('simulate', good, '--change', 'a zone less'), cli('simulate', file('other.yaml', small.replace('seed: 7', 'seed: 8')))]);
+  const [a, b, c] = await Promise.all([
+    cli('simulate', good, '--change', 'a zone less'),
+    cli('simulate', good, '--change', 'a zone less'),
+    cli('simulate', file('other.yaml', small.replace('seed: 7', 'seed: 8'))),
+  ]);
   assert.equal(a.status, 0, a.err);
   assert.equal(a.out, b.out);
   assert.notEqual(a.out.split('\n')[1], c.out.split('\n')[1]);
   assert.match(a.out, /a zone less/);
-  const bad = await cli('simulate', file('bad-fleet.yaml', small.replace('read_tokens_per_ms: 50', 'read_tokens_per_ms: fast').replace('coordinators: 3', 'coordinators: 0')));
+  const bad = await cli(
+    'simulate',
+    file(
+      'bad-fleet.yaml',
+      small.replace('read_tokens_per_ms: 50', 'read_tokens_per_ms: fast').replace('coordinators: 3', 'coordinators: 0'),
+    ),
+  );
   assert.equal(bad.status, 1);
   assert.match(bad.err, /bad-fleet\.yaml: coordinators: /);
   assert.match(bad.err, /bad-fleet\.yaml: runner\.read_tokens_per_ms: /);
@@ -166,5 +299,14 @@
 test('help and version are there, usage errors end with 2', async function run() {
   assert.match((await cli('--help')).out, /milletcleat simulate FILE/);
   assert.match((await cli('--version')).out, /^\d+\.\d+\.\d+/);
-  for (const args of [[], ['nothing'], ['status', 'x'], ['simulate'], ['import'], ['site', 'x'], ['status', '--nonsense']]) assert.equal((await cli(...args)).status, 2, args.join(' '));
+  for (const args of [
+    [],
+    ['nothing'],
+    ['status', 'x'],
+    ['simulate'],
+    ['import'],
+    ['site', 'x'],
+    ['status', '--nonsense'],
+  ])
+    assert.equal((await cli(...args)).status, 2, args.join(' '));
 });
--- a/test/tracking.test.ts
+++ b/test/tracking.test.ts
@@ -14,18 +14,25 @@
 type Fleet = { sites: SiteTracker[]; c: Tracker; now: number; messages: number };
 
 function create(k: number, mostTotal = 1e9): Fleet {
-  const sites = Array.from({ length: k }, function one(_, i) { return siteTracker.create(epsilon, `life${i}`); });
+  const sites = Array.from({ length: k }, function one(_, i) {
+    return siteTracker.create(epsilon, `life${i}`);
+  });
   const f: Fleet = { sites, c: tracker.create(epsilon, phi, mostTotal, 100), now: 0, messages: 0 };
   broadcast(f);
   return f;
 }
 
 function live(f: Fleet): Set<string> {
-  return new Set(f.sites.map(function life(s) { return s.life; }));
+  return new Set(
+    f.sites.map(function life(s) {
+      return s.life;
+    }),
+  );
 }
 
 function broadcast(f: Fleet): void {
-  for (const s of f.sites) siteTracker.told(s, { k: f.sites.length, total: f.c.total, gather: f.c.gather, era: f.c.era });
+  for (const s of f.sites)
+    siteTracker.told(s, { k: f.sites.length, total: f.c.total, gather: f.c.gather, era: f.c.era });
 }
 
 function exchange(f: Fleet, s: SiteTracker, copies = 1): void {
@@ -47,21 +54,33 @@
 }
 
 function truth(f: Fleet, x: string): number {
-  return f.sites.reduce(function sum(n, s) { return n + (s.counts.get(x)?.m ?? 0); }, 0);
+  return f.sites.reduce(function sum(n, s) {
+    return n + (s.counts.get(x)?.m ?? 0);
+  }, 0);
 }
 
 function total(f: Fleet): number {
-  return f.sites.reduce(function sum(n, s) { return n + s.m; }, 0);
+  return f.sites.reduce(function sum(n, s) {
+    return n + s.m;
+  }, 0);
 }
 
 function names(f: Fleet): Set<string> {
-  return new Set(f.sites.flatMap(function keys(s) { return [...s.counts.keys()]; }));
+  return new Set(
+    f.sites.flatMap(function keys(s) {
+      return [...s.counts.keys()];
+    }),
+  );
 }
 
 function checkBounds(f: Fleet, loose = 0): void {
   const m = total(f);
   assert.ok(f.c.C <= m && m - f.c.C <= (epsilon * m) / 3 + loose, `total ${m} is held as ${f.c.C}`);
-  const hot = new Set(tracker.hot(f.c).map(function x(h) { return h.x; }));
+  const hot = new Set(
+    tracker.hot(f.c).map(function x(h) {
+      return h.x;
+    }),
+  );
   for (const x of names(f)) {
     const mx = truth(f, x);
     const held = f.c.sums.get(x)?.c ?? 0;
@@ -94,15 +113,22 @@
 }
 
 test('with instant messages the bounds hold at every step, whatever arrives', function run() {
-  fc.assert(fc.property(fc.integer({ min: 1, max: 1e6 }), fc.integer({ min: 1, max: 9 }), function holds(seed, k) {
-    const f = create(k);
-    instant(f, luck.create(seed), 900, function each() { checkBounds(f); });
-  }), { numRuns: 30, seed: 7 });
+  fc.assert(
+    fc.property(fc.integer({ min: 1, max: 1e6 }), fc.integer({ min: 1, max: 9 }), function holds(seed, k) {
+      const f = create(k);
+      instant(f, luck.create(seed), 900, function each() {
+        checkBounds(f);
+      });
+    }),
+    { numRuns: 30, seed: 7 },
+  );
 });
 
 test('it needs far fewer messages than telling every arrival', function run() {
   const f = create(9);
-  instant(f, luck.create(4), 20_000, function none() { /* counted at the end */ });
+  instant(f, luck.create(4), 20_000, function none() {
+    /* counted at the end */
+  });
   assert.ok(f.messages < 10_000, `${f.messages} messages`);
   checkBounds(f);
 });
@@ -142,7 +168,9 @@
 test('a new coordinator is told everything again', function run() {
   const f = create(5);
   const l = luck.create(3);
-  instant(f, l, 700, function none() { /* checked below */ });
+  instant(f, l, 700, function none() {
+    /* checked below */
+  });
   f.c = tracker.create(epsilon, phi, 1e9, 100);
   for (const s of f.sites) siteTracker.arrive(s, 'h', 2000);
   for (const s of f.sites) s.totalDue = true;
@@ -152,7 +180,9 @@
 
 test('a gathering does not wait for a site that is gone', function run() {
   const f = create(3);
-  instant(f, luck.create(8), 400, function none() { /* checked below */ });
+  instant(f, luck.create(8), 400, function none() {
+    /* checked below */
+  });
   const gather = f.c.gather;
   f.sites = f.sites.slice(0, 2);
   const l = luck.create(9);
@@ -167,7 +197,9 @@
 
 test('fading halves on both sides and the bound comes back, but for one count a site', function run() {
   const f = create(3, 500);
-  instant(f, luck.create(2), 3000, function each() { checkBounds(f, 3); });
+  instant(f, luck.create(2), 3000, function each() {
+    checkBounds(f, 3);
+  });
   assert.ok(f.c.era >= 3);
   assert.ok(f.c.C < 600);
 });
@@ -179,15 +211,29 @@
     siteTracker.arrive(f.sites[0]!, 'old', 2000);
     settle(f);
   }
-  assert.ok(tracker.hot(f.c).some(function old(h) { return h.x === 'old'; }));
-  instant(f, l, 1500, function none() { /* checked below */ });
-  assert.ok(!tracker.hot(f.c).some(function old(h) { return h.x === 'old'; }));
+  assert.ok(
+    tracker.hot(f.c).some(function old(h) {
+      return h.x === 'old';
+    }),
+  );
+  instant(f, l, 1500, function none() {
+    /* checked below */
+  });
+  assert.ok(
+    !tracker.hot(f.c).some(function old(h) {
+      return h.x === 'old';
+    }),
+  );
 });
 
 test('retired prefixes leave counts and totals on both sides', function run() {
   const f = create(2);
-  instant(f, luck.create(6), 500, function none() { /* checked below */ });
-  function isRetired(x: string): boolean { return x === 'h'; }
+  instant(f, luck.create(6), 500, function none() {
+    /* checked below */
+  });
+  function isRetired(x: string): boolean {
+    return x === 'h';
+  }
   tracker.retire(f.c, isRetired);
   for (const s of f.sites) siteTracker.retire(s, isRetired);
   settle(f);
--- a/test/transfer.test.ts
+++ b/test/transfer.test.ts
@@ -6,7 +6,13 @@
 import { test } from 'node:test';
 import fc from 'fast-check';
 import { prices } from '../src/coordination/transfer/price.js';
-import { transfers, type Transfer, type TransferEvent, type TransferPhase, type Transfers } from '../src/coordination/transfer/machine.js';
+import {
+  transfers,
+  type Transfer,
+  type TransferEvent,
+  type TransferPhase,
+  type Transfers,
+} from '../src/coordination/transfer/machine.js';
 import { holdings, type Holdings } from '../src/state/index/holdings.js';
 import { identity } from '../src/state/index/identity.js';
 import { keptIndex, type KeptIndex } from '../src/state/index/kept.js';
@@ -16,7 +22,20 @@
 const tokens = 2000;
 
 function begun(s: Transfers, now: number, over: Partial<Parameters<typeof transfers.begin>[1]> = {}): Transfer {
-  return transfers.begin(s, { key: 'all/m/1 aa', source: 1, dest: 2, tokens, ms: 30, hint: { isConfirmed: true, generation: 4 }, load: { leasesAtSource: 0, queuedMsAtDest: 0 }, ...over }, now)!;
+  return transfers.begin(
+    s,
+    {
+      key: 'all/m/1 aa',
+      source: 1,
+      dest: 2,
+      tokens,
+      ms: 30,
+      hint: { isConfirmed: true, generation: 4 },
+      load: { leasesAtSource: 0, queuedMsAtDest: 0 },
+      ...over,
+    },
+    now,
+  )!;
 }
 
 function empty(s: Transfers): void {
@@ -37,7 +56,13 @@
   assert.equal(t.phase, 'moving', 'another place reports');
   transfers.step(s, { e: 'kept', place: 2, key: t.key }, 50);
   assert.deepEqual([t.phase, s.counts.visible, s.counts.released], ['released', 1, 1]);
-  for (const ev of [{ e: 'sent', id: t.id }, { e: 'ended', id: t.id }, { e: 'kept', place: 2, key: t.key }, { e: 'gone', place: 1, key: null }] as TransferEvent[]) transfers.step(s, ev, 60);
+  for (const ev of [
+    { e: 'sent', id: t.id },
+    { e: 'ended', id: t.id },
+    { e: 'kept', place: 2, key: t.key },
+    { e: 'gone', place: 1, key: null },
+  ] as TransferEvent[])
+    transfers.step(s, ev, 60);
   assert.deepEqual([t.phase, s.counts.late], ['released', 2]);
   empty(s);
 });
@@ -52,16 +77,44 @@
 });
 
 const untils: [TransferPhase, TransferEvent[]][] = [
-  ['reserved', []], ['moving', [{ e: 'sent', id: 1 }]], ['visible', [{ e: 'sent', id: 1 }, { e: 'kept', place: 2, key: 'all/m/1 aa' }]],
+  ['reserved', []],
+  ['moving', [{ e: 'sent', id: 1 }]],
+  [
+    'visible',
+    [
+      { e: 'sent', id: 1 },
+      { e: 'kept', place: 2, key: 'all/m/1 aa' },
+    ],
+  ],
 ];
 
 for (const [phase, way] of untils) {
   test(`a move that is ${phase} ends when the source lets the part go, a place dies, the keeper falls silent or its time is over`, function run() {
     const ends: [string, (s: Transfers) => void][] = [
-      ['the source evicts', function evict(s) { transfers.step(s, { e: 'gone', place: 1, key: 'all/m/1 aa' }, 10); }],
-      ['the source dies', function die(s) { transfers.step(s, { e: 'gone', place: 1, key: null }, 10); }],
-      ['the destination dies', function die(s) { transfers.step(s, { e: 'gone', place: 2, key: null }, 10); }],
-      ['its time is over', function late(s) { transfers.step(s, { e: 'beat' }, 5 + timing.leaseMs); }],
+      [
+        'the source evicts',
+        function evict(s) {
+          transfers.step(s, { e: 'gone', place: 1, key: 'all/m/1 aa' }, 10);
+        },
+      ],
+      [
+        'the source dies',
+        function die(s) {
+          transfers.step(s, { e: 'gone', place: 1, key: null }, 10);
+        },
+      ],
+      [
+        'the destination dies',
+        function die(s) {
+          transfers.step(s, { e: 'gone', place: 2, key: null }, 10);
+        },
+      ],
+      [
+        'its time is over',
+        function late(s) {
+          transfers.step(s, { e: 'beat' }, 5 + timing.leaseMs);
+        },
+      ],
     ];
     for (const [name, end] of ends) {
       const s = transfers.create(timing);
@@ -77,36 +130,71 @@
 
 test('any order of events: steps only go forward, bounds hold, and everything ends by its time', function run() {
   const ev = fc.oneof(
-    fc.record({ e: fc.constant('begin' as const), source: fc.integer({ min: 0, max: 3 }), dest: fc.integer({ min: 0, max: 3 }), sure: fc.boolean() }),
+    fc.record({
+      e: fc.constant('begin' as const),
+      source: fc.integer({ min: 0, max: 3 }),
+      dest: fc.integer({ min: 0, max: 3 }),
+      sure: fc.boolean(),
+    }),
     fc.record({ e: fc.constantFrom('sent' as const, 'ended' as const), id: fc.integer({ min: 1, max: 30 }) }),
-    fc.record({ e: fc.constantFrom('kept' as const, 'gone' as const), place: fc.integer({ min: 0, max: 3 }), key: fc.constantFrom('k1', 'k2') }),
-    fc.record({ e: fc.constant('gone' as const), place: fc.integer({ min: 0, max: 3 }), key: fc.constant(null) }), fc.constant({ e: 'beat' as const }),
+    fc.record({
+      e: fc.constantFrom('kept' as const, 'gone' as const),
+      place: fc.integer({ min: 0, max: 3 }),
+      key: fc.constantFrom('k1', 'k2'),
+    }),
+    fc.record({ e: fc.constant('gone' as const), place: fc.integer({ min: 0, max: 3 }), key: fc.constant(null) }),
+    fc.constant({ e: 'beat' as const }),
+  );
+  const order: TransferPhase[] = [
+    'hinted',
+    'confirmed',
+    'leased',
+    'reserved',
+    'moving',
+    'visible',
+    'released',
+    'expired',
+  ];
+  fc.assert(
+    fc.property(fc.array(ev, { maxLength: 120 }), function holds(list) {
+      const s = transfers.create(timing);
+      const all: { t: Transfer; was: number }[] = [];
+      let now = 0;
+      list.forEach(function each(x, i) {
+        now += 40;
+        if (x.e === 'begin') {
+          const at = transfers.at(s, x.source);
+          const t = transfers.begin(
+            s,
+            {
+              key: i % 2 ? 'k1' : 'k2',
+              source: x.source,
+              dest: x.dest,
+              tokens,
+              ms: 90,
+              hint: { isConfirmed: x.sure, generation: i },
+              load: { leasesAtSource: at.source, queuedMsAtDest: transfers.at(s, x.dest).dest },
+            },
+            now,
+          );
+          assert.ok(x.sure || t === null);
+          if (t) all.push({ t, was: 0 });
+        } else transfers.step(s, x, now);
+        for (const one of all) {
+          const is = order.indexOf(one.t.phase);
+          assert.ok(is >= one.was);
+          one.was = is;
+          if (['released', 'expired'].includes(one.t.phase)) assert.ok(!s.open.has(one.t.id));
+        }
+        for (const at of s.byPlace.values())
+          assert.ok(at.source >= 0 && at.source <= timing.mostAtSource && at.dest <= timing.longestQueueMs + 0.01);
+      });
+      transfers.step(s, { e: 'beat' }, now + timing.leaseMs);
+      empty(s);
+      assert.equal(s.counts.begun, s.counts.released + s.counts.expired);
+    }),
+    { seed: 17, numRuns: 400 },
   );
-  const order: TransferPhase[] = ['hinted', 'confirmed', 'leased', 'reserved', 'moving', 'visible', 'released', 'expired'];
-  fc.assert(fc.property(fc.array(ev, { maxLength: 120 }), function holds(list) {
-    const s = transfers.create(timing);
-    const all: { t: Transfer; was: number }[] = [];
-    let now = 0;
-    list.forEach(function each(x, i) {
-      now += 40;
-      if (x.e === 'begin') {
-        const at = transfers.at(s, x.source);
-        const t = transfers.begin(s, { key: i % 2 ? 'k1' : 'k2', source: x.source, dest: x.dest, tokens, ms: 90, hint: { isConfirmed: x.sure, generation: i }, load: { leasesAtSource: at.source, queuedMsAtDest: transfers.at(s, x.dest).dest } }, now);
-        assert.ok(x.sure || t === null);
-        if (t) all.push({ t, was: 0 });
-      } else transfers.step(s, x, now);
-      for (const one of all) {
-        const is = order.indexOf(one.t.phase);
-        assert.ok(is >= one.was);
-        one.was = is;
-        if (['released', 'expired'].includes(one.t.phase)) assert.ok(!s.open.has(one.t.id));
-      }
-      for (const at of s.byPlace.values()) assert.ok(at.source >= 0 && at.source <= timing.mostAtSource && at.dest <= timing.longestQueueMs + 0.01);
-    });
-    transfers.step(s, { e: 'beat' }, now + timing.leaseMs);
-    empty(s);
-    assert.equal(s.counts.begun, s.counts.released + s.counts.expired);
-  }), { seed: 17, numRuns: 400 });
 });
 
 test('two that differ in wall, model, version or part are different parts, and a model that does not fit is refused', function run() {
@@ -115,12 +203,33 @@
   holdings.put(h, salt, 'aa', 1, tokens);
   const parts = [{ id: 'aa', tokens }];
   assert.equal(holdings.prefixAt(h, salt, parts, 1, 0, true), tokens);
-  for (const other of [{ wall: 't-x', model: 'm', revision: 2 }, { wall: 'all', model: 'n', revision: 2 }, { wall: 'all', model: 'm', revision: 3 }]) {
+  for (const other of [
+    { wall: 't-x', model: 'm', revision: 2 },
+    { wall: 'all', model: 'n', revision: 2 },
+    { wall: 'all', model: 'm', revision: 3 },
+  ]) {
     assert.equal(holdings.prefixAt(h, identity.salt(other), parts, 1, 0, true), 0);
   }
-  assert.equal(holdings.prefixAt(h, salt, [{ id: 'zz', tokens: 10 }, ...parts], 1, 0, true), 0, 'behind another part it stands elsewhere');
+  assert.equal(
+    holdings.prefixAt(h, salt, [{ id: 'zz', tokens: 10 }, ...parts], 1, 0, true),
+    0,
+    'behind another part it stands elsewhere',
+  );
   const ix = keptIndex.create(1000, 100);
-  keptIndex.events(ix, 'p', { epoch: 1, next: 3, isLost: false, events: [[1, '+', salt, 'aa', tokens, 'other'], [2, '+', 'no identity', 'bb', tokens, 'm']] }, 0);
+  keptIndex.events(
+    ix,
+    'p',
+    {
+      epoch: 1,
+      next: 3,
+      isLost: false,
+      events: [
+        [1, '+', salt, 'aa', tokens, 'other'],
+        [2, '+', 'no identity', 'bb', tokens, 'm'],
+      ],
+    },
+    0,
+  );
   keptIndex.list(ix, 'p', { epoch: 1, next: 3, held: [[salt, 'aa', tokens, 'other']] }, 0);
   assert.deepEqual([keptIndex.all(ix), ix.refused], [[], 3]);
 });
@@ -146,17 +255,53 @@
 });
 
 // The world: places that really keep parts, the sequencer's index of what they tell, one site's view.
-type Place = { epoch: number; no: number; kept: Set<string>; told: Set<string>; events: [number, string, string, string, number, string][] };
-type World = { l: Luck; now: number; places: Place[]; index: KeptIndex; h: Holdings; at: number; moves: Transfers; ever: Set<string>; revision: number };
+type Place = {
+  epoch: number;
+  no: number;
+  kept: Set<string>;
+  told: Set<string>;
+  events: [number, string, string, string, number, string][];
+};
+type World = {
+  l: Luck;
+  now: number;
+  places: Place[];
+  index: KeptIndex;
+  h: Holdings;
+  at: number;
+  moves: Transfers;
+  ever: Set<string>;
+  revision: number;
+};
 
 function report(w: World, n: number): void {
   const p = w.places[n]!;
-  const list = p.events.splice(0).filter(function arrives() { return luck.next(w.l) > 0.1; });
+  const list = p.events.splice(0).filter(function arrives() {
+    return luck.next(w.l) > 0.1;
+  });
   if (luck.next(w.l) < 0.2) list.reverse();
   for (const e of list) if (e[1] === '+') w.ever.add(`${n} ${p.epoch} ${e[2]} ${e[3]}`);
-  if (keptIndex.events(w.index, `p${n}`, { epoch: p.epoch, next: p.no, isLost: luck.next(w.l) < 0.05, events: list }, w.now)) {
+  if (
+    keptIndex.events(
+      w.index,
+      `p${n}`,
+      { epoch: p.epoch, next: p.no, isLost: luck.next(w.l) < 0.05, events: list },
+      w.now,
+    )
+  ) {
     for (const k of p.kept) w.ever.add(`${n} ${p.epoch} ${k}`);
-    keptIndex.list(w.index, `p${n}`, { epoch: p.epoch, next: p.no, held: [...p.kept].map(function row(k) { return [k.split(' ')[0]!, k.split(' ')[1]!, tokens, 'm']; }) }, w.now);
+    keptIndex.list(
+      w.index,
+      `p${n}`,
+      {
+        epoch: p.epoch,
+        next: p.no,
+        held: [...p.kept].map(function row(k) {
+          return [k.split(' ')[0]!, k.split(' ')[1]!, tokens, 'm'];
+        }),
+      },
+      w.now,
+    );
   }
 }
 
@@ -201,7 +346,19 @@
 test('whatever is lost, late or out of order, only what a place itself reported under that identity is named as a source', function run() {
   let named = 0;
   for (let seed = 1; seed <= 40; seed++) {
-    const w: World = { l: luck.create(seed), now: 0, places: Array.from({ length: 4 }, function one() { return { epoch: 1, no: 0, kept: new Set<string>(), told: new Set<string>(), events: [] }; }), index: keptIndex.create(1000, 60), h: holdings.create(500), at: 0, moves: transfers.create(timing), ever: new Set(), revision: 1 };
+    const w: World = {
+      l: luck.create(seed),
+      now: 0,
+      places: Array.from({ length: 4 }, function one() {
+        return { epoch: 1, no: 0, kept: new Set<string>(), told: new Set<string>(), events: [] };
+      }),
+      index: keptIndex.create(1000, 60),
+      h: holdings.create(500),
+      at: 0,
+      moves: transfers.create(timing),
+      ever: new Set(),
+      revision: 1,
+    };
     for (let i = 0; i < 400; i++) {
       w.now += 30;
       change(w);
@@ -214,9 +371,26 @@
       const part = `a${luck.below(w.l, 4)}`;
       for (let place = 0; place < 4; place++) {
         if (holdings.prefixAt(w.h, salt, [{ id: part, tokens }], place, w.now, true) < tokens) continue;
-        const reported = [...w.ever].some(function same(x) { return x.startsWith(`${place} `) && x.endsWith(` ${salt} ${part}`); });
+        const reported = [...w.ever].some(function same(x) {
+          return x.startsWith(`${place} `) && x.endsWith(` ${salt} ${part}`);
+        });
         assert.ok(reported, `seed ${seed}: ${place} never reported ${salt} ${part}`);
-        const t = transfers.begin(w.moves, { key: identity.key(salt, part), source: place, dest: (place + 1) % 4, tokens, ms: 30, hint: { isConfirmed: true, generation: w.at }, load: { leasesAtSource: transfers.at(w.moves, place).source, queuedMsAtDest: transfers.at(w.moves, (place + 1) % 4).dest } }, w.now);
+        const t = transfers.begin(
+          w.moves,
+          {
+            key: identity.key(salt, part),
+            source: place,
+            dest: (place + 1) % 4,
+            tokens,
+            ms: 30,
+            hint: { isConfirmed: true, generation: w.at },
+            load: {
+              leasesAtSource: transfers.at(w.moves, place).source,
+              queuedMsAtDest: transfers.at(w.moves, (place + 1) % 4).dest,
+            },
+          },
+          w.now,
+        );
         if (t) named++;
         if (t && luck.next(w.l) < 0.7) transfers.step(w.moves, { e: 'sent', id: t.id }, w.now);
         if (t && luck.next(w.l) < 0.5) transfers.step(w.moves, { e: 'ended', id: t.id }, w.now);
