--- a/src/controlplane/access.ts
+++ b/src/controlplane/access.ts
@@ -17,8 +17,8 @@
     leaseMs: leaveMs,
     freshMs: witnessMs,
     own: [...c.sessions.values()],
-    witnesses: [...m.partners.values()].map(function one(p) {
-      const told = c.partnerSessions.get(p.id);
+    witnesses: [...m.peers.values()].map(function one(p) {
+      const told = c.peerSessions.get(p.id);
       return { id: p.id, heardAt: told?.at ?? m.wonAt, revision: told?.revision ?? 0, sites: told?.sessions ?? [] };
     }),
   };
@@ -28,7 +28,7 @@
   let busy = false;
   return setInterval(function beat() {
     const { pending } = c.group.state.rules;
-    if (busy || pending === 0 || !groupDriver.isSequencer(c.group)) return;
+    if (busy || pending === 0 || !groupDriver.isLeader(c.group)) return;
     if (!activation.mayActivate(sight(c), performance.now())) return;
     busy = true;
     void groupDriver.propose(c.group, { c: 'activate', revision: pending }).then(function over(ok) {
--- a/src/controlplane/board.ts
+++ b/src/controlplane/board.ts
@@ -1,5 +1,5 @@
-// The board: soft state that the sequencer shows to the other coordinators and they to the sites.
-// Boards are ordered by (epoch, seq); an older one never replaces a newer one.
+// The board: soft state that the leader shows to the other coordinators and they to the sites.
+// Boards are ordered by (term, seq); an older one never replaces a newer one.
 import { groupDriver } from '../coordination/group/driver.js';
 import { boardHistory } from '../state/history/boards.js';
 import { channel } from '../transport/inner/channel.js';
@@ -11,17 +11,17 @@
 const legMs = 500;
 export const witnessMs = 1500;
 
-// A call says which of the partner's replies came in last; from that the partner knows until when the
-// sequencer reckons with it. Sessions are told by their age, for clocks are not shared.
-type BoardCall = { board: Board | null; epoch: number; echo: number };
+// A call says which of the peer's replies came in last; from that the peer knows until when the
+// leader reckons with it. Sessions are told by their age, for clocks are not shared.
+type BoardCall = { board: Board | null; term: number; echo: number };
 type BoardReply = { have: [number, number]; no: number; revision: number; sessions: Session[] };
 
 function empty(): Board {
-  return { epoch: 0, seq: 0, runners: null, sites: 0 };
+  return { term: 0, seq: 0, runners: null, sites: 0 };
 }
 
-function newer(a: Board, epoch: number, seq: number): boolean {
-  return a.epoch > epoch || (a.epoch === epoch && a.seq > seq);
+function newer(a: Board, term: number, seq: number): boolean {
+  return a.term > term || (a.term === term && a.seq > seq);
 }
 
 function wake(c: Coordinator): void {
@@ -33,11 +33,11 @@
   }
 }
 
-// Changes the board; only the sequencer does, and the others are told at once.
+// Changes the board; only the leader does, and the others are told at once.
 function change(c: Coordinator, part: Partial<Board>): void {
-  const epoch = c.group.machine.epoch;
-  const seq = c.board.epoch === epoch ? c.board.seq + 1 : 1;
-  c.board = { ...c.board, ...part, epoch, seq };
+  const term = c.group.machine.term;
+  const seq = c.board.term === term ? c.board.seq + 1 : 1;
+  c.board = { ...c.board, ...part, term, seq };
   boardHistory.take(c.boardHistory, c.board);
   wake(c);
   tellAll(c, true);
@@ -45,7 +45,7 @@
 
 const state = new WeakMap<Coordinator, Map<string, { have: [number, number]; busy: boolean; again: boolean }>>();
 
-function partnerState(c: Coordinator, addr: string): { have: [number, number]; busy: boolean; again: boolean } {
+function peerState(c: Coordinator, addr: string): { have: [number, number]; busy: boolean; again: boolean } {
   let m = state.get(c);
   if (!m) {
     m = new Map();
@@ -60,12 +60,12 @@
 }
 
 function tellAll(c: Coordinator, onlyNews: boolean): void {
-  if (!groupDriver.isSequencer(c.group)) return;
-  for (const p of c.group.machine.partners.values()) void tell(c, p.id, p.addr, onlyNews);
+  if (!groupDriver.isLeader(c.group)) return;
+  for (const p of c.group.machine.peers.values()) void tell(c, p.id, p.addr, onlyNews);
 }
 
 async function tell(c: Coordinator, id: string, addr: string, onlyNews: boolean): Promise<void> {
-  const p = partnerState(c, addr);
+  const p = peerState(c, addr);
   if (p.busy) {
     p.again = true;
     return;
@@ -75,8 +75,8 @@
   p.busy = true;
   const call: BoardCall = {
     board: news ? c.board : null,
-    epoch: c.group.machine.epoch,
-    echo: c.partnerSessions.get(id)?.no ?? 0,
+    term: c.group.machine.term,
+    echo: c.peerSessions.get(id)?.no ?? 0,
   };
   const r = await channel.post<BoardReply>(c.agent, addr, '/inner/board', call, legMs);
   p.busy = false;
@@ -86,7 +86,7 @@
     const list = r.value.sessions.map(function one(s) {
       return { ...s, seenAt: at - s.seenAt };
     });
-    c.partnerSessions.set(id, { at, no: r.value.no, revision: r.value.revision, sessions: list });
+    c.peerSessions.set(id, { at, no: r.value.no, revision: r.value.revision, sessions: list });
   }
   if (p.again && r.ok) {
     p.again = false;
@@ -95,14 +95,14 @@
 }
 
 function receive(c: Coordinator, call: BoardCall): BoardReply {
-  if (call.board && newer(call.board, c.board.epoch, c.board.seq)) {
+  if (call.board && newer(call.board, c.board.term, c.board.seq)) {
     c.board = call.board;
     boardHistory.take(c.boardHistory, c.board);
     wake(c);
   }
   const now = performance.now();
   const { reply } = c;
-  if (call.epoch >= c.group.machine.epoch)
+  if (call.term >= c.group.machine.term)
     reply.heardUpTo = Math.max(reply.heardUpTo, reply.sentAt.get(call.echo) ?? -Infinity);
   for (const no of reply.sentAt.keys()) if (no < call.echo) reply.sentAt.delete(no);
   reply.no++;
@@ -111,17 +111,17 @@
     return { ...s, seenAt: now - s.seenAt };
   });
   return {
-    have: [c.board.epoch, c.board.seq],
+    have: [c.board.term, c.board.seq],
     no: reply.no,
     revision: c.group.state.configuration?.revision ?? 0,
     sessions: list,
   };
 }
 
-// Whether this node may give sites leave to honour access rules: the sequencer while its hold lasts,
-// another while the sequencer is known to reckon with it.
+// Whether this node may give sites leave to honour access rules: the leader while its hold lasts,
+// another while the leader is known to reckon with it.
 function hasLeave(c: Coordinator): boolean {
-  if (groupDriver.isSequencer(c.group)) return groupDriver.fresh(c.group);
+  if (groupDriver.isLeader(c.group)) return groupDriver.fresh(c.group);
   return groupDriver.fresh(c.group) && performance.now() - c.reply.heardUpTo < witnessMs;
 }
 
--- a/src/controlplane/feed.ts
+++ b/src/controlplane/feed.ts
@@ -1,9 +1,9 @@
-// Drives the exchange between sites and the sequencer: a site tells its burden, what it sent where, what
-// it met and its counts; it is told the burden of the others, who is unsound, what is kept where, and
+// Drives the exchange between sites and the leader: a site tells its load, what it sent where, what
+// it met and its counts; it is told the load of the others, who is unhealthy, what is kept where, and
 // the hot set. All of it is advisory: a site without it chooses by what it knows itself.
 import { groupDriver } from '../coordination/group/driver.js';
 import { exchange, type Exchange } from '../coordination/exchange/machine.js';
-import type { Bench } from '../coordination/soundness/jury.js';
+import type { Bench } from '../coordination/health/jury.js';
 import type { FeedAnswer, FeedCall } from '../types.js';
 import type { Coordinator } from './parts.js';
 import { sessions } from './sessions.js';
@@ -17,10 +17,10 @@
 
 function state(c: Coordinator): FeedState {
   let s = states.get(c);
-  const epoch = c.group.machine.epoch;
-  if (!s || s.epoch !== epoch) {
+  const term = c.group.machine.term;
+  if (!s || s.term !== term) {
     for (const w of s?.waiters ?? []) w.answer();
-    s = { ...exchange.create(epoch, c.tuning, sessions.count(c)), waiters: new Set() };
+    s = { ...exchange.create(term, c.tuning, sessions.count(c)), waiters: new Set() };
     states.set(c, s);
   }
   return s;
@@ -37,10 +37,10 @@
 }
 
 function call(c: Coordinator, f: FeedCall): Promise<FeedAnswer> | FeedAnswer | null {
-  if (!groupDriver.isSequencer(c.group)) return null;
+  if (!groupDriver.isLeader(c.group)) return null;
   const s = state(c);
   const known = exchange.take(s, f, performance.now());
-  if (f.hold === 0 || f.since[0] !== s.epoch) return exchange.answerOf(s, f, known);
+  if (f.hold === 0 || f.since[0] !== s.term) return exchange.answerOf(s, f, known);
   return new Promise(function run(done) {
     const w: Waiter = {
       call: f,
@@ -58,7 +58,7 @@
 }
 
 function track(c: Coordinator): void {
-  if (!groupDriver.isSequencer(c.group)) {
+  if (!groupDriver.isLeader(c.group)) {
     const s = states.get(c);
     if (s) for (const w of s.waiters) w.answer();
     states.delete(c);
@@ -71,7 +71,7 @@
   );
 }
 
-// Whom the jury judges, and who may try an unsound runner.
+// Whom the jury judges, and who may try an unhealthy runner.
 function benchOf(c: Coordinator, s: FeedState): Bench {
   const serving = (c.board.runners ?? []).filter(function serves(r) {
     return !r.draining;
@@ -88,7 +88,7 @@
 
 function turn(c: Coordinator): void {
   const s = states.get(c);
-  if (s && groupDriver.isSequencer(c.group) && s.epoch === c.group.machine.epoch) {
+  if (s && groupDriver.isLeader(c.group) && s.term === c.group.machine.term) {
     exchange.beat(s, benchOf(c, s), performance.now());
     wake(s);
   }
--- a/src/controlplane/kept.ts
+++ b/src/controlplane/kept.ts
@@ -1,4 +1,4 @@
-// Asks every engine and store for its events, as the sequencer, with long waits that need no slot,
+// Asks every engine and store for its events, as the leader, with long waits that need no slot,
 // and keeps the index up to date. A gap is repaired from the place's list.
 import { groupDriver } from '../coordination/group/driver.js';
 import { calls } from '../protocol/calls/pairs.js';
@@ -41,8 +41,8 @@
   });
 }
 
-async function follow(c: Coordinator, p: Place, epoch: number, open: Map<string, string>): Promise<void> {
-  while (groupDriver.isSequencer(c.group) && c.group.machine.epoch === epoch && open.get(p.name) === p.addr) {
+async function follow(c: Coordinator, p: Place, term: number, open: Map<string, string>): Promise<void> {
+  while (groupDriver.isLeader(c.group) && c.group.machine.term === term && open.get(p.name) === p.addr) {
     const from = performance.now();
     const s = feed.state(c);
     const at = keptIndex.placeOf(s.index, p.name);
@@ -68,7 +68,7 @@
 function start(c: Coordinator): NodeJS.Timeout {
   const open = new Map<string, string>();
   return setInterval(function look() {
-    if (!groupDriver.isSequencer(c.group)) {
+    if (!groupDriver.isLeader(c.group)) {
       open.clear();
       return;
     }
@@ -87,7 +87,7 @@
     for (const p of now) {
       if (open.get(p.name) === p.addr) continue;
       open.set(p.name, p.addr);
-      void follow(c, p, c.group.machine.epoch, open);
+      void follow(c, p, c.group.machine.term, open);
     }
   }, beatMs);
 }
--- a/src/controlplane/news.ts
+++ b/src/controlplane/news.ts
@@ -41,7 +41,7 @@
     rules: s.rules.seq > call.rules ? s.rules : null,
     board: isOldBoard && !boardDelta ? c.board : null,
     boardDelta,
-    sequencer: groupDriver.sequencerControl(c.group),
+    leader: groupDriver.leaderControl(c.group),
     coordinators: m.roster.map(function at(x) {
       return x.addr;
     }),
--- a/src/controlplane/operator.ts
+++ b/src/controlplane/operator.ts
@@ -1,4 +1,4 @@
-// The operator's calls. Any coordinator takes them; the sequencer judges them one at a time, orders
+// The operator's calls. Any coordinator takes them; the leader judges them one at a time, orders
 // what is to be ordered and acknowledges only what a majority has synced. The others hand the call
 // over inside and pass the answer on.
 import type { IncomingMessage, ServerResponse } from 'node:http';
@@ -36,7 +36,7 @@
   return { status, body: JSON.stringify(value) };
 }
 
-const unsettled = fixed(503, { message: 'no sequencer is sure of its epoch; send the call again' });
+const unsettled = fixed(503, { message: 'no leader is sure of its term; send the call again' });
 
 async function read(c: Coordinator): Promise<OperatorAnswer> {
   if (!(await groupDriver.confirm(c.group, waitMs))) return unsettled;
@@ -64,9 +64,9 @@
   });
 }
 
-// Judges a call here, as the sequencer; null when this node is not it.
+// Judges a call here, as the leader; null when this node is not it.
 async function decide(c: Coordinator, call: OperatorCall): Promise<OperatorAnswer | null> {
-  if (!groupDriver.isSequencer(c.group)) return null;
+  if (!groupDriver.isLeader(c.group)) return null;
   return call.method === 'GET' ? read(c) : change(c, call);
 }
 
@@ -77,7 +77,7 @@
     if (here && here.status !== 503) return here;
     const left = until - performance.now();
     if (left <= 0) return unsettled;
-    const to = groupDriver.sequencerControl(c.group);
+    const to = groupDriver.leaderControl(c.group);
     if (to !== null && to !== c.group.machine.addr) {
       const r = await channel.post<OperatorAnswer | null>(c.agent, to, '/inner/operator', call, Math.min(left, 1500));
       if (r.ok && r.value !== null && r.value.status !== 503) return r.value;
--- a/src/controlplane/parts.ts
+++ b/src/controlplane/parts.ts
@@ -19,7 +19,7 @@
   boardHistory: BoardHistory;
   configurations: ConfigurationHistory;
   sessions: Map<string, Session>;
-  partnerSessions: Map<string, Told>;
+  peerSessions: Map<string, Told>;
   reply: { no: number; sentAt: Map<number, number>; heardUpTo: number };
   waiters: Set<Waiter>;
   tuning: Tuning;
--- a/src/controlplane/rollout.ts
+++ b/src/controlplane/rollout.ts
@@ -1,4 +1,4 @@
-// Drives the roll-out planner: sends its orders with the epoch as fence while this node holds the
+// Drives the roll-out planner: sends its orders with the term as fence while this node holds the
 // duty beyond doubt, asks runners for their state, and shows the sites what is out of use.
 import { groupDriver } from '../coordination/group/driver.js';
 import {
@@ -52,11 +52,11 @@
     revision,
     method: c.tuning.orderMethod,
     holder: c.settings.node_name,
-    fence: c.group.machine.epoch,
+    fence: c.group.machine.term,
     instance: id,
   });
   const r = await calls.send(c.agent, addr, call, legMs);
-  ringLog.note(c.log, { runner: id, revision, result: r.ok ? r.value : r.trouble.t }, 'order');
+  ringLog.note(c.log, { runner: id, revision, result: r.ok ? r.value : r.error.t }, 'order');
   feed(c, s, { e: 'ordered', id, result: r.ok ? r.value : null });
 }
 
@@ -82,7 +82,7 @@
     pauseMs: 400,
   });
   return setInterval(function beat() {
-    if (!groupDriver.isSequencer(c.group) && s.jobs.size === 0) return;
+    if (!groupDriver.isLeader(c.group) && s.jobs.size === 0) return;
     feed(c, s, { e: 'beat', runners: runners.listed(c), targets: c.group.state.weights, mayAct: mayAct(c) });
   }, beatMs);
 }
--- a/src/controlplane/runners.ts
+++ b/src/controlplane/runners.ts
@@ -1,4 +1,4 @@
-// Keeps the board's list of runners: the sequencer asks the platform in a steady beat and shows a
+// Keeps the board's list of runners: the leader asks the platform in a steady beat and shows a
 // changed list at once. A platform that is silent or refuses leaves the last list standing.
 import { groupDriver } from '../coordination/group/driver.js';
 import { poller } from '../coordination/duties/poller.js';
@@ -37,11 +37,11 @@
 
 function show(c: Coordinator): void {
   const h = hold(c);
-  if (!h.listed || !groupDriver.isSequencer(c.group)) return;
+  if (!h.listed || !groupDriver.isLeader(c.group)) return;
   const next = merged(h);
   const sites = sessions.count(c);
   const same =
-    c.board.epoch === c.group.machine.epoch &&
+    c.board.term === c.group.machine.term &&
     c.board.sites === sites &&
     JSON.stringify(next) === JSON.stringify(c.board.runners);
   if (!same) boards.change(c, { runners: next, sites });
@@ -65,17 +65,17 @@
 
 async function round(c: Coordinator): Promise<void> {
   const h = hold(c);
-  if (!groupDriver.isSequencer(c.group)) {
+  if (!groupDriver.isLeader(c.group)) {
     h.listed = null;
     h.parked.clear();
     return;
   }
   const r = await poller.poll(c.agent, c.settings.cloud_api.address);
   if (!r.ok) {
-    ringLog.note(c.log, { why: r.trouble }, 'the platform gave no list');
+    ringLog.note(c.log, { why: r.error }, 'the platform gave no list');
     return;
   }
-  if (!groupDriver.isSequencer(c.group)) return;
+  if (!groupDriver.isLeader(c.group)) return;
   h.listed = r.value;
   const ids = new Set(
     r.value.map(function id(x) {
--- a/src/controlplane/sessions.ts
+++ b/src/controlplane/sessions.ts
@@ -1,5 +1,5 @@
 // Sessions of the sites: a site is a member while it keeps asking for news. Coordinators tell the
-// sequencer the sessions they have; together they give k, the number of sites, which is held at its
+// leader the sessions they have; together they give k, the number of sites, which is held at its
 // recent maximum so that a coordinator's loss does not make the fleet look small.
 import type { Coordinator, Session } from './parts.js';
 
@@ -20,7 +20,7 @@
   const out = new Map<string, string>();
   for (const s of own(c)) out.set(s.site, s.life);
   const now = performance.now();
-  for (const told of c.partnerSessions.values()) {
+  for (const told of c.peerSessions.values()) {
     for (const s of told.sessions) if (now - s.seenAt <= standsMs) out.set(s.site, s.life);
   }
   return out;
--- a/src/controlplane/status.ts
+++ b/src/controlplane/status.ts
@@ -1,4 +1,4 @@
-// What a coordinator says of the system when asked: the sequencer's view if it can be had, else its
+// What a coordinator says of the system when asked: the leader's view if it can be had, else its
 // own, marked as such.
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { groupDriver } from '../coordination/group/driver.js';
@@ -15,9 +15,9 @@
   const m = c.group.machine;
   const now = performance.now();
   const s = c.group.state;
-  const isSequencer = groupDriver.isSequencer(c.group);
-  const told = isSequencer
-    ? [...c.partnerSessions.values()].flatMap(function all(t) {
+  const isLeader = groupDriver.isLeader(c.group);
+  const told = isLeader
+    ? [...c.peerSessions.values()].flatMap(function all(t) {
         return t.sessions;
       })
     : [];
@@ -26,16 +26,16 @@
       return [x.site, x] as const;
     }),
   );
-  const f = isSequencer ? feed.state(c) : null;
+  const f = isLeader ? feed.state(c) : null;
   return {
     node: c.settings.node_name,
     phase: m.phase,
-    epoch: m.epoch,
-    sequencer: m.sequencer,
+    term: m.term,
+    leader: m.leader,
     sure: groupDriver.fresh(c.group),
     acts: groupDriver.mayAct(c.group, c.settings.bound_set.lease_ms),
     roster: m.roster.map(function one(x) {
-      const p = m.partners.get(x.id);
+      const p = m.peers.get(x.id);
       return {
         id: x.id,
         control: x.control,
@@ -44,7 +44,7 @@
       };
     }),
     committed: m.committed,
-    disk: c.group.store.troubled ? 'refuses' : 'takes',
+    disk: c.group.store.failing ? 'refuses' : 'takes',
     configuration: s.configuration?.revision ?? 0,
     weights: s.weights,
     rules: { active: s.rules.active, pending: s.rules.pending },
@@ -60,7 +60,7 @@
         draining: r.draining,
         parked: r.parked,
         models: r.models,
-        unsoundAt: f ? exchange.unsoundAt(f, r.id) : null,
+        unhealthyAt: f ? exchange.unhealthyAt(f, r.id) : null,
         verdict: f ? (f.jury.cases.get(r.id)?.phase ?? 'clear') : null,
       };
     }),
@@ -74,7 +74,7 @@
 
 async function handle(c: Coordinator, req: IncomingMessage, res: ServerResponse): Promise<void> {
   req.resume();
-  const to = groupDriver.sequencerControl(c.group);
+  const to = groupDriver.leaderControl(c.group);
   if (to !== null && to !== c.group.machine.addr) {
     const r = await channel.post<StatusAnswer>(c.agent, to, '/inner/status', {}, legMs);
     if (r.ok) return answers.send(res, answers.json(200, r.value));
--- a/src/coordination/duties/poller.ts
+++ b/src/coordination/duties/poller.ts
@@ -1,4 +1,4 @@
-// The duty of asking the platform which runners there are. Only the sequencer polls, so the calls of
+// The duty of asking the platform which runners there are. Only the leader polls, so the calls of
 // the whole system stay far below the platform's rate. A list is taken only when all its pages came.
 import type { Agent } from 'node:http';
 import { calls } from '../../protocol/calls/pairs.js';
@@ -17,12 +17,12 @@
       calls.list(token),
       legMs,
     );
-    if (!r.ok) return { ok: false, trouble: r.trouble.t };
+    if (!r.ok) return { ok: false, error: r.error.t };
     for (const one of r.value.runners) all.set(one.id, one);
     token = r.value.next;
     if (token === null) return { ok: true, value: [...all.values()] };
   }
-  return { ok: false, trouble: 'endless pages' };
+  return { ok: false, error: 'endless pages' };
 }
 
 export const poller = { poll };
--- a/src/coordination/exchange/machine.ts
+++ b/src/coordination/exchange/machine.ts
@@ -1,9 +1,9 @@
-// The sequencer's side of the exchange with the sites, as a pure machine: the sums of burden, the jury,
+// The leader's side of the exchange with the sites, as a pure machine: the sums of load, the jury,
 // the index of kept parts and the hot set, what of them a site lacks, and the beat at which it is told.
-// The beat grows with the number of sites, so that the sequencer's answers a second do not.
-import { jury, type Bench, type Jury } from '../soundness/jury.js';
+// The beat grows with the number of sites, so that the leader's answers a second do not.
+import { jury, type Bench, type Jury } from '../health/jury.js';
 import { tracker, type Tracker } from '../tracking/coordinator.js';
-import { sums, type Sums } from '../../state/burden/sums.js';
+import { sums, type Sums } from '../../state/load/sums.js';
 import { identity } from '../../state/index/identity.js';
 import { keptIndex, type KeptIndex } from '../../state/index/kept.js';
 import { itemHistory, type ItemHistory } from '../../state/history/items.js';
@@ -19,7 +19,7 @@
 const hotMs = 400;
 
 export type Exchange = {
-  epoch: number;
+  term: number;
   index: KeptIndex;
   tracker: Tracker;
   sums: Sums;
@@ -31,9 +31,9 @@
   hotAt: number;
 };
 
-function create(epoch: number, t: Tuning, k: number): Exchange {
+function create(term: number, t: Tuning, k: number): Exchange {
   return {
-    epoch,
+    term,
     index: keptIndex.create(t.movedTokens, mostChanges),
     tracker: tracker.create(t.epsilon, t.phi, mostTotal, gatherMs),
     sums: sums.create(),
@@ -52,22 +52,22 @@
 
 function due(s: Exchange, call: FeedCall): boolean {
   return (
-    call.since[0] !== s.epoch ||
+    call.since[0] !== s.term ||
     keptIndex.last(s.index) > call.since[1] ||
-    s.sums.revision > call.burdenSeen ||
+    s.sums.revision > call.loadSeen ||
     s.hotSeq > call.hotSeq ||
     s.jury.seq !== call.verdictSeq
   );
 }
 
-function burdensOf(s: Exchange, call: FeedCall): FeedAnswer['burdens'] {
-  const told = sums.since(s.sums, call.since[0] === s.epoch ? call.burdenSeen : 0);
+function loadsOf(s: Exchange, call: FeedCall): FeedAnswer['loads'] {
+  const told = sums.since(s.sums, call.since[0] === s.term ? call.loadSeen : 0);
   return { ...told, shownNo: sums.shownNo(s.sums, call.site, call.life) };
 }
 
 // The hot set as a site lacks it: the parts that came in and those that left since it was told.
 function hotOf(s: Exchange, call: FeedCall): Tracking['hot'] {
-  const known = call.since[0] === s.epoch ? call.hotSeq : -1;
+  const known = call.since[0] === s.term ? call.hotSeq : -1;
   if (known === s.hotSeq) return null;
   const d = known < 0 ? null : itemHistory.since(s.hot, known);
   return d
@@ -85,16 +85,16 @@
 function answerOf(s: Exchange, call: FeedCall, known: boolean): FeedAnswer {
   const t = s.tracker;
   const isReport = call.hold === 0;
-  const fresh = isReport ? [] : call.since[0] === s.epoch ? keptIndex.since(s.index, call.since[1]) : null;
+  const fresh = isReport ? [] : call.since[0] === s.term ? keptIndex.since(s.index, call.since[1]) : null;
   return {
-    epoch: s.epoch,
+    term: s.term,
     at: isReport ? call.since[1] : keptIndex.last(s.index),
     whole: fresh === null,
     changes: fresh ?? keptIndex.all(s.index),
-    burdens: isReport ? null : burdensOf(s, call),
+    loads: isReport ? null : loadsOf(s, call),
     beatMs: s.beatMs,
     verdicts:
-      !isReport && (s.jury.seq !== call.verdictSeq || call.since[0] !== s.epoch)
+      !isReport && (s.jury.seq !== call.verdictSeq || call.since[0] !== s.term)
         ? { seq: s.jury.seq, rows: jury.verdicts(s.jury) }
         : null,
     taken: call.report?.seq ?? 0,
@@ -111,7 +111,7 @@
 }
 
 function take(s: Exchange, call: FeedCall, now: number): boolean {
-  sums.report(s.sums, call.site, call.life, call.burdenNo, call.burden, call.unsound, now);
+  sums.report(s.sums, call.site, call.life, call.loadNo, call.load, call.unhealthy, now);
   jury.hear(s.jury, call.site, call.outcomes, now);
   for (const [salt, part, tokens, place] of call.held) keptIndex.announce(s.index, place, salt, part, tokens);
   return call.report ? tracker.take(s.tracker, call.life, call.site, call.report, s.k).known : true;
@@ -160,11 +160,11 @@
   showHot(s);
 }
 
-// How many sites find a runner unsound.
-function unsoundAt(s: Exchange, id: string): number {
+// How many sites find a runner unhealthy.
+function unhealthyAt(s: Exchange, id: string): number {
   let n = 0;
-  for (const b of s.sums.sites.values()) if (b.unsound.includes(id)) n++;
+  for (const b of s.sums.sites.values()) if (b.unhealthy.includes(id)) n++;
   return n;
 }
 
-export const exchange = { create, beatOf, due, answerOf, take, beat, track, unsoundAt };
+export const exchange = { create, beatOf, due, answerOf, take, beat, track, unhealthyAt };
--- a/src/coordination/group/driver.ts
+++ b/src/coordination/group/driver.ts
@@ -19,7 +19,7 @@
 const compactBytes = 4 * 1024 * 1024;
 const legMs = 600;
 
-type Pending = { index: number; epoch: number; done: (ok: boolean) => void };
+type Pending = { index: number; term: number; done: (ok: boolean) => void };
 export type GroupDriver = EventEmitter & {
   machine: GroupState;
   store: Store;
@@ -58,15 +58,15 @@
     seeds.some(function me(m) {
       return m.addr === addr;
     });
-  const none: View = { index: 0, epoch: 0, members: firstly ? seeds : [], state: control.empty() };
+  const none: View = { index: 0, term: 0, members: firstly ? seeds : [], state: control.empty() };
   const me =
     found.k === 'whole' ? found.found.me : firstly ? `${addr}#first` : `${addr}#${randomBytes(6).toString('hex')}`;
   const view = found.k === 'whole' ? found.found.view : none;
   const entries = found.k === 'whole' ? found.found.entries : [];
-  const epoch = found.k === 'whole' ? found.found.epoch : 0;
+  const term = found.k === 'whole' ? found.found.term : 0;
   const vote = found.k === 'whole' ? found.found.vote : null;
   if (found.k === 'lost')
-    ringLog.trouble(l, { why: found.why }, 'the disk lost what it held: joining as a new incarnation');
+    ringLog.error(l, { why: found.why }, 'the disk lost what it held: joining as a new incarnation');
   const machine = group.create({
     me,
     addr,
@@ -74,14 +74,14 @@
     timing,
     seed: randomBytes(4).readUInt32LE(0),
     target: Math.max(1, seeds.length),
-    epoch,
+    term,
     vote,
     view,
     entries,
     now,
   });
   const nextSegment = found.k === 'whole' ? found.found.nextSegment : found.nextSegment;
-  const st = store.create(dir, me, nextSegment, found.k === 'whole' ? log.last(machine) : 0, epoch, vote);
+  const st = store.create(dir, me, nextSegment, found.k === 'whole' ? log.last(machine) : 0, term, vote);
   const d: GroupDriver = Object.assign(new EventEmitter(), {
     machine,
     store: st,
@@ -108,19 +108,15 @@
   st.on('synced', function kept(token: number) {
     step(d, { e: 'synced', token });
   });
-  st.on('trouble', function bad(err: Error) {
-    ringLog.trouble(l, { why: err.message }, 'the disk refused a write');
+  st.on('error', function bad(err: Error) {
+    ringLog.error(l, { why: err.message }, 'the disk refused a write');
   });
-  ringLog.note(
-    l,
-    { me, found: found.k, last: log.last(machine), epoch, roster: machine.roster.length },
-    'group opened',
-  );
+  ringLog.note(l, { me, found: found.k, last: log.last(machine), term, roster: machine.roster.length }, 'group opened');
   return d;
 }
 
-function tailOf(d: GroupDriver): { epoch: number; vote: string | null; entries: GroupState['entries'] } {
-  return { epoch: d.machine.epoch, vote: d.machine.vote, entries: d.machine.entries };
+function tailOf(d: GroupDriver): { term: number; vote: string | null; entries: GroupState['entries'] } {
+  return { term: d.machine.term, vote: d.machine.vote, entries: d.machine.entries };
 }
 
 function start(d: GroupDriver): void {
@@ -159,8 +155,8 @@
       d.emit('delivered');
       return;
     case 'phase':
-      ringLog.note(d.log, { phase: f.phase, epoch: f.epoch }, 'phase');
-      if (f.phase !== 'sequencer') failAll(d);
+      ringLog.note(d.log, { phase: f.phase, term: f.term }, 'phase');
+      if (f.phase !== 'leader') failAll(d);
       d.emit('phase', f.phase);
       return;
     case 'trim':
@@ -191,13 +187,13 @@
     d.pending = d.pending.filter(function later(p) {
       return p.index > entry.index;
     });
-    for (const p of due) p.done(p.index === entry.index && p.epoch === entry.epoch);
+    for (const p of due) p.done(p.index === entry.index && p.term === entry.term);
   }
   d.emit('delivered');
   if (d.store.bytes > compactBytes && !d.store.view) {
     const view: View = {
       index: entry.index,
-      epoch: entry.epoch,
+      term: entry.term,
       members: group.membersAt(d.machine, entry.index),
       state: d.state,
     };
@@ -219,7 +215,7 @@
   for (const p of all) p.done(false);
 }
 
-// Proposes a command; true once it is committed in the epoch in which it was proposed. False says
+// Proposes a command; true once it is committed in the term in which it was proposed. False says
 // nothing about its fate: it may yet be in force.
 function propose(d: GroupDriver, command: Command): Promise<boolean> {
   return new Promise(function run(done) {
@@ -229,7 +225,7 @@
     });
     if (!p || p.f !== 'proposed') return done(false);
     if (d.machine.delivered >= p.index) return done(true);
-    d.pending.push({ index: p.index, epoch: p.epoch, done });
+    d.pending.push({ index: p.index, term: p.term, done });
   });
 }
 
@@ -260,7 +256,7 @@
     });
 }
 
-// Takes the messages of a partner; what the machine says to it at once goes back in the answer.
+// Takes the messages of a peer; what the machine says to it at once goes back in the answer.
 function receive(d: GroupDriver, messages: Message[]): { messages: Message[] } {
   const from = messages[0]?.fromAddr ?? '';
   for (const m of messages) step(d, { e: 'message', message: m });
@@ -285,7 +281,7 @@
   }
 }
 
-// Waits until this node, if it is the sequencer, is sure that no later epoch was running when the
+// Waits until this node, if it is the leader, is sure that no later term was running when the
 // call came in.
 function confirm(d: GroupDriver, waitMs: number): Promise<boolean> {
   const since = performance.now();
@@ -293,7 +289,7 @@
   return new Promise(function run(done) {
     function look(): void {
       const now = performance.now();
-      if (d.machine.phase !== 'sequencer' || now - since > waitMs) return done(false);
+      if (d.machine.phase !== 'leader' || now - since > waitMs) return done(false);
       if (group.sureSince(d.machine, now) >= since) return done(true);
       setTimeout(look, 10);
     }
@@ -301,28 +297,28 @@
   });
 }
 
-function isSequencer(d: GroupDriver): boolean {
-  return d.machine.phase === 'sequencer';
+function isLeader(d: GroupDriver): boolean {
+  return d.machine.phase === 'leader';
 }
 
-function sequencerControl(d: GroupDriver): string | null {
+function leaderControl(d: GroupDriver): string | null {
   const s = d.machine;
   return (
     s.roster.find(function same(m) {
-      return m.id === s.sequencer;
+      return m.id === s.leader;
     })?.addr ?? null
   );
 }
 
 function fresh(d: GroupDriver): boolean {
   const now = performance.now();
-  if (d.machine.phase === 'sequencer') return now < group.holdsUntil(d.machine, now);
-  return d.machine.sequencer !== null && now - d.machine.heardAt < timing.silenceMs;
+  if (d.machine.phase === 'leader') return now < group.holdsUntil(d.machine, now);
+  return d.machine.leader !== null && now - d.machine.heardAt < timing.silenceMs;
 }
 
 function mayAct(d: GroupDriver, leaseMs: number): boolean {
   const now = performance.now();
-  return d.machine.phase === 'sequencer' && now - d.machine.wonAt >= leaseMs && now < group.holdsUntil(d.machine, now);
+  return d.machine.phase === 'leader' && now - d.machine.wonAt >= leaseMs && now < group.holdsUntil(d.machine, now);
 }
 
 async function stop(d: GroupDriver): Promise<void> {
@@ -338,8 +334,8 @@
   propose,
   receive,
   confirm,
-  isSequencer,
-  sequencerControl,
+  isLeader,
+  leaderControl,
   fresh,
   mayAct,
   stop,
--- a/src/coordination/group/log.ts
+++ b/src/coordination/group/log.ts
@@ -1,14 +1,14 @@
 // Looks into the part of the log that is held in memory: the entries behind the latest view, the
-// roster in force (the newest roster entry, committed or not) and the epoch at an index.
+// roster in force (the newest roster entry, committed or not) and the term at an index.
 import type { Entry, GroupState } from './types.js';
 
 function last(s: GroupState): number {
   return s.base.index + s.entries.length;
 }
 
-function epochAt(s: GroupState, index: number): number | null {
-  if (index === s.base.index) return s.base.epoch;
-  return s.entries[index - s.base.index - 1]?.epoch ?? null;
+function termAt(s: GroupState, index: number): number | null {
+  if (index === s.base.index) return s.base.term;
+  return s.entries[index - s.base.index - 1]?.term ?? null;
 }
 
 function at(s: GroupState, index: number): Entry | null {
@@ -48,4 +48,4 @@
   return Math.floor(s.roster.length / 2) + 1;
 }
 
-export const log = { last, epochAt, at, from, findRoster, trimFrom, isMember, majority };
+export const log = { last, termAt, at, from, findRoster, trimFrom, isMember, majority };
--- a/src/coordination/group/machine.ts
+++ b/src/coordination/group/machine.ts
@@ -1,7 +1,7 @@
 // The group of coordinators as a pure machine: (state, event, now) -> effects. A majority of the
-// roster installs an epoch by ballot and so elects its sequencer; the followers trim what the
-// sequencer does not hold and go on in its order. An entry is committed once a majority has synced
-// it and it, or an entry behind it, belongs to the running epoch. Time is the steady clock only.
+// roster installs an term by ballot and so elects its leader; the followers trim what the
+// leader does not hold and go on in its order. An entry is committed once a majority has synced
+// it and it, or an entry behind it, belongs to the running term. Time is the steady clock only.
 import type { Member, MemberId } from '../../types.js';
 import { log } from './log.js';
 import type {
@@ -12,7 +12,7 @@
   GroupEvent,
   GroupState,
   Message,
-  Partner,
+  Peer,
   Phase,
   Record_,
   Timing,
@@ -28,7 +28,7 @@
   timing: Timing;
   seed: number;
   target: number;
-  epoch: number;
+  term: number;
   vote: MemberId | null;
   view: View;
   entries: Entry[];
@@ -44,9 +44,9 @@
     seed: a.seed,
     target: a.target,
     phase: 'learner',
-    epoch: a.epoch,
+    term: a.term,
     vote: a.vote,
-    base: { index: a.view.index, epoch: a.view.epoch, members: a.view.members },
+    base: { index: a.view.index, term: a.view.term, members: a.view.members },
     entries: a.entries,
     roster: [],
     rosterAt: 0,
@@ -58,12 +58,12 @@
     writtenAt: a.now,
     waiting: [],
     marks: [],
-    sequencer: null,
+    leader: null,
     heardAt: a.now,
     silence: 0,
     votes: new Set(),
     ballotAt: a.now,
-    partners: new Map(),
+    peers: new Map(),
     beatNo: 0,
     beatSentAt: new Map(),
     beatAt: 0,
@@ -91,11 +91,11 @@
   if (s.phase === phase) return;
   const was = s.phase;
   s.phase = phase;
-  if (was === 'sequencer') {
-    s.partners.clear();
+  if (was === 'leader') {
+    s.peers.clear();
     s.beatSentAt.clear();
   }
-  if (phase === 'sequencer' || was === 'sequencer') out.push({ f: 'phase', phase, epoch: s.epoch });
+  if (phase === 'leader' || was === 'leader') out.push({ f: 'phase', phase, term: s.term });
 }
 
 function rest(s: GroupState): Phase {
@@ -110,7 +110,7 @@
 }
 
 function addrOf(s: GroupState, id: MemberId): string | null {
-  const p = s.partners.get(id);
+  const p = s.peers.get(id);
   if (p) return p.addr;
   return (
     s.roster.find(function same(m) {
@@ -122,7 +122,7 @@
 function send(s: GroupState, to: MemberId, body: Body, out: GroupEffect[], addr?: string): void {
   const a = addr ?? addrOf(s, to);
   if (a === null || a === undefined) return;
-  out.push({ f: 'send', addr: a, message: { ...body, from: s.me, fromAddr: s.addr, to } as Message });
+  out.push({ f: 'send', addr: a, message: { ...body, from: s.me, fromAddr: s.addr, to } });
 }
 
 function others(s: GroupState): Member[] {
@@ -131,25 +131,25 @@
   });
 }
 
-function adopt(s: GroupState, epoch: number, vote: MemberId | null, now: number, out: GroupEffect[]): number {
-  s.epoch = epoch;
+function adopt(s: GroupState, term: number, vote: MemberId | null, now: number, out: GroupEffect[]): number {
+  s.term = term;
   s.vote = vote;
-  return write(s, [{ r: 'promise', epoch, vote }], now, out);
+  return write(s, [{ r: 'promise', term, vote }], now, out);
 }
 
-function upToDate(s: GroupState, last: number, lastEpoch: number): boolean {
-  const mine = log.epochAt(s, log.last(s)) ?? 0;
-  return lastEpoch > mine || (lastEpoch === mine && last >= log.last(s));
+function upToDate(s: GroupState, last: number, lastTerm: number): boolean {
+  const mine = log.termAt(s, log.last(s)) ?? 0;
+  return lastTerm > mine || (lastTerm === mine && last >= log.last(s));
 }
 
 function heardLately(s: GroupState, now: number): boolean {
-  if (s.phase === 'sequencer') return true;
+  if (s.phase === 'leader') return true;
   return now - s.heardAt < s.timing.silenceMs;
 }
 
 function canvass(s: GroupState, now: number, out: GroupEffect[]): void {
   enter(s, 'canvassing', out);
-  s.sequencer = null;
+  s.leader = null;
   s.votes = new Set([s.me]);
   s.ballotAt = now;
   renewSilence(s);
@@ -158,7 +158,7 @@
     send(
       s,
       m.id,
-      { m: 'canvass', epoch: s.epoch + 1, last: log.last(s), lastEpoch: log.epochAt(s, log.last(s)) ?? 0 },
+      { m: 'canvass', term: s.term + 1, last: log.last(s), lastTerm: log.termAt(s, log.last(s)) ?? 0 },
       out,
     );
 }
@@ -168,13 +168,13 @@
   s.votes = new Set();
   s.ballotAt = now;
   renewSilence(s);
-  const token = adopt(s, s.epoch + 1, s.me, now, out);
-  const ask: Body = { m: 'ballot', epoch: s.epoch, last: log.last(s), lastEpoch: log.epochAt(s, log.last(s)) ?? 0 };
-  s.waiting.push({ token, to: s.me, body: { m: 'vote', epoch: s.epoch, ok: true } });
+  const token = adopt(s, s.term + 1, s.me, now, out);
+  const ask: Body = { m: 'ballot', term: s.term, last: log.last(s), lastTerm: log.termAt(s, log.last(s)) ?? 0 };
+  s.waiting.push({ token, to: s.me, body: { m: 'vote', term: s.term, ok: true } });
   for (const m of others(s)) s.waiting.push({ token, to: m.id, body: ask });
 }
 
-function partnerOf(s: GroupState, m: Member, now: number, joining: boolean): Partner {
+function peerOf(s: GroupState, m: Member, now: number, joining: boolean): Peer {
   return {
     id: m.id,
     addr: m.addr,
@@ -190,20 +190,20 @@
 }
 
 function win(s: GroupState, now: number, out: GroupEffect[]): void {
-  enter(s, 'sequencer', out);
-  s.sequencer = s.me;
+  enter(s, 'leader', out);
+  s.leader = s.me;
   s.wonAt = now;
-  s.partners.clear();
-  for (const m of others(s)) s.partners.set(m.id, partnerOf(s, m, now, false));
+  s.peers.clear();
+  for (const m of others(s)) s.peers.set(m.id, peerOf(s, m, now, false));
   append(s, { kind: 'opening' }, now, out);
 }
 
 function append(s: GroupState, data: EntryData, now: number, out: GroupEffect[]): Entry {
-  const entry: Entry = { index: log.last(s) + 1, epoch: s.epoch, data };
+  const entry: Entry = { index: log.last(s) + 1, term: s.term, data };
   s.entries.push(entry);
   if (data.kind === 'roster') {
     log.findRoster(s);
-    syncPartners(s, now);
+    syncPeers(s, now);
   }
   const token = write(s, [{ r: 'entry', entry }], now, out);
   s.marks.push({ token, last: entry.index });
@@ -211,29 +211,29 @@
   return entry;
 }
 
-function syncPartners(s: GroupState, now: number): void {
+function syncPeers(s: GroupState, now: number): void {
   for (const m of others(s)) {
-    const p = s.partners.get(m.id);
+    const p = s.peers.get(m.id);
     if (p) p.joining = false;
-    else s.partners.set(m.id, partnerOf(s, m, now, false));
+    else s.peers.set(m.id, peerOf(s, m, now, false));
   }
-  for (const p of [...s.partners.values()]) {
-    if (!p.joining && !log.isMember(s, p.id)) s.partners.delete(p.id);
+  for (const p of [...s.peers.values()]) {
+    if (!p.joining && !log.isMember(s, p.id)) s.peers.delete(p.id);
   }
 }
 
 function spread(s: GroupState, now: number, onlyIfFree: boolean, out: GroupEffect[]): void {
-  for (const p of s.partners.values()) feed(s, p, now, onlyIfFree, out);
+  for (const p of s.peers.values()) feed(s, p, now, onlyIfFree, out);
 }
 
-function feed(s: GroupState, p: Partner, now: number, onlyIfFree: boolean, out: GroupEffect[]): void {
+function feed(s: GroupState, p: Peer, now: number, onlyIfFree: boolean, out: GroupEffect[]): void {
   if (!p.answered && now - p.sentAt < s.timing.legMs && onlyIfFree) return;
   s.beatNo++;
   s.beatSentAt.set(s.beatNo, now);
   p.sentAt = now;
   p.answered = false;
   if (p.next <= s.base.index && s.latestView !== null) {
-    send(s, p.id, { m: 'view', epoch: s.epoch, view: s.latestView, beat: s.beatNo }, out);
+    send(s, p.id, { m: 'view', term: s.term, view: s.latestView, beat: s.beatNo }, out);
     return;
   }
   const entries = log.from(s, p.next, batch);
@@ -242,9 +242,9 @@
     p.id,
     {
       m: 'append',
-      epoch: s.epoch,
+      term: s.term,
       prev: p.next - 1,
-      prevEpoch: log.epochAt(s, p.next - 1) ?? 0,
+      prevTerm: log.termAt(s, p.next - 1) ?? 0,
       entries,
       committed: s.committed,
       beat: s.beatNo,
@@ -255,13 +255,13 @@
 
 function commit(s: GroupState, now: number, out: GroupEffect[]): void {
   const marks = s.roster.map(function mark(m) {
-    return m.id === s.me ? s.durable : (s.partners.get(m.id)?.match ?? 0);
+    return m.id === s.me ? s.durable : (s.peers.get(m.id)?.match ?? 0);
   });
   marks.sort(function down(a, b) {
     return b - a;
   });
   const held = marks[log.majority(s) - 1] ?? 0;
-  if (held <= s.committed || log.epochAt(s, held) !== s.epoch) return;
+  if (held <= s.committed || log.termAt(s, held) !== s.term) return;
   s.committed = held;
   deliver(s, out);
   spread(s, now, true, out);
@@ -276,10 +276,10 @@
   }
 }
 
-function follow(s: GroupState, m: Message, epoch: number, now: number, out: GroupEffect[]): boolean {
-  if (epoch < s.epoch) return false;
-  if (epoch > s.epoch) adopt(s, epoch, null, now, out);
-  s.sequencer = m.from;
+function follow(s: GroupState, m: Message, term: number, now: number, out: GroupEffect[]): boolean {
+  if (term < s.term) return false;
+  if (term > s.term) adopt(s, term, null, now, out);
+  s.leader = m.from;
   s.heardAt = now;
   renewSilence(s);
   enter(s, rest(s), out);
@@ -287,8 +287,8 @@
 }
 
 function onAppend(s: GroupState, m: Message & { m: 'append' }, now: number, out: GroupEffect[]): void {
-  if (!follow(s, m, m.epoch, now, out)) {
-    send(s, m.from, { m: 'appended', epoch: s.epoch, ok: false, match: 0, beat: m.beat }, out, m.fromAddr);
+  if (!follow(s, m, m.term, now, out)) {
+    send(s, m.from, { m: 'appended', term: s.term, ok: false, match: 0, beat: m.beat }, out, m.fromAddr);
     return;
   }
   let entries = m.entries;
@@ -303,11 +303,11 @@
       prev = s.base.index;
       entries = [];
     }
-  } else if (log.epochAt(s, prev) !== m.prevEpoch) {
+  } else if (log.termAt(s, prev) !== m.prevTerm) {
     send(
       s,
       m.from,
-      { m: 'appended', epoch: s.epoch, ok: false, match: Math.min(log.last(s), prev - 1), beat: m.beat },
+      { m: 'appended', term: s.term, ok: false, match: Math.min(log.last(s), prev - 1), beat: m.beat },
       out,
       m.fromAddr,
     );
@@ -315,8 +315,8 @@
   }
   const fresh: Record_[] = [];
   for (const e of entries) {
-    const have = log.epochAt(s, e.index);
-    if (have === e.epoch) continue;
+    const have = log.termAt(s, e.index);
+    if (have === e.term) continue;
     if (have !== null) {
       out.push({ f: 'trim', from: e.index });
       log.trimFrom(s, e.index);
@@ -344,15 +344,15 @@
 }
 
 function answerAppend(s: GroupState, m: Message & { beat: number }, upTo: number, out: GroupEffect[]): void {
-  const body: Body = { m: 'appended', epoch: s.epoch, ok: true, match: upTo, beat: m.beat };
+  const body: Body = { m: 'appended', term: s.term, ok: true, match: upTo, beat: m.beat };
   if (s.synced === s.written) send(s, m.from, body, out, m.fromAddr);
   else s.waiting.push({ token: s.written, to: m.from, body });
 }
 
 function onView(s: GroupState, m: Message & { m: 'view' }, now: number, out: GroupEffect[]): void {
-  if (!follow(s, m, m.epoch, now, out)) return;
+  if (!follow(s, m, m.term, now, out)) return;
   if (m.view.index > s.committed) {
-    s.base = { index: m.view.index, epoch: m.view.epoch, members: m.view.members };
+    s.base = { index: m.view.index, term: m.view.term, members: m.view.members };
     s.entries = [];
     s.committed = m.view.index;
     s.delivered = m.view.index;
@@ -361,7 +361,7 @@
     s.latestView = m.view;
     log.findRoster(s);
     out.push({ f: 'install', view: m.view });
-    const token = write(s, [{ r: 'promise', epoch: s.epoch, vote: s.vote }], now, out);
+    const token = write(s, [{ r: 'promise', term: s.term, vote: s.vote }], now, out);
     s.marks.push({ token, last: m.view.index });
     enter(s, rest(s), out);
   }
@@ -369,13 +369,13 @@
 }
 
 function onAppended(s: GroupState, m: Message & { m: 'appended' }, now: number, out: GroupEffect[]): void {
-  if (m.epoch > s.epoch) {
-    adopt(s, m.epoch, null, now, out);
+  if (m.term > s.term) {
+    adopt(s, m.term, null, now, out);
     enter(s, rest(s), out);
     return;
   }
-  if (s.phase !== 'sequencer' || m.epoch < s.epoch) return;
-  const p = s.partners.get(m.from);
+  if (s.phase !== 'leader' || m.term < s.term) return;
+  const p = s.peers.get(m.from);
   if (!p) return;
   p.heardAt = now;
   p.answered = true;
@@ -391,61 +391,61 @@
   } else {
     p.next = Math.max(1, Math.min(p.next - 1, m.match + 1));
   }
-  if (s.phase === 'sequencer' && s.partners.has(p.id) && p.answered && (p.next <= log.last(s) || !m.ok))
+  if (s.phase === 'leader' && s.peers.has(p.id) && p.answered && (p.next <= log.last(s) || !m.ok))
     feed(s, p, now, true, out);
 }
 
 function onBallot(s: GroupState, m: Message & { m: 'ballot' }, now: number, out: GroupEffect[]): void {
-  if (m.epoch <= s.epoch && !(m.epoch === s.epoch && s.vote === m.from)) {
-    send(s, m.from, { m: 'vote', epoch: s.epoch, ok: false }, out, m.fromAddr);
+  if (m.term <= s.term && !(m.term === s.term && s.vote === m.from)) {
+    send(s, m.from, { m: 'vote', term: s.term, ok: false }, out, m.fromAddr);
     return;
   }
   if (!log.isMember(s, s.me) || heardLately(s, now)) return;
-  const grant = upToDate(s, m.last, m.lastEpoch);
+  const grant = upToDate(s, m.last, m.lastTerm);
   let token = s.written;
-  if (m.epoch > s.epoch || s.vote !== m.from) token = adopt(s, m.epoch, grant ? m.from : null, now, out);
+  if (m.term > s.term || s.vote !== m.from) token = adopt(s, m.term, grant ? m.from : null, now, out);
   enter(s, rest(s), out);
   if (grant) s.ballotAt = now;
-  const body: Body = { m: 'vote', epoch: m.epoch, ok: grant };
+  const body: Body = { m: 'vote', term: m.term, ok: grant };
   if (s.synced >= token) send(s, m.from, body, out, m.fromAddr);
   else s.waiting.push({ token, to: m.from, body });
 }
 
 function onVote(s: GroupState, m: Message & { m: 'vote' }, now: number, out: GroupEffect[]): void {
-  if (m.epoch > s.epoch) {
-    adopt(s, m.epoch, null, now, out);
+  if (m.term > s.term) {
+    adopt(s, m.term, null, now, out);
     enter(s, rest(s), out);
     return;
   }
-  if (s.phase !== 'candidate' || m.epoch !== s.epoch || !m.ok || !log.isMember(s, m.from)) return;
+  if (s.phase !== 'candidate' || m.term !== s.term || !m.ok || !log.isMember(s, m.from)) return;
   s.votes.add(m.from);
   if (s.votes.size >= log.majority(s)) win(s, now, out);
 }
 
 function onCanvass(s: GroupState, m: Message & { m: 'canvass' }, now: number, out: GroupEffect[]): void {
-  const ok = log.isMember(s, s.me) && m.epoch > s.epoch && !heardLately(s, now) && upToDate(s, m.last, m.lastEpoch);
-  send(s, m.from, { m: 'canvassed', epoch: ok ? m.epoch : s.epoch, ok }, out, m.fromAddr);
+  const ok = log.isMember(s, s.me) && m.term > s.term && !heardLately(s, now) && upToDate(s, m.last, m.lastTerm);
+  send(s, m.from, { m: 'canvassed', term: ok ? m.term : s.term, ok }, out, m.fromAddr);
 }
 
 function onCanvassed(s: GroupState, m: Message & { m: 'canvassed' }, now: number, out: GroupEffect[]): void {
-  if (!m.ok && m.epoch > s.epoch) {
-    adopt(s, m.epoch, null, now, out);
+  if (!m.ok && m.term > s.term) {
+    adopt(s, m.term, null, now, out);
     enter(s, rest(s), out);
     return;
   }
-  if (s.phase !== 'canvassing' || !m.ok || m.epoch !== s.epoch + 1 || !log.isMember(s, m.from)) return;
+  if (s.phase !== 'canvassing' || !m.ok || m.term !== s.term + 1 || !log.isMember(s, m.from)) return;
   s.votes.add(m.from);
   if (s.votes.size >= log.majority(s)) campaign(s, now, out);
 }
 
 function onJoin(s: GroupState, m: Message & { m: 'join' }, now: number): void {
-  if (s.phase !== 'sequencer' || log.isMember(s, m.from)) return;
-  const p = s.partners.get(m.from);
+  if (s.phase !== 'leader' || log.isMember(s, m.from)) return;
+  const p = s.peers.get(m.from);
   if (p) {
     p.addr = m.fromAddr;
     p.heardAt = now;
   } else {
-    s.partners.set(m.from, partnerOf(s, { id: m.from, addr: m.fromAddr, control: m.control }, now, true));
+    s.peers.set(m.from, peerOf(s, { id: m.from, addr: m.fromAddr, control: m.control }, now, true));
   }
 }
 
@@ -484,20 +484,20 @@
     return w.token > s.synced;
   });
   for (const w of due) {
-    if (w.to === s.me) onMessage(s, { ...w.body, from: s.me, fromAddr: s.addr, to: s.me } as Message, now, out);
+    if (w.to === s.me) onMessage(s, { ...w.body, from: s.me, fromAddr: s.addr, to: s.me }, now, out);
     else if (stillMeant(s, w.body)) send(s, w.to, w.body, out);
   }
-  if (s.phase === 'sequencer') commit(s, now, out);
+  if (s.phase === 'leader') commit(s, now, out);
 }
 
 function stillMeant(s: GroupState, b: Body): boolean {
-  if (b.m === 'ballot') return s.phase === 'candidate' && b.epoch === s.epoch;
-  return b.m === 'vote' || b.m === 'appended' ? b.epoch === s.epoch : true;
+  if (b.m === 'ballot') return s.phase === 'candidate' && b.term === s.term;
+  return b.m === 'vote' || b.m === 'appended' ? b.term === s.term : true;
 }
 
-function quorumHeardAt(s: GroupState, of: (p: Partner) => number, now: number): number {
+function quorumHeardAt(s: GroupState, of: (p: Peer) => number, now: number): number {
   const at = s.roster.map(function one(m) {
-    return m.id === s.me ? now : (of(s.partners.get(m.id)!) ?? 0);
+    return m.id === s.me ? now : (of(s.peers.get(m.id)!) ?? 0);
   });
   at.sort(function down(a, b) {
     return b - a;
@@ -506,11 +506,11 @@
 }
 
 function reshape(s: GroupState, now: number, out: GroupEffect[]): void {
-  if (s.rosterAt > s.committed || log.epochAt(s, s.committed) !== s.epoch) return;
+  if (s.rosterAt > s.committed || log.termAt(s, s.committed) !== s.term) return;
   const gone = others(s).find(function silent(m) {
-    return now - (s.partners.get(m.id)?.heardAt ?? 0) > s.timing.goneMs;
+    return now - (s.peers.get(m.id)?.heardAt ?? 0) > s.timing.goneMs;
   });
-  for (const p of s.partners.values()) {
+  for (const p of s.peers.values()) {
     if (!p.joining || now - p.heardAt > s.timing.silenceMs || p.match + batch < s.committed) continue;
     const was = s.roster.find(function same(m) {
       return m.addr === p.addr;
@@ -539,7 +539,7 @@
 }
 
 function onBeat(s: GroupState, now: number, out: GroupEffect[]): void {
-  if (s.phase === 'sequencer') {
+  if (s.phase === 'leader') {
     const stalled = s.synced < s.written && now - s.writtenAt > s.timing.yieldMs;
     const alone =
       now -
@@ -552,18 +552,17 @@
         ) >
       s.timing.silenceMs;
     if (stalled || alone || !log.isMember(s, s.me)) {
-      s.sequencer = null;
+      s.leader = null;
       s.heardAt = now;
       renewSilence(s);
       enter(s, rest(s), out);
       return;
     }
-    for (const p of [...s.partners.values()])
-      if (p.joining && now - p.heardAt > s.timing.goneMs) s.partners.delete(p.id);
+    for (const p of [...s.peers.values()]) if (p.joining && now - p.heardAt > s.timing.goneMs) s.peers.delete(p.id);
     reshape(s, now, out);
     if (now - s.beatAt >= s.timing.beatMs) {
       s.beatAt = now;
-      for (const p of s.partners.values()) feed(s, p, now, !p.answered, out);
+      for (const p of s.peers.values()) feed(s, p, now, !p.answered, out);
       for (const [no, at] of s.beatSentAt) if (now - at > s.timing.silenceMs * 4) s.beatSentAt.delete(no);
     }
     return;
@@ -586,15 +585,15 @@
       onSynced(s, ev.token, now, out);
       break;
     case 'propose':
-      if (s.phase === 'sequencer') {
+      if (s.phase === 'leader') {
         const entry = append(s, { kind: 'order', command: ev.command }, now, out);
-        out.push({ f: 'proposed', index: entry.index, epoch: entry.epoch });
+        out.push({ f: 'proposed', index: entry.index, term: entry.term });
       }
       break;
     case 'compact':
       if (ev.view.index > s.base.index && ev.view.index <= s.committed) {
         s.entries = s.entries.slice(ev.view.index - s.base.index);
-        s.base = { index: ev.view.index, epoch: ev.view.epoch, members: ev.view.members };
+        s.base = { index: ev.view.index, term: ev.view.term, members: ev.view.members };
         s.latestView = ev.view;
         log.findRoster(s);
       }
@@ -603,11 +602,11 @@
   return out;
 }
 
-// Until when the sequencer may act alone: while a majority that answered its beat still holds off
+// Until when the leader may act alone: while a majority that answered its beat still holds off
 // every other candidate. Followers hold off for silenceMs from the time they heard the beat, which
 // is not before it was sent.
 function holdsUntil(s: GroupState, now: number): number {
-  if (s.phase !== 'sequencer') return 0;
+  if (s.phase !== 'leader') return 0;
   return (
     quorumHeardAt(
       s,
@@ -621,7 +620,7 @@
 
 // A read is sure once a majority has answered a beat that was sent after the read came in.
 function sureSince(s: GroupState, now: number): number {
-  if (s.phase !== 'sequencer' || log.epochAt(s, s.committed) !== s.epoch) return 0;
+  if (s.phase !== 'leader' || log.termAt(s, s.committed) !== s.term) return 0;
   return quorumHeardAt(
     s,
     function acked(p) {
--- a/src/coordination/group/types.ts
+++ b/src/coordination/group/types.ts
@@ -1,33 +1,33 @@
 // The vocabulary of the group machine: what it holds, what may happen to it and what it asks its
-// driver to do. Epochs are numbered ballots; the sequencer is the one member that won an epoch.
+// driver to do. Terms are numbered ballots; the leader is the one member that won an term.
 import type { Member, MemberId } from '../../types.js';
 
-export type Entry = { index: number; epoch: number; data: EntryData };
+export type Entry = { index: number; term: number; data: EntryData };
 export type EntryData =
   { kind: 'opening' } | { kind: 'roster'; members: Member[] } | { kind: 'order'; command: unknown };
 
 export type Record_ =
-  | { r: 'promise'; epoch: number; vote: MemberId | null }
+  | { r: 'promise'; term: number; vote: MemberId | null }
   | { r: 'entry'; entry: Entry }
   | { r: 'committed'; index: number };
 
-export type View = { index: number; epoch: number; members: Member[]; state: unknown };
+export type View = { index: number; term: number; members: Member[]; state: unknown };
 
 export type Message = { from: MemberId; fromAddr: string; to: MemberId } & (
-  | { m: 'canvass'; epoch: number; last: number; lastEpoch: number }
-  | { m: 'canvassed'; epoch: number; ok: boolean }
-  | { m: 'ballot'; epoch: number; last: number; lastEpoch: number }
-  | { m: 'vote'; epoch: number; ok: boolean }
-  | { m: 'append'; epoch: number; prev: number; prevEpoch: number; entries: Entry[]; committed: number; beat: number }
-  | { m: 'appended'; epoch: number; ok: boolean; match: number; beat: number }
-  | { m: 'view'; epoch: number; view: View; beat: number }
+  | { m: 'canvass'; term: number; last: number; lastTerm: number }
+  | { m: 'canvassed'; term: number; ok: boolean }
+  | { m: 'ballot'; term: number; last: number; lastTerm: number }
+  | { m: 'vote'; term: number; ok: boolean }
+  | { m: 'append'; term: number; prev: number; prevTerm: number; entries: Entry[]; committed: number; beat: number }
+  | { m: 'appended'; term: number; ok: boolean; match: number; beat: number }
+  | { m: 'view'; term: number; view: View; beat: number }
   | { m: 'join'; control: string }
 );
 export type Body = Message extends infer T ? (T extends Message ? Omit<T, 'from' | 'fromAddr' | 'to'> : never) : never;
 
-export type Phase = 'learner' | 'follower' | 'canvassing' | 'candidate' | 'sequencer';
+export type Phase = 'learner' | 'follower' | 'canvassing' | 'candidate' | 'leader';
 
-export type Partner = {
+export type Peer = {
   id: MemberId;
   addr: string;
   control: string;
@@ -57,9 +57,9 @@
   seed: number;
   target: number;
   phase: Phase;
-  epoch: number;
+  term: number;
   vote: MemberId | null;
-  base: { index: number; epoch: number; members: Member[] };
+  base: { index: number; term: number; members: Member[] };
   entries: Entry[];
   roster: Member[];
   rosterAt: number;
@@ -71,12 +71,12 @@
   writtenAt: number;
   waiting: { token: number; to: MemberId; body: Body }[];
   marks: { token: number; last: number }[];
-  sequencer: MemberId | null;
+  leader: MemberId | null;
   heardAt: number;
   silence: number;
   votes: Set<MemberId>;
   ballotAt: number;
-  partners: Map<MemberId, Partner>;
+  peers: Map<MemberId, Peer>;
   beatNo: number;
   beatSentAt: Map<number, number>;
   beatAt: number;
@@ -98,5 +98,5 @@
   | { f: 'install'; view: View }
   | { f: 'deliver'; entry: Entry }
   | { f: 'trim'; from: number }
-  | { f: 'phase'; phase: Phase; epoch: number }
-  | { f: 'proposed'; index: number; epoch: number };
+  | { f: 'phase'; phase: Phase; term: number }
+  | { f: 'proposed'; index: number; term: number };
--- a/src/coordination/soundness/jury.ts
+++ b/src/coordination/health/jury.ts
@@ -1,10 +1,10 @@
-// Judges the soundness of runners by what requests met there, as a pure machine run by the sequencer.
+// Judges the health of runners by what requests met there, as a pure machine run by the leader.
 // Sites say how many answers of each runner were good and how many broke; a runner whose answers break
-// for several sites is unsound for all. The word of one site counts for little, and only a part of a
-// service's runners can be unsound at once, so that a false or cut-off accuser never empties a pool.
-// An unsound runner is tried again, after a pause that grows, by one site with a repeatable request.
+// for several sites is unhealthy for all. The word of one site counts for little, and only a part of a
+// service's runners can be unhealthy at once, so that a false or cut-off accuser never empties a pool.
+// An unhealthy runner is tried again, after a pause that grows, by one site with a repeatable request.
 export type Word = { good: number; bad: number; at: number };
-export type CasePhase = 'clear' | 'unsound' | 'trial';
+export type CasePhase = 'clear' | 'unhealthy' | 'trial';
 export type Case = {
   words: Map<string, Word>;
   phase: CasePhase;
@@ -51,7 +51,7 @@
 
 // The one place where a case changes its phase.
 function turn(j: Jury, c: Case, phase: CasePhase, now: number): void {
-  if (phase === 'unsound') {
+  if (phase === 'unhealthy') {
     if (c.phase === 'clear') c.offences++;
     c.passed = 0;
   }
@@ -79,7 +79,7 @@
       at: now,
     });
     if (c.phase !== 'trial' || c.taker !== site) continue;
-    if (bad > 0) turn(j, c, 'unsound', now);
+    if (bad > 0) turn(j, c, 'unhealthy', now);
     else {
       c.passed++;
       if (c.passed >= Math.min(mostTrials, c.offences)) turn(j, c, 'clear', now);
@@ -116,9 +116,9 @@
 
 // The beat: accuses, appoints the trials that are due, and forgets runners that are gone.
 function beat(j: Jury, b: Bench, now: number): void {
-  const pools = new Map<string, { size: number; unsound: number }>();
+  const pools = new Map<string, { size: number; unhealthy: number }>();
   for (const service of b.runners.values()) {
-    const p = pools.get(service) ?? { size: 0, unsound: 0 };
+    const p = pools.get(service) ?? { size: 0, unhealthy: 0 };
     p.size++;
     pools.set(service, p);
   }
@@ -130,12 +130,12 @@
       if (c.phase !== 'clear') j.seq++;
       continue;
     }
-    if (c.phase !== 'clear') pools.get(service)!.unsound++;
+    if (c.phase !== 'clear') pools.get(service)!.unhealthy++;
     if (c.phase === 'clear') {
       const share = accusation(c, now);
       if (share > 0) accused.push({ c, share, service });
       else if (now - c.since > forgetMs && c.offences > 0) c.offences = 0;
-    } else if (c.phase === 'unsound' && now - c.since >= pauseOf(c) && b.sites.length > 0)
+    } else if (c.phase === 'unhealthy' && now - c.since >= pauseOf(c) && b.sites.length > 0)
       appoint(j, c, b.sites[j.trials % b.sites.length]!, now);
     else if (c.phase === 'trial' && now - c.since >= trialMs && b.sites.length > 0)
       appoint(j, c, b.sites[j.trials % b.sites.length]!, now);
@@ -145,13 +145,13 @@
   });
   for (const { c, service } of accused) {
     const p = pools.get(service)!;
-    if (p.unsound + 1 > Math.floor(p.size * poolShare)) continue;
-    p.unsound++;
-    turn(j, c, 'unsound', now);
+    if (p.unhealthy + 1 > Math.floor(p.size * poolShare)) continue;
+    p.unhealthy++;
+    turn(j, c, 'unhealthy', now);
   }
 }
 
-// What sites are told: each unsound runner, with the site that is to try it, and the trial's number.
+// What sites are told: each unhealthy runner, with the site that is to try it, and the trial's number.
 function verdicts(j: Jury): Verdict[] {
   const out: Verdict[] = [];
   for (const [id, c] of j.cases)
--- a/src/coordination/transfer/machine.ts
+++ b/src/coordination/transfer/machine.ts
@@ -3,7 +3,7 @@
 // destination have to do at once, and counts as visible only when the destination itself reports the
 // part. Every transfer ends: by that report, by the end of its request, by the source's word that the
 // part is gone, or by its time; what comes after the end changes nothing. Leases are kept by the site
-// that took them and known to the others by the burden it tells; they end with the site's word.
+// that took them and known to the others by the load it tells; they end with the site's word.
 export type TransferPhase =
   'hinted' | 'confirmed' | 'leased' | 'reserved' | 'moving' | 'visible' | 'released' | 'expired';
 export type Transfer = {
--- a/src/dataplane/feed.ts
+++ b/src/dataplane/feed.ts
@@ -1,14 +1,14 @@
-// A site's side of the exchange with the sequencer. One call is always held open for what the others
-// do; a call without a hold goes out shortly after a large change of this site's own burden.
+// A site's side of the exchange with the leader. One call is always held open for what the others
+// do; a call without a hold goes out shortly after a large change of this site's own load.
 import { channel } from '../transport/inner/channel.js';
 import { siteTracker, type SiteTracker } from '../coordination/tracking/site.js';
-import { others, type Others } from '../state/burden/others.js';
+import { others, type Others } from '../state/load/others.js';
 import { transfers } from '../coordination/transfer/machine.js';
 import { identity } from '../state/index/identity.js';
 import { holdings, storePlace } from '../state/index/holdings.js';
-import type { OutcomeRow } from '../coordination/soundness/jury.js';
+import type { OutcomeRow } from '../coordination/health/jury.js';
 import { fleet } from '../state/runners/fleet.js';
-import type { BurdenRow, FeedAnswer, FeedCall } from '../types.js';
+import type { LoadRow, FeedAnswer, FeedCall } from '../types.js';
 import type { Follower } from './follow.js';
 import { assign } from './policies/assign.js';
 import type { Site } from './types.js';
@@ -35,8 +35,8 @@
   heardAt: number;
 };
 
-function burdenOf(site: Site): BurdenRow[] {
-  const out: BurdenRow[] = [];
+function loadOf(site: Site): LoadRow[] {
+  const out: LoadRow[] = [];
   for (const s of site.fleet.byId.values()) {
     const moves = transfers.at(site.transfers, s.ix);
     if (s.active > 0 || s.reading > 0 || moves.source > 0 || moves.dest > 0)
@@ -47,10 +47,10 @@
   return out;
 }
 
-function unsoundOf(site: Site): string[] {
+function unhealthyOf(site: Site): string[] {
   return [...site.fleet.byId.values()]
     .filter(function not(s) {
-      return s.phase !== 'sound';
+      return s.phase !== 'healthy';
     })
     .map(function id(s) {
       return s.id;
@@ -69,25 +69,25 @@
 }
 
 function callOf(site: Site, x: Exchange, hold: number): FeedCall {
-  const burden = burdenOf(site);
+  const load = loadOf(site);
   x.told = new Map(
-    burden.map(function pair(b) {
+    load.map(function pair(b) {
       return [b[0], b[2] + b[3]] as const;
     }),
   );
   const held = x.held;
   x.held = [];
-  const burdenNo = others.tell(x.others, burden);
+  const loadNo = others.tell(x.others, load);
   return {
     site: site.settings.node_name,
     life: x.tracker.life,
     since: x.since,
     hotSeq: x.hotSeq,
     hold,
-    burden,
-    burdenNo,
-    burdenSeen: x.others.revision,
-    unsound: unsoundOf(site),
+    load,
+    loadNo,
+    loadSeen: x.others.revision,
+    unhealthy: unhealthyOf(site),
     outcomes: outcomesOf(site),
     verdictSeq: x.verdictSeq,
     held,
@@ -115,8 +115,8 @@
     x.hotSeq = a.tracking.hotSeq;
   }
   x.beatMs = a.beatMs;
-  if (a.burdens) {
-    others.take(x.others, a.burdens);
+  if (a.loads) {
+    others.take(x.others, a.loads);
     showOthers(site, x);
   }
   if (a.verdicts) {
@@ -145,11 +145,11 @@
         transfers.step(site.transfers, { e: 'gone', place, key: null }, now);
     }
   }
-  x.since = [a.epoch, a.at];
+  x.since = [a.term, a.at];
 }
 
 async function say(site: Site, f: Follower, x: Exchange, hold: number): Promise<boolean> {
-  const to = f.sequencer;
+  const to = f.leader;
   if (to === null) return false;
   const call = callOf(site, x, hold);
   const r = await channel.post<FeedAnswer | null>(f.via, to, '/inner/feed', call, hold + slackMs);
@@ -189,7 +189,7 @@
       holdings.expect(site.holdings, a.salt, part.id, a.slot.ix, part.tokens, performance.now());
     }
   };
-  site.burdenChanged = function changed() {
+  site.loadChanged = function changed() {
     if (x.soon) return;
     const large = [...site.fleet.byId.values()].some(function much(s) {
       return Math.abs(s.reading + s.claimed - (x.told.get(s.id) ?? 0)) >= tellTokens;
--- a/src/dataplane/follow.ts
+++ b/src/dataplane/follow.ts
@@ -22,13 +22,13 @@
   known: string[];
   seeds: string[];
   at: number;
-  sequencer: string | null;
+  leader: string | null;
   stopped: boolean;
   whole: boolean;
 };
 
 function newer(a: Board, b: Board): boolean {
-  return a.epoch > b.epoch || (a.epoch === b.epoch && a.seq > b.seq);
+  return a.term > b.term || (a.term === b.term && a.seq > b.seq);
 }
 
 function takeBoard(site: Site, b: Board): void {
@@ -90,7 +90,7 @@
     f,
   );
   if (board) takeBoard(site, board);
-  f.sequencer = a.sequencer;
+  f.leader = a.leader;
   if (a.coordinators.length > 0) {
     const at = f.known[f.at % f.known.length];
     f.known = [...new Set([...a.coordinators, ...f.seeds])].sort();
@@ -107,7 +107,7 @@
       site: site.settings.node_name,
       life: f.life,
       revision: site.table?.revision ?? 0,
-      board: [site.board.epoch, site.board.seq],
+      board: [site.board.term, site.board.seq],
       weights: site.weightsSeq,
       rules: site.rules.seq,
       hold: holdMs,
@@ -120,7 +120,7 @@
       failed = 0;
       continue;
     }
-    ringLog.note(site.log, { to, why: r.ok ? 'behind' : r.trouble }, 'turning to another coordinator');
+    ringLog.note(site.log, { to, why: r.ok ? 'behind' : r.error }, 'turning to another coordinator');
     f.at++;
     failed++;
     if (failed % f.known.length === 0)
--- a/src/dataplane/front.ts
+++ b/src/dataplane/front.ts
@@ -64,7 +64,7 @@
   }
 }
 
-function onClientTrouble(err: Error & { code?: string }, socket: Duplex): void {
+function onClientError(err: Error & { code?: string }, socket: Duplex): void {
   if (!socket.writable || (socket as unknown as { bytesWritten: number; _httpMessage?: unknown })._httpMessage) {
     socket.destroy();
     return;
@@ -80,13 +80,13 @@
     { maxHeaderSize: mostHeaderBytes, connectionsCheckingInterval: 500, noDelay: true },
     function got(req, res) {
       walk(site, req, res).catch(function bad(err: Error) {
-        ringLog.trouble(site.log, { why: err.stack }, 'a request met an error of our own');
+        ringLog.error(site.log, { why: err.stack }, 'a request met an error of our own');
         res.destroy();
       });
     },
   );
   server.requestTimeout = 0;
-  server.on('clientError', onClientTrouble);
+  server.on('clientError', onClientError);
   adapt(site, server);
   return server;
 }
--- a/src/dataplane/leg.ts
+++ b/src/dataplane/leg.ts
@@ -1,5 +1,5 @@
 // One leg: a request sent to one runner on a kept or new channel. It ends with the head of the
-// runner's answer, or with a trouble that says whether the runner can have run it.
+// runner's answer, or with a error that says whether the runner can have run it.
 import { request, type ClientRequest, type IncomingMessage } from 'node:http';
 import { ask } from '../transport/http/ask.js';
 import { heads, names } from '../protocol/calls/heads.js';
--- a/src/dataplane/policies/assign.ts
+++ b/src/dataplane/policies/assign.ts
@@ -1,6 +1,6 @@
 // Assigns a runner: among the usable ones of the service that run weights the request may use, the
 // one where the prompt is likely to be read soonest, counting what must be read there, what others
-// have yet to have read, what runs already, and its soundness. Ties fall by rendezvous on the shared
+// have yet to have read, what runs already, and its health. Ties fall by rendezvous on the shared
 // part, so that sites that know nothing of one another still choose alike.
 import { hash } from '../../state/index/hash.js';
 import { transfers } from '../../coordination/transfer/machine.js';
@@ -129,7 +129,7 @@
   if (
     !from ||
     !from.listed ||
-    from.phase !== 'sound' ||
+    from.phase !== 'healthy' ||
     from.verdict !== 'clear' ||
     from.parked ||
     from.service !== s.service
@@ -173,7 +173,7 @@
   return new Set(order.slice(0, Math.ceil(of.length * longShare)));
 }
 
-// An unsound runner is tried again by one repeatable request: by this site's own judgement once its
+// An unhealthy runner is tried again by one repeatable request: by this site's own judgement once its
 // pause is over and nothing of this site runs there, by the jury's when it names this site. One to
 // which no channel came up is seldom back and takes long to try, so it rests longer.
 function mayTry(p: Passage, s: Slot, now: number): boolean {
@@ -212,7 +212,7 @@
     if (over > 0) cost += over * crampedCost;
     if (among && !among.has(s)) cost += apartCost;
     if (!isLong) cost += (s.claimed + s.othersClaimed) * besideLongCost;
-    if (s.phase !== 'sound' || s.verdict !== 'clear') cost += mayTry(p, s, now) ? -suspectCost : suspectCost;
+    if (s.phase !== 'healthy' || s.verdict !== 'clear') cost += mayTry(p, s, now) ? -suspectCost : suspectCost;
     cost += hash.of(`${s.id} ${draw}`) * shareCost;
     if (cost < bestCost) {
       bestCost = cost;
--- a/src/dataplane/policies/deliver.ts
+++ b/src/dataplane/policies/deliver.ts
@@ -61,7 +61,7 @@
   fleet.tried(s);
   moves.begin(site, a, performance.now());
   site.sent(p, a);
-  site.burdenChanged();
+  site.loadChanged();
 }
 
 async function find(site: Site, p: Passage): Promise<Assigned | null> {
@@ -86,19 +86,19 @@
   if (a.reads === 0) return;
   a.slot.reading = Math.max(0, a.slot.reading - a.reads);
   a.reads = 0;
-  site.burdenChanged();
+  site.loadChanged();
 }
 
 function finish(site: Site, a: Assigned): void {
   readDone(site, a);
   a.slot.active--;
   a.slot.claimed -= a.claims;
-  site.burdenChanged();
+  site.loadChanged();
   line.stir(site.line);
 }
 
 // Waits for the leg's head, the client's hang-up, the deadline, or, for what may be repeated, for the
-// runner to have said nothing at all to anyone, or an unsound one nothing to it, for a whole aim.
+// runner to have said nothing at all to anyone, or an unhealthy one nothing to it, for a whole aim.
 function headOf(
   p: Passage,
   a: Assigned,
--- a/src/dataplane/types.ts
+++ b/src/dataplane/types.ts
@@ -39,7 +39,7 @@
   line: Line;
   open: Set<Passage>;
   stirred: EventEmitter;
-  burdenChanged: () => void;
+  loadChanged: () => void;
   sent: (p: Passage, a: Assigned) => void;
 };
 
--- a/src/logging/ring.ts
+++ b/src/logging/ring.ts
@@ -1,5 +1,5 @@
 // The log: a ring in memory that is written to standard error when something goes wrong, so that a
-// quiet process writes next to nothing and a troubled one shows what came before.
+// quiet process writes next to nothing and a failing one shows what came before.
 import bunyan from 'bunyan';
 
 const kept = 200;
@@ -12,7 +12,7 @@
   const logger = bunyan.createLogger({
     name,
     node,
-    streams: [{ level: 'debug', type: 'raw', stream: ring as unknown as NodeJS.WritableStream }],
+    streams: [{ level: 'debug', type: 'raw', stream: ring }],
   });
   return { logger, ring, shownAt: -Infinity, shown: 0 };
 }
@@ -31,8 +31,8 @@
   return `${(time as Date).toISOString()} ${String(msg)} ${JSON.stringify(rest)}\n`;
 }
 
-// Writes out the whole ring; a second trouble within the pause waits for the next one behind it.
-function trouble(l: Log, fields: object, text: string): void {
+// Writes out the whole ring; a second error within the pause waits for the next one behind it.
+function error(l: Log, fields: object, text: string): void {
   l.logger.warn(fields, text);
   const now = performance.now();
   if (now - l.shownAt < pauseMs) return;
@@ -46,4 +46,4 @@
   all.length = 0;
 }
 
-export const ringLog = { create, note, trouble, flush };
+export const ringLog = { create, note, error, flush };
--- a/src/milletcleat.ts
+++ b/src/milletcleat.ts
@@ -1,5 +1,5 @@
 // The one command line of the system: two daemons and the tools beside them. Usage errors end with 2,
-// findings and troubles with 1. Programs and tools are loaded only when they are asked for.
+// findings and errors with 1. Programs and tools are loaded only when they are asked for.
 import meow from 'meow';
 import { findings } from './protocol/findings.js';
 import { settings } from './protocol/settings/check.js';
@@ -64,12 +64,12 @@
   const path = cli.flags.settings ?? process.env.MILLETCLEAT_NODE_FILE;
   if (!path) fail(2, 'no settings file: give --settings or set MILLETCLEAT_NODE_FILE');
   const tuned = tuning.check(cli.flags);
-  if (!tuned.ok) fail(2, findings.text(tuned.trouble));
+  if (!tuned.ok) fail(2, findings.text(tuned.error));
   const read = settings.read(path, part);
-  if (!read.ok) fail(1, `${path}:\n${findings.text(read.trouble)}`);
+  if (!read.ok) fail(1, `${path}:\n${findings.text(read.error)}`);
   const log = ringLog.create(part, read.value.node_name);
   process.on('uncaughtException', function bad(err) {
-    ringLog.trouble(log, { why: err.stack }, 'ending');
+    ringLog.error(log, { why: err.stack }, 'ending');
     process.exit(1);
   });
   process.on('SIGUSR2', function show() {
@@ -78,7 +78,7 @@
   process.on('SIGHUP', function reread() {
     const again = settings.read(path, part);
     if (again.ok) Object.assign(read.value, again.value);
-    else ringLog.trouble(log, { findings: again.trouble }, 'the changed settings are not taken');
+    else ringLog.error(log, { findings: again.error }, 'the changed settings are not taken');
   });
   try {
     const start =
@@ -87,7 +87,7 @@
         : (await import('./programs/coordinator.js')).coordinatorProgram.start;
     await start(read.value, log, tuned.value);
   } catch (err) {
-    ringLog.trouble(log, { why: (err as Error).stack }, 'could not start');
+    ringLog.error(log, { why: (err as Error).stack }, 'could not start');
     process.exit(1);
   }
 }
--- a/src/programs/coordinator.ts
+++ b/src/programs/coordinator.ts
@@ -32,7 +32,7 @@
     boardHistory: boardHistory.create(),
     configurations: configurationHistory.create(),
     sessions: new Map(),
-    partnerSessions: new Map(),
+    peerSessions: new Map(),
     reply: { no: 0, sentAt: new Map(), heardUpTo: -Infinity },
     waiters: new Set(),
     tuning,
@@ -63,7 +63,7 @@
   });
   const door = createServer(function got(req, res) {
     operator.handle(c, req, res).catch(function bad(err: Error) {
-      ringLog.trouble(log, { why: err.stack }, 'an operator call met an error of our own');
+      ringLog.error(log, { why: err.stack }, 'an operator call met an error of our own');
       answers.send(res, answers.plain(500, err.message), true);
     });
   });
--- a/src/programs/site.ts
+++ b/src/programs/site.ts
@@ -39,7 +39,7 @@
     weightsAt: new Map(),
     rules: { seq: 0, active: {}, next: null, pending: 0 },
     leaveUntil: -Infinity,
-    board: { epoch: 0, seq: 0, runners: null, sites: 0 },
+    board: { term: 0, seq: 0, runners: null, sites: 0 },
     budget: budget.create(b.retry_window_s * 1000, b.retry_ratio, b.retry_slack),
     holdings: holdings.create(20_000),
     hintsUntil: -Infinity,
@@ -54,7 +54,7 @@
     line: line.create(),
     open: new Set(),
     stirred: new EventEmitter().setMaxListeners(0),
-    burdenChanged: function none() {
+    loadChanged: function none() {
       /* set by the feed */
     },
     sent: function none() {
@@ -81,7 +81,7 @@
   const now = performance.now();
   transfers.step(site.transfers, { e: 'beat' }, now);
   for (const s of site.fleet.byId.values()) {
-    if (s.active > 0 && s.phase === 'sound' && now - s.lastByteAt > silentMs) fleet.turn(s, 'suspect', now);
+    if (s.active > 0 && s.phase === 'healthy' && now - s.lastByteAt > silentMs) fleet.turn(s, 'suspect', now);
   }
 }
 
@@ -100,7 +100,7 @@
     known: seeds,
     seeds,
     at: Math.floor(hash.of(s.node_name) * seeds.length),
-    sequencer: null,
+    leader: null,
     stopped: false,
     whole: false,
   };
--- a/src/protocol/calls/pairs.ts
+++ b/src/protocol/calls/pairs.ts
@@ -3,7 +3,7 @@
 import type { Agent } from 'node:http';
 import { array, boolean, number, nullable, optional, string, type, is, tuple } from 'superstruct';
 import type { Outcome, Runner } from '../../types.js';
-import { ask, type AskTrouble } from '../../transport/http/ask.js';
+import { ask, type AskError } from '../../transport/http/ask.js';
 
 export type Call<A> = {
   method: 'GET' | 'POST';
@@ -12,15 +12,15 @@
   body?: unknown;
   read: (status: number, body: unknown) => A | null;
 };
-export type CallTrouble = AskTrouble | { t: 'status'; status: number } | { t: 'unreadable' };
+export type CallError = AskError | { t: 'status'; status: number } | { t: 'unreadable' };
 
-async function send<A>(via: Agent, addr: string, c: Call<A>, waitMs: number): Promise<Outcome<A, CallTrouble>> {
+async function send<A>(via: Agent, addr: string, c: Call<A>, waitMs: number): Promise<Outcome<A, CallError>> {
   const body = c.body === undefined ? undefined : Buffer.from(JSON.stringify(c.body));
   const headers: Record<string, string> = { ...c.headers };
   if (body) headers['Content-Type'] = 'application/json';
   const r = await ask.send({ agent: via, addr, method: c.method, path: c.path, headers, body, waitMs, connectMs: 400 });
   if (!r.ok) return r;
-  let value: unknown = null;
+  let value: unknown;
   try {
     value = r.value.body.length > 0 ? JSON.parse(r.value.body.toString('utf8')) : null;
   } catch {
@@ -28,7 +28,7 @@
   }
   const got = c.read(r.value.status, value);
   if (got !== null) return { ok: true, value: got };
-  return { ok: false, trouble: r.value.status === 200 ? { t: 'unreadable' } : { t: 'status', status: r.value.status } };
+  return { ok: false, error: r.value.status === 200 ? { t: 'unreadable' } : { t: 'status', status: r.value.status } };
 }
 
 const modelAt = type({ label: string(), revision: number() });
--- a/src/protocol/configuration/patch.ts
+++ b/src/protocol/configuration/patch.ts
@@ -31,7 +31,7 @@
 }
 
 function apply(current: Configuration, raw: unknown): Outcome<unknown, Finding[]> {
-  if (!isTable(raw)) return { ok: false, trouble: [{ place: '(whole)', text: 'expected a table' }] };
+  if (!isTable(raw)) return { ok: false, error: [{ place: '(whole)', text: 'expected a table' }] };
   const found: Finding[] = [];
   const next: Lists = { ...(current as unknown as Lists), revision: raw.revision };
   const removals = raw.removals ?? {};
@@ -56,13 +56,12 @@
   else
     for (const [key, items] of Object.entries(upserts)) {
       const old = next[key] ?? [];
-      if (isTable(items) && (next[key] === undefined || isTable(next[key])))
-        next[key] = { ...(next[key] as Lists | undefined), ...items };
+      if (isTable(items) && (next[key] === undefined || isTable(next[key]))) next[key] = { ...next[key], ...items };
       else if (!named(items)) found.push({ place: `upserts.${key}`, text: 'expected a list of items with a label' });
       else if (!named(old)) found.push({ place: `upserts.${key}`, text: 'is not a list of items' });
       else next[key] = merged(old, items);
     }
-  return found.length > 0 ? { ok: false, trouble: found } : { ok: true, value: next };
+  return found.length > 0 ? { ok: false, error: found } : { ok: true, value: next };
 }
 
 export const patch = { apply };
--- a/src/protocol/findings.ts
+++ b/src/protocol/findings.ts
@@ -3,7 +3,7 @@
 import { validate, type Struct } from 'superstruct';
 import type { Finding } from '../types.js';
 
-function of(raw: unknown, shape: Struct<any, any>): Finding[] {
+function of<T, S>(raw: unknown, shape: Struct<T, S>): Finding[] {
   const [err] = validate(raw, shape);
   if (!err) return [];
   const list: Finding[] = [];
--- a/src/protocol/settings/check.ts
+++ b/src/protocol/settings/check.ts
@@ -75,7 +75,7 @@
     });
   }
   const all = [...found, ...lacks];
-  return all.length > 0 ? { ok: false, trouble: all } : { ok: true, value: raw as Settings };
+  return all.length > 0 ? { ok: false, error: all } : { ok: true, value: raw as Settings };
 }
 
 function read(path: string, part: Part): Outcome<Settings, Finding[]> {
@@ -83,7 +83,7 @@
   try {
     raw = load(readFileSync(path, 'utf8'));
   } catch (err) {
-    return { ok: false, trouble: [{ place: path, text: (err as Error).message.split('\n')[0] ?? 'unreadable' }] };
+    return { ok: false, error: [{ place: path, text: (err as Error).message.split('\n')[0] ?? 'unreadable' }] };
   }
   return check(raw, part);
 }
--- a/src/protocol/settings/tuning.ts
+++ b/src/protocol/settings/tuning.ts
@@ -45,7 +45,7 @@
   if (!(f.orderShare > 0 && f.orderShare <= 1))
     found.push({ place: '--order-share', text: 'must be above 0 and at most 1' });
   return found.length > 0
-    ? { ok: false, trouble: found }
+    ? { ok: false, error: found }
     : { ok: true, value: { ...f, orderMethod: f.orderMethod as Tuning['orderMethod'] } };
 }
 
--- a/src/state/control/judge.ts
+++ b/src/state/control/judge.ts
@@ -42,7 +42,7 @@
   if (call.method === 'PATCH') {
     if (!s.configuration) return refused(412, '(whole)', 'there is no configuration to change');
     const changed = patch.apply(s.configuration, json.value);
-    if (!changed.ok) return { v: 'refused', status: 400, findings: changed.trouble };
+    if (!changed.ok) return { v: 'refused', status: 400, findings: changed.error };
     next = changed.value;
   }
   const found = configurationCheck.check(next);
--- a/src/state/history/boards.ts
+++ b/src/state/history/boards.ts
@@ -1,12 +1,12 @@
-// The differences between boards of one epoch, for sites that have an earlier one: the rows of runners
-// that changed and the names of those that left. A new epoch, or a board that this coordinator did not
+// The differences between boards of one term, for sites that have an earlier one: the rows of runners
+// that changed and the names of those that left. A new term, or a board that this coordinator did not
 // have itself, is answered with the board whole.
 import type { Board, Runner } from '../../types.js';
 import { itemHistory, type ItemDelta, type ItemHistory } from './items.js';
 
-export type BoardDelta = { from: number; epoch: number; seq: number; sites: number; runners: ItemDelta<Runner> };
+export type BoardDelta = { from: number; term: number; seq: number; sites: number; runners: ItemDelta<Runner> };
 export type BoardHistory = {
-  epoch: number;
+  term: number;
   seq: number;
   sites: number;
   runners: ItemHistory<Runner>;
@@ -17,7 +17,7 @@
 const remembered = 512;
 
 function create(): BoardHistory {
-  return { epoch: 0, seq: 0, sites: 0, runners: itemHistory.create(), isKnown: false, steps: new Set() };
+  return { term: 0, seq: 0, sites: 0, runners: itemHistory.create(), isKnown: false, steps: new Set() };
 }
 
 function id(r: Runner): string {
@@ -25,8 +25,8 @@
 }
 
 function take(h: BoardHistory, b: Board): void {
-  const isNew = b.epoch !== h.epoch || !h.isKnown || b.runners === null;
-  h.epoch = b.epoch;
+  const isNew = b.term !== h.term || !h.isKnown || b.runners === null;
+  h.term = b.term;
   h.seq = b.seq;
   h.sites = b.sites;
   h.isKnown = b.runners !== null;
@@ -37,16 +37,16 @@
   if (h.steps.size > remembered) h.steps.delete(h.steps.values().next().value!);
 }
 
-function since(h: BoardHistory, epoch: number, seq: number): BoardDelta | null {
-  if (!h.isKnown || epoch !== h.epoch || !h.steps.has(seq)) return null;
+function since(h: BoardHistory, term: number, seq: number): BoardDelta | null {
+  if (!h.isKnown || term !== h.term || !h.steps.has(seq)) return null;
   const runners = itemHistory.since(h.runners, seq);
-  return runners && { from: seq, epoch, seq: h.seq, sites: h.sites, runners };
+  return runners && { from: seq, term, seq: h.seq, sites: h.sites, runners };
 }
 
 function apply(b: Board, d: BoardDelta): Board | null {
-  if (b.epoch !== d.epoch || b.seq !== d.from || b.runners === null) return null;
+  if (b.term !== d.term || b.seq !== d.from || b.runners === null) return null;
   const runners = itemHistory.apply(b.runners, d.runners, id);
-  return runners && { epoch: d.epoch, seq: d.seq, runners, sites: d.sites };
+  return runners && { term: d.term, seq: d.seq, runners, sites: d.sites };
 }
 
 export const boardHistory = { create, take, since, apply };
--- a/src/state/burden/sums.ts
+++ b/src/state/load/sums.ts
@@ -1,17 +1,17 @@
-// The sequencer's sums of what all sites have at each runner, as a pure machine. Sites report what
+// The leader's sums of what all sites have at each runner, as a pure machine. Sites report what
 // they have, whole and numbered; the sums are kept as reports come and are shown once per beat, under
 // a revision, so that a site is told only the rows that changed since the revision it has. What a sum
 // contains of a site is known by the number of its last report: the site takes its own part off.
-import type { Burden, BurdenRow } from '../../types.js';
+import type { Load, LoadRow } from '../../types.js';
 
-type Row = { live: Burden; shown: Burden; revision: number; since: number };
+type Row = { live: Load; shown: Load; revision: number; since: number };
 export type SiteReport = {
   life: string;
   no: number;
   shownNo: number;
   at: number;
-  rows: Map<string, Burden>;
-  unsound: string[];
+  rows: Map<string, Load>;
+  unhealthy: string[];
 };
 export type Sums = {
   revision: number;
@@ -21,7 +21,7 @@
   sites: Map<string, SiteReport>;
   cache: Map<number, Told>;
 };
-export type Told = { revision: number; whole: boolean; rows: BurdenRow[] };
+export type Told = { revision: number; whole: boolean; rows: LoadRow[] };
 
 const smallTokens = 768;
 const smallRuns = 3;
@@ -33,7 +33,7 @@
   return { revision: 1, floor: 0, rows: new Map(), dirty: new Set(), sites: new Map(), cache: new Map() };
 }
 
-function add(s: Sums, id: string, p: Burden, sign: 1 | -1, now: number): void {
+function add(s: Sums, id: string, p: Load, sign: 1 | -1, now: number): void {
   let r = s.rows.get(id);
   if (!r) {
     r = { live: [0, 0, 0, 0, 0], shown: [0, 0, 0, 0, 0], revision: 0, since: now };
@@ -46,7 +46,7 @@
   }
 }
 
-function same(a: Burden, b: Burden): boolean {
+function same(a: Load, b: Load): boolean {
   return a.every(function each(n, i) {
     return n === b[i];
   });
@@ -65,8 +65,8 @@
   site: string,
   life: string,
   no: number,
-  rows: BurdenRow[],
-  unsound: string[],
+  rows: LoadRow[],
+  unhealthy: string[],
   now: number,
 ): boolean {
   let was = s.sites.get(site);
@@ -75,7 +75,7 @@
     was = undefined;
   }
   if (was && no <= was.no) return false;
-  const next = new Map<string, Burden>();
+  const next = new Map<string, Load>();
   for (const [id, ...p] of rows) next.set(id, p);
   for (const [id, p] of was?.rows ?? []) {
     const n = next.get(id);
@@ -85,7 +85,7 @@
     const w = was?.rows.get(id);
     if (!w || !same(w, p)) add(s, id, p, 1, now);
   }
-  s.sites.set(site, { life, no, shownNo: was?.shownNo ?? 0, at: now, rows: next, unsound });
+  s.sites.set(site, { life, no, shownNo: was?.shownNo ?? 0, at: now, rows: next, unhealthy });
   return true;
 }
 
@@ -150,7 +150,7 @@
   const known = s.cache.get(revision);
   if (known) return known;
   const whole = revision < s.floor || revision <= 0 || revision > s.revision;
-  const rows: BurdenRow[] = [];
+  const rows: LoadRow[] = [];
   for (const [id, r] of s.rows) {
     if (
       whole
--- a/src/state/log/recover.ts
+++ b/src/state/log/recover.ts
@@ -6,10 +6,10 @@
 import type { Entry, Record_, View } from '../../coordination/group/types.js';
 import { records } from './records.js';
 
-export type SegmentHead = { r: 'head'; me: string; after: number; epoch: number; vote: string | null; reset: boolean };
+export type SegmentHead = { r: 'head'; me: string; after: number; term: number; vote: string | null; reset: boolean };
 export type Recovered = {
   me: string;
-  epoch: number;
+  term: number;
   vote: string | null;
   view: View;
   entries: Entry[];
@@ -41,18 +41,18 @@
 }
 
 type Replayed =
-  | { ok: true; me: string; epoch: number; vote: string | null; entries: Entry[]; committed: number }
+  | { ok: true; me: string; term: number; vote: string | null; entries: Entry[]; committed: number }
   | { ok: false; why: string };
 
 // Plays the records of the segments, in order, on top of a view.
 function replay(view: View, segments: { name: string; values: (Record_ | SegmentHead)[] }[]): Replayed {
   let entries: Entry[] = [];
   let me: string | null = null;
-  let epoch = 0;
+  let term = 0;
   let vote: string | null = null;
   let committed = view.index;
-  function promised(p: { epoch: number; vote: string | null }): void {
-    if (p.epoch >= epoch) ({ epoch, vote } = p);
+  function promised(p: { term: number; vote: string | null }): void {
+    if (p.term >= term) ({ term, vote } = p);
   }
   for (const seg of segments) {
     for (const v of seg.values) {
@@ -66,14 +66,14 @@
       else if (v.r === 'committed') committed = Math.max(committed, v.index);
       else {
         const at = v.entry.index - view.index - 1;
-        if (at < 0 || entries[at]?.epoch === v.entry.epoch) continue;
+        if (at < 0 || entries[at]?.term === v.entry.term) continue;
         if (at > entries.length) return { ok: false, why: `entry ${v.entry.index} of ${seg.name} has a gap before it` };
         entries = entries.slice(0, at);
         entries.push(v.entry);
       }
     }
   }
-  return me === null ? { ok: false, why: 'no whole segment' } : { ok: true, me, epoch, vote, entries, committed };
+  return me === null ? { ok: false, why: 'no whole segment' } : { ok: true, me, term, vote, entries, committed };
 }
 
 function recover(dir: string): Recovery {
@@ -97,7 +97,7 @@
   if (!r.ok) return { k: 'lost', why: r.why, nextSegment };
   return {
     k: 'whole',
-    found: { me: r.me, epoch: r.epoch, vote: r.vote, view, entries: r.entries, nextSegment, committed: r.committed },
+    found: { me: r.me, term: r.term, vote: r.vote, view, entries: r.entries, nextSegment, committed: r.committed },
     torn,
   };
 }
--- a/src/state/log/store.ts
+++ b/src/state/log/store.ts
@@ -11,7 +11,7 @@
 import { recovery, type SegmentHead } from './recover.js';
 
 type Job = { buf: Buffer; token: number; last: number };
-type Tail = { epoch: number; vote: string | null; entries: Entry[] };
+type Tail = { term: number; vote: string | null; entries: Entry[] };
 type NextView = { view: View; tail: () => Tail; installed: boolean };
 export type Store = EventEmitter & {
   dir: string;
@@ -23,14 +23,14 @@
   view: NextView | null;
   bytes: number;
   kept: number;
-  promised: { epoch: number; vote: string | null };
-  troubled: boolean;
+  promised: { term: number; vote: string | null };
+  failing: boolean;
   closed: boolean;
 };
 
 const again = 250;
 
-function create(dir: string, me: string, nextSegment: number, kept: number, epoch: number, vote: string | null): Store {
+function create(dir: string, me: string, nextSegment: number, kept: number, term: number, vote: string | null): Store {
   mkdirSync(dir, { recursive: true });
   return Object.assign(new EventEmitter(), {
     dir,
@@ -42,8 +42,8 @@
     view: null,
     bytes: 0,
     kept,
-    promised: { epoch, vote },
-    troubled: false,
+    promised: { term, vote },
+    failing: false,
     closed: false,
   });
 }
@@ -53,7 +53,7 @@
     r: 'head',
     me: s.me,
     after: s.kept,
-    epoch: s.promised.epoch,
+    term: s.promised.term,
     vote: s.promised.vote,
     reset: false,
   };
@@ -119,7 +119,7 @@
 }
 
 function settle(s: Store, batch: Job[]): void {
-  s.troubled = false;
+  s.failing = false;
   let token = 0;
   for (const j of batch) {
     token = Math.max(token, j.token);
@@ -129,8 +129,8 @@
 }
 
 async function refused(s: Store, err: Error): Promise<void> {
-  s.troubled = true;
-  s.emit('trouble', err);
+  s.failing = true;
+  s.emit('error', err);
   const old = s.file;
   s.file = null;
   if (old)
@@ -146,7 +146,7 @@
   let last = 0;
   for (const r of list) {
     if (r.r === 'entry') last = r.entry.index;
-    else if (r.r === 'promise') s.promised = { epoch: r.epoch, vote: r.vote };
+    else if (r.r === 'promise') s.promised = { term: r.term, vote: r.vote };
   }
   s.jobs.push({ buf: Buffer.concat(list.map(records.frame)), token, last });
   schedule(s);
@@ -172,7 +172,7 @@
     r: 'head',
     me: s.me,
     after: next.view.index,
-    epoch: tail.epoch,
+    term: tail.term,
     vote: tail.vote,
     reset: next.installed,
   };
--- a/src/state/runners/channels.ts
+++ b/src/state/runners/channels.ts
@@ -66,7 +66,7 @@
 
 function idle(a: Agent): Socket[] {
   return Object.values(a.freeSockets).flatMap(function all(list) {
-    return (list as Socket[] | undefined) ?? [];
+    return list ?? [];
   });
 }
 
--- a/src/state/runners/fleet.ts
+++ b/src/state/runners/fleet.ts
@@ -1,13 +1,13 @@
 // A site's table of runners: names are mapped to dense indices when a board comes in, and everything
-// the request path keeps about a runner (burden, soundness, weight versions, channels) stands at its
+// the request path keeps about a runner (load, health, weight versions, channels) stands at its
 // index. An index is never used again for another life of a runner.
 import type { Agent } from 'node:http';
 import { channels } from './channels.js';
 import type { RouteTable } from '../control/routes.js';
 import type { Runner } from '../../types.js';
 
-export type Ruling = 'clear' | 'unsound' | 'try';
-export type Phase = 'sound' | 'suspect' | 'down';
+export type Ruling = 'clear' | 'unhealthy' | 'try';
+export type Phase = 'healthy' | 'suspect' | 'down';
 export type Slot = {
   ix: number;
   id: string;
@@ -21,7 +21,7 @@
   revisions: Map<string, number>;
   phase: Phase;
   until: number;
-  troubles: number;
+  errors: number;
   lastByteAt: number;
   active: number;
   reading: number;
@@ -62,9 +62,9 @@
     draining: r.draining,
     parked: r.parked,
     revisions: new Map(),
-    phase: 'sound',
+    phase: 'healthy',
     until: 0,
-    troubles: 0,
+    errors: 0,
     lastByteAt: performance.now(),
     active: 0,
     reading: 0,
@@ -129,25 +129,25 @@
   if ((s.revisions.get(model) ?? 0) < revision) s.revisions.set(model, revision);
 }
 
-// The one place where a runner's soundness changes.
+// The one place where a runner's health changes.
 function turn(s: Slot, phase: Phase, now: number): void {
-  if (phase === 'sound') {
-    s.troubles = 0;
+  if (phase === 'healthy') {
+    s.errors = 0;
     s.until = 0;
   } else {
-    s.troubles++;
-    s.until = now + Math.min(longestPauseMs, firstPauseMs * 2 ** (s.troubles - 1));
+    s.errors++;
+    s.until = now + Math.min(longestPauseMs, firstPauseMs * 2 ** (s.errors - 1));
   }
   s.phase = phase;
 }
 
 function spoke(s: Slot, now: number): void {
   s.lastByteAt = now;
-  if (s.phase !== 'sound') turn(s, 'sound', now);
+  if (s.phase !== 'healthy') turn(s, 'healthy', now);
 }
 
 function usable(s: Slot, now: number): boolean {
-  return s.listed && !s.draining && !s.parked && (s.phase === 'sound' || now >= s.until);
+  return s.listed && !s.draining && !s.parked && (s.phase === 'healthy' || now >= s.until);
 }
 
 // What a request met at a runner, for the jury and for this site's own judgement.
@@ -164,14 +164,14 @@
     if (!s) continue;
     if (no < s.trialNo) s.triedNo = 0;
     s.trialNo = no;
-    s.verdict = taker === me && no > s.triedNo ? 'try' : 'unsound';
+    s.verdict = taker === me && no > s.triedNo ? 'try' : 'unhealthy';
   }
 }
 
 // A request goes out to a runner that was to be tried: that was the trial.
 function tried(s: Slot): void {
   if (s.verdict !== 'try') return;
-  s.verdict = 'unsound';
+  s.verdict = 'unhealthy';
   s.triedNo = s.trialNo;
 }
 
--- a/src/tools/check.ts
+++ b/src/tools/check.ts
@@ -71,7 +71,7 @@
     return { ok: true, value: parseToml(t.value) };
   } catch (err) {
     const e = err as Error & { line?: number };
-    return { ok: false, trouble: [{ place: `${file}:${e.line ?? 1}`, text: e.message.split('\n')[0]! }] };
+    return { ok: false, error: [{ place: `${file}:${e.line ?? 1}`, text: e.message.split('\n')[0]! }] };
   }
 }
 
@@ -79,16 +79,16 @@
   const ext = extname(file);
   if (ext === '.toml') {
     const r = toml(file);
-    return { kind: 'deploy file', found: r.ok ? deploy(r.value) : r.trouble };
+    return { kind: 'deploy file', found: r.ok ? deploy(r.value) : r.error };
   }
   if (ext === '.json') {
     const r = readFile.json(file);
-    return { kind: 'configuration', found: r.ok ? configurationCheck.check(r.value) : r.trouble };
+    return { kind: 'configuration', found: r.ok ? configurationCheck.check(r.value) : r.error };
   }
   const t = readFile.text(file);
-  if (!t.ok) return { kind: 'settings', found: t.trouble };
+  if (!t.ok) return { kind: 'settings', found: t.error };
   const r = settings.read(file, part);
-  return { kind: 'settings', found: r.ok ? [] : r.trouble };
+  return { kind: 'settings', found: r.ok ? [] : r.error };
 }
 
 function run(args: string[], flags: ToolFlags): ToolEnd {
@@ -103,7 +103,7 @@
     return a.found.length > 0;
   });
   if (flags.json)
-    return bad ? toolEnd.trouble('', JSON.stringify(all, null, 2)) : toolEnd.well(JSON.stringify(all, null, 2));
+    return bad ? toolEnd.error('', JSON.stringify(all, null, 2)) : toolEnd.well(JSON.stringify(all, null, 2));
   const good = all
     .filter(function none(a) {
       return a.found.length === 0;
@@ -124,7 +124,7 @@
         .join('\n');
     })
     .join('\n');
-  return bad ? toolEnd.trouble(err, good) : toolEnd.well(good);
+  return bad ? toolEnd.error(err, good) : toolEnd.well(good);
 }
 
 export const checkTool = { run, deploy };
--- a/src/tools/config.ts
+++ b/src/tools/config.ts
@@ -9,18 +9,18 @@
 
 async function current(addr: string): Promise<{ ok: true; value: Configuration } | { ok: false; end: ToolEnd }> {
   const r = await controlCall.call(addr, 'GET', '/v1/config', {});
-  if (!r.ok) return { ok: false, end: toolEnd.trouble(r.trouble) };
-  if (r.value.status !== 200) return { ok: false, end: toolEnd.trouble(controlCall.refused(r.value)) };
+  if (!r.ok) return { ok: false, end: toolEnd.error(r.error) };
+  if (r.value.status !== 200) return { ok: false, end: toolEnd.error(controlCall.refused(r.value)) };
   try {
     return { ok: true, value: JSON.parse(r.value.body.toString('utf8')) as Configuration };
   } catch {
-    return { ok: false, end: toolEnd.trouble(`${addr} gave an answer that cannot be read`) };
+    return { ok: false, end: toolEnd.error(`${addr} gave an answer that cannot be read`) };
   }
 }
 
 async function change(method: 'PUT' | 'PATCH', addr: string, file: string, flags: ToolFlags): Promise<ToolEnd> {
   const body = readFile.json(file);
-  if (!body.ok) return toolEnd.trouble(findings.text(body.trouble));
+  if (!body.ok) return toolEnd.error(findings.text(body.error));
   if (flags.match === undefined)
     return toolEnd.usage('give --match N: the revision that the change builds on (0 for the first)');
   const r = await controlCall.call(
@@ -30,8 +30,8 @@
     { 'Content-Type': 'application/json', 'If-Match': String(flags.match) },
     JSON.stringify(body.value),
   );
-  if (!r.ok) return toolEnd.trouble(`${r.trouble}; the change may be in force or not: send it again unchanged`);
-  return r.value.status === 200 ? toolEnd.well('taken') : toolEnd.trouble(controlCall.refused(r.value));
+  if (!r.ok) return toolEnd.error(`${r.error}; the change may be in force or not: send it again unchanged`);
+  return r.value.status === 200 ? toolEnd.well('taken') : toolEnd.error(controlCall.refused(r.value));
 }
 
 // Lists whose items have a label are compared by label, not by their place in the list.
@@ -92,9 +92,9 @@
   if (!now.ok) return now.end;
   if (verb === 'get') return toolEnd.well(JSON.stringify(now.value, null, 2));
   const other = readFile.json(file!);
-  if (!other.ok) return toolEnd.trouble(findings.text(other.trouble));
+  if (!other.ok) return toolEnd.error(findings.text(other.error));
   const found = configurationCheck.check(other.value);
-  if (found.length > 0) return toolEnd.trouble(`${file}:\n${findings.text(found)}`);
+  if (found.length > 0) return toolEnd.error(`${file}:\n${findings.text(found)}`);
   const list = diff(now.value, other.value);
   return toolEnd.well(flags.json ? JSON.stringify(list, null, 2) : diffText(list));
 }
--- a/src/tools/control.ts
+++ b/src/tools/control.ts
@@ -29,20 +29,20 @@
     });
     if (!r.ok) {
       const why =
-        r.trouble.t === 'silent'
+        r.error.t === 'silent'
           ? `said nothing for ${waitMs} ms`
-          : r.trouble.sent
-            ? `broke off: ${r.trouble.why}`
-            : `cannot be reached: ${r.trouble.why}`;
-      return { ok: false, trouble: `${to} ${why}` };
+          : r.error.sent
+            ? `broke off: ${r.error.why}`
+            : `cannot be reached: ${r.error.why}`;
+      return { ok: false, error: `${to} ${why}` };
     }
     const next = r.value.headers.location;
     if (r.value.status !== 307 || next === undefined) return { ok: true, value: r.value };
     const m = /^http:\/\/([^/]+)/.exec(next);
-    if (!m) return { ok: false, trouble: `${to} redirects to ${next}, which is no address` };
+    if (!m) return { ok: false, error: `${to} redirects to ${next}, which is no address` };
     to = m[1]!;
   }
-  return { ok: false, trouble: `${addr} redirects more than ${mostRedirects} times` };
+  return { ok: false, error: `${addr} redirects more than ${mostRedirects} times` };
 }
 
 function isAddr(addr: string | undefined): addr is string {
@@ -51,7 +51,7 @@
 
 // What a refusal means, in words.
 function refused(r: Reply): string {
-  let detail = '';
+  let detail: string;
   try {
     const b = JSON.parse(r.body.toString('utf8')) as { message?: string; findings?: { place: string; text: string }[] };
     detail = b.findings
@@ -76,7 +76,7 @@
     case 413:
       return `the call is too large${detail}`;
     case 503:
-      return `the core has no sequencer that is sure of itself; nothing is known of this call's fate, send it again${detail}`;
+      return `the core has no leader that is sure of itself; nothing is known of this call's fate, send it again${detail}`;
     default:
       return `status ${r.status}${detail}`;
   }
--- a/src/tools/import.ts
+++ b/src/tools/import.ts
@@ -1,7 +1,7 @@
 // `milletcleat import`: reads the dynamic configuration of the Traefik proxy (its file provider, YAML)
 // and gives a configuration of ours. Whatever cannot be carried over is listed with file and line;
 // nothing is dropped in silence.
-import { isMap, isScalar, isSeq, type Node, type Pair, type YAMLMap } from 'yaml';
+import { isMap, isScalar, isSeq, type Node, type Pair } from 'yaml';
 import type { Branch, Configuration, Finding, Route, Service } from '../types.js';
 import { configurationCheck } from '../protocol/configuration/check.js';
 import { findings } from '../protocol/findings.js';
@@ -23,7 +23,7 @@
 
 function pairs(m: unknown): { key: Node; name: string; value: unknown }[] {
   if (!isMap(m)) return [];
-  return (m as YAMLMap).items.map(function one(p: Pair) {
+  return m.items.map(function one(p: Pair) {
     return { key: p.key as Node, name: String(isScalar(p.key) ? p.key.value : p.key), value: p.value };
   });
 }
@@ -167,7 +167,7 @@
   if (file === undefined || more.length > 0)
     return toolEnd.usage('import takes one file: a dynamic configuration of Traefik in YAML');
   const yaml = readFile.yaml(file);
-  if (!yaml.ok) return toolEnd.trouble(findings.text(yaml.trouble));
+  if (!yaml.ok) return toolEnd.error(findings.text(yaml.error));
   const { configuration, left } = convert(file, yaml.value);
   if (configuration.route_list.length === 0) left.push({ place: file, text: 'no route could be carried over' });
   const wrong = configurationCheck.check(configuration).map(function at(f): Finding {
@@ -177,7 +177,7 @@
   const out = flags.json
     ? JSON.stringify({ configuration, left: all }, null, 2)
     : JSON.stringify(configuration, null, 2);
-  return all.length > 0 ? toolEnd.trouble(flags.json ? '' : findings.text(all), out) : toolEnd.well(out);
+  return all.length > 0 ? toolEnd.error(flags.json ? '' : findings.text(all), out) : toolEnd.well(out);
 }
 
 export const importTool = { run, convert };
--- a/src/tools/inspect.ts
+++ b/src/tools/inspect.ts
@@ -32,7 +32,7 @@
     good,
     records: list.length,
     entries: span(list),
-    heads: head ? `${head.me}, after ${head.after}, epoch ${head.epoch}` : 'no head',
+    heads: head ? `${head.me}, after ${head.after}, term ${head.term}` : 'no head',
   };
 }
 
@@ -46,7 +46,7 @@
     good,
     records: values.length,
     entries: v ? `view at ${v.index}` : '-',
-    heads: v ? `epoch ${v.epoch}, roster of ${v.members.length}` : 'not whole',
+    heads: v ? `term ${v.term}, roster of ${v.members.length}` : 'not whole',
   };
 }
 
@@ -64,8 +64,8 @@
 function run(args: string[], flags: ToolFlags): ToolEnd {
   const [verb, dir, ...more] = args;
   if (verb !== 'inspect' || dir === undefined || more.length > 0) return toolEnd.usage('log inspect takes one folder');
-  if (!existsSync(dir)) return toolEnd.trouble(`${dir}: there is no such folder`);
-  if (!statSync(dir).isDirectory()) return toolEnd.trouble(`${dir}: is not a folder`);
+  if (!existsSync(dir)) return toolEnd.error(`${dir}: there is no such folder`);
+  if (!statSync(dir).isDirectory()) return toolEnd.error(`${dir}: is not a folder`);
   const names = readdirSync(dir);
   const views = recovery.numbered(names, 'view').map(function one(f) {
     return viewLine(dir, f.name);
@@ -74,7 +74,7 @@
     return segment(dir, f.name);
   });
   const files = [...views, ...segments];
-  if (files.length === 0) return toolEnd.trouble(`${dir}: holds no log: neither a view nor a segment`);
+  if (files.length === 0) return toolEnd.error(`${dir}: holds no log: neither a view nor a segment`);
   const r = recovery.recover(dir);
   const found: string[] = [];
   for (const f of files) if (f.good < f.bytes) found.push(`${f.file}: torn behind byte ${f.good} of ${f.bytes}`);
@@ -84,7 +84,7 @@
   const summary = whole
     ? {
         member: whole.me,
-        epoch: whole.epoch,
+        term: whole.term,
         vote: whole.vote,
         view: whole.view.index,
         last: whole.view.index + whole.entries.length,
@@ -96,33 +96,33 @@
         entries: whole.entries.map(function one(e) {
           return {
             index: e.index,
-            epoch: e.epoch,
+            term: e.term,
             what:
               e.data.kind === 'order'
                 ? commandText(e.data.command as Command)
                 : e.data.kind === 'roster'
                   ? `roster of ${e.data.members.length}`
-                  : 'opening of an epoch',
+                  : 'opening of an term',
           };
         }),
       }
     : null;
   if (flags.json) {
     const out = JSON.stringify({ files, summary, findings: found, note }, null, 2);
-    return found.length > 0 ? toolEnd.trouble('', out) : toolEnd.well(out);
+    return found.length > 0 ? toolEnd.error('', out) : toolEnd.well(out);
   }
   const lines = files.map(function line(f) {
     return `${f.file}: ${f.bytes} bytes, ${f.records} records, entries ${f.entries}; ${f.heads}`;
   });
   if (summary) {
-    lines.push(`member ${summary.member}, promised epoch ${summary.epoch}, vote ${summary.vote ?? 'none'}`);
+    lines.push(`member ${summary.member}, promised term ${summary.term}, vote ${summary.vote ?? 'none'}`);
     lines.push(
       `view at ${summary.view} (configuration ${summary.configurationInView}, roster ${summary.roster.join(', ') || 'empty'}), log up to ${summary.last}`,
     );
-    for (const e of summary.entries) lines.push(`  ${e.index} epoch ${e.epoch}: ${e.what}`);
+    for (const e of summary.entries) lines.push(`  ${e.index} term ${e.term}: ${e.what}`);
     lines.push(`known here to be committed up to ${summary.committed}; ${note}`);
   }
-  return found.length > 0 ? toolEnd.trouble(found.join('\n'), lines.join('\n')) : toolEnd.well(lines.join('\n'));
+  return found.length > 0 ? toolEnd.error(found.join('\n'), lines.join('\n')) : toolEnd.well(lines.join('\n'));
 }
 
 export const inspectTool = { run };
--- a/src/tools/read.ts
+++ b/src/tools/read.ts
@@ -23,7 +23,7 @@
   try {
     return { ok: true, value: readFileSync(file, 'utf8') };
   } catch (err) {
-    return { ok: false, trouble: [{ place: file, text: why(err) }] };
+    return { ok: false, error: [{ place: file, text: why(err) }] };
   }
 }
 
@@ -33,7 +33,7 @@
   try {
     return { ok: true, value: JSON.parse(t.value) };
   } catch (err) {
-    return { ok: false, trouble: [{ place: file, text: (err as Error).message }] };
+    return { ok: false, error: [{ place: file, text: (err as Error).message }] };
   }
 }
 
@@ -45,7 +45,7 @@
   if (doc.errors.length > 0) {
     return {
       ok: false,
-      trouble: doc.errors.map(function one(e) {
+      error: doc.errors.map(function one(e) {
         return { place: `${file}:${e.linePos?.[0].line ?? 1}`, text: e.message.split('\n')[0]! };
       }),
     };
--- a/src/tools/simulate/core.ts
+++ b/src/tools/simulate/core.ts
@@ -1,5 +1,5 @@
 // The simulator's core: the coordinators' group machine on virtual time, with disks that keep what
-// was written. It says who the sequencer is at any moment; what hangs on that is the fleet's affair.
+// was written. It says who the leader is at any moment; what hangs on that is the fleet's affair.
 import { group } from '../../coordination/group/machine.js';
 import type { GroupEvent, GroupState, Timing, View } from '../../coordination/group/types.js';
 import type { Clock } from './clock.js';
@@ -19,7 +19,7 @@
   const members = Array.from({ length: n }, function one(_, i) {
     return { id: `c${i}#first`, addr: `c${i}`, control: `c${i}` };
   });
-  const view: View = { index: 0, epoch: 0, members, state: null };
+  const view: View = { index: 0, term: 0, members, state: null };
   const c: SimCore = {
     clock,
     delayMs,
@@ -32,7 +32,7 @@
         timing,
         seed: i * 7919 + clock.below(1e6),
         target: n,
-        epoch: 0,
+        term: 0,
         vote: null,
         view,
         entries: [],
@@ -73,10 +73,10 @@
   }
 }
 
-function sequencer(c: SimCore): string | null {
+function leader(c: SimCore): string | null {
   return (
     c.nodes.find(function leads(n) {
-      return n.up && n.machine.phase === 'sequencer';
+      return n.up && n.machine.phase === 'leader';
     })?.addr ?? null
   );
 }
@@ -96,7 +96,7 @@
       timing,
       seed: m.seed,
       target: m.target,
-      epoch: m.epoch,
+      term: m.term,
       vote: m.vote,
       view: m.latestView!,
       entries: m.entries,
@@ -106,4 +106,4 @@
   });
 }
 
-export const simCore = { create, sequencer, down };
+export const simCore = { create, leader, down };
--- a/src/tools/simulate/file.ts
+++ b/src/tools/simulate/file.ts
@@ -134,7 +134,7 @@
           found.push({ place: `changes.${i}.set`, text: 'expected a table of places and values' });
       });
   }
-  if (found.length > 0) return { ok: false, trouble: found };
+  if (found.length > 0) return { ok: false, error: found };
   const f = raw as FleetFile;
   const zones = Object.values(f.zones);
   if (
@@ -166,14 +166,14 @@
     if (t.zone !== undefined && f.zones[t.zone] === undefined)
       found.push({ place: `troubles.${i}.zone`, text: `unknown zone ${t.zone}` });
   });
-  return found.length > 0 ? { ok: false, trouble: found } : { ok: true, value: f };
+  return found.length > 0 ? { ok: false, error: found } : { ok: true, value: f };
 }
 
 function changed(f: FleetFile, name: string): Outcome<FleetFile, Finding[]> {
   const c = f.changes?.find(function same(x) {
     return x.name === name;
   });
-  if (!c) return { ok: false, trouble: [{ place: 'changes', text: `there is no change named ${name}` }] };
+  if (!c) return { ok: false, error: [{ place: 'changes', text: `there is no change named ${name}` }] };
   const copy = structuredClone({ ...f, changes: undefined }) as unknown as Record<string, unknown>;
   const found: Finding[] = [];
   for (const [place, value] of Object.entries(c.set)) {
@@ -185,7 +185,7 @@
       found.push({ place: `changes.${name}.${place}`, text: 'there is no such place in the file' });
     else at[last] = value;
   }
-  if (found.length > 0) return { ok: false, trouble: found };
+  if (found.length > 0) return { ok: false, error: found };
   return check(copy);
 }
 
--- a/src/tools/simulate/fleet.ts
+++ b/src/tools/simulate/fleet.ts
@@ -1,6 +1,6 @@
 // The simulated fleet: clients, sites and runners on virtual time. What the daemons decide by is run
 // here as it is: the assignment of runners, soundness, the budget of further legs, the tracking of hot
-// parts, the index of kept parts, the roll-out of weights and the group that elects the sequencer.
+// parts, the index of kept parts, the roll-out of weights and the group that elects the leader.
 // Sockets, the daemons' delivery loop and the engines are simpler stand-ins.
 import { EventEmitter } from 'node:events';
 import { tracker, type Tracker } from '../../coordination/tracking/coordinator.js';
@@ -39,7 +39,7 @@
   prompt: { read: number; readAgain: number; kept: number; moved: number };
   messages: { group: number; feed: number; tracking: number; arrivals: number };
   secondLegs: number;
-  noSequencerMs: number;
+  noLeaderMs: number;
 };
 
 type SimSite = {
@@ -113,7 +113,7 @@
     weights: { [model]: 1 },
     weightsSeq: 0,
     weightsAt: new Map(),
-    board: { epoch: 0, seq: 0, runners: [], sites: 0 },
+    board: { term: 0, seq: 0, runners: [], sites: 0 },
     budget: budget.create(10_000, bounds.retry_ratio, bounds.retry_slack),
     holdings: holdings.create(20_000),
     hintsUntil: Infinity,
@@ -183,7 +183,7 @@
       prompt: { read: 0, readAgain: 0, kept: 0, moved: 0 },
       messages: { group: 0, feed: 0, tracking: 0, arrivals: 0 },
       secondLegs: 0,
-      noSequencerMs: 0,
+      noLeaderMs: 0,
     },
   };
   return sim;
@@ -231,8 +231,8 @@
 
 function beat(sim: Sim): void {
   const was = sim.leader;
-  sim.leader = simCore.sequencer(sim.core);
-  if (sim.leader === null) sim.out.noSequencerMs += beatMs;
+  sim.leader = simCore.leader(sim.core);
+  if (sim.leader === null) sim.out.noLeaderMs += beatMs;
   else if (sim.leader !== was) {
     sim.leaderSince = sim.c.now;
     sim.index = keptIndex.create(sim.f.tuning.moved_tokens, 1e6);
@@ -264,7 +264,7 @@
   sim.index.changes.push([sign, salt, part, sign === '+' ? tokens : 0, place]);
 }
 
-// One exchange of a site with the sequencer: burdens, changes of the index, counts, the hot set.
+// One exchange of a site with the leader: burdens, changes of the index, counts, the hot set.
 function exchange(sim: Sim, s: SimSite): void {
   sim.c.after(feedMs, function again() {
     exchange(sim, s);
@@ -691,7 +691,7 @@
   rolloutBeat(sim);
   for (const s of sim.sites) exchange(sim, s);
   clock.run(sim.c, warmMs);
-  sim.out.noSequencerMs = 0;
+  sim.out.noLeaderMs = 0;
   poll(sim);
   for (const t of f.traffic) traffic(sim, t);
   for (const t of f.troubles)
--- a/src/tools/simulate/run.ts
+++ b/src/tools/simulate/run.ts
@@ -30,10 +30,10 @@
     ['prompt tokens read', percent(p.read, all)],
     ['of these read again', percent(p.readAgain, p.read)],
   );
-  out.push(['second legs', String(r.secondLegs)], ['without a sequencer', `${r.noSequencerMs} ms`]);
+  out.push(['second legs', String(r.secondLegs)], ['without a leader', `${r.noLeaderMs} ms`]);
   out.push(
     ['messages of the group', String(r.messages.group)],
-    ['exchanges with the sequencer', String(r.messages.feed)],
+    ['exchanges with the leader', String(r.messages.feed)],
     ['tracking reports', `${r.messages.tracking} for ${r.messages.arrivals} arrivals`],
   );
   return out;
@@ -81,11 +81,11 @@
   const [file, ...more] = args;
   if (file === undefined || more.length > 0) return toolEnd.usage('simulate takes one fleet file');
   const yaml = readFile.yaml(file);
-  if (!yaml.ok) return toolEnd.trouble(findings.text(yaml.trouble));
+  if (!yaml.ok) return toolEnd.error(findings.text(yaml.error));
   const base = fleetFile.check(yaml.value.doc.toJS());
   if (!base.ok)
-    return toolEnd.trouble(
-      base.trouble
+    return toolEnd.error(
+      base.error
         .map(function line(f) {
           return `${file}: ${f.place}: ${f.text}`;
         })
@@ -95,8 +95,8 @@
   for (const name of flags.change ?? []) {
     const c = fleetFile.changed(base.value, name);
     if (!c.ok)
-      return toolEnd.trouble(
-        c.trouble
+      return toolEnd.error(
+        c.error
           .map(function line(f) {
             return `${file}: ${f.place}: ${f.text}`;
           })
--- a/src/tools/status.ts
+++ b/src/tools/status.ts
@@ -29,12 +29,10 @@
 
 function text(s: StatusAnswer): string {
   const view =
-    s.phase === 'sequencer'
-      ? 'the sequencer'
-      : `${s.phase}, not the sequencer: sites, soundness and hot set may be missing`;
+    s.phase === 'leader' ? 'the leader' : `${s.phase}, not the leader: sites, health and hot set may be missing`;
   return [
     `told by ${s.node} (${view})`,
-    `epoch ${s.epoch}, sequencer ${s.sequencer ?? 'none'}, ${s.sure ? 'sure of its epoch' : 'not sure of its epoch'}, duties ${s.acts ? 'held' : 'not held here'}`,
+    `term ${s.term}, leader ${s.leader ?? 'none'}, ${s.sure ? 'sure of its term' : 'not sure of its term'}, duties ${s.acts ? 'held' : 'not held here'}`,
     `configuration ${s.configuration}, ${s.committed} entries committed, the disk ${s.disk} writes`,
     `access rules: ${Object.keys(s.rules.active).length} tenants under a rule${s.rules.pending > 0 ? `, revision ${s.rules.pending} waits for its activation` : ''}`,
     `weights named: ${
@@ -60,7 +58,7 @@
     ),
     block(
       'runners',
-      ['runner', 'service', 'address', 'zone', 'state', 'weights', 'unsound at', 'verdict'],
+      ['runner', 'service', 'address', 'zone', 'state', 'weights', 'unhealthy at', 'verdict'],
       s.runners.map(function row(r) {
         return [
           r.id,
@@ -73,13 +71,13 @@
               return `${m.label}=${m.revision}`;
             })
             .join(',') || '-',
-          r.unsoundAt === null ? '?' : `${r.unsoundAt} sites`,
+          r.unhealthyAt === null ? '?' : `${r.unhealthyAt} sites`,
           r.verdict ?? '?',
         ];
       }),
     ),
     s.hot === null
-      ? 'hot parts: known to the sequencer only'
+      ? 'hot parts: known to the leader only'
       : block(
           'hot parts',
           ['salt and part', 'share', 'tokens'],
@@ -94,13 +92,13 @@
   if (args.length > 0) return toolEnd.usage('status takes no arguments');
   if (!controlCall.isAddr(flags.control)) return toolEnd.usage('give --control IP:PORT');
   const r = await controlCall.call(flags.control, 'GET', '/v1/status', {});
-  if (!r.ok) return toolEnd.trouble(r.trouble);
-  if (r.value.status !== 200) return toolEnd.trouble(controlCall.refused(r.value));
+  if (!r.ok) return toolEnd.error(r.error);
+  if (r.value.status !== 200) return toolEnd.error(controlCall.refused(r.value));
   let s: StatusAnswer;
   try {
     s = JSON.parse(r.value.body.toString('utf8')) as StatusAnswer;
   } catch {
-    return toolEnd.trouble(`${flags.control} gave an answer that cannot be read`);
+    return toolEnd.error(`${flags.control} gave an answer that cannot be read`);
   }
   return toolEnd.well(flags.json ? JSON.stringify(s, null, 2) : text(s));
 }
--- a/src/tools/types.ts
+++ b/src/tools/types.ts
@@ -1,5 +1,5 @@
 // A tool's end: what it prints, what it has to say on standard error, and its exit status (0 well,
-// 1 findings or trouble, 2 wrong usage).
+// 1 findings or error, 2 wrong usage).
 export type ToolEnd = { status: 0 | 1 | 2; out: string; err: string };
 export type ToolFlags = {
   settings?: string;
@@ -14,7 +14,7 @@
   return { status: 0, out, err: '' };
 }
 
-function trouble(err: string, out = ''): ToolEnd {
+function error(err: string, out = ''): ToolEnd {
   return { status: 1, out, err };
 }
 
@@ -22,4 +22,4 @@
   return { status: 2, out: '', err };
 }
 
-export const toolEnd = { well, trouble, usage };
+export const toolEnd = { well, error, usage };
--- a/src/transport/http/ask.ts
+++ b/src/transport/http/ask.ts
@@ -1,11 +1,11 @@
-// One request with a bounded wait on a kept channel: the answer whole, or a tagged trouble. Used for
+// One request with a bounded wait on a kept channel: the answer whole, or a tagged error. Used for
 // everything the programs ask of each other, of the platform and of the runners' side calls; the
 // requests of clients go their own way.
 import { request, type Agent, type IncomingHttpHeaders } from 'node:http';
 import type { Outcome } from '../../types.js';
 
 export type Reply = { status: number; headers: IncomingHttpHeaders; body: Buffer };
-export type AskTrouble = { t: 'silent' } | { t: 'broken'; why: string; sent: boolean };
+export type AskError = { t: 'silent' } | { t: 'broken'; why: string; sent: boolean };
 export type Ask = {
   agent: Agent;
   addr: string;
@@ -22,7 +22,7 @@
   return { host: addr.slice(0, at), port: Number(addr.slice(at + 1)) };
 }
 
-function send(a: Ask): Promise<Outcome<Reply, AskTrouble>> {
+function send(a: Ask): Promise<Outcome<Reply, AskError>> {
   return new Promise(function run(done) {
     const { host, port } = split(a.addr);
     const headers: Record<string, string | number> = { ...a.headers };
@@ -30,7 +30,7 @@
     const req = request({ agent: a.agent, host, port, method: a.method, path: a.path, headers });
     let over = false;
     let connected = false;
-    function end(o: Outcome<Reply, AskTrouble>): void {
+    function end(o: Outcome<Reply, AskError>): void {
       if (over) return;
       over = true;
       clearTimeout(timer);
@@ -38,7 +38,7 @@
       done(o);
     }
     const timer = setTimeout(function late() {
-      end({ ok: false, trouble: { t: 'silent' } });
+      end({ ok: false, error: { t: 'silent' } });
       req.destroy();
     }, a.waitMs);
     const early =
@@ -46,7 +46,7 @@
         ? undefined
         : setTimeout(function slow() {
             if (connected) return;
-            end({ ok: false, trouble: { t: 'broken', why: 'no channel', sent: false } });
+            end({ ok: false, error: { t: 'broken', why: 'no channel', sent: false } });
             req.destroy();
           }, a.connectMs);
     req.on('socket', function got(socket) {
@@ -57,7 +57,7 @@
         });
     });
     req.on('error', function broke(err) {
-      end({ ok: false, trouble: { t: 'broken', why: err.message, sent: connected } });
+      end({ ok: false, error: { t: 'broken', why: err.message, sent: connected } });
     });
     req.on('response', function got(res) {
       const parts: Buffer[] = [];
@@ -69,7 +69,7 @@
         end({ ok: true, value: { status: res.statusCode ?? 0, headers: res.headers, body: Buffer.concat(parts) } });
       });
       res.on('close', function cut() {
-        end({ ok: false, trouble: { t: 'broken', why: 'answer cut short', sent: true } });
+        end({ ok: false, error: { t: 'broken', why: 'answer cut short', sent: true } });
       });
     });
     req.end(a.body);
--- a/src/transport/inner/channel.ts
+++ b/src/transport/inner/channel.ts
@@ -1,5 +1,5 @@
 // What the system's own processes say to one another: msgpack bodies over HTTP, one agent with kept
-// channels for all partners.
+// channels for all peers.
 import { Agent, createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { Packr } from 'msgpackr';
 import type { Outcome } from '../../types.js';
@@ -23,12 +23,12 @@
   waitMs: number,
 ): Promise<Outcome<T, string>> {
   const r = await ask.send({ agent: via, addr, method: 'POST', path, body: packr.pack(value), waitMs });
-  if (!r.ok) return { ok: false, trouble: r.trouble.t === 'silent' ? 'silent' : r.trouble.why };
-  if (r.value.status !== 200) return { ok: false, trouble: `status ${r.value.status}` };
+  if (!r.ok) return { ok: false, error: r.error.t === 'silent' ? 'silent' : r.error.why };
+  if (r.value.status !== 200) return { ok: false, error: `status ${r.value.status}` };
   try {
     return { ok: true, value: packr.unpack(r.value.body) as T };
   } catch (err) {
-    return { ok: false, trouble: (err as Error).message };
+    return { ok: false, error: (err as Error).message };
   }
 }
 
--- a/src/types.ts
+++ b/src/types.ts
@@ -2,11 +2,11 @@
 // told, what the operator configures, what runners and the platform report, and what the programs
 // say to one another.
 
-import type { OutcomeRow, Verdict } from './coordination/soundness/jury.js';
+import type { OutcomeRow, Verdict } from './coordination/health/jury.js';
 import type { BoardDelta } from './state/history/boards.js';
 import type { ConfigurationDelta } from './state/history/configurations.js';
 
-export type Outcome<T, E> = { ok: true; value: T } | { ok: false; trouble: E };
+export type Outcome<T, E> = { ok: true; value: T } | { ok: false; error: E };
 export type Finding = { place: string; text: string };
 
 export type Bounds = {
@@ -102,10 +102,10 @@
 export type MemberId = string;
 export type Member = { id: MemberId; addr: string; control: string };
 
-// What the sequencer tells the other coordinators and, through them, the sites: soft state that is
-// rebuilt by whoever wins the next epoch, ordered by (epoch, seq).
+// What the leader tells the other coordinators and, through them, the sites: soft state that is
+// rebuilt by whoever wins the next term, ordered by (term, seq).
 export type Board = {
-  epoch: number;
+  term: number;
   seq: number;
   runners: Runner[] | null;
   sites: number;
@@ -130,7 +130,7 @@
   rules: RulesState | null;
   board: Board | null;
   boardDelta: BoardDelta | null;
-  sequencer: string | null;
+  leader: string | null;
   coordinators: string[];
   fresh: boolean;
   leave: boolean;
@@ -144,10 +144,10 @@
   pending: number;
 };
 
-// A place's burden: requests running, prompt tokens still to be read, tokens of memory claimed, leases
+// A place's load: requests running, prompt tokens still to be read, tokens of memory claimed, leases
 // held on it as a source of moves, milliseconds of moves queued to it.
-export type Burden = [number, number, number, number, number];
-export type BurdenRow = [string, ...Burden];
+export type Load = [number, number, number, number, number];
+export type LoadRow = [string, ...Load];
 
 export type FeedCall = {
   site: string;
@@ -155,21 +155,21 @@
   since: [number, number];
   hotSeq: number;
   hold: number;
-  burden: BurdenRow[];
-  burdenNo: number;
-  burdenSeen: number;
-  unsound: string[];
+  load: LoadRow[];
+  loadNo: number;
+  loadSeen: number;
+  unhealthy: string[];
   outcomes: OutcomeRow[];
   verdictSeq: number;
   held: [string, string, number, string][];
   report: { seq: number; era: number; m: number; counts: [string, number, number][]; gather: number } | null;
 };
 export type FeedAnswer = {
-  epoch: number;
+  term: number;
   at: number;
   whole: boolean;
   changes: [string, string, string, number, string][];
-  burdens: { revision: number; whole: boolean; rows: BurdenRow[]; shownNo: number } | null;
+  loads: { revision: number; whole: boolean; rows: LoadRow[]; shownNo: number } | null;
   beatMs: number;
   verdicts: { seq: number; rows: Verdict[] } | null;
   taken: number;
@@ -192,8 +192,8 @@
 export type StatusAnswer = {
   node: string;
   phase: string;
-  epoch: number;
-  sequencer: string | null;
+  term: number;
+  leader: string | null;
   sure: boolean;
   acts: boolean;
   roster: { id: string; control: string; heardMs: number | null; match: number | null }[];
@@ -211,7 +211,7 @@
     draining: boolean;
     parked: boolean;
     models: ModelAt[];
-    unsoundAt: number | null;
+    unhealthyAt: number | null;
     verdict: string | null;
   }[];
   hot: { part: string; share: number; tokens: number }[] | null;
--- a/test/configuration.test.ts
+++ b/test/configuration.test.ts
@@ -18,7 +18,7 @@
 }
 
 function good(over: object = {}): Configuration {
-  return { revision: 3, route_list: [route()], service_list: [{ label: 's1' }], ...over } as Configuration;
+  return { revision: 3, route_list: [route()], service_list: [{ label: 's1' }], ...over };
 }
 
 function places(c: unknown): string[] {
@@ -81,7 +81,7 @@
   });
   assert.ok(!wrong.ok);
   assert.deepEqual(
-    wrong.trouble
+    wrong.error
       .map(function place(f) {
         return f.place;
       })
--- a/test/dataplane.test.ts
+++ b/test/dataplane.test.ts
@@ -55,7 +55,7 @@
     prices: prices.create(),
     hot: { share: new Map(), total: 100_000 },
     tuning: tuning.defaults,
-    board: { epoch: 1, seq: 1, runners: list, sites: 3 },
+    board: { term: 1, seq: 1, runners: list, sites: 3 },
   };
   fleet.take(s.fleet!, list);
   fleet.capAll(s.fleet!, s.table!, 3);
@@ -88,7 +88,7 @@
 
 const eight = ['a', 'b', 'c', 'd', 'e', 'f', 'g', 'h'];
 
-test('the runner that keeps the shared part is assigned, unless others are far less burdened', function run() {
+test('the runner that keeps the shared part is assigned, unless others are far less loaded', function run() {
   const s = site(
     eight.map(function one(id) {
       return runner(id);
@@ -119,8 +119,8 @@
   assert.notEqual(moved.slot.id, home);
   assert.equal(moved.fetchFrom, `${home}:1`);
   fleet.turn(slot(s, home), 'suspect', 0);
-  assert.equal(assign.choose(s, request(s, 12_000), 1)!.fetchFrom, null, 'nothing is fetched from an unsound runner');
-  fleet.turn(slot(s, home), 'sound', 0);
+  assert.equal(assign.choose(s, request(s, 12_000), 1)!.fetchFrom, null, 'nothing is fetched from an unhealthy runner');
+  fleet.turn(slot(s, home), 'healthy', 0);
   fleet.learn(slot(s, home), 'm', 2);
   assert.equal(assign.choose(s, request(s, 12_000), 1)!.fetchFrom, null, 'nor from one with other weights');
   holdings.put(s.holdings, 'all/m/1', 'aa', storePlace, 12_000);
@@ -190,7 +190,7 @@
   assert.deepEqual([a.fetchFrom, a.salt], [null, 't-x/m/1']);
 });
 
-test('soundness: the pause grows, and a byte ends it', function run() {
+test('health: the pause grows, and a byte ends it', function run() {
   const s = site([runner('a')]);
   const one = slot(s, 'a');
   let last = 0;
@@ -202,7 +202,7 @@
   assert.equal(fleet.usable(one, last - 1), false);
   assert.equal(fleet.usable(one, last), true);
   fleet.spoke(one, 10);
-  assert.deepEqual([one.phase, one.troubles, fleet.usable(one, 0)], ['sound', 0, true]);
+  assert.deepEqual([one.phase, one.errors, fleet.usable(one, 0)], ['healthy', 0, true]);
 });
 
 test('the line tries the urgent first but lets no one be passed over for long', async function run() {
@@ -250,7 +250,7 @@
   holdings.put(s.holdings, 'all/m/1', 'aa', slot(s, 'a').ix, 12_000);
   assert.equal(from(), 'a:1');
   s.hintsUntil = 0;
-  assert.equal(from(), null, 'no word from the sequencer for long');
+  assert.equal(from(), null, 'no word from the leader for long');
   s.hintsUntil = Infinity;
   holdings.doubt(s.holdings, slot(s, 'a').ix, 0);
   assert.equal(from(), null, 'the place itself has been silent');
@@ -261,8 +261,8 @@
   slot(s, 'b').othersMoveMs = 1490;
   assert.equal(from(), null, 'moves queue at the destination');
   slot(s, 'b').othersMoveMs = 0;
-  slot(s, 'a').verdict = 'unsound';
-  assert.equal(from(), null, 'the source is unsound');
+  slot(s, 'a').verdict = 'unhealthy';
+  assert.equal(from(), null, 'the source is unhealthy');
   slot(s, 'a').verdict = 'clear';
   s.tuning = { ...tuning.defaults, transfers: false };
   assert.equal(from(), null, 'transfers are off');
@@ -300,7 +300,7 @@
   assert.equal(transfers.at(s.transfers, slot(s, 'a').ix).source, 0);
 });
 
-test('a runner that the jury found unsound gets nothing but the one request that tries it', function run() {
+test('a runner that the jury found unhealthy gets nothing but the one request that tries it', function run() {
   const s = site(
     ['a', 'b'].map(function one(id) {
       return runner(id);
--- a/test/group-rules.test.ts
+++ b/test/group-rules.test.ts
@@ -1,5 +1,5 @@
 // Single rules of the group machine, each on a hand-made situation that luck seldom makes: what counts
-// as committed, who gets a vote, and how long a sequencer's hold lasts.
+// as committed, who gets a vote, and how long a leader's hold lasts.
 import { strict as assert } from 'node:assert';
 import { test } from 'node:test';
 import { group } from '../src/coordination/group/machine.js';
@@ -9,13 +9,13 @@
 const members = ['a', 'b', 'c'].map(function one(x) {
   return { id: `${x}#first`, addr: x, control: x };
 });
-const view: View = { index: 0, epoch: 0, members, state: null };
+const view: View = { index: 0, term: 0, members, state: null };
 
-function entry(index: number, epoch: number): Entry {
-  return { index, epoch, data: { kind: 'order', command: index } };
+function entry(index: number, term: number): Entry {
+  return { index, term, data: { kind: 'order', command: index } };
 }
 
-function machine(me: string, epoch: number, entries: Entry[], now = 0): GroupState {
+function machine(me: string, term: number, entries: Entry[], now = 0): GroupState {
   return group.create({
     me: `${me}#first`,
     addr: me,
@@ -23,7 +23,7 @@
     timing,
     seed: 1,
     target: 3,
-    epoch,
+    term,
     vote: null,
     view,
     entries,
@@ -32,7 +32,7 @@
 }
 
 function from(x: string, body: Body): Message {
-  return { ...body, from: `${x}#first`, fromAddr: x, to: 'a#first' } as Message;
+  return { ...body, from: `${x}#first`, fromAddr: x, to: 'a#first' };
 }
 
 function syncAll(s: GroupState, now: number): GroupEffect[] {
@@ -49,26 +49,26 @@
   const s = machine('a', 3, entries);
   const asked = group.step(s, { e: 'beat' }, 2000);
   assert.equal(sent(asked, 'canvass').length, 2);
-  group.step(s, { e: 'message', message: from('b', { m: 'canvassed', epoch: 4, ok: true }) }, 2001);
+  group.step(s, { e: 'message', message: from('b', { m: 'canvassed', term: 4, ok: true }) }, 2001);
   assert.equal(s.phase, 'candidate');
   assert.equal(sent(syncAll(s, 2002), 'ballot').length, 2, 'a ballot goes out only once the promise is synced');
-  group.step(s, { e: 'message', message: from('b', { m: 'vote', epoch: 4, ok: true }) }, 2003);
-  assert.equal(s.phase, 'sequencer');
+  group.step(s, { e: 'message', message: from('b', { m: 'vote', term: 4, ok: true }) }, 2003);
+  assert.equal(s.phase, 'leader');
   return s;
 }
 
-test('an entry of an older epoch is not committed by counting who holds it', function run() {
+test('an entry of an older term is not committed by counting who holds it', function run() {
   const s = elected([entry(1, 2)]);
   syncAll(s, 2004);
-  group.step(s, { e: 'message', message: from('b', { m: 'appended', epoch: 4, ok: true, match: 1, beat: 0 }) }, 2005);
+  group.step(s, { e: 'message', message: from('b', { m: 'appended', term: 4, ok: true, match: 1, beat: 0 }) }, 2005);
   assert.equal(s.committed, 0);
-  group.step(s, { e: 'message', message: from('b', { m: 'appended', epoch: 4, ok: true, match: 2, beat: 0 }) }, 2006);
+  group.step(s, { e: 'message', message: from('b', { m: 'appended', term: 4, ok: true, match: 2, beat: 0 }) }, 2006);
   assert.equal(s.committed, 2);
 });
 
-test('what the sequencer has not synced itself counts for nothing of its own', function run() {
+test('what the leader has not synced itself counts for nothing of its own', function run() {
   const s = elected([]);
-  group.step(s, { e: 'message', message: from('b', { m: 'appended', epoch: 4, ok: true, match: 1, beat: 0 }) }, 2005);
+  group.step(s, { e: 'message', message: from('b', { m: 'appended', term: 4, ok: true, match: 1, beat: 0 }) }, 2005);
   assert.equal(s.committed, 0, 'one of three');
   syncAll(s, 2006);
   assert.equal(s.committed, 1);
@@ -76,62 +76,62 @@
 
 test('a vote is not given to a log that lacks what is held here', function run() {
   const s = machine('a', 3, [entry(1, 2), entry(2, 3)]);
-  for (const [last, lastEpoch, ok] of [
+  for (const [last, lastTerm, ok] of [
     [1, 2, false],
     [9, 2, false],
     [1, 3, false],
     [2, 3, true],
   ] as const) {
     const fresh = machine('a', 3, [entry(1, 2), entry(2, 3)]);
-    group.step(fresh, { e: 'message', message: from('b', { m: 'ballot', epoch: 4, last, lastEpoch }) }, 5000);
+    group.step(fresh, { e: 'message', message: from('b', { m: 'ballot', term: 4, last, lastTerm }) }, 5000);
     assert.deepEqual(
       sent(syncAll(fresh, 5001), 'vote').map(function given(v) {
         return (v as { ok: boolean }).ok;
       }),
       [ok],
-      `log up to ${last} of epoch ${lastEpoch}`,
+      `log up to ${last} of term ${lastTerm}`,
     );
     const canvassed = sent(
-      group.step(s, { e: 'message', message: from('b', { m: 'canvass', epoch: 4, last, lastEpoch }) }, 5000),
+      group.step(s, { e: 'message', message: from('b', { m: 'canvass', term: 4, last, lastTerm }) }, 5000),
       'canvassed',
     );
     assert.equal((canvassed[0] as { ok: boolean }).ok, ok);
   }
 });
 
-test('one vote an epoch, and none before its promise is synced', function run() {
+test('one vote an term, and none before its promise is synced', function run() {
   const s = machine('a', 3, []);
   const first = group.step(
     s,
-    { e: 'message', message: from('b', { m: 'ballot', epoch: 4, last: 0, lastEpoch: 0 }) },
+    { e: 'message', message: from('b', { m: 'ballot', term: 4, last: 0, lastTerm: 0 }) },
     5000,
   );
   assert.equal(sent(first, 'vote').length, 0);
   assert.equal((sent(syncAll(s, 5001), 'vote')[0] as { ok: boolean }).ok, true);
   const second = group.step(
     s,
-    { e: 'message', message: from('c', { m: 'ballot', epoch: 4, last: 9, lastEpoch: 3 }) },
+    { e: 'message', message: from('c', { m: 'ballot', term: 4, last: 9, lastTerm: 3 }) },
     9000,
   );
   assert.equal((sent(second, 'vote')[0] as { ok: boolean }).ok, false);
 });
 
-test('who hears a sequencer, or has just started, gives no vote', function run() {
+test('who hears a leader, or has just started, gives no vote', function run() {
   const s = machine('a', 3, [], 4000);
-  const ballot = from('c', { m: 'ballot', epoch: 9, last: 9, lastEpoch: 8 });
+  const ballot = from('c', { m: 'ballot', term: 9, last: 9, lastTerm: 8 });
   assert.deepEqual(group.step(s, { e: 'message', message: ballot }, 4100), [], 'just started');
   group.step(
     s,
     {
       e: 'message',
-      message: from('b', { m: 'append', epoch: 4, prev: 0, prevEpoch: 0, entries: [], committed: 0, beat: 1 }),
+      message: from('b', { m: 'append', term: 4, prev: 0, prevTerm: 0, entries: [], committed: 0, beat: 1 }),
     },
     6000,
   );
   assert.deepEqual(group.step(s, { e: 'message', message: ballot }, 6600), [], 'heard one');
-  assert.equal(s.epoch, 4);
+  assert.equal(s.term, 4);
   group.step(s, { e: 'message', message: ballot }, 6000 + timing.silenceMs + 1);
-  assert.equal(s.epoch, 9);
+  assert.equal(s.term, 9);
 });
 
 test('the hold counts from when an answered beat was sent, and ends by itself', function run() {
@@ -143,7 +143,7 @@
   const x = beat!.to.split('#')[0]!;
   group.step(
     s,
-    { e: 'message', message: from(x, { m: 'appended', epoch: 4, ok: true, match: 1, beat: beat!.beat }) },
+    { e: 'message', message: from(x, { m: 'appended', term: 4, ok: true, match: 1, beat: beat!.beat }) },
     2700,
   );
   assert.equal(group.holdsUntil(s, 2700), sentAt + timing.silenceMs);
@@ -152,7 +152,7 @@
   assert.equal(group.holdsUntil(s, 4000), 0);
 });
 
-test('a follower trims what the sequencer does not hold, and nothing that it does', function run() {
+test('a follower trims what the leader does not hold, and nothing that it does', function run() {
   const s = machine('a', 3, [entry(1, 2), entry(2, 2), entry(3, 2)]);
   const out = group.step(
     s,
@@ -160,9 +160,9 @@
       e: 'message',
       message: from('b', {
         m: 'append',
-        epoch: 4,
+        term: 4,
         prev: 1,
-        prevEpoch: 2,
+        prevTerm: 2,
         entries: [entry(2, 4)],
         committed: 1,
         beat: 1,
@@ -177,7 +177,7 @@
   );
   assert.deepEqual(
     s.entries.map(function at(e) {
-      return [e.index, e.epoch];
+      return [e.index, e.term];
     }),
     [
       [1, 2],
@@ -190,9 +190,9 @@
       e: 'message',
       message: from('b', {
         m: 'append',
-        epoch: 4,
+        term: 4,
         prev: 0,
-        prevEpoch: 0,
+        prevTerm: 0,
         entries: [entry(1, 2)],
         committed: 1,
         beat: 2,
--- a/test/group.test.ts
+++ b/test/group.test.ts
@@ -1,5 +1,5 @@
-// The group under every trouble the deployments name, in seeded runs on the simulated world: one
-// order, one winner of an epoch, acts of two holders a lease apart, and what was acked stays.
+// The group under every error the deployments name, in seeded runs on the simulated world: one
+// order, one winner of an term, acts of two holders a lease apart, and what was acked stays.
 import { strict as assert } from 'node:assert';
 import { test } from 'node:test';
 import { luck } from './support/random.js';
@@ -25,7 +25,7 @@
   const up = [...w.nodes.values()].filter(function on(n) {
     return n.up;
   });
-  const s = world.sequencer(w)!;
+  const s = world.leader(w)!;
   world.run(w, 1500);
   for (const n of up)
     if (log.isMember(s.machine!, n.machine!.me))
@@ -45,9 +45,9 @@
   }
 }
 
-function anyTrouble(w: World): void {
+function anyError(w: World): void {
   const all = [...w.nodes.values()];
-  const n = luck.next(w.l) < 0.5 ? (world.sequencer(w) ?? all[0]!) : luck.pick(w.l, all);
+  const n = luck.next(w.l) < 0.5 ? (world.leader(w) ?? all[0]!) : luck.pick(w.l, all);
   const ms = 200 + luck.below(w.l, 4000);
   switch (luck.below(w.l, 9)) {
     case 0:
@@ -85,13 +85,13 @@
   for (const n of w.nodes.values()) assert.equal(n.machine!.delivered, w.order.length);
 });
 
-test('random troubles: one order, one winner, a lease apart, nothing acked is lost', function run() {
+test('random errors: one order, one winner, a lease apart, nothing acked is lost', function run() {
   let acked = 0;
   for (let seed = 1; seed <= 60; seed++) {
     const w = world.create(seed, addrs);
     world.run(w, 2500);
     for (let i = 0; i < 25; i++) {
-      anyTrouble(w);
+      anyError(w);
       drive(w, 300 + luck.below(w.l, 1500), 40);
     }
     for (const n of w.nodes.values()) n.stalledUntil = n.frozenUntil = 0;
@@ -118,11 +118,11 @@
     const w = world.create(seed, addrs);
     world.run(w, 3000);
     drive(w, 400 + luck.below(w.l, 300), 7);
-    const s = luck.next(w.l) < 0.5 ? world.sequencer(w)! : luck.pick(w.l, [...w.nodes.values()]);
+    const s = luck.next(w.l) < 0.5 ? world.leader(w)! : luck.pick(w.l, [...w.nodes.values()]);
     for (const n of w.nodes.values()) world.down(w, n, n === s ? 'wipe' : 'power', 500 + luck.below(w.l, 800));
     world.run(w, 5000);
     settles(w);
-    const roster = world.sequencer(w)!.machine!.roster;
+    const roster = world.leader(w)!.machine!.roster;
     assert.equal(roster.length, 3);
     assert.ok(
       roster.some(function me(m) {
@@ -137,7 +137,7 @@
   const w = world.create(5, addrs);
   world.run(w, 3000);
   drive(w, 500, 20);
-  const s = world.sequencer(w)!;
+  const s = world.leader(w)!;
   const [one, two] = others(w, s).map(function node(a) {
     return w.nodes.get(a)!;
   });
@@ -164,7 +164,7 @@
     }
     settles(w);
     const roster = world
-      .sequencer(w)!
+      .leader(w)!
       .machine!.roster.map(function at(m) {
         return m.addr;
       })
@@ -173,14 +173,14 @@
   }
 });
 
-test('a sequencer whose disk stalls gives way', function run() {
+test('a leader whose disk stalls gives way', function run() {
   const w = world.create(3, addrs);
   world.run(w, 3000);
-  const s = world.sequencer(w)!;
-  const epoch = s.machine!.epoch;
+  const s = world.leader(w)!;
+  const term = s.machine!.term;
   s.stalledUntil = w.now + 6000;
   drive(w, 4000, 40);
-  const next = world.sequencer(w)!;
-  assert.ok(next !== s && next.machine!.epoch > epoch);
+  const next = world.leader(w)!;
+  assert.ok(next !== s && next.machine!.term > term);
   settles(w);
 });
--- a/test/soundness.test.ts
+++ b/test/health.test.ts
@@ -1,9 +1,9 @@
-// The jury of soundness: what several sites met decides, one accuser or a cut-off few do not, a pool is
-// never emptied, and whoever was unsound is tried again by one site at a time.
+// The jury of health: what several sites met decides, one accuser or a cut-off few do not, a pool is
+// never emptied, and whoever was unhealthy is tried again by one site at a time.
 import { strict as assert } from 'node:assert';
 import { test } from 'node:test';
 import fc from 'fast-check';
-import { jury, type Bench, type Jury } from '../src/coordination/soundness/jury.js';
+import { jury, type Bench, type Jury } from '../src/coordination/health/jury.js';
 import { luck } from './support/random.js';
 
 function bench(runners: number, sites: number): Bench {
@@ -19,14 +19,14 @@
   };
 }
 
-function unsound(j: Jury): string[] {
+function unhealthy(j: Jury): string[] {
   return jury.verdicts(j).map(function id(v) {
     return v[0];
   });
 }
 
 // Every site sends to a runner drawn by luck; those in `grey` break a part of what they get, and sites
-// leave alone who is unsound unless they are asked to try.
+// leave alone who is unhealthy unless they are asked to try.
 function play(
   j: Jury,
   b: Bench,
@@ -77,7 +77,7 @@
     ['r4', 0.45],
   ]);
   play(j, b, grey, 0, 1000, 1);
-  assert.deepEqual(unsound(j).sort(), ['r1', 'r2', 'r3', 'r4']);
+  assert.deepEqual(unhealthy(j).sort(), ['r1', 'r2', 'r3', 'r4']);
   const after = play(j, b, grey, 1000, 8000, 2);
   assert.ok(after.broken / after.sent < 0.01, `${after.broken} of ${after.sent}`);
 });
@@ -86,9 +86,9 @@
   const b = bench(12, 9);
   const j = jury.create();
   play(j, b, new Map([['r1', 1]]), 0, 1500, 3);
-  assert.deepEqual(unsound(j), ['r1']);
+  assert.deepEqual(unhealthy(j), ['r1']);
   play(j, b, new Map(), 1500, 6000, 4);
-  assert.deepEqual(unsound(j), []);
+  assert.deepEqual(unhealthy(j), []);
 });
 
 test('one accuser, however loud, takes out no runner', function run() {
@@ -98,11 +98,11 @@
     for (const id of b.runners.keys()) jury.hear(j, 'e0', [[id, 0, 5]], now);
     for (const site of b.sites.slice(1)) for (const id of b.runners.keys()) jury.hear(j, site, [[id, 1, 0]], now);
     jury.beat(j, b, now);
-    assert.deepEqual(unsound(j), []);
+    assert.deepEqual(unhealthy(j), []);
   }
 });
 
-test('rare broken answers everywhere, as under a garbling trouble, take out nobody for long', function run() {
+test('rare broken answers everywhere, as under a garbling error, take out nobody for long', function run() {
   const b = bench(42, 73);
   const j = jury.create();
   const all = new Map(
@@ -111,7 +111,7 @@
     }),
   );
   play(j, b, all, 0, 6000, 6);
-  assert.ok(unsound(j).length <= 2, unsound(j).join());
+  assert.ok(unhealthy(j).length <= 2, unhealthy(j).join());
 });
 
 test('whatever sites say, a quarter of a pool at most is out, and words without sense change nothing', function run() {
@@ -127,13 +127,7 @@
   );
   fc.assert(
     fc.property(
-      fc.array(
-        fc.tuple(
-          fc.integer({ min: 0, max: 8 }),
-          fc.array(row as fc.Arbitrary<[string, number, number]>, { maxLength: 12 }),
-        ),
-        { maxLength: 150 },
-      ),
+      fc.array(fc.tuple(fc.integer({ min: 0, max: 8 }), fc.array(row, { maxLength: 12 })), { maxLength: 150 }),
       function holds(words) {
         const b = bench(12, 9);
         const j = jury.create();
@@ -142,8 +136,8 @@
           now += 40;
           jury.hear(j, `e${site}`, rows, now);
           jury.beat(j, b, now);
-          assert.ok(unsound(j).length <= 3);
-          assert.ok(!unsound(j).includes('ghost'));
+          assert.ok(unhealthy(j).length <= 3);
+          assert.ok(!unhealthy(j).includes('ghost'));
           for (const [, taker] of jury.verdicts(j)) assert.ok(taker === null || b.sites.includes(taker));
         }
       },
--- a/test/history.test.ts
+++ b/test/history.test.ts
@@ -4,7 +4,7 @@
 import { test } from 'node:test';
 import fc from 'fast-check';
 import { boardHistory } from '../src/state/history/boards.js';
-import { configurationHistory } from '../src/state/history/configurations.js';
+import { configurationHistory, type ConfigurationDelta } from '../src/state/history/configurations.js';
 import { itemHistory } from '../src/state/history/items.js';
 import type { Board, Configuration, Route, Runner } from '../src/types.js';
 
@@ -64,7 +64,7 @@
         for (const was of all) {
           const delta = configurationHistory.since(h, was.revision);
           if (delta === null) continue;
-          const next = configurationHistory.apply(was, JSON.parse(JSON.stringify(delta)));
+          const next = configurationHistory.apply(was, JSON.parse(JSON.stringify(delta)) as ConfigurationDelta);
           assert.ok(next);
           assert.deepEqual(sorted(next), sorted(c));
         }
@@ -101,7 +101,8 @@
   configurationHistory.take(h, first);
   configurationHistory.take(h, { ...first, revision: 2, route_list: [route('a', 2), route('b', 1)] });
   const d = configurationHistory.since(h, 1)!;
-  assert.equal(configurationHistory.apply(null, d), null);
+  const nothing: Configuration | null = null;
+  assert.equal(configurationHistory.apply(nothing, d), null);
   assert.equal(configurationHistory.apply({ ...first, revision: 7 }, d), null);
   assert.equal(configurationHistory.apply({ ...first, route_list: [route('a', 1)] }, d), null, 'one item is missing');
 });
@@ -124,16 +125,16 @@
   { minLength: 2, maxLength: 15 },
 );
 
-test('boards of one epoch are told by differences, a new epoch whole, also where steps were passed over', function run() {
+test('boards of one term are told by differences, a new term whole, also where steps were passed over', function run() {
   fc.assert(
     fc.property(boardSteps, function holds(list) {
       const everything: Board[] = [];
-      let board: Board = { epoch: 1, seq: 0, runners: [], sites: 0 };
-      for (const [rows, gap, newEpoch] of list) {
-        const epoch = board.epoch + (newEpoch === 0 ? 1 : 0);
+      let board: Board = { term: 1, seq: 0, runners: [], sites: 0 };
+      for (const [rows, gap, newTerm] of list) {
+        const term = board.term + (newTerm === 0 ? 1 : 0);
         board = {
-          epoch,
-          seq: epoch === board.epoch ? board.seq + gap : 1,
+          term,
+          seq: term === board.term ? board.seq + gap : 1,
           runners: rows.map(function one([n, parked]) {
             return runner(`i${n}`, parked);
           }),
@@ -146,17 +147,17 @@
         if (i % 2 === 1 && i < everything.length - 1) return;
         boardHistory.take(h, b);
         for (const was of everything.slice(0, i + 1)) {
-          const delta = boardHistory.since(h, was.epoch, was.seq);
-          if (was.epoch !== b.epoch) assert.equal(delta, null);
+          const delta = boardHistory.since(h, was.term, was.seq);
+          if (was.term !== b.term) assert.equal(delta, null);
           if (delta === null) continue;
           const next = boardHistory.apply(was, delta);
           assert.ok(next);
           assert.deepEqual([...next.runners!].sort(byId), [...b.runners!].sort(byId));
-          assert.deepEqual([next.epoch, next.seq, next.sites], [b.epoch, b.seq, b.sites]);
+          assert.deepEqual([next.term, next.seq, next.sites], [b.term, b.seq, b.sites]);
         }
       });
       const before = everything.at(-1)!;
-      const delta = boardHistory.since(h, before.epoch, before.seq);
+      const delta = boardHistory.since(h, before.term, before.seq);
       assert.equal(delta?.runners.upserts.length ?? 0, 0);
     }),
     { seed: 21, numRuns: 300 },
--- a/test/burden.test.ts
+++ b/test/load.test.ts
@@ -3,9 +3,9 @@
 import { strict as assert } from 'node:assert';
 import { test } from 'node:test';
 import fc from 'fast-check';
-import { others, type Others } from '../src/state/burden/others.js';
-import { sums, type Sums, type Told } from '../src/state/burden/sums.js';
-import type { BurdenRow } from '../src/types.js';
+import { others, type Others } from '../src/state/load/others.js';
+import { sums, type Sums, type Told } from '../src/state/load/sums.js';
+import type { LoadRow } from '../src/types.js';
 
 const standsMs = 2500;
 const runners = ['a', 'b', 'c', 'd'];
@@ -29,11 +29,11 @@
     fc.property(fc.array(step, { minLength: 5, maxLength: 80 }), function holds(steps) {
       const s = sums.create();
       const sites = Array.from({ length: 5 }, function one(_, i) {
-        return { name: `s${i}`, o: others.create(), rows: [] as BurdenRow[] };
+        return { name: `s${i}`, o: others.create(), rows: [] as LoadRow[] };
       });
       const late: (() => void)[] = [];
       let now = 0;
-      function report(i: number, rows: BurdenRow[], fate: Step['fate']): void {
+      function report(i: number, rows: LoadRow[], fate: Step['fate']): void {
         const at = sites[i]!;
         at.rows = rows;
         const no = others.tell(at.o, rows);
@@ -48,7 +48,7 @@
         now += 20;
         const rows = new Map(
           x.rows.map(function row([r, n]) {
-            return [runners[r]!, [runners[r]!, 1, n, n * 2, n % 3, n % 7] as BurdenRow] as const;
+            return [runners[r]!, [runners[r]!, 1, n, n * 2, n % 3, n % 7] as LoadRow] as const;
           }),
         );
         report(x.site, [...rows.values()], x.fate);
@@ -105,7 +105,7 @@
 });
 
 // The law that docs/design.md states: a site is told at most one row a runner per beat, however many
-// sites there are, and the sequencer sums each report once.
+// sites there are, and the leader sums each report once.
 test('what a site is told per beat does not grow with the number of sites', function run() {
   function rowsTold(sites: number): number {
     const s = sums.create();
--- a/test/loopback.test.ts
+++ b/test/loopback.test.ts
@@ -663,7 +663,7 @@
   assert.equal(r.status, 1);
   for (const place of ['node_name', 'ip_addr', 'bind_addrs', 'seed_addrs'])
     assert.ok(r.stderr.includes(`${place}: `), place);
-  assert.doesNotMatch(r.stderr, /unknown|zone_name|    at /);
+  assert.doesNotMatch(r.stderr, /unknown|zone_name| {4}at /);
   assert.equal(spawnSync(process.execPath, ['target/milletcleat.mjs', 'nothing'], { encoding: 'utf8' }).status, 2);
   assert.equal(
     spawnSync(process.execPath, ['target/milletcleat.mjs', 'site', '--phi', '3'], { encoding: 'utf8' }).status,
--- a/test/scale.test.ts
+++ b/test/scale.test.ts
@@ -1,15 +1,15 @@
 // The law of the exchange, counted on virtual time with the machines that the programs run: as sites
-// double, what one site sends and is sent a second does not rise, and the sequencer's answers a second
+// double, what one site sends and is sent a second does not rise, and the leader's answers a second
 // stay below what its beat allows. Counts only; the same on every machine.
 import { strict as assert } from 'node:assert';
 import { test } from 'node:test';
 import { Packr } from 'msgpackr';
 import { exchange, type Exchange } from '../src/coordination/exchange/machine.js';
-import { others, type Others } from '../src/state/burden/others.js';
+import { others, type Others } from '../src/state/load/others.js';
 import { configurationHistory } from '../src/state/history/configurations.js';
 import { boardHistory } from '../src/state/history/boards.js';
 import { tuning } from '../src/protocol/settings/tuning.js';
-import type { BurdenRow, Configuration, FeedAnswer, FeedCall, Runner } from '../src/types.js';
+import type { LoadRow, Configuration, FeedAnswer, FeedCall, Runner } from '../src/types.js';
 import { luck, type Luck } from './support/random.js';
 
 const packr = new Packr({ useRecords: false });
@@ -20,7 +20,7 @@
 type SimSite = {
   name: string;
   o: Others;
-  rows: Map<string, BurdenRow>;
+  rows: Map<string, LoadRow>;
   since: [number, number];
   hotSeq: number;
   verdictSeq: number;
@@ -28,17 +28,17 @@
 type Counts = { sites: number; answers: number; bytesIn: number; bytesOut: number };
 
 function callOf(s: SimSite): FeedCall {
-  const burden = [...s.rows.values()];
+  const load = [...s.rows.values()];
   return {
     site: s.name,
     life: s.name,
     since: s.since,
     hotSeq: s.hotSeq,
     hold: 500,
-    burden,
-    burdenNo: others.tell(s.o, burden),
-    burdenSeen: s.o.revision,
-    unsound: [],
+    load,
+    loadNo: others.tell(s.o, load),
+    loadSeen: s.o.revision,
+    unhealthy: [],
     outcomes: [],
     verdictSeq: s.verdictSeq,
     held: [],
@@ -47,8 +47,8 @@
 }
 
 function take(s: SimSite, a: FeedAnswer): void {
-  if (a.burdens) others.take(s.o, a.burdens);
-  s.since = [a.epoch, a.at];
+  if (a.loads) others.take(s.o, a.loads);
+  s.since = [a.term, a.at];
   if (a.tracking.hot) s.hotSeq = a.tracking.hotSeq;
   if (a.verdicts) s.verdictSeq = a.verdicts.seq;
 }
@@ -91,7 +91,7 @@
   return out;
 }
 
-test('as sites double, neither messages nor bytes of one site rise, and the sequencer stays within its beat', function run(t) {
+test('as sites double, neither messages nor bytes of one site rise, and the leader stays within its beat', function run(t) {
   const list = [20, 40, 80, 160].map(play);
   for (const c of list)
     t.diagnostic(
@@ -142,7 +142,7 @@
         }),
       });
       boardHistory.take(b, {
-        epoch: 1,
+        term: 1,
         seq: step,
         sites: 9,
         runners: Array.from({ length: n }, function one(_, i) {
@@ -153,5 +153,5 @@
     return [packr.pack(configurationHistory.since(h, 1)).length, packr.pack(boardHistory.since(b, 1, 1)).length];
   }
   const [small, large] = [bytes(40), bytes(1400)];
-  assert.ok(large[0] <= small[0] + 8 && large[1] <= small[1] + 8, `${small} ${large}`);
+  assert.ok(large[0] <= small[0] + 8 && large[1] <= small[1] + 8, `${small.join()} ${large.join()}`);
 });
--- a/test/scale/run.ts
+++ b/test/scale/run.ts
@@ -84,11 +84,11 @@
   } as unknown as Settings;
   return {
     site: siteProgram.create(s, ringLog.create('site', s.node_name), tuning.defaults),
-    f: { life: `life-${n}`, via: agent, known: seeds, seeds, at: n % 3, sequencer: null, stopped: false, whole: false },
+    f: { life: `life-${n}`, via: agent, known: seeds, seeds, at: n % 3, leader: null, stopped: false, whole: false },
   };
 }
 
-// Pretends a request: what it adds to a runner's burden, and for a long one the part that is sent there.
+// Pretends a request: what it adds to a runner's load, and for a long one the part that is sent there.
 function pretend(l: Luck, h: Hollow): void {
   const list = [...h.site.fleet.byId.values()];
   if (list.length === 0) return;
@@ -105,13 +105,13 @@
       { slot, salt: identity.salt({ wall: 'all', model, revision: 1 }) } as unknown as Assigned,
     );
   }
-  h.site.burdenChanged();
+  h.site.loadChanged();
   setTimeout(
     function over() {
       slot.active--;
       slot.reading -= reads;
       slot.claimed -= reads;
-      h.site.burdenChanged();
+      h.site.loadChanged();
     },
     isLong ? 350 : 120,
   );
@@ -197,7 +197,7 @@
     bytesOutPerSiteSecond: (after.out - before.out) / siteSeconds,
     coordinatorsCores: median(cores),
     coordinatorsCoresRange: [Math.min(...cores), Math.max(...cores)],
-    sequencerCores: median(most),
+    leaderCores: median(most),
     coordinatorMb: Math.max(...pids.map(memoryMb)),
   };
 }
@@ -262,7 +262,7 @@
       'bytesInPerSiteSecond',
       'bytesOutPerSiteSecond',
       'coordinatorsCores',
-      'sequencerCores',
+      'leaderCores',
       'coordinatorMb',
     ].map(function one(k) {
       return [
--- a/test/sim/world.ts
+++ b/test/sim/world.ts
@@ -46,11 +46,11 @@
   nodes: Map<string, Node>;
   cuts: Set<string>;
   loss: number;
-  order: { index: number; value: number; epoch: number }[];
+  order: { index: number; value: number; term: number }[];
   acked: Set<number>;
   proposed: Map<string, number>;
   winners: Map<number, string>;
-  lastAct: { who: string; epoch: number; at: number } | null;
+  lastAct: { who: string; term: number; at: number } | null;
   seeds: Member[];
   nextValue: number;
   incarnation: number;
@@ -81,7 +81,7 @@
   for (const a of addrs) {
     const n = add(w, a);
     n.disk = {
-      view: { index: 0, epoch: 0, members: w.seeds, state: [] },
+      view: { index: 0, term: 0, members: w.seeds, state: [] },
       kept: [head(`${a}#first`, 0, 0, null, false)],
       pending: [],
     };
@@ -90,8 +90,8 @@
   return w;
 }
 
-function head(me: string, after: number, epoch: number, vote: string | null, reset: boolean): SegmentHead {
-  return { r: 'head', me, after, epoch, vote, reset };
+function head(me: string, after: number, term: number, vote: string | null, reset: boolean): SegmentHead {
+  return { r: 'head', me, after, term, vote, reset };
 }
 
 function add(w: World, addr: string): Node {
@@ -121,7 +121,7 @@
   n.syncing = false;
   if (!n.disk) {
     const me = `${n.addr}#${++w.incarnation}`;
-    n.disk = { view: { index: 0, epoch: 0, members: [], state: [] }, kept: [head(me, 0, 0, null, false)], pending: [] };
+    n.disk = { view: { index: 0, term: 0, members: [], state: [] }, kept: [head(me, 0, 0, null, false)], pending: [] };
   }
   n.disk.pending = [];
   const r = recovery.replay(n.disk.view, [{ name: 'disk', values: n.disk.kept }]);
@@ -134,7 +134,7 @@
     timing,
     seed: luck.below(w.l, 1e9),
     target: w.seeds.length,
-    epoch: r.epoch,
+    term: r.term,
     vote: r.vote,
     view: n.disk.view,
     entries: r.entries,
@@ -203,17 +203,17 @@
       n.state = [...(f.view.state as number[])];
       n.disk!.pending.push({
         token: 0,
-        records: [head(s.me, f.view.index, s.epoch, s.vote, true)],
+        records: [head(s.me, f.view.index, s.term, s.vote, true)],
         view: structuredClone(f.view),
       });
       return sync(w, n);
     case 'deliver':
       return delivered(w, n, f.entry);
     case 'phase':
-      if (f.phase === 'sequencer') {
-        const was = w.winners.get(f.epoch);
-        assert.ok(was === undefined || was === s.me, `epoch ${f.epoch} was won twice`);
-        w.winners.set(f.epoch, s.me);
+      if (f.phase === 'leader') {
+        const was = w.winners.get(f.term);
+        assert.ok(was === undefined || was === s.me, `term ${f.term} was won twice`);
+        w.winners.set(f.term, s.me);
       }
       return;
     default:
@@ -227,17 +227,17 @@
   const known = w.order[entry.index - 1];
   if (known)
     assert.deepEqual(
-      { value, epoch: entry.epoch },
-      { value: known.value, epoch: known.epoch },
+      { value, term: entry.term },
+      { value: known.value, term: known.term },
       `entry ${entry.index} differs at ${n.addr}`,
     );
   else {
     assert.equal(entry.index, w.order.length + 1, 'entries are delivered without a gap');
-    w.order.push({ index: entry.index, value, epoch: entry.epoch });
+    w.order.push({ index: entry.index, value, term: entry.term });
   }
   if (value > 0) n.state.push(value);
-  const key = `${entry.index} ${entry.epoch}`;
-  if (s.phase === 'sequencer' && w.proposed.has(key)) w.acked.add(w.proposed.get(key)!);
+  const key = `${entry.index} ${entry.term}`;
+  if (s.phase === 'leader' && w.proposed.has(key)) w.acked.add(w.proposed.get(key)!);
 }
 
 function sync(w: World, n: Node): void {
@@ -273,14 +273,14 @@
 
 function check(w: World, n: Node): void {
   const s = n.machine!;
-  const acts = s.phase === 'sequencer' && w.now - s.wonAt >= leaseMs && w.now < group.holdsUntil(s, w.now);
+  const acts = s.phase === 'leader' && w.now - s.wonAt >= leaseMs && w.now < group.holdsUntil(s, w.now);
   if (!acts) return;
   const was = w.lastAct;
   if (was && was.who !== s.me) {
-    assert.ok(s.epoch > was.epoch, `fence ${s.epoch} follows ${was.epoch}`);
+    assert.ok(s.term > was.term, `fence ${s.term} follows ${was.term}`);
     assert.ok(w.now - was.at >= leaseMs, `${s.me} acts ${w.now - was.at} ms after ${was.who}`);
   }
-  w.lastAct = { who: s.me, epoch: s.epoch, at: w.now };
+  w.lastAct = { who: s.me, term: s.term, at: w.now };
 }
 
 function run(w: World, ms: number): void {
@@ -315,14 +315,14 @@
   });
 }
 
-function sequencer(w: World): Node | null {
+function leader(w: World): Node | null {
   let best: Node | null = null;
   for (const n of w.nodes.values()) {
     if (
       n.up &&
-      n.machine!.phase === 'sequencer' &&
+      n.machine!.phase === 'leader' &&
       w.now >= n.frozenUntil &&
-      (!best || n.machine!.epoch > best.machine!.epoch)
+      (!best || n.machine!.term > best.machine!.term)
     )
       best = n;
   }
@@ -330,11 +330,11 @@
 }
 
 function propose(w: World): void {
-  const n = sequencer(w);
+  const n = leader(w);
   if (!n) return;
   const value = w.nextValue++;
   const out = step(w, n, { e: 'propose', command: value });
-  for (const f of out) if (f.f === 'proposed') w.proposed.set(`${f.index} ${f.epoch}`, value);
+  for (const f of out) if (f.f === 'proposed') w.proposed.set(`${f.index} ${f.term}`, value);
 }
 
 function compact(w: World, n: Node): void {
@@ -342,7 +342,7 @@
   if (!n.up || s.committed <= s.base.index || w.now < n.frozenUntil) return;
   const view: View = {
     index: s.committed,
-    epoch: log.epochAt(s, s.committed)!,
+    term: log.termAt(s, s.committed)!,
     members: group.membersAt(s, s.committed),
     state: [...n.state],
   };
@@ -352,7 +352,7 @@
   });
   n.disk!.pending.push({
     token: 0,
-    records: [head(s.me, view.index, s.epoch, s.vote, false), ...tail],
+    records: [head(s.me, view.index, s.term, s.vote, false), ...tail],
     view: structuredClone(view),
   });
   sync(w, n);
@@ -367,4 +367,4 @@
   for (const v of w.acked) assert.ok(values.has(v), `acked ${v} is not in the order`);
 }
 
-export const world = { create, add, boot, at, run, down, sequencer, propose, compact, checkAcked };
+export const world = { create, add, boot, at, run, down, leader, propose, compact, checkAcked };
--- a/test/standins/runner.ts
+++ b/test/standins/runner.ts
@@ -196,7 +196,7 @@
   res.end();
 }
 
-// The ways in which a runner in trouble spoils an answer.
+// The ways in which a runner in error spoils an answer.
 function spoil(r: RunnerStandin, res: ServerResponse, attempt: string): void {
   const head = { 'Content-Type': 'text/event-stream', 'X-Attempt-Id': attempt, 'X-Server-Seal': `seal-${r.id}` };
   switch (r.mode) {
--- a/test/state.test.ts
+++ b/test/state.test.ts
@@ -30,13 +30,13 @@
 
 const view0: View = {
   index: 0,
-  epoch: 0,
+  term: 0,
   members: [{ id: 'a#first', addr: 'a', control: 'a' }],
   state: control.empty(),
 };
 
-function entry(index: number, epoch: number): Entry {
-  return { index, epoch, data: { kind: 'order', command: index } };
+function entry(index: number, term: number): Entry {
+  return { index, term, data: { kind: 'order', command: index } };
 }
 
 function synced(s: Store, token: number): Promise<void> {
@@ -53,11 +53,11 @@
     s,
     view0,
     function tail() {
-      return { epoch: 0, vote: null, entries: [] };
+      return { term: 0, vote: null, entries: [] };
     },
     false,
   );
-  store.write(s, [{ r: 'promise', epoch: 2, vote: 'a#first' }], 1);
+  store.write(s, [{ r: 'promise', term: 2, vote: 'a#first' }], 1);
   for (let i = 1; i <= n; i++) store.write(s, [{ r: 'entry', entry: entry(i, 2) }], i + 1);
   await synced(s, n + 1);
   await store.close(s);
@@ -82,7 +82,7 @@
     const r = recovery.recover(dir);
     assert.ok(r.k === 'whole');
     assert.equal(r.found.entries.length, 20);
-    assert.deepEqual([r.found.me, r.found.epoch, r.found.vote, r.torn.length], ['a#first', 2, 'a#first', 0]);
+    assert.deepEqual([r.found.me, r.found.term, r.found.vote, r.torn.length], ['a#first', 2, 'a#first', 0]);
   });
 });
 
@@ -124,7 +124,7 @@
     truncateSync(join(dir, middle.name), 60);
     assert.equal(recovery.recover(dir).k, 'lost');
     const bare = recovery.replay(view0, [
-      { name: 's', values: [{ r: 'head', me: 'a#first', after: 3, epoch: 2, vote: null, reset: false }] },
+      { name: 's', values: [{ r: 'head', me: 'a#first', after: 3, term: 2, vote: null, reset: false }] },
     ]);
     assert.equal(bare.ok, false, 'a head alone says so too');
     unlinkSync(join(dir, middle.name));
@@ -136,12 +136,12 @@
   return inFolder(async function body(dir) {
     await filled(dir, 10);
     const s = store.create(dir, 'a#first', 50, 10, 2, 'a#first');
-    const view: View = { ...view0, index: 8, epoch: 2 };
+    const view: View = { ...view0, index: 8, term: 2 };
     store.keepView(
       s,
       view,
       function tail() {
-        return { epoch: 2, vote: 'a#first', entries: [entry(9, 2), entry(10, 2)] };
+        return { term: 2, vote: 'a#first', entries: [entry(9, 2), entry(10, 2)] };
       },
       false,
     );
@@ -161,12 +161,12 @@
   });
 });
 
-test('an entry of a later epoch trims what stood there', function run() {
+test('an entry of a later term trims what stood there', function run() {
   const r = recovery.replay(view0, [
     {
       name: 's',
       values: [
-        { r: 'head', me: 'a#first', after: 0, epoch: 0, vote: null, reset: false },
+        { r: 'head', me: 'a#first', after: 0, term: 0, vote: null, reset: false },
         { r: 'entry', entry: entry(1, 1) },
         { r: 'entry', entry: entry(2, 1) },
         { r: 'entry', entry: entry(3, 1) },
@@ -177,7 +177,7 @@
   assert.ok(r.ok);
   assert.deepEqual(
     r.entries.map(function at(e) {
-      return [e.index, e.epoch];
+      return [e.index, e.term];
     }),
     [
       [1, 1],
@@ -380,7 +380,7 @@
         text.length,
       ];
       const got = at.slice(1).flatMap(function part(end, i) {
-        return eventCut.take(c, Buffer.from(text.slice(at[i]!, end)));
+        return eventCut.take(c, Buffer.from(text.slice(at[i], end)));
       });
       assert.deepEqual(
         got.map(function id(e) {
--- a/test/tools.test.ts
+++ b/test/tools.test.ts
@@ -47,9 +47,9 @@
         return cli('status', '--control', control(1), '--json');
       },
       function led(r) {
-        return r.status === 0 && (JSON.parse(r.out) as { phase: string }).phase === 'sequencer';
+        return r.status === 0 && (JSON.parse(r.out) as { phase: string }).phase === 'leader';
       },
-      'a sequencer',
+      'a leader',
     );
   },
   { timeout: 60_000 },
@@ -123,7 +123,7 @@
   for (const r of [stale, bad]) plain(r);
 });
 
-test('status tells the epoch, the roster, sites and runners', async function run() {
+test('status tells the term, the roster, sites and runners', async function run() {
   const r = await fs.until(
     function ask() {
       return cli('status', '--control', control(2));
@@ -134,7 +134,7 @@
     'the site at revision 9',
   );
   assert.equal(r.status, 0);
-  assert.match(r.out, /^epoch \d+, sequencer 127/m);
+  assert.match(r.out, /^term \d+, leader 127/m);
   assert.equal(r.out.match(/#first/g)!.length >= 3, true);
   assert.match(r.out, new RegExp(`i-0 +s-llm .* serving +${model}=1`));
 });
--- a/test/transfer.test.ts
+++ b/test/transfer.test.ts
@@ -1,5 +1,5 @@
 // Moves of kept parts on a simulated network: places that keep, evict, restart and change their weights,
-// events that are lost, late and out of order, a sequencer and sites that die at any moment. After each
+// events that are lost, late and out of order, a leader and sites that die at any moment. After each
 // step: nothing is named as a source that has not itself reported the part under that identity, leases
 // stay within their bounds and all end, and nothing is left over.
 import { strict as assert } from 'node:assert';
@@ -254,7 +254,7 @@
   assert.ok(prices.move(p, 13_000, 'far') > prices.move(p, 13_000, 'region'));
 });
 
-// The world: places that really keep parts, the sequencer's index of what they tell, one site's view.
+// The world: places that really keep parts, the leader's index of what they tell, one site's view.
 type Place = {
   epoch: number;
   no: number;
