--- a/src/controlplane/access.ts
+++ b/src/controlplane/access.ts
@@ -1,6 +1,6 @@
 // Watches over a change of the access rules: orders its activation once no site can still honour the
 // rules before it.
-import { groupDriver } from '../coordination/group/driver.js';
+import { replica } from '../coordination/consensus/driver.js';
 import { activation, type Sight } from '../coordination/duties/activation.js';
 import { leaveMs } from '../dataplane/follow.js';
 import { ringLog } from '../logging/ring.js';
@@ -10,9 +10,9 @@
 const beatMs = 100;
 
 function sight(c: Coordinator): Sight {
-  const m = c.group.machine;
+  const m = c.replica.machine;
   return {
-    pending: c.group.state.rules.pending,
+    pending: c.replica.state.rules.pending,
     wonAt: m.wonAt,
     leaseMs: leaveMs,
     freshMs: witnessMs,
@@ -27,11 +27,11 @@
 function start(c: Coordinator): NodeJS.Timeout {
   let busy = false;
   return setInterval(function beat() {
-    const { pending } = c.group.state.rules;
-    if (busy || pending === 0 || !groupDriver.isLeader(c.group)) return;
+    const { pending } = c.replica.state.rules;
+    if (busy || pending === 0 || !replica.isLeader(c.replica)) return;
     if (!activation.mayActivate(sight(c), performance.now())) return;
     busy = true;
-    void groupDriver.propose(c.group, { c: 'activate', revision: pending }).then(function over(ok) {
+    void replica.propose(c.replica, { c: 'activate', revision: pending }).then(function over(ok) {
       busy = false;
       ringLog.note(c.log, { pending, ok }, 'access rules activated');
     });
--- a/src/controlplane/board.ts
+++ b/src/controlplane/board.ts
@@ -1,6 +1,6 @@
 // The board: soft state that the leader shows to the other coordinators and they to the sites.
 // Boards are ordered by (term, seq); an older one never replaces a newer one.
-import { groupDriver } from '../coordination/group/driver.js';
+import { replica } from '../coordination/consensus/driver.js';
 import { boardHistory } from '../state/history/boards.js';
 import { channel } from '../transport/inner/channel.js';
 import type { Board } from '../types.js';
@@ -35,7 +35,7 @@
 
 // Changes the board; only the leader does, and the others are told at once.
 function change(c: Coordinator, part: Partial<Board>): void {
-  const term = c.group.machine.term;
+  const term = c.replica.machine.term;
   const seq = c.board.term === term ? c.board.seq + 1 : 1;
   c.board = { ...c.board, ...part, term, seq };
   boardHistory.take(c.boardHistory, c.board);
@@ -60,8 +60,8 @@
 }
 
 function tellAll(c: Coordinator, onlyNews: boolean): void {
-  if (!groupDriver.isLeader(c.group)) return;
-  for (const p of c.group.machine.peers.values()) void tell(c, p.id, p.addr, onlyNews);
+  if (!replica.isLeader(c.replica)) return;
+  for (const p of c.replica.machine.peers.values()) void tell(c, p.id, p.addr, onlyNews);
 }
 
 async function tell(c: Coordinator, id: string, addr: string, onlyNews: boolean): Promise<void> {
@@ -75,7 +75,7 @@
   p.busy = true;
   const call: BoardCall = {
     board: news ? c.board : null,
-    term: c.group.machine.term,
+    term: c.replica.machine.term,
     echo: c.peerSessions.get(id)?.no ?? 0,
   };
   const r = await channel.post<BoardReply>(c.agent, addr, '/inner/board', call, legMs);
@@ -102,7 +102,7 @@
   }
   const now = performance.now();
   const { reply } = c;
-  if (call.term >= c.group.machine.term)
+  if (call.term >= c.replica.machine.term)
     reply.heardUpTo = Math.max(reply.heardUpTo, reply.sentAt.get(call.echo) ?? -Infinity);
   for (const no of reply.sentAt.keys()) if (no < call.echo) reply.sentAt.delete(no);
   reply.no++;
@@ -113,7 +113,7 @@
   return {
     have: [c.board.term, c.board.seq],
     no: reply.no,
-    revision: c.group.state.configuration?.revision ?? 0,
+    revision: c.replica.state.configuration?.revision ?? 0,
     sessions: list,
   };
 }
@@ -121,8 +121,8 @@
 // Whether this node may give sites leave to honour access rules: the leader while its hold lasts,
 // another while the leader is known to reckon with it.
 function hasLeave(c: Coordinator): boolean {
-  if (groupDriver.isLeader(c.group)) return groupDriver.fresh(c.group);
-  return groupDriver.fresh(c.group) && performance.now() - c.reply.heardUpTo < witnessMs;
+  if (replica.isLeader(c.replica)) return replica.fresh(c.replica);
+  return replica.fresh(c.replica) && performance.now() - c.reply.heardUpTo < witnessMs;
 }
 
 function start(c: Coordinator): NodeJS.Timeout {
--- a/src/controlplane/feed.ts
+++ b/src/controlplane/feed.ts
@@ -1,7 +1,7 @@
 // Drives the exchange between sites and the leader: a site tells its load, what it sent where, what
 // it met and its counts; it is told the load of the others, who is unhealthy, what is kept where, and
 // the hot set. All of it is advisory: a site without it chooses by what it knows itself.
-import { groupDriver } from '../coordination/group/driver.js';
+import { replica } from '../coordination/consensus/driver.js';
 import { exchange, type Exchange } from '../coordination/exchange/machine.js';
 import type { Bench } from '../coordination/health/jury.js';
 import type { FeedAnswer, FeedCall } from '../types.js';
@@ -17,7 +17,7 @@
 
 function state(c: Coordinator): FeedState {
   let s = states.get(c);
-  const term = c.group.machine.term;
+  const term = c.replica.machine.term;
   if (!s || s.term !== term) {
     for (const w of s?.waiters ?? []) w.answer();
     s = { ...exchange.create(term, c.tuning, sessions.count(c)), waiters: new Set() };
@@ -37,7 +37,7 @@
 }
 
 function call(c: Coordinator, f: FeedCall): Promise<FeedAnswer> | FeedAnswer | null {
-  if (!groupDriver.isLeader(c.group)) return null;
+  if (!replica.isLeader(c.replica)) return null;
   const s = state(c);
   const known = exchange.take(s, f, performance.now());
   if (f.hold === 0 || f.since[0] !== s.term) return exchange.answerOf(s, f, known);
@@ -58,7 +58,7 @@
 }
 
 function track(c: Coordinator): void {
-  if (!groupDriver.isLeader(c.group)) {
+  if (!replica.isLeader(c.replica)) {
     const s = states.get(c);
     if (s) for (const w of s.waiters) w.answer();
     states.delete(c);
@@ -66,7 +66,7 @@
   }
   exchange.track(
     state(c),
-    { k: sessions.count(c), live: new Set(sessions.all(c).values()), weights: c.group.state.weights },
+    { k: sessions.count(c), live: new Set(sessions.all(c).values()), weights: c.replica.state.weights },
     performance.now(),
   );
 }
@@ -88,7 +88,7 @@
 
 function turn(c: Coordinator): void {
   const s = states.get(c);
-  if (s && groupDriver.isLeader(c.group) && s.term === c.group.machine.term) {
+  if (s && replica.isLeader(c.replica) && s.term === c.replica.machine.term) {
     exchange.beat(s, benchOf(c, s), performance.now());
     wake(s);
   }
--- a/src/controlplane/kept.ts
+++ b/src/controlplane/kept.ts
@@ -1,6 +1,6 @@
 // Asks every engine and store for its events, as the leader, with long waits that need no slot,
 // and keeps the index up to date. A gap is repaired from the place's list.
-import { groupDriver } from '../coordination/group/driver.js';
+import { replica } from '../coordination/consensus/driver.js';
 import { calls } from '../protocol/calls/pairs.js';
 import { ringLog } from '../logging/ring.js';
 import { keptIndex } from '../state/index/kept.js';
@@ -18,7 +18,7 @@
 type Place = { name: string; addr: string };
 
 function places(c: Coordinator): Place[] {
-  const services = c.group.state.configuration?.service_list ?? [];
+  const services = c.replica.state.configuration?.service_list ?? [];
   const out: Place[] = [];
   for (const s of services)
     if (s.kv_store_addr !== undefined && out.length === 0) out.push({ name: storeName, addr: s.kv_store_addr });
@@ -42,7 +42,7 @@
 }
 
 async function follow(c: Coordinator, p: Place, term: number, open: Map<string, string>): Promise<void> {
-  while (groupDriver.isLeader(c.group) && c.group.machine.term === term && open.get(p.name) === p.addr) {
+  while (replica.isLeader(c.replica) && c.replica.machine.term === term && open.get(p.name) === p.addr) {
     const from = performance.now();
     const s = feed.state(c);
     const at = keptIndex.placeOf(s.index, p.name);
@@ -68,7 +68,7 @@
 function start(c: Coordinator): NodeJS.Timeout {
   const open = new Map<string, string>();
   return setInterval(function look() {
-    if (!groupDriver.isLeader(c.group)) {
+    if (!replica.isLeader(c.replica)) {
       open.clear();
       return;
     }
@@ -87,7 +87,7 @@
     for (const p of now) {
       if (open.get(p.name) === p.addr) continue;
       open.set(p.name, p.addr);
-      void follow(c, p, c.group.machine.term, open);
+      void follow(c, p, c.replica.machine.term, open);
     }
   }, beatMs);
 }
--- a/src/controlplane/news.ts
+++ b/src/controlplane/news.ts
@@ -3,7 +3,7 @@
 // site can turn to another.
 import { boardHistory } from '../state/history/boards.js';
 import { configurationHistory } from '../state/history/configurations.js';
-import { groupDriver } from '../coordination/group/driver.js';
+import { replica } from '../coordination/consensus/driver.js';
 import type { NewsAnswer, NewsCall } from '../types.js';
 import { boards } from './board.js';
 import { sessions } from './sessions.js';
@@ -12,7 +12,7 @@
 const longestHoldMs = 2000;
 
 function hasNews(c: Coordinator, call: NewsCall): boolean {
-  const s = c.group.state;
+  const s = c.replica.state;
   return (
     call.whole ||
     (s.configuration?.revision ?? 0) > call.revision ||
@@ -23,8 +23,8 @@
 }
 
 function answerOf(c: Coordinator, call: NewsCall): NewsAnswer {
-  const s = c.group.state;
-  const m = c.group.machine;
+  const s = c.replica.state;
+  const m = c.replica.machine;
   const isBehind = (s.configuration?.revision ?? 0) > call.revision || (call.whole && s.configuration !== null);
   const configurationDelta =
     !isBehind || call.whole || c.configurations.current !== s.configuration
@@ -41,11 +41,11 @@
     rules: s.rules.seq > call.rules ? s.rules : null,
     board: isOldBoard && !boardDelta ? c.board : null,
     boardDelta,
-    leader: groupDriver.leaderControl(c.group),
+    leader: replica.leaderControl(c.replica),
     coordinators: m.roster.map(function at(x) {
       return x.addr;
     }),
-    fresh: groupDriver.fresh(c.group),
+    fresh: replica.fresh(c.replica),
     leave: boards.hasLeave(c),
   };
 }
--- a/src/controlplane/operator.ts
+++ b/src/controlplane/operator.ts
@@ -3,7 +3,7 @@
 // over inside and pass the answer on.
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { Mutex } from 'async-mutex';
-import { groupDriver } from '../coordination/group/driver.js';
+import { replica } from '../coordination/consensus/driver.js';
 import { judge } from '../state/control/judge.js';
 import { answers, type Answer } from '../transport/http/answer.js';
 import { channel } from '../transport/inner/channel.js';
@@ -39,18 +39,18 @@
 const unsettled = fixed(503, { message: 'no leader is sure of its term; send the call again' });
 
 async function read(c: Coordinator): Promise<OperatorAnswer> {
-  if (!(await groupDriver.confirm(c.group, waitMs))) return unsettled;
-  const now = c.group.state.configuration;
+  if (!(await replica.confirm(c.replica, waitMs))) return unsettled;
+  const now = c.replica.state.configuration;
   return now ? fixed(200, now) : fixed(404, { message: 'there is no configuration yet' });
 }
 
 async function change(c: Coordinator, call: OperatorCall): Promise<OperatorAnswer> {
   return turn(c).runExclusive(async function one(): Promise<OperatorAnswer> {
-    if (!(await groupDriver.confirm(c.group, waitMs))) return unsettled;
-    const v = judge.call(c.group.state, call);
+    if (!(await replica.confirm(c.replica, waitMs))) return unsettled;
+    const v = judge.call(c.replica.state, call);
     if (v.v === 'refused') return { status: v.status, body: String(answers.refusal(v.status, v.findings).body) };
     if (v.v === 'taken') return fixed(200, { message: 'taken before' });
-    const ok = await groupDriver.propose(c.group, v.command);
+    const ok = await replica.propose(c.replica, v.command);
     ringLog.note(
       c.log,
       {
@@ -66,7 +66,7 @@
 
 // Judges a call here, as the leader; null when this node is not it.
 async function decide(c: Coordinator, call: OperatorCall): Promise<OperatorAnswer | null> {
-  if (!groupDriver.isLeader(c.group)) return null;
+  if (!replica.isLeader(c.replica)) return null;
   return call.method === 'GET' ? read(c) : change(c, call);
 }
 
@@ -77,8 +77,8 @@
     if (here && here.status !== 503) return here;
     const left = until - performance.now();
     if (left <= 0) return unsettled;
-    const to = groupDriver.leaderControl(c.group);
-    if (to !== null && to !== c.group.machine.addr) {
+    const to = replica.leaderControl(c.replica);
+    if (to !== null && to !== c.replica.machine.addr) {
       const r = await channel.post<OperatorAnswer | null>(c.agent, to, '/inner/operator', call, Math.min(left, 1500));
       if (r.ok && r.value !== null && r.value.status !== 503) return r.value;
     }
--- a/src/controlplane/parts.ts
+++ b/src/controlplane/parts.ts
@@ -1,6 +1,6 @@
 // What the parts of a coordinator share: its settings, the group, its log and the board it shows.
 import type { Agent } from 'node:http';
-import type { GroupDriver } from '../coordination/group/driver.js';
+import type { Replica } from '../coordination/consensus/driver.js';
 import type { Log } from '../logging/ring.js';
 import type { BoardHistory } from '../state/history/boards.js';
 import type { ConfigurationHistory } from '../state/history/configurations.js';
@@ -13,7 +13,7 @@
 export type Coordinator = {
   settings: Settings;
   log: Log;
-  group: GroupDriver;
+  replica: Replica;
   agent: Agent;
   board: Board;
   boardHistory: BoardHistory;
--- a/src/controlplane/rollout.ts
+++ b/src/controlplane/rollout.ts
@@ -1,6 +1,6 @@
 // Drives the roll-out planner: sends its orders with the term as fence while this node holds the
 // duty beyond doubt, asks runners for their state, and shows the sites what is out of use.
-import { groupDriver } from '../coordination/group/driver.js';
+import { replica } from '../coordination/consensus/driver.js';
 import {
   rolloutPlan,
   type RolloutEffect,
@@ -16,7 +16,7 @@
 const legMs = 700;
 
 function mayAct(c: Coordinator): boolean {
-  return groupDriver.mayAct(c.group, c.settings.bound_set.lease_ms);
+  return replica.mayAct(c.replica, c.settings.bound_set.lease_ms);
 }
 
 function addrOf(c: Coordinator, id: string): string | null {
@@ -52,7 +52,7 @@
     revision,
     method: c.tuning.orderMethod,
     holder: c.settings.node_name,
-    fence: c.group.machine.term,
+    fence: c.replica.machine.term,
     instance: id,
   });
   const r = await calls.send(c.agent, addr, call, legMs);
@@ -82,8 +82,8 @@
     pauseMs: 400,
   });
   return setInterval(function beat() {
-    if (!groupDriver.isLeader(c.group) && s.jobs.size === 0) return;
-    feed(c, s, { e: 'beat', runners: runners.listed(c), targets: c.group.state.weights, mayAct: mayAct(c) });
+    if (!replica.isLeader(c.replica) && s.jobs.size === 0) return;
+    feed(c, s, { e: 'beat', runners: runners.listed(c), targets: c.replica.state.weights, mayAct: mayAct(c) });
   }, beatMs);
 }
 
--- a/src/controlplane/runners.ts
+++ b/src/controlplane/runners.ts
@@ -1,6 +1,6 @@
 // Keeps the board's list of runners: the leader asks the platform in a steady beat and shows a
 // changed list at once. A platform that is silent or refuses leaves the last list standing.
-import { groupDriver } from '../coordination/group/driver.js';
+import { replica } from '../coordination/consensus/driver.js';
 import { poller } from '../coordination/duties/poller.js';
 import { ringLog } from '../logging/ring.js';
 import type { Runner } from '../types.js';
@@ -37,11 +37,11 @@
 
 function show(c: Coordinator): void {
   const h = hold(c);
-  if (!h.listed || !groupDriver.isLeader(c.group)) return;
+  if (!h.listed || !replica.isLeader(c.replica)) return;
   const next = merged(h);
   const sites = sessions.count(c);
   const same =
-    c.board.term === c.group.machine.term &&
+    c.board.term === c.replica.machine.term &&
     c.board.sites === sites &&
     JSON.stringify(next) === JSON.stringify(c.board.runners);
   if (!same) boards.change(c, { runners: next, sites });
@@ -65,7 +65,7 @@
 
 async function round(c: Coordinator): Promise<void> {
   const h = hold(c);
-  if (!groupDriver.isLeader(c.group)) {
+  if (!replica.isLeader(c.replica)) {
     h.listed = null;
     h.parked.clear();
     return;
@@ -75,7 +75,7 @@
     ringLog.note(c.log, { why: r.error }, 'the platform gave no list');
     return;
   }
-  if (!groupDriver.isLeader(c.group)) return;
+  if (!replica.isLeader(c.replica)) return;
   h.listed = r.value;
   const ids = new Set(
     r.value.map(function id(x) {
@@ -88,7 +88,7 @@
 }
 
 async function run(c: Coordinator): Promise<void> {
-  c.group.on('phase', function changed() {
+  c.replica.on('phase', function changed() {
     void round(c);
   });
   for (;;) {
--- a/src/controlplane/status.ts
+++ b/src/controlplane/status.ts
@@ -1,7 +1,7 @@
 // What a coordinator says of the system when asked: the leader's view if it can be had, else its
 // own, marked as such.
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import { groupDriver } from '../coordination/group/driver.js';
+import { replica } from '../coordination/consensus/driver.js';
 import { exchange } from '../coordination/exchange/machine.js';
 import { answers } from '../transport/http/answer.js';
 import { channel } from '../transport/inner/channel.js';
@@ -12,10 +12,10 @@
 const legMs = 600;
 
 function own(c: Coordinator): StatusAnswer {
-  const m = c.group.machine;
+  const m = c.replica.machine;
   const now = performance.now();
-  const s = c.group.state;
-  const isLeader = groupDriver.isLeader(c.group);
+  const s = c.replica.state;
+  const isLeader = replica.isLeader(c.replica);
   const told = isLeader
     ? [...c.peerSessions.values()].flatMap(function all(t) {
         return t.sessions;
@@ -32,8 +32,8 @@
     phase: m.phase,
     term: m.term,
     leader: m.leader,
-    sure: groupDriver.fresh(c.group),
-    acts: groupDriver.mayAct(c.group, c.settings.bound_set.lease_ms),
+    sure: replica.fresh(c.replica),
+    acts: replica.mayAct(c.replica, c.settings.bound_set.lease_ms),
     roster: m.roster.map(function one(x) {
       const p = m.peers.get(x.id);
       return {
@@ -44,7 +44,7 @@
       };
     }),
     committed: m.committed,
-    disk: c.group.store.failing ? 'refuses' : 'takes',
+    disk: c.replica.store.failing ? 'refuses' : 'takes',
     configuration: s.configuration?.revision ?? 0,
     weights: s.weights,
     rules: { active: s.rules.active, pending: s.rules.pending },
@@ -74,8 +74,8 @@
 
 async function handle(c: Coordinator, req: IncomingMessage, res: ServerResponse): Promise<void> {
   req.resume();
-  const to = groupDriver.leaderControl(c.group);
-  if (to !== null && to !== c.group.machine.addr) {
+  const to = replica.leaderControl(c.replica);
+  if (to !== null && to !== c.replica.machine.addr) {
     const r = await channel.post<StatusAnswer>(c.agent, to, '/inner/status', {}, legMs);
     if (r.ok) return answers.send(res, answers.json(200, r.value));
   }
--- a/src/coordination/group/driver.ts
+++ b/src/coordination/consensus/driver.ts
@@ -9,9 +9,9 @@
 import { store, type Store } from '../../state/log/store.js';
 import { control, type Command, type ControlState } from '../../state/control/reducer.js';
 import { ringLog, type Log } from '../../logging/ring.js';
-import { group } from './machine.js';
+import { consensus } from './machine.js';
 import { log } from './log.js';
-import type { GroupEffect, GroupEvent, GroupState, Message, Timing, View } from './types.js';
+import type { ConsensusEffect, ConsensusEvent, ConsensusState, Message, Timing, Snapshot } from './types.js';
 
 const timing: Timing = { beatMs: 150, silenceMs: 700, spreadMs: 500, legMs: 400, goneMs: 1500, yieldMs: 700 };
 const tickMs = 50;
@@ -20,8 +20,8 @@
 const legMs = 600;
 
 type Pending = { index: number; term: number; done: (ok: boolean) => void };
-export type GroupDriver = EventEmitter & {
-  machine: GroupState;
+export type Replica = EventEmitter & {
+  machine: ConsensusState;
   store: Store;
   state: ControlState;
   agent: Agent;
@@ -45,7 +45,7 @@
   });
 }
 
-function create(s: Settings, l: Log): GroupDriver {
+function create(s: Settings, l: Log): Replica {
   const dir = s.data_dir!;
   const control_ = s.bind_addrs.control_addr!;
   const addr = innerAddr(control_, s.port_range[0]);
@@ -58,16 +58,16 @@
     seeds.some(function me(m) {
       return m.addr === addr;
     });
-  const none: View = { index: 0, term: 0, members: firstly ? seeds : [], state: control.empty() };
+  const none: Snapshot = { index: 0, term: 0, members: firstly ? seeds : [], state: control.empty() };
   const me =
     found.k === 'whole' ? found.found.me : firstly ? `${addr}#first` : `${addr}#${randomBytes(6).toString('hex')}`;
-  const view = found.k === 'whole' ? found.found.view : none;
+  const snapshot = found.k === 'whole' ? found.found.snapshot : none;
   const entries = found.k === 'whole' ? found.found.entries : [];
   const term = found.k === 'whole' ? found.found.term : 0;
   const vote = found.k === 'whole' ? found.found.vote : null;
   if (found.k === 'lost')
     ringLog.error(l, { why: found.why }, 'the disk lost what it held: joining as a new incarnation');
-  const machine = group.create({
+  const machine = consensus.create({
     me,
     addr,
     control: control_,
@@ -76,16 +76,16 @@
     target: Math.max(1, seeds.length),
     term,
     vote,
-    view,
+    snapshot,
     entries,
     now,
   });
   const nextSegment = found.k === 'whole' ? found.found.nextSegment : found.nextSegment;
   const st = store.create(dir, me, nextSegment, found.k === 'whole' ? log.last(machine) : 0, term, vote);
-  const d: GroupDriver = Object.assign(new EventEmitter(), {
+  const d: Replica = Object.assign(new EventEmitter(), {
     machine,
     store: st,
-    state: view.state as ControlState,
+    state: snapshot.state as ControlState,
     agent: channel.agent(),
     log: l,
     pending: [],
@@ -97,9 +97,9 @@
     beat: null,
     joinAt: 0,
   });
-  store.keepView(
+  store.keepSnapshot(
     st,
-    view,
+    snapshot,
     function tail() {
       return tailOf(d);
     },
@@ -115,24 +115,24 @@
   return d;
 }
 
-function tailOf(d: GroupDriver): { term: number; vote: string | null; entries: GroupState['entries'] } {
+function tailOf(d: Replica): { term: number; vote: string | null; entries: ConsensusState['entries'] } {
   return { term: d.machine.term, vote: d.machine.vote, entries: d.machine.entries };
 }
 
-function start(d: GroupDriver): void {
+function start(d: Replica): void {
   d.beat = setInterval(function tick() {
     step(d, { e: 'beat' });
     join(d);
   }, tickMs);
 }
 
-function step(d: GroupDriver, ev: GroupEvent): GroupEffect[] {
-  const out = group.step(d.machine, ev, performance.now());
+function step(d: Replica, ev: ConsensusEvent): ConsensusEffect[] {
+  const out = consensus.step(d.machine, ev, performance.now());
   for (const f of out) carry(d, f);
   return out;
 }
 
-function carry(d: GroupDriver, f: GroupEffect): void {
+function carry(d: Replica, f: ConsensusEffect): void {
   switch (f.f) {
     case 'send':
       return post(d, f.addr, f.message);
@@ -142,11 +142,11 @@
     case 'deliver':
       return deliver(d, f);
     case 'install':
-      d.state = f.view.state as ControlState;
+      d.state = f.snapshot.state as ControlState;
       failAll(d);
-      store.keepView(
+      store.keepSnapshot(
         d.store,
-        f.view,
+        f.snapshot,
         function tail() {
           return tailOf(d);
         },
@@ -167,7 +167,7 @@
   }
 }
 
-function deliver(d: GroupDriver, f: GroupEffect & { f: 'deliver' }): void {
+function deliver(d: Replica, f: ConsensusEffect & { f: 'deliver' }): void {
   const { entry } = f;
   if (entry.data.kind === 'order') d.state = control.apply(d.state, entry.data.command as Command);
   if (entry.data.kind === 'roster')
@@ -190,17 +190,17 @@
     for (const p of due) p.done(p.index === entry.index && p.term === entry.term);
   }
   d.emit('delivered');
-  if (d.store.bytes > compactBytes && !d.store.view) {
-    const view: View = {
+  if (d.store.bytes > compactBytes && !d.store.snapshot) {
+    const snapshot: Snapshot = {
       index: entry.index,
       term: entry.term,
-      members: group.membersAt(d.machine, entry.index),
+      members: consensus.membersAt(d.machine, entry.index),
       state: d.state,
     };
-    group.step(d.machine, { e: 'compact', view }, performance.now());
-    store.keepView(
+    consensus.step(d.machine, { e: 'compact', snapshot }, performance.now());
+    store.keepSnapshot(
       d.store,
-      view,
+      snapshot,
       function tail() {
         return tailOf(d);
       },
@@ -209,7 +209,7 @@
   }
 }
 
-function failAll(d: GroupDriver): void {
+function failAll(d: Replica): void {
   const all = d.pending;
   d.pending = [];
   for (const p of all) p.done(false);
@@ -217,7 +217,7 @@
 
 // Proposes a command; true once it is committed in the term in which it was proposed. False says
 // nothing about its fate: it may yet be in force.
-function propose(d: GroupDriver, command: Command): Promise<boolean> {
+function propose(d: Replica, command: Command): Promise<boolean> {
   return new Promise(function run(done) {
     const out = step(d, { e: 'propose', command });
     const p = out.find(function mine(f) {
@@ -229,7 +229,7 @@
   });
 }
 
-function post(d: GroupDriver, addr: string, message: Message): void {
+function post(d: Replica, addr: string, message: Message): void {
   const box = d.outbox.get(addr);
   if (box) {
     box.push(message);
@@ -241,7 +241,7 @@
   });
 }
 
-function sendBox(d: GroupDriver, addr: string): void {
+function sendBox(d: Replica, addr: string): void {
   const list = d.outbox.get(addr);
   d.outbox.delete(addr);
   if (!list || list.length === 0) return;
@@ -249,7 +249,7 @@
   if (open >= 8) return;
   d.open.set(addr, open + 1);
   void channel
-    .post<{ messages: Message[] }>(d.agent, addr, '/inner/group', { messages: list }, legMs)
+    .post<{ messages: Message[] }>(d.agent, addr, '/inner/consensus', { messages: list }, legMs)
     .then(function answered(r) {
       d.open.set(addr, (d.open.get(addr) ?? 1) - 1);
       if (r.ok) for (const m of r.value.messages) step(d, { e: 'message', message: m });
@@ -257,7 +257,7 @@
 }
 
 // Takes the messages of a peer; what the machine says to it at once goes back in the answer.
-function receive(d: GroupDriver, messages: Message[]): { messages: Message[] } {
+function receive(d: Replica, messages: Message[]): { messages: Message[] } {
   const from = messages[0]?.fromAddr ?? '';
   for (const m of messages) step(d, { e: 'message', message: m });
   const back = d.outbox.get(from) ?? [];
@@ -265,7 +265,7 @@
   return { messages: back };
 }
 
-function join(d: GroupDriver): void {
+function join(d: Replica): void {
   const now = performance.now();
   const s = d.machine;
   if (log.isMember(s, s.me) || now - d.joinAt < joinMs) return;
@@ -283,25 +283,25 @@
 
 // Waits until this node, if it is the leader, is sure that no later term was running when the
 // call came in.
-function confirm(d: GroupDriver, waitMs: number): Promise<boolean> {
+function confirm(d: Replica, waitMs: number): Promise<boolean> {
   const since = performance.now();
   step(d, { e: 'beat' });
   return new Promise(function run(done) {
     function look(): void {
       const now = performance.now();
       if (d.machine.phase !== 'leader' || now - since > waitMs) return done(false);
-      if (group.sureSince(d.machine, now) >= since) return done(true);
+      if (consensus.sureSince(d.machine, now) >= since) return done(true);
       setTimeout(look, 10);
     }
     look();
   });
 }
 
-function isLeader(d: GroupDriver): boolean {
+function isLeader(d: Replica): boolean {
   return d.machine.phase === 'leader';
 }
 
-function leaderControl(d: GroupDriver): string | null {
+function leaderControl(d: Replica): string | null {
   const s = d.machine;
   return (
     s.roster.find(function same(m) {
@@ -310,24 +310,24 @@
   );
 }
 
-function fresh(d: GroupDriver): boolean {
+function fresh(d: Replica): boolean {
   const now = performance.now();
-  if (d.machine.phase === 'leader') return now < group.holdsUntil(d.machine, now);
+  if (d.machine.phase === 'leader') return now < consensus.holdsUntil(d.machine, now);
   return d.machine.leader !== null && now - d.machine.heardAt < timing.silenceMs;
 }
 
-function mayAct(d: GroupDriver, leaseMs: number): boolean {
+function mayAct(d: Replica, leaseMs: number): boolean {
   const now = performance.now();
-  return d.machine.phase === 'leader' && now - d.machine.wonAt >= leaseMs && now < group.holdsUntil(d.machine, now);
+  return d.machine.phase === 'leader' && now - d.machine.wonAt >= leaseMs && now < consensus.holdsUntil(d.machine, now);
 }
 
-async function stop(d: GroupDriver): Promise<void> {
+async function stop(d: Replica): Promise<void> {
   if (d.beat) clearInterval(d.beat);
   await store.close(d.store);
   d.agent.destroy();
 }
 
-export const groupDriver = {
+export const replica = {
   create,
   start,
   step,
--- a/src/coordination/group/log.ts
+++ b/src/coordination/consensus/log.ts
@@ -1,26 +1,26 @@
-// Looks into the part of the log that is held in memory: the entries behind the latest view, the
+// Looks into the part of the log that is held in memory: the entries behind the latest snapshot, the
 // roster in force (the newest roster entry, committed or not) and the term at an index.
-import type { Entry, GroupState } from './types.js';
+import type { Entry, ConsensusState } from './types.js';
 
-function last(s: GroupState): number {
+function last(s: ConsensusState): number {
   return s.base.index + s.entries.length;
 }
 
-function termAt(s: GroupState, index: number): number | null {
+function termAt(s: ConsensusState, index: number): number | null {
   if (index === s.base.index) return s.base.term;
   return s.entries[index - s.base.index - 1]?.term ?? null;
 }
 
-function at(s: GroupState, index: number): Entry | null {
+function at(s: ConsensusState, index: number): Entry | null {
   return s.entries[index - s.base.index - 1] ?? null;
 }
 
-function from(s: GroupState, index: number, most: number): Entry[] {
+function from(s: ConsensusState, index: number, most: number): Entry[] {
   const start = index - s.base.index - 1;
   return s.entries.slice(start, start + most);
 }
 
-function findRoster(s: GroupState): void {
+function findRoster(s: ConsensusState): void {
   s.roster = s.base.members;
   s.rosterAt = s.base.index;
   for (let i = s.entries.length - 1; i >= 0; i--) {
@@ -33,18 +33,18 @@
   }
 }
 
-function trimFrom(s: GroupState, index: number): void {
+function trimFrom(s: ConsensusState, index: number): void {
   s.entries.length = index - s.base.index - 1;
   findRoster(s);
 }
 
-function isMember(s: GroupState, id: string): boolean {
+function isMember(s: ConsensusState, id: string): boolean {
   return s.roster.some(function same(m) {
     return m.id === id;
   });
 }
 
-function majority(s: GroupState): number {
+function majority(s: ConsensusState): number {
   return Math.floor(s.roster.length / 2) + 1;
 }
 
--- a/src/coordination/group/machine.ts
+++ b/src/coordination/consensus/machine.ts
@@ -8,15 +8,15 @@
   Body,
   Entry,
   EntryData,
-  GroupEffect,
-  GroupEvent,
-  GroupState,
+  ConsensusEffect,
+  ConsensusEvent,
+  ConsensusState,
   Message,
   Peer,
   Phase,
   Record_,
   Timing,
-  View,
+  Snapshot,
 } from './types.js';
 
 const batch = 64;
@@ -30,13 +30,13 @@
   target: number;
   term: number;
   vote: MemberId | null;
-  view: View;
+  snapshot: Snapshot;
   entries: Entry[];
   now: number;
 };
 
-function create(a: Start): GroupState {
-  const s: GroupState = {
+function create(a: Start): ConsensusState {
+  const s: ConsensusState = {
     me: a.me,
     addr: a.addr,
     control: a.control,
@@ -46,12 +46,12 @@
     phase: 'learner',
     term: a.term,
     vote: a.vote,
-    base: { index: a.view.index, term: a.view.term, members: a.view.members },
+    base: { index: a.snapshot.index, term: a.snapshot.term, members: a.snapshot.members },
     entries: a.entries,
     roster: [],
     rosterAt: 0,
-    committed: a.view.index,
-    delivered: a.view.index,
+    committed: a.snapshot.index,
+    delivered: a.snapshot.index,
     durable: 0,
     written: 0,
     synced: 0,
@@ -69,7 +69,7 @@
     beatAt: 0,
     wonAt: 0,
     joinAt: 0,
-    latestView: a.view,
+    latestSnapshot: a.snapshot,
   };
   log.findRoster(s);
   s.durable = log.last(s);
@@ -78,16 +78,16 @@
   return s;
 }
 
-function random(s: GroupState): number {
+function random(s: ConsensusState): number {
   s.seed = (Math.imul(s.seed, 1664525) + 1013904223) >>> 0;
   return s.seed / 4294967296;
 }
 
-function renewSilence(s: GroupState): void {
+function renewSilence(s: ConsensusState): void {
   s.silence = s.timing.silenceMs + random(s) * s.timing.spreadMs;
 }
 
-function enter(s: GroupState, phase: Phase, out: GroupEffect[]): void {
+function enter(s: ConsensusState, phase: Phase, out: ConsensusEffect[]): void {
   if (s.phase === phase) return;
   const was = s.phase;
   s.phase = phase;
@@ -98,18 +98,18 @@
   if (phase === 'leader' || was === 'leader') out.push({ f: 'phase', phase, term: s.term });
 }
 
-function rest(s: GroupState): Phase {
+function rest(s: ConsensusState): Phase {
   return log.isMember(s, s.me) ? 'follower' : 'learner';
 }
 
-function write(s: GroupState, records: Record_[], now: number, out: GroupEffect[]): number {
+function write(s: ConsensusState, records: Record_[], now: number, out: ConsensusEffect[]): number {
   if (s.synced === s.written) s.writtenAt = now;
   s.written++;
   out.push({ f: 'write', records: [...records, { r: 'committed', index: s.committed }], token: s.written });
   return s.written;
 }
 
-function addrOf(s: GroupState, id: MemberId): string | null {
+function addrOf(s: ConsensusState, id: MemberId): string | null {
   const p = s.peers.get(id);
   if (p) return p.addr;
   return (
@@ -119,35 +119,35 @@
   );
 }
 
-function send(s: GroupState, to: MemberId, body: Body, out: GroupEffect[], addr?: string): void {
+function send(s: ConsensusState, to: MemberId, body: Body, out: ConsensusEffect[], addr?: string): void {
   const a = addr ?? addrOf(s, to);
   if (a === null || a === undefined) return;
   out.push({ f: 'send', addr: a, message: { ...body, from: s.me, fromAddr: s.addr, to } });
 }
 
-function others(s: GroupState): Member[] {
+function others(s: ConsensusState): Member[] {
   return s.roster.filter(function other(m) {
     return m.id !== s.me;
   });
 }
 
-function adopt(s: GroupState, term: number, vote: MemberId | null, now: number, out: GroupEffect[]): number {
+function adopt(s: ConsensusState, term: number, vote: MemberId | null, now: number, out: ConsensusEffect[]): number {
   s.term = term;
   s.vote = vote;
   return write(s, [{ r: 'promise', term, vote }], now, out);
 }
 
-function upToDate(s: GroupState, last: number, lastTerm: number): boolean {
+function upToDate(s: ConsensusState, last: number, lastTerm: number): boolean {
   const mine = log.termAt(s, log.last(s)) ?? 0;
   return lastTerm > mine || (lastTerm === mine && last >= log.last(s));
 }
 
-function heardLately(s: GroupState, now: number): boolean {
+function heardLately(s: ConsensusState, now: number): boolean {
   if (s.phase === 'leader') return true;
   return now - s.heardAt < s.timing.silenceMs;
 }
 
-function canvass(s: GroupState, now: number, out: GroupEffect[]): void {
+function canvass(s: ConsensusState, now: number, out: ConsensusEffect[]): void {
   enter(s, 'canvassing', out);
   s.leader = null;
   s.votes = new Set([s.me]);
@@ -163,7 +163,7 @@
     );
 }
 
-function campaign(s: GroupState, now: number, out: GroupEffect[]): void {
+function campaign(s: ConsensusState, now: number, out: ConsensusEffect[]): void {
   enter(s, 'candidate', out);
   s.votes = new Set();
   s.ballotAt = now;
@@ -174,7 +174,7 @@
   for (const m of others(s)) s.waiting.push({ token, to: m.id, body: ask });
 }
 
-function peerOf(s: GroupState, m: Member, now: number, joining: boolean): Peer {
+function peerOf(s: ConsensusState, m: Member, now: number, joining: boolean): Peer {
   return {
     id: m.id,
     addr: m.addr,
@@ -189,7 +189,7 @@
   };
 }
 
-function win(s: GroupState, now: number, out: GroupEffect[]): void {
+function win(s: ConsensusState, now: number, out: ConsensusEffect[]): void {
   enter(s, 'leader', out);
   s.leader = s.me;
   s.wonAt = now;
@@ -198,7 +198,7 @@
   append(s, { kind: 'opening' }, now, out);
 }
 
-function append(s: GroupState, data: EntryData, now: number, out: GroupEffect[]): Entry {
+function append(s: ConsensusState, data: EntryData, now: number, out: ConsensusEffect[]): Entry {
   const entry: Entry = { index: log.last(s) + 1, term: s.term, data };
   s.entries.push(entry);
   if (data.kind === 'roster') {
@@ -211,7 +211,7 @@
   return entry;
 }
 
-function syncPeers(s: GroupState, now: number): void {
+function syncPeers(s: ConsensusState, now: number): void {
   for (const m of others(s)) {
     const p = s.peers.get(m.id);
     if (p) p.joining = false;
@@ -222,18 +222,18 @@
   }
 }
 
-function spread(s: GroupState, now: number, onlyIfFree: boolean, out: GroupEffect[]): void {
+function spread(s: ConsensusState, now: number, onlyIfFree: boolean, out: ConsensusEffect[]): void {
   for (const p of s.peers.values()) feed(s, p, now, onlyIfFree, out);
 }
 
-function feed(s: GroupState, p: Peer, now: number, onlyIfFree: boolean, out: GroupEffect[]): void {
+function feed(s: ConsensusState, p: Peer, now: number, onlyIfFree: boolean, out: ConsensusEffect[]): void {
   if (!p.answered && now - p.sentAt < s.timing.legMs && onlyIfFree) return;
   s.beatNo++;
   s.beatSentAt.set(s.beatNo, now);
   p.sentAt = now;
   p.answered = false;
-  if (p.next <= s.base.index && s.latestView !== null) {
-    send(s, p.id, { m: 'view', term: s.term, view: s.latestView, beat: s.beatNo }, out);
+  if (p.next <= s.base.index && s.latestSnapshot !== null) {
+    send(s, p.id, { m: 'snapshot', term: s.term, snapshot: s.latestSnapshot, beat: s.beatNo }, out);
     return;
   }
   const entries = log.from(s, p.next, batch);
@@ -253,7 +253,7 @@
   );
 }
 
-function commit(s: GroupState, now: number, out: GroupEffect[]): void {
+function commit(s: ConsensusState, now: number, out: ConsensusEffect[]): void {
   const marks = s.roster.map(function mark(m) {
     return m.id === s.me ? s.durable : (s.peers.get(m.id)?.match ?? 0);
   });
@@ -267,7 +267,7 @@
   spread(s, now, true, out);
 }
 
-function deliver(s: GroupState, out: GroupEffect[]): void {
+function deliver(s: ConsensusState, out: ConsensusEffect[]): void {
   while (s.delivered < s.committed) {
     const entry = log.at(s, s.delivered + 1);
     if (!entry) return;
@@ -276,7 +276,7 @@
   }
 }
 
-function follow(s: GroupState, m: Message, term: number, now: number, out: GroupEffect[]): boolean {
+function follow(s: ConsensusState, m: Message, term: number, now: number, out: ConsensusEffect[]): boolean {
   if (term < s.term) return false;
   if (term > s.term) adopt(s, term, null, now, out);
   s.leader = m.from;
@@ -286,7 +286,7 @@
   return true;
 }
 
-function onAppend(s: GroupState, m: Message & { m: 'append' }, now: number, out: GroupEffect[]): void {
+function onAppend(s: ConsensusState, m: Message & { m: 'append' }, now: number, out: ConsensusEffect[]): void {
   if (!follow(s, m, m.term, now, out)) {
     send(s, m.from, { m: 'appended', term: s.term, ok: false, match: 0, beat: m.beat }, out, m.fromAddr);
     return;
@@ -343,32 +343,32 @@
   answerAppend(s, m, upTo, out);
 }
 
-function answerAppend(s: GroupState, m: Message & { beat: number }, upTo: number, out: GroupEffect[]): void {
+function answerAppend(s: ConsensusState, m: Message & { beat: number }, upTo: number, out: ConsensusEffect[]): void {
   const body: Body = { m: 'appended', term: s.term, ok: true, match: upTo, beat: m.beat };
   if (s.synced === s.written) send(s, m.from, body, out, m.fromAddr);
   else s.waiting.push({ token: s.written, to: m.from, body });
 }
 
-function onView(s: GroupState, m: Message & { m: 'view' }, now: number, out: GroupEffect[]): void {
+function onSnapshot(s: ConsensusState, m: Message & { m: 'snapshot' }, now: number, out: ConsensusEffect[]): void {
   if (!follow(s, m, m.term, now, out)) return;
-  if (m.view.index > s.committed) {
-    s.base = { index: m.view.index, term: m.view.term, members: m.view.members };
+  if (m.snapshot.index > s.committed) {
+    s.base = { index: m.snapshot.index, term: m.snapshot.term, members: m.snapshot.members };
     s.entries = [];
-    s.committed = m.view.index;
-    s.delivered = m.view.index;
+    s.committed = m.snapshot.index;
+    s.delivered = m.snapshot.index;
     s.durable = 0;
     s.marks = [];
-    s.latestView = m.view;
+    s.latestSnapshot = m.snapshot;
     log.findRoster(s);
-    out.push({ f: 'install', view: m.view });
+    out.push({ f: 'install', snapshot: m.snapshot });
     const token = write(s, [{ r: 'promise', term: s.term, vote: s.vote }], now, out);
-    s.marks.push({ token, last: m.view.index });
+    s.marks.push({ token, last: m.snapshot.index });
     enter(s, rest(s), out);
   }
-  answerAppend(s, m, Math.min(m.view.index, log.last(s)), out);
+  answerAppend(s, m, Math.min(m.snapshot.index, log.last(s)), out);
 }
 
-function onAppended(s: GroupState, m: Message & { m: 'appended' }, now: number, out: GroupEffect[]): void {
+function onAppended(s: ConsensusState, m: Message & { m: 'appended' }, now: number, out: ConsensusEffect[]): void {
   if (m.term > s.term) {
     adopt(s, m.term, null, now, out);
     enter(s, rest(s), out);
@@ -395,7 +395,7 @@
     feed(s, p, now, true, out);
 }
 
-function onBallot(s: GroupState, m: Message & { m: 'ballot' }, now: number, out: GroupEffect[]): void {
+function onBallot(s: ConsensusState, m: Message & { m: 'ballot' }, now: number, out: ConsensusEffect[]): void {
   if (m.term <= s.term && !(m.term === s.term && s.vote === m.from)) {
     send(s, m.from, { m: 'vote', term: s.term, ok: false }, out, m.fromAddr);
     return;
@@ -411,7 +411,7 @@
   else s.waiting.push({ token, to: m.from, body });
 }
 
-function onVote(s: GroupState, m: Message & { m: 'vote' }, now: number, out: GroupEffect[]): void {
+function onVote(s: ConsensusState, m: Message & { m: 'vote' }, now: number, out: ConsensusEffect[]): void {
   if (m.term > s.term) {
     adopt(s, m.term, null, now, out);
     enter(s, rest(s), out);
@@ -422,12 +422,12 @@
   if (s.votes.size >= log.majority(s)) win(s, now, out);
 }
 
-function onCanvass(s: GroupState, m: Message & { m: 'canvass' }, now: number, out: GroupEffect[]): void {
+function onCanvass(s: ConsensusState, m: Message & { m: 'canvass' }, now: number, out: ConsensusEffect[]): void {
   const ok = log.isMember(s, s.me) && m.term > s.term && !heardLately(s, now) && upToDate(s, m.last, m.lastTerm);
   send(s, m.from, { m: 'canvassed', term: ok ? m.term : s.term, ok }, out, m.fromAddr);
 }
 
-function onCanvassed(s: GroupState, m: Message & { m: 'canvassed' }, now: number, out: GroupEffect[]): void {
+function onCanvassed(s: ConsensusState, m: Message & { m: 'canvassed' }, now: number, out: ConsensusEffect[]): void {
   if (!m.ok && m.term > s.term) {
     adopt(s, m.term, null, now, out);
     enter(s, rest(s), out);
@@ -438,7 +438,7 @@
   if (s.votes.size >= log.majority(s)) campaign(s, now, out);
 }
 
-function onJoin(s: GroupState, m: Message & { m: 'join' }, now: number): void {
+function onJoin(s: ConsensusState, m: Message & { m: 'join' }, now: number): void {
   if (s.phase !== 'leader' || log.isMember(s, m.from)) return;
   const p = s.peers.get(m.from);
   if (p) {
@@ -449,15 +449,15 @@
   }
 }
 
-function onMessage(s: GroupState, m: Message, now: number, out: GroupEffect[]): void {
+function onMessage(s: ConsensusState, m: Message, now: number, out: ConsensusEffect[]): void {
   if (m.to !== s.me && m.m !== 'join') return;
   switch (m.m) {
     case 'append':
       return onAppend(s, m, now, out);
     case 'appended':
       return onAppended(s, m, now, out);
-    case 'view':
-      return onView(s, m, now, out);
+    case 'snapshot':
+      return onSnapshot(s, m, now, out);
     case 'ballot':
       return onBallot(s, m, now, out);
     case 'vote':
@@ -471,7 +471,7 @@
   }
 }
 
-function onSynced(s: GroupState, token: number, now: number, out: GroupEffect[]): void {
+function onSynced(s: ConsensusState, token: number, now: number, out: ConsensusEffect[]): void {
   s.synced = Math.max(s.synced, token);
   s.writtenAt = now;
   let last = 0;
@@ -490,12 +490,12 @@
   if (s.phase === 'leader') commit(s, now, out);
 }
 
-function stillMeant(s: GroupState, b: Body): boolean {
+function stillMeant(s: ConsensusState, b: Body): boolean {
   if (b.m === 'ballot') return s.phase === 'candidate' && b.term === s.term;
   return b.m === 'vote' || b.m === 'appended' ? b.term === s.term : true;
 }
 
-function quorumHeardAt(s: GroupState, of: (p: Peer) => number, now: number): number {
+function quorumHeardAt(s: ConsensusState, of: (p: Peer) => number, now: number): number {
   const at = s.roster.map(function one(m) {
     return m.id === s.me ? now : (of(s.peers.get(m.id)!) ?? 0);
   });
@@ -505,7 +505,7 @@
   return at[log.majority(s) - 1] ?? 0;
 }
 
-function reshape(s: GroupState, now: number, out: GroupEffect[]): void {
+function reshape(s: ConsensusState, now: number, out: ConsensusEffect[]): void {
   if (s.rosterAt > s.committed || log.termAt(s, s.committed) !== s.term) return;
   const gone = others(s).find(function silent(m) {
     return now - (s.peers.get(m.id)?.heardAt ?? 0) > s.timing.goneMs;
@@ -538,7 +538,7 @@
   }
 }
 
-function onBeat(s: GroupState, now: number, out: GroupEffect[]): void {
+function onBeat(s: ConsensusState, now: number, out: ConsensusEffect[]): void {
   if (s.phase === 'leader') {
     const stalled = s.synced < s.written && now - s.writtenAt > s.timing.yieldMs;
     const alone =
@@ -572,8 +572,8 @@
   if (log.isMember(s, s.me) && quiet && ready) canvass(s, now, out);
 }
 
-function step(s: GroupState, ev: GroupEvent, now: number): GroupEffect[] {
-  const out: GroupEffect[] = [];
+function step(s: ConsensusState, ev: ConsensusEvent, now: number): ConsensusEffect[] {
+  const out: ConsensusEffect[] = [];
   switch (ev.e) {
     case 'beat':
       onBeat(s, now, out);
@@ -591,10 +591,10 @@
       }
       break;
     case 'compact':
-      if (ev.view.index > s.base.index && ev.view.index <= s.committed) {
-        s.entries = s.entries.slice(ev.view.index - s.base.index);
-        s.base = { index: ev.view.index, term: ev.view.term, members: ev.view.members };
-        s.latestView = ev.view;
+      if (ev.snapshot.index > s.base.index && ev.snapshot.index <= s.committed) {
+        s.entries = s.entries.slice(ev.snapshot.index - s.base.index);
+        s.base = { index: ev.snapshot.index, term: ev.snapshot.term, members: ev.snapshot.members };
+        s.latestSnapshot = ev.snapshot;
         log.findRoster(s);
       }
       break;
@@ -605,7 +605,7 @@
 // Until when the leader may act alone: while a majority that answered its beat still holds off
 // every other candidate. Followers hold off for silenceMs from the time they heard the beat, which
 // is not before it was sent.
-function holdsUntil(s: GroupState, now: number): number {
+function holdsUntil(s: ConsensusState, now: number): number {
   if (s.phase !== 'leader') return 0;
   return (
     quorumHeardAt(
@@ -619,7 +619,7 @@
 }
 
 // A read is sure once a majority has answered a beat that was sent after the read came in.
-function sureSince(s: GroupState, now: number): number {
+function sureSince(s: ConsensusState, now: number): number {
   if (s.phase !== 'leader' || log.termAt(s, s.committed) !== s.term) return 0;
   return quorumHeardAt(
     s,
@@ -630,7 +630,7 @@
   );
 }
 
-function membersAt(s: GroupState, index: number): Member[] {
+function membersAt(s: ConsensusState, index: number): Member[] {
   for (let i = index; i > s.base.index; i--) {
     const e = log.at(s, i);
     if (e?.data.kind === 'roster') return e.data.members;
@@ -638,4 +638,4 @@
   return s.base.members;
 }
 
-export const group = { create, step, holdsUntil, sureSince, membersAt };
+export const consensus = { create, step, holdsUntil, sureSince, membersAt };
--- a/src/coordination/group/types.ts
+++ b/src/coordination/consensus/types.ts
@@ -11,7 +11,7 @@
   | { r: 'entry'; entry: Entry }
   | { r: 'committed'; index: number };
 
-export type View = { index: number; term: number; members: Member[]; state: unknown };
+export type Snapshot = { index: number; term: number; members: Member[]; state: unknown };
 
 export type Message = { from: MemberId; fromAddr: string; to: MemberId } & (
   | { m: 'canvass'; term: number; last: number; lastTerm: number }
@@ -20,7 +20,7 @@
   | { m: 'vote'; term: number; ok: boolean }
   | { m: 'append'; term: number; prev: number; prevTerm: number; entries: Entry[]; committed: number; beat: number }
   | { m: 'appended'; term: number; ok: boolean; match: number; beat: number }
-  | { m: 'view'; term: number; view: View; beat: number }
+  | { m: 'snapshot'; term: number; snapshot: Snapshot; beat: number }
   | { m: 'join'; control: string }
 );
 export type Body = Message extends infer T ? (T extends Message ? Omit<T, 'from' | 'fromAddr' | 'to'> : never) : never;
@@ -49,7 +49,7 @@
   yieldMs: number;
 };
 
-export type GroupState = {
+export type ConsensusState = {
   me: MemberId;
   addr: string;
   control: string;
@@ -82,20 +82,20 @@
   beatAt: number;
   wonAt: number;
   joinAt: number;
-  latestView: View | null;
+  latestSnapshot: Snapshot | null;
 };
 
-export type GroupEvent =
+export type ConsensusEvent =
   | { e: 'beat' }
   | { e: 'message'; message: Message }
   | { e: 'synced'; token: number }
   | { e: 'propose'; command: unknown }
-  | { e: 'compact'; view: View };
+  | { e: 'compact'; snapshot: Snapshot };
 
-export type GroupEffect =
+export type ConsensusEffect =
   | { f: 'send'; message: Message; addr: string }
   | { f: 'write'; records: Record_[]; token: number }
-  | { f: 'install'; view: View }
+  | { f: 'install'; snapshot: Snapshot }
   | { f: 'deliver'; entry: Entry }
   | { f: 'trim'; from: number }
   | { f: 'phase'; phase: Phase; term: number }
--- a/src/programs/coordinator.ts
+++ b/src/programs/coordinator.ts
@@ -3,7 +3,7 @@
 import { createServer } from 'node:http';
 import { boardHistory } from '../state/history/boards.js';
 import { configurationHistory } from '../state/history/configurations.js';
-import { groupDriver } from '../coordination/group/driver.js';
+import { replica } from '../coordination/consensus/driver.js';
 import { boards } from '../controlplane/board.js';
 import { access } from '../controlplane/access.js';
 import { feed } from '../controlplane/feed.js';
@@ -22,11 +22,11 @@
 import type { Settings, Tuning } from '../types.js';
 
 async function start(s: Settings, log: Log, tuning: Tuning): Promise<void> {
-  const group = groupDriver.create(s, log);
+  const member = replica.create(s, log);
   const c: Coordinator = {
     settings: s,
     log,
-    group,
+    replica: member,
     agent: channel.agent(),
     board: boards.empty(),
     boardHistory: boardHistory.create(),
@@ -37,13 +37,13 @@
     waiters: new Set(),
     tuning,
   };
-  group.on('delivered', function news() {
-    if (group.state.configuration) configurationHistory.take(c.configurations, group.state.configuration);
+  member.on('delivered', function news() {
+    if (member.state.configuration) configurationHistory.take(c.configurations, member.state.configuration);
     boards.wake(c);
   });
   await channel.listen(s.ip_addr, s.port_range[0], {
-    '/inner/group': function messages(b) {
-      return groupDriver.receive(group, b.messages);
+    '/inner/consensus': function messages(b) {
+      return replica.receive(member, b.messages);
     },
     '/inner/board': function board(b) {
       return boards.receive(c, b);
@@ -72,7 +72,7 @@
     door.on('error', fail);
     door.listen(port, host, done);
   });
-  groupDriver.start(group);
+  replica.start(member);
   boards.start(c);
   void runners.run(c);
   rollout.start(c);
@@ -80,7 +80,7 @@
   access.start(c);
   kept.start(c);
   process.on('SIGTERM', function term() {
-    void groupDriver.stop(group).then(function gone() {
+    void replica.stop(member).then(function gone() {
       process.exit(0);
     });
   });
--- a/src/programs/site.ts
+++ b/src/programs/site.ts
@@ -17,7 +17,7 @@
 import { answers } from '../transport/http/answer.js';
 import { ask } from '../transport/http/ask.js';
 import { channel } from '../transport/inner/channel.js';
-import { groupDriver } from '../coordination/group/driver.js';
+import { replica } from '../coordination/consensus/driver.js';
 import { hash } from '../state/index/hash.js';
 import type { Settings, Tuning } from '../types.js';
 
@@ -92,7 +92,7 @@
   });
   await listen(probe, s.bind_addrs.ready_probe!);
   const seeds = s.seed_addrs.map(function inner(a) {
-    return groupDriver.innerAddr(a, s.port_range[0]);
+    return replica.innerAddr(a, s.port_range[0]);
   });
   const f: Follower = {
     life: randomBytes(6).toString('hex'),
--- /dev/null
+++ b/src/runtime.ts
@@ -0,0 +1,63 @@
+/**
+ * What the programs need of the machine they run on: time, timers, chance, files and calls between the
+ * system's own processes. The daemons use `transport/runtime.ts` (the real machine); the tests run the
+ * same modules on a simulated world.
+ */
+import type { Outcome } from './types.js';
+
+/** A timer that has been set; `cancel` may be called more than once. */
+export type Timer = { cancel: () => void };
+
+/** Steady time in milliseconds, never the time of day. */
+export type Clock = {
+  now: () => number;
+  after: (delayMs: number, run: () => void) => Timer;
+  every: (intervalMs: number, run: () => void) => Timer;
+};
+
+/** An error of the file system; `code` is the system's, for example `ENOSPC`. */
+export type FileError = { code: string; message: string };
+
+/** A file opened for appending. Nothing that was appended counts as kept before `sync` succeeded. */
+export type AppendFile = {
+  append: (bytes: Uint8Array) => Promise<Outcome<void, FileError>>;
+  sync: () => Promise<Outcome<void, FileError>>;
+  close: () => Promise<void>;
+};
+
+/**
+ * One flat folder. A name that was created, renamed or removed is kept only once `syncFolder` succeeded,
+ * and the content of a file only once its own `sync` did.
+ */
+export type Folder = {
+  list: () => Promise<Outcome<string[], FileError>>;
+  read: (name: string) => Promise<Outcome<Uint8Array, FileError>>;
+  /** Creates an empty file, or empties the one that is there. */
+  create: (name: string) => Promise<Outcome<AppendFile, FileError>>;
+  rename: (from: string, to: string) => Promise<Outcome<void, FileError>>;
+  remove: (name: string) => Promise<Outcome<void, FileError>>;
+  syncFolder: () => Promise<Outcome<void, FileError>>;
+};
+
+/**
+ * Why a call got no usable answer. `unreached`: no connection, so the other end never saw it. `silent`,
+ * `broken`: it may have been carried out. `rejected`: the other end answered with an error.
+ */
+export type CallError =
+  | { kind: 'unreached'; message: string }
+  | { kind: 'silent' }
+  | { kind: 'broken'; message: string }
+  | { kind: 'rejected'; status: number; message: string };
+
+/** `lane` keeps small urgent calls and bulk data on connections of their own. */
+export type CallOptions = { timeoutMs: number; lane?: 'control' | 'bulk' };
+
+/** Calls between the system's own processes. Addresses are `ip:port`, paths begin with `/inner/`. */
+export type Network = {
+  call: (address: string, path: string, body: unknown, options: CallOptions) => Promise<Outcome<unknown, CallError>>;
+};
+
+/** Uniformly distributed in [0, 1). */
+export type Random = () => number;
+
+export type Runtime = { clock: Clock; network: Network; random: Random };
--- a/src/state/log/recover.ts
+++ b/src/state/log/recover.ts
@@ -1,9 +1,9 @@
-// Reads a coordinator's folder back after a start: the newest whole view, then the segments in
+// Reads a coordinator's folder back after a start: the newest whole snapshot, then the segments in
 // order. A torn tail is normal after a loss of power and ends its segment; a segment whose head
 // says that more had been synced before it than was found means the disk lost what it had promised.
 import { readdirSync, readFileSync } from 'node:fs';
 import { join } from 'node:path';
-import type { Entry, Record_, View } from '../../coordination/group/types.js';
+import type { Entry, Record_, Snapshot } from '../../coordination/consensus/types.js';
 import { records } from './records.js';
 
 export type SegmentHead = { r: 'head'; me: string; after: number; term: number; vote: string | null; reset: boolean };
@@ -11,7 +11,7 @@
   me: string;
   term: number;
   vote: string | null;
-  view: View;
+  snapshot: Snapshot;
   entries: Entry[];
   nextSegment: number;
   committed: number;
@@ -32,10 +32,10 @@
   });
 }
 
-function newestView(dir: string, names: string[]): View | null {
-  for (const f of numbered(names, 'view').reverse()) {
+function newestSnapshot(dir: string, names: string[]): Snapshot | null {
+  for (const f of numbered(names, 'snapshot').reverse()) {
     const { values } = records.readAll(readFileSync(join(dir, f.name)));
-    if (values.length === 1) return values[0] as View;
+    if (values.length === 1) return values[0] as Snapshot;
   }
   return null;
 }
@@ -44,13 +44,13 @@
   | { ok: true; me: string; term: number; vote: string | null; entries: Entry[]; committed: number }
   | { ok: false; why: string };
 
-// Plays the records of the segments, in order, on top of a view.
-function replay(view: View, segments: { name: string; values: (Record_ | SegmentHead)[] }[]): Replayed {
+// Plays the records of the segments, in order, on top of a snapshot.
+function replay(snapshot: Snapshot, segments: { name: string; values: (Record_ | SegmentHead)[] }[]): Replayed {
   let entries: Entry[] = [];
   let me: string | null = null;
   let term = 0;
   let vote: string | null = null;
-  let committed = view.index;
+  let committed = snapshot.index;
   function promised(p: { term: number; vote: string | null }): void {
     if (p.term >= term) ({ term, vote } = p);
   }
@@ -59,13 +59,13 @@
       if (v.r === 'head') {
         me = v.me;
         promised(v);
-        if (v.reset && v.after === view.index) entries = [];
-        if (v.after > view.index + entries.length)
+        if (v.reset && v.after === snapshot.index) entries = [];
+        if (v.after > snapshot.index + entries.length)
           return { ok: false, why: `${seg.name} follows entry ${v.after}, which is not there` };
       } else if (v.r === 'promise') promised(v);
       else if (v.r === 'committed') committed = Math.max(committed, v.index);
       else {
-        const at = v.entry.index - view.index - 1;
+        const at = v.entry.index - snapshot.index - 1;
         if (at < 0 || entries[at]?.term === v.entry.term) continue;
         if (at > entries.length) return { ok: false, why: `entry ${v.entry.index} of ${seg.name} has a gap before it` };
         entries = entries.slice(0, at);
@@ -85,19 +85,20 @@
   }
   const files = numbered(names, 'segment');
   const nextSegment = (files.at(-1)?.no ?? 0) + 1;
-  const view = newestView(dir, names);
-  if (!view) return files.length === 0 ? { k: 'empty', nextSegment } : { k: 'lost', why: 'no whole view', nextSegment };
+  const snapshot = newestSnapshot(dir, names);
+  if (!snapshot)
+    return files.length === 0 ? { k: 'empty', nextSegment } : { k: 'lost', why: 'no whole snapshot', nextSegment };
   const torn: string[] = [];
   const segments = files.map(function one(f) {
     const { values, torn: isTorn } = records.readAll(readFileSync(join(dir, f.name)));
     if (isTorn) torn.push(f.name);
     return { name: f.name, values: values as (Record_ | SegmentHead)[] };
   });
-  const r = replay(view, segments);
+  const r = replay(snapshot, segments);
   if (!r.ok) return { k: 'lost', why: r.why, nextSegment };
   return {
     k: 'whole',
-    found: { me: r.me, term: r.term, vote: r.vote, view, entries: r.entries, nextSegment, committed: r.committed },
+    found: { me: r.me, term: r.term, vote: r.vote, snapshot, entries: r.entries, nextSegment, committed: r.committed },
     torn,
   };
 }
--- a/src/state/log/store.ts
+++ b/src/state/log/store.ts
@@ -1,18 +1,18 @@
 // Keeps the group's records on disk: an append-only log in segments, each record framed with its
-// checksum, and views beside it. Writes are batched and one at a time; a batch counts as kept only
+// checksum, and snapshots beside it. Writes are batched and one at a time; a batch counts as kept only
 // when its sync has come back. After a refused write the batch is written again to a new segment.
 import { EventEmitter } from 'node:events';
 import { mkdirSync } from 'node:fs';
 import { open, readdir, rename, unlink, type FileHandle } from 'node:fs/promises';
 import { join } from 'node:path';
 import PQueue from 'p-queue';
-import type { Entry, Record_, View } from '../../coordination/group/types.js';
+import type { Entry, Record_, Snapshot } from '../../coordination/consensus/types.js';
 import { records } from './records.js';
 import { recovery, type SegmentHead } from './recover.js';
 
 type Job = { buf: Buffer; token: number; last: number };
 type Tail = { term: number; vote: string | null; entries: Entry[] };
-type NextView = { view: View; tail: () => Tail; installed: boolean };
+type NextSnapshot = { snapshot: Snapshot; tail: () => Tail; installed: boolean };
 export type Store = EventEmitter & {
   dir: string;
   me: string;
@@ -20,7 +20,7 @@
   segment: number;
   queue: PQueue;
   jobs: Job[];
-  view: NextView | null;
+  snapshot: NextSnapshot | null;
   bytes: number;
   kept: number;
   promised: { term: number; vote: string | null };
@@ -39,7 +39,7 @@
     segment: nextSegment,
     queue: new PQueue({ concurrency: 1 }),
     jobs: [],
-    view: null,
+    snapshot: null,
     bytes: 0,
     kept,
     promised: { term, vote },
@@ -86,12 +86,12 @@
 
 async function flush(s: Store): Promise<void> {
   if (s.closed) return;
-  if (s.view) {
-    const next = s.view;
+  if (s.snapshot) {
+    const next = s.snapshot;
     try {
-      await putView(s, next);
-      if (s.view === next) s.view = null;
-      if (next.installed) s.kept = next.view.index;
+      await putSnapshot(s, next);
+      if (s.snapshot === next) s.snapshot = null;
+      if (next.installed) s.kept = next.snapshot.index;
     } catch (err) {
       return refused(s, err as Error);
     }
@@ -152,16 +152,16 @@
   schedule(s);
 }
 
-async function putView(s: Store, next: NextView): Promise<void> {
-  const tmp = join(s.dir, 'view.tmp');
+async function putSnapshot(s: Store, next: NextSnapshot): Promise<void> {
+  const tmp = join(s.dir, 'snapshot.tmp');
   const f = await open(tmp, 'w');
   try {
-    await f.writeFile(records.frame(next.view));
+    await f.writeFile(records.frame(next.snapshot));
     await f.sync();
   } finally {
     await f.close();
   }
-  await rename(tmp, join(s.dir, `view-${next.view.index}`));
+  await rename(tmp, join(s.dir, `snapshot-${next.snapshot.index}`));
   await syncFolder(s.dir);
   const old = s.file;
   s.file = null;
@@ -171,7 +171,7 @@
   const head: SegmentHead = {
     r: 'head',
     me: s.me,
-    after: next.view.index,
+    after: next.snapshot.index,
     term: tail.term,
     vote: tail.vote,
     reset: next.installed,
@@ -182,20 +182,20 @@
   });
   await file.writeFile(Buffer.concat([records.frame(head), ...held]));
   await file.sync();
-  await sweep(s, next.view.index, first);
+  await sweep(s, next.snapshot.index, first);
 }
 
-async function sweep(s: Store, view: number, firstSegment: number): Promise<void> {
+async function sweep(s: Store, snapshot: number, firstSegment: number): Promise<void> {
   const names = await readdir(s.dir);
   for (const f of recovery.numbered(names, 'segment')) if (f.no < firstSegment) await unlink(join(s.dir, f.name));
-  for (const f of recovery.numbered(names, 'view')) if (f.no < view) await unlink(join(s.dir, f.name));
+  for (const f of recovery.numbered(names, 'snapshot')) if (f.no < snapshot) await unlink(join(s.dir, f.name));
   await syncFolder(s.dir);
 }
 
-// The tail is asked for when the view is written, not when it is taken: entries that reach the old
+// The tail is asked for when the snapshot is written, not when it is taken: entries that reach the old
 // segment in between must stand in the new one before the old one goes.
-function keepView(s: Store, view: View, tail: () => Tail, installed: boolean): void {
-  s.view = { view, tail, installed };
+function keepSnapshot(s: Store, snapshot: Snapshot, tail: () => Tail, installed: boolean): void {
+  s.snapshot = { snapshot, tail, installed };
   schedule(s);
 }
 
@@ -206,4 +206,4 @@
   s.file = null;
 }
 
-export const store = { create, write, keepView, close };
+export const store = { create, write, keepSnapshot, close };
--- /dev/null
+++ b/src/state/log/types.ts
@@ -0,0 +1,52 @@
+/**
+ * What the replicated log is made of: its entries, the membership that an entry may carry, the
+ * snapshots that replace a prefix of it and the records that one member keeps on its disk.
+ * Consensus and storage both build on these; nothing here knows how either of them works.
+ */
+import type { Member, MemberId } from '../../types.js';
+
+/**
+ * The members that vote. While `next` is given, a change of members is under way (joint consensus):
+ * every decision then needs a majority of `voters` and a majority of `next`.
+ */
+export type Membership = { voters: Member[]; next: Member[] | null };
+
+/** What an entry holds. A leader begins its term with a `noop`. */
+export type EntryData =
+  { kind: 'noop' } | { kind: 'membership'; membership: Membership } | { kind: 'command'; command: unknown };
+
+/** One entry. `index` counts from 1 without gaps; `term` is the term of the leader that proposed it. */
+export type Entry = { index: number; term: number; data: EntryData };
+
+/** The state that results from all entries up to and including `index`. */
+export type Snapshot = { index: number; term: number; membership: Membership; state: unknown };
+
+/** The last leader whose heartbeat this member answered, and in which term. */
+export type KnownLeader = { id: MemberId; term: number };
+
+/**
+ * What must be on disk before a member answers: its current term, whom it voted for in that term, and
+ * the last leader it answered, since that leader counts on it not to vote for a while.
+ */
+export type VotingPromise = { term: number; votedFor: MemberId | null; leader: KnownLeader | null };
+
+/** A record of the log on disk. */
+export type LogRecord =
+  { kind: 'promise'; promise: VotingPromise } | { kind: 'entry'; entry: Entry } | { kind: 'committed'; index: number };
+
+/** What a member finds on its disk when it starts. */
+export type Recovered = {
+  memberId: MemberId;
+  promise: VotingPromise;
+  snapshot: Snapshot;
+  entries: Entry[];
+  committed: number;
+};
+
+/**
+ * The outcome of reading the disk. `empty`: nothing was ever kept here. `lost`: the disk lacks something
+ * that a sync had confirmed, so that the member must not vote on what it has; `reason` says what.
+ * `torn` names the files whose unsynced tail was cut off, which is normal after a loss of power.
+ */
+export type Recovery =
+  { kind: 'empty' } | { kind: 'recovered'; recovered: Recovered; torn: string[] } | { kind: 'lost'; reason: string };
--- a/src/tools/inspect.ts
+++ b/src/tools/inspect.ts
@@ -2,7 +2,7 @@
 // what is whole, torn or missing, and what the log holds.
 import { existsSync, readdirSync, readFileSync, statSync } from 'node:fs';
 import { join } from 'node:path';
-import type { Record_, View } from '../coordination/group/types.js';
+import type { Record_, Snapshot } from '../coordination/consensus/types.js';
 import { recovery, type SegmentHead } from '../state/log/recover.js';
 import { records } from '../state/log/records.js';
 import type { Command, ControlState } from '../state/control/reducer.js';
@@ -36,16 +36,16 @@
   };
 }
 
-function viewLine(dir: string, name: string): FileLine {
+function snapshotLine(dir: string, name: string): FileLine {
   const raw = readFileSync(join(dir, name));
   const { values, good } = records.readAll(raw);
-  const v = values[0] as View | undefined;
+  const v = values[0] as Snapshot | undefined;
   return {
     file: name,
     bytes: raw.length,
     good,
     records: values.length,
-    entries: v ? `view at ${v.index}` : '-',
+    entries: v ? `snapshot at ${v.index}` : '-',
     heads: v ? `term ${v.term}, roster of ${v.members.length}` : 'not whole',
   };
 }
@@ -67,30 +67,30 @@
   if (!existsSync(dir)) return toolEnd.error(`${dir}: there is no such folder`);
   if (!statSync(dir).isDirectory()) return toolEnd.error(`${dir}: is not a folder`);
   const names = readdirSync(dir);
-  const views = recovery.numbered(names, 'view').map(function one(f) {
-    return viewLine(dir, f.name);
+  const snapshots = recovery.numbered(names, 'snapshot').map(function one(f) {
+    return snapshotLine(dir, f.name);
   });
   const segments = recovery.numbered(names, 'segment').map(function one(f) {
     return segment(dir, f.name);
   });
-  const files = [...views, ...segments];
-  if (files.length === 0) return toolEnd.error(`${dir}: holds no log: neither a view nor a segment`);
+  const files = [...snapshots, ...segments];
+  if (files.length === 0) return toolEnd.error(`${dir}: holds no log: neither a snapshot nor a segment`);
   const r = recovery.recover(dir);
   const found: string[] = [];
   for (const f of files) if (f.good < f.bytes) found.push(`${f.file}: torn behind byte ${f.good} of ${f.bytes}`);
   if (r.k === 'lost') found.push(`lost: ${r.why}`);
   const whole = r.k === 'whole' ? r.found : null;
-  const state = whole?.view.state as ControlState | undefined;
+  const state = whole?.snapshot.state as ControlState | undefined;
   const summary = whole
     ? {
         member: whole.me,
         term: whole.term,
         vote: whole.vote,
-        view: whole.view.index,
-        last: whole.view.index + whole.entries.length,
+        snapshot: whole.snapshot.index,
+        last: whole.snapshot.index + whole.entries.length,
         committed: whole.committed,
-        configurationInView: state?.configuration?.revision ?? 0,
-        roster: whole.view.members.map(function id(m) {
+        configurationInSnapshot: state?.configuration?.revision ?? 0,
+        roster: whole.snapshot.members.map(function id(m) {
           return m.id;
         }),
         entries: whole.entries.map(function one(e) {
@@ -117,7 +117,7 @@
   if (summary) {
     lines.push(`member ${summary.member}, promised term ${summary.term}, vote ${summary.vote ?? 'none'}`);
     lines.push(
-      `view at ${summary.view} (configuration ${summary.configurationInView}, roster ${summary.roster.join(', ') || 'empty'}), log up to ${summary.last}`,
+      `snapshot at ${summary.snapshot} (configuration ${summary.configurationInSnapshot}, roster ${summary.roster.join(', ') || 'empty'}), log up to ${summary.last}`,
     );
     for (const e of summary.entries) lines.push(`  ${e.index} term ${e.term}: ${e.what}`);
     lines.push(`known here to be committed up to ${summary.committed}; ${note}`);
--- a/src/tools/simulate/core.ts
+++ b/src/tools/simulate/core.ts
@@ -1,7 +1,7 @@
 // The simulator's core: the coordinators' group machine on virtual time, with disks that keep what
 // was written. It says who the leader is at any moment; what hangs on that is the fleet's affair.
-import { group } from '../../coordination/group/machine.js';
-import type { GroupEvent, GroupState, Timing, View } from '../../coordination/group/types.js';
+import { consensus } from '../../coordination/consensus/machine.js';
+import type { ConsensusEvent, ConsensusState, Timing, Snapshot } from '../../coordination/consensus/types.js';
 import type { Clock } from './clock.js';
 
 const timing: Timing = { beatMs: 150, silenceMs: 700, spreadMs: 500, legMs: 400, goneMs: 1500, yieldMs: 700 };
@@ -9,7 +9,7 @@
 const tickMs = 50;
 
 export type SimCore = {
-  nodes: { addr: string; up: boolean; machine: GroupState }[];
+  nodes: { addr: string; up: boolean; machine: ConsensusState }[];
   messages: number;
   clock: Clock;
   delayMs: number;
@@ -19,13 +19,13 @@
   const members = Array.from({ length: n }, function one(_, i) {
     return { id: `c${i}#first`, addr: `c${i}`, control: `c${i}` };
   });
-  const view: View = { index: 0, term: 0, members, state: null };
+  const snapshot: Snapshot = { index: 0, term: 0, members, state: null };
   const c: SimCore = {
     clock,
     delayMs,
     messages: 0,
     nodes: members.map(function node(m, i) {
-      const machine = group.create({
+      const machine = consensus.create({
         me: m.id,
         addr: m.addr,
         control: m.control,
@@ -34,7 +34,7 @@
         target: n,
         term: 0,
         vote: null,
-        view,
+        snapshot,
         entries: [],
         now: clock.now,
       });
@@ -52,12 +52,12 @@
   });
 }
 
-function step(c: SimCore, addr: string, ev: GroupEvent): void {
+function step(c: SimCore, addr: string, ev: ConsensusEvent): void {
   const node = c.nodes.find(function same(x) {
     return x.addr === addr;
   });
   if (!node?.up) return;
-  for (const f of group.step(node.machine, ev, c.clock.now)) {
+  for (const f of consensus.step(node.machine, ev, c.clock.now)) {
     if (f.f === 'send') {
       c.messages++;
       const copy = structuredClone(f.message);
@@ -89,7 +89,7 @@
   node.up = false;
   const m = node.machine;
   c.clock.after(forMs, function back() {
-    node.machine = group.create({
+    node.machine = consensus.create({
       me: m.me,
       addr: m.addr,
       control: m.control,
@@ -98,7 +98,7 @@
       target: m.target,
       term: m.term,
       vote: m.vote,
-      view: m.latestView!,
+      snapshot: m.latestSnapshot!,
       entries: m.entries,
       now: c.clock.now,
     });
--- a/test/group-rules.test.ts
+++ b/test/consensus-rules.test.ts
@@ -2,21 +2,28 @@
 // as committed, who gets a vote, and how long a leader's hold lasts.
 import { strict as assert } from 'node:assert';
 import { test } from 'node:test';
-import { group } from '../src/coordination/group/machine.js';
-import type { Body, Entry, GroupEffect, GroupState, Message, View } from '../src/coordination/group/types.js';
+import { consensus } from '../src/coordination/consensus/machine.js';
+import type {
+  Body,
+  Entry,
+  ConsensusEffect,
+  ConsensusState,
+  Message,
+  Snapshot,
+} from '../src/coordination/consensus/types.js';
 import { timing } from './sim/world.js';
 
 const members = ['a', 'b', 'c'].map(function one(x) {
   return { id: `${x}#first`, addr: x, control: x };
 });
-const view: View = { index: 0, term: 0, members, state: null };
+const snapshot: Snapshot = { index: 0, term: 0, members, state: null };
 
 function entry(index: number, term: number): Entry {
   return { index, term, data: { kind: 'order', command: index } };
 }
 
-function machine(me: string, term: number, entries: Entry[], now = 0): GroupState {
-  return group.create({
+function machine(me: string, term: number, entries: Entry[], now = 0): ConsensusState {
+  return consensus.create({
     me: `${me}#first`,
     addr: me,
     control: me,
@@ -25,7 +32,7 @@
     target: 3,
     term,
     vote: null,
-    view,
+    snapshot,
     entries,
     now,
   });
@@ -35,24 +42,24 @@
   return { ...body, from: `${x}#first`, fromAddr: x, to: 'a#first' };
 }
 
-function syncAll(s: GroupState, now: number): GroupEffect[] {
-  return group.step(s, { e: 'synced', token: s.written }, now);
+function syncAll(s: ConsensusState, now: number): ConsensusEffect[] {
+  return consensus.step(s, { e: 'synced', token: s.written }, now);
 }
 
-function sent(out: GroupEffect[], m: Body['m']): Message[] {
+function sent(out: ConsensusEffect[], m: Body['m']): Message[] {
   return out.flatMap(function one(f) {
     return f.f === 'send' && f.message.m === m ? [f.message] : [];
   });
 }
 
-function elected(entries: Entry[]): GroupState {
+function elected(entries: Entry[]): ConsensusState {
   const s = machine('a', 3, entries);
-  const asked = group.step(s, { e: 'beat' }, 2000);
+  const asked = consensus.step(s, { e: 'beat' }, 2000);
   assert.equal(sent(asked, 'canvass').length, 2);
-  group.step(s, { e: 'message', message: from('b', { m: 'canvassed', term: 4, ok: true }) }, 2001);
+  consensus.step(s, { e: 'message', message: from('b', { m: 'canvassed', term: 4, ok: true }) }, 2001);
   assert.equal(s.phase, 'candidate');
   assert.equal(sent(syncAll(s, 2002), 'ballot').length, 2, 'a ballot goes out only once the promise is synced');
-  group.step(s, { e: 'message', message: from('b', { m: 'vote', term: 4, ok: true }) }, 2003);
+  consensus.step(s, { e: 'message', message: from('b', { m: 'vote', term: 4, ok: true }) }, 2003);
   assert.equal(s.phase, 'leader');
   return s;
 }
@@ -60,15 +67,27 @@
 test('an entry of an older term is not committed by counting who holds it', function run() {
   const s = elected([entry(1, 2)]);
   syncAll(s, 2004);
-  group.step(s, { e: 'message', message: from('b', { m: 'appended', term: 4, ok: true, match: 1, beat: 0 }) }, 2005);
+  consensus.step(
+    s,
+    { e: 'message', message: from('b', { m: 'appended', term: 4, ok: true, match: 1, beat: 0 }) },
+    2005,
+  );
   assert.equal(s.committed, 0);
-  group.step(s, { e: 'message', message: from('b', { m: 'appended', term: 4, ok: true, match: 2, beat: 0 }) }, 2006);
+  consensus.step(
+    s,
+    { e: 'message', message: from('b', { m: 'appended', term: 4, ok: true, match: 2, beat: 0 }) },
+    2006,
+  );
   assert.equal(s.committed, 2);
 });
 
 test('what the leader has not synced itself counts for nothing of its own', function run() {
   const s = elected([]);
-  group.step(s, { e: 'message', message: from('b', { m: 'appended', term: 4, ok: true, match: 1, beat: 0 }) }, 2005);
+  consensus.step(
+    s,
+    { e: 'message', message: from('b', { m: 'appended', term: 4, ok: true, match: 1, beat: 0 }) },
+    2005,
+  );
   assert.equal(s.committed, 0, 'one of three');
   syncAll(s, 2006);
   assert.equal(s.committed, 1);
@@ -83,7 +102,7 @@
     [2, 3, true],
   ] as const) {
     const fresh = machine('a', 3, [entry(1, 2), entry(2, 3)]);
-    group.step(fresh, { e: 'message', message: from('b', { m: 'ballot', term: 4, last, lastTerm }) }, 5000);
+    consensus.step(fresh, { e: 'message', message: from('b', { m: 'ballot', term: 4, last, lastTerm }) }, 5000);
     assert.deepEqual(
       sent(syncAll(fresh, 5001), 'vote').map(function given(v) {
         return (v as { ok: boolean }).ok;
@@ -92,7 +111,7 @@
       `log up to ${last} of term ${lastTerm}`,
     );
     const canvassed = sent(
-      group.step(s, { e: 'message', message: from('b', { m: 'canvass', term: 4, last, lastTerm }) }, 5000),
+      consensus.step(s, { e: 'message', message: from('b', { m: 'canvass', term: 4, last, lastTerm }) }, 5000),
       'canvassed',
     );
     assert.equal((canvassed[0] as { ok: boolean }).ok, ok);
@@ -101,14 +120,14 @@
 
 test('one vote an term, and none before its promise is synced', function run() {
   const s = machine('a', 3, []);
-  const first = group.step(
+  const first = consensus.step(
     s,
     { e: 'message', message: from('b', { m: 'ballot', term: 4, last: 0, lastTerm: 0 }) },
     5000,
   );
   assert.equal(sent(first, 'vote').length, 0);
   assert.equal((sent(syncAll(s, 5001), 'vote')[0] as { ok: boolean }).ok, true);
-  const second = group.step(
+  const second = consensus.step(
     s,
     { e: 'message', message: from('c', { m: 'ballot', term: 4, last: 9, lastTerm: 3 }) },
     9000,
@@ -119,8 +138,8 @@
 test('who hears a leader, or has just started, gives no vote', function run() {
   const s = machine('a', 3, [], 4000);
   const ballot = from('c', { m: 'ballot', term: 9, last: 9, lastTerm: 8 });
-  assert.deepEqual(group.step(s, { e: 'message', message: ballot }, 4100), [], 'just started');
-  group.step(
+  assert.deepEqual(consensus.step(s, { e: 'message', message: ballot }, 4100), [], 'just started');
+  consensus.step(
     s,
     {
       e: 'message',
@@ -128,33 +147,33 @@
     },
     6000,
   );
-  assert.deepEqual(group.step(s, { e: 'message', message: ballot }, 6600), [], 'heard one');
+  assert.deepEqual(consensus.step(s, { e: 'message', message: ballot }, 6600), [], 'heard one');
   assert.equal(s.term, 4);
-  group.step(s, { e: 'message', message: ballot }, 6000 + timing.silenceMs + 1);
+  consensus.step(s, { e: 'message', message: ballot }, 6000 + timing.silenceMs + 1);
   assert.equal(s.term, 9);
 });
 
 test('the hold counts from when an answered beat was sent, and ends by itself', function run() {
   const s = elected([]);
   syncAll(s, 2004);
-  assert.ok(group.holdsUntil(s, 2004) <= timing.silenceMs, 'nothing answered yet');
-  const [beat] = sent(group.step(s, { e: 'beat' }, 2450), 'append') as { beat: number; to: string }[];
+  assert.ok(consensus.holdsUntil(s, 2004) <= timing.silenceMs, 'nothing answered yet');
+  const [beat] = sent(consensus.step(s, { e: 'beat' }, 2450), 'append') as { beat: number; to: string }[];
   const sentAt = s.beatSentAt.get(beat!.beat)!;
   const x = beat!.to.split('#')[0]!;
-  group.step(
+  consensus.step(
     s,
     { e: 'message', message: from(x, { m: 'appended', term: 4, ok: true, match: 1, beat: beat!.beat }) },
     2700,
   );
-  assert.equal(group.holdsUntil(s, 2700), sentAt + timing.silenceMs);
-  group.step(s, { e: 'beat' }, 2700 + timing.silenceMs + 1);
+  assert.equal(consensus.holdsUntil(s, 2700), sentAt + timing.silenceMs);
+  consensus.step(s, { e: 'beat' }, 2700 + timing.silenceMs + 1);
   assert.equal(s.phase, 'follower');
-  assert.equal(group.holdsUntil(s, 4000), 0);
+  assert.equal(consensus.holdsUntil(s, 4000), 0);
 });
 
 test('a follower trims what the leader does not hold, and nothing that it does', function run() {
   const s = machine('a', 3, [entry(1, 2), entry(2, 2), entry(3, 2)]);
-  const out = group.step(
+  const out = consensus.step(
     s,
     {
       e: 'message',
@@ -184,7 +203,7 @@
       [2, 4],
     ],
   );
-  group.step(
+  consensus.step(
     s,
     {
       e: 'message',
--- a/test/group.test.ts
+++ b/test/consensus.test.ts
@@ -4,7 +4,7 @@
 import { test } from 'node:test';
 import { luck } from './support/random.js';
 import { world, type Node, type World } from './sim/world.js';
-import { log } from '../src/coordination/group/log.js';
+import { log } from '../src/coordination/consensus/log.js';
 
 const addrs = ['a:1', 'b:1', 'c:1'];
 
--- a/test/sim/world.ts
+++ b/test/sim/world.ts
@@ -2,18 +2,18 @@
 // cuts, disks that sync late, stall, tear and are wiped, machines that are killed, lose power and
 // freeze. It runs the machine that the coordinators run, and checks the rules after every step.
 import { strict as assert } from 'node:assert';
-import { group } from '../../src/coordination/group/machine.js';
-import { log } from '../../src/coordination/group/log.js';
+import { consensus } from '../../src/coordination/consensus/machine.js';
+import { log } from '../../src/coordination/consensus/log.js';
 import { recovery, type SegmentHead } from '../../src/state/log/recover.js';
 import type {
-  GroupEffect,
-  GroupEvent,
-  GroupState,
+  ConsensusEffect,
+  ConsensusEvent,
+  ConsensusState,
   Message,
   Record_,
   Timing,
-  View,
-} from '../../src/coordination/group/types.js';
+  Snapshot,
+} from '../../src/coordination/consensus/types.js';
 import type { Member } from '../../src/types.js';
 import { luck, type Luck } from '../support/random.js';
 
@@ -21,9 +21,9 @@
 export const leaseMs = 3000;
 
 type Disk = {
-  view: View;
+  snapshot: Snapshot;
   kept: (Record_ | SegmentHead)[];
-  pending: { token: number; records: (Record_ | SegmentHead)[]; view: View | null }[];
+  pending: { token: number; records: (Record_ | SegmentHead)[]; snapshot: Snapshot | null }[];
 };
 export type Node = {
   addr: string;
@@ -32,7 +32,7 @@
   stalledUntil: number;
   life: number;
   disk: Disk | null;
-  machine: GroupState | null;
+  machine: ConsensusState | null;
   state: number[];
   syncing: boolean;
   held: { at: number; run: () => void }[];
@@ -81,7 +81,7 @@
   for (const a of addrs) {
     const n = add(w, a);
     n.disk = {
-      view: { index: 0, term: 0, members: w.seeds, state: [] },
+      snapshot: { index: 0, term: 0, members: w.seeds, state: [] },
       kept: [head(`${a}#first`, 0, 0, null, false)],
       pending: [],
     };
@@ -121,13 +121,17 @@
   n.syncing = false;
   if (!n.disk) {
     const me = `${n.addr}#${++w.incarnation}`;
-    n.disk = { view: { index: 0, term: 0, members: [], state: [] }, kept: [head(me, 0, 0, null, false)], pending: [] };
+    n.disk = {
+      snapshot: { index: 0, term: 0, members: [], state: [] },
+      kept: [head(me, 0, 0, null, false)],
+      pending: [],
+    };
   }
   n.disk.pending = [];
-  const r = recovery.replay(n.disk.view, [{ name: 'disk', values: n.disk.kept }]);
+  const r = recovery.replay(n.disk.snapshot, [{ name: 'disk', values: n.disk.kept }]);
   assert.ok(r.ok, r.ok ? '' : r.why);
-  n.state = [...(n.disk.view.state as number[])];
-  n.machine = group.create({
+  n.state = [...(n.disk.snapshot.state as number[])];
+  n.machine = consensus.create({
     me: r.me,
     addr: n.addr,
     control: n.addr,
@@ -136,7 +140,7 @@
     target: w.seeds.length,
     term: r.term,
     vote: r.vote,
-    view: n.disk.view,
+    snapshot: n.disk.snapshot,
     entries: r.entries,
     now: w.now,
   });
@@ -184,27 +188,27 @@
   }
 }
 
-function step(w: World, n: Node, ev: GroupEvent): GroupEffect[] {
-  const out = group.step(n.machine!, ev, w.now);
+function step(w: World, n: Node, ev: ConsensusEvent): ConsensusEffect[] {
+  const out = consensus.step(n.machine!, ev, w.now);
   for (const f of out) carry(w, n, f);
   check(w, n);
   return out;
 }
 
-function carry(w: World, n: Node, f: GroupEffect): void {
+function carry(w: World, n: Node, f: ConsensusEffect): void {
   const s = n.machine!;
   switch (f.f) {
     case 'send':
       return deliver(w, n.addr, f.addr, f.message);
     case 'write':
-      n.disk!.pending.push({ token: f.token, records: structuredClone(f.records), view: null });
+      n.disk!.pending.push({ token: f.token, records: structuredClone(f.records), snapshot: null });
       return sync(w, n);
     case 'install':
-      n.state = [...(f.view.state as number[])];
+      n.state = [...(f.snapshot.state as number[])];
       n.disk!.pending.push({
         token: 0,
-        records: [head(s.me, f.view.index, s.term, s.vote, true)],
-        view: structuredClone(f.view),
+        records: [head(s.me, f.snapshot.index, s.term, s.vote, true)],
+        snapshot: structuredClone(f.snapshot),
       });
       return sync(w, n);
     case 'deliver':
@@ -221,7 +225,7 @@
   }
 }
 
-function delivered(w: World, n: Node, entry: import('../../src/coordination/group/types.js').Entry): void {
+function delivered(w: World, n: Node, entry: import('../../src/coordination/consensus/types.js').Entry): void {
   const s = n.machine!;
   const value = entry.data.kind === 'order' ? (entry.data.command as number) : 0;
   const known = w.order[entry.index - 1];
@@ -251,7 +255,7 @@
     const batch = n.disk!.pending.splice(0);
     let token = 0;
     for (const b of batch) {
-      keep(n.disk!, b.records, b.view);
+      keep(n.disk!, b.records, b.snapshot);
       token = Math.max(token, b.token);
     }
     if (token > 0)
@@ -263,9 +267,9 @@
   at(w, 2 + luck.below(w.l, 12), done);
 }
 
-function keep(d: Disk, records: (Record_ | SegmentHead)[], view: View | null): void {
-  if (view) {
-    d.view = view;
+function keep(d: Disk, records: (Record_ | SegmentHead)[], snapshot: Snapshot | null): void {
+  if (snapshot) {
+    d.snapshot = snapshot;
     d.kept = [];
   }
   d.kept.push(...records);
@@ -273,7 +277,7 @@
 
 function check(w: World, n: Node): void {
   const s = n.machine!;
-  const acts = s.phase === 'leader' && w.now - s.wonAt >= leaseMs && w.now < group.holdsUntil(s, w.now);
+  const acts = s.phase === 'leader' && w.now - s.wonAt >= leaseMs && w.now < consensus.holdsUntil(s, w.now);
   if (!acts) return;
   const was = w.lastAct;
   if (was && was.who !== s.me) {
@@ -308,7 +312,7 @@
   else {
     const rest = n.disk!.pending.splice(0);
     const some = how === 'kill' ? rest.length : luck.below(w.l, rest.length + 1);
-    for (const b of rest.slice(0, some)) keep(n.disk!, b.records, b.view);
+    for (const b of rest.slice(0, some)) keep(n.disk!, b.records, b.snapshot);
   }
   at(w, ms, function back() {
     boot(w, n);
@@ -340,20 +344,20 @@
 function compact(w: World, n: Node): void {
   const s = n.machine!;
   if (!n.up || s.committed <= s.base.index || w.now < n.frozenUntil) return;
-  const view: View = {
+  const snapshot: Snapshot = {
     index: s.committed,
     term: log.termAt(s, s.committed)!,
-    members: group.membersAt(s, s.committed),
+    members: consensus.membersAt(s, s.committed),
     state: [...n.state],
   };
-  step(w, n, { e: 'compact', view });
+  step(w, n, { e: 'compact', snapshot });
   const tail = s.entries.map(function one(entry): Record_ {
     return { r: 'entry', entry: structuredClone(entry) };
   });
   n.disk!.pending.push({
     token: 0,
-    records: [head(s.me, view.index, s.term, s.vote, false), ...tail],
-    view: structuredClone(view),
+    records: [head(s.me, snapshot.index, s.term, s.vote, false), ...tail],
+    snapshot: structuredClone(snapshot),
   });
   sync(w, n);
 }
--- a/test/state.test.ts
+++ b/test/state.test.ts
@@ -25,10 +25,10 @@
 import { holdings } from '../src/state/index/holdings.js';
 import { recovery } from '../src/state/log/recover.js';
 import { store, type Store } from '../src/state/log/store.js';
-import type { Entry, View } from '../src/coordination/group/types.js';
+import type { Entry, Snapshot } from '../src/coordination/consensus/types.js';
 import type { Configuration, OperatorCall } from '../src/types.js';
 
-const view0: View = {
+const snapshot0: Snapshot = {
   index: 0,
   term: 0,
   members: [{ id: 'a#first', addr: 'a', control: 'a' }],
@@ -49,9 +49,9 @@
 
 async function filled(dir: string, n: number): Promise<void> {
   const s = store.create(dir, 'a#first', 1, 0, 0, null);
-  store.keepView(
+  store.keepSnapshot(
     s,
-    view0,
+    snapshot0,
     function tail() {
       return { term: 0, vote: null, entries: [] };
     },
@@ -123,7 +123,7 @@
     })!;
     truncateSync(join(dir, middle.name), 60);
     assert.equal(recovery.recover(dir).k, 'lost');
-    const bare = recovery.replay(view0, [
+    const bare = recovery.replay(snapshot0, [
       { name: 's', values: [{ r: 'head', me: 'a#first', after: 3, term: 2, vote: null, reset: false }] },
     ]);
     assert.equal(bare.ok, false, 'a head alone says so too');
@@ -132,14 +132,14 @@
   });
 });
 
-test('a view takes the place of the segments before it and keeps what came since', function run() {
+test('a snapshot takes the place of the segments before it and keeps what came since', function run() {
   return inFolder(async function body(dir) {
     await filled(dir, 10);
     const s = store.create(dir, 'a#first', 50, 10, 2, 'a#first');
-    const view: View = { ...view0, index: 8, term: 2 };
-    store.keepView(
+    const snapshot: Snapshot = { ...snapshot0, index: 8, term: 2 };
+    store.keepSnapshot(
       s,
-      view,
+      snapshot,
       function tail() {
         return { term: 2, vote: 'a#first', entries: [entry(9, 2), entry(10, 2)] };
       },
@@ -150,7 +150,7 @@
     await store.close(s);
     const r = recovery.recover(dir);
     assert.ok(r.k === 'whole');
-    assert.equal(r.found.view.index, 8);
+    assert.equal(r.found.snapshot.index, 8);
     assert.deepEqual(
       r.found.entries.map(function at(e) {
         return e.index;
@@ -162,7 +162,7 @@
 });
 
 test('an entry of a later term trims what stood there', function run() {
-  const r = recovery.replay(view0, [
+  const r = recovery.replay(snapshot0, [
     {
       name: 's',
       values: [
