A simulated disk with names and contents, and a virtual clock, for the tests of storage

The simulated world knew no names on disk, so a file lost without a folder sync could not be brought about. Unsynced writes are kept, missing or torn, names kept or lost one by one, failed syncs lose what they covered.

--- /dev/null
+++ b/test/sim/disk.ts
@@ -0,0 +1,365 @@
+/**
+ * A simulated disk of one machine on virtual time: one flat folder whose names and contents have a
+ * volatile state (what a process sees) and a kept state (what outlives a loss of power). Contents become
+ * kept by a sync of the file, names by a sync of the folder, each by itself. Every promise resolves
+ * through the given clock and no operation of an ended process takes effect or answers afterwards.
+ */
+import type { AppendFile, Clock, FileError, Folder, Random } from '../../src/runtime.js';
+import type { Outcome } from '../../src/types.js';
+
+/** Latencies in milliseconds; each operation takes between half of its figure and one and a half times it. */
+export type DiskOptions = { operationMs: number; syncMs: number };
+
+/** One append. `doomed`: a sync that covered it failed, so that no later sync keeps it. */
+type Chunk = { bytes: Uint8Array; state: 'pending' | 'doomed' | 'kept' };
+type Inode = { chunks: Chunk[] };
+
+/** A change of one name: what it stands for afterwards, `null` if nothing. */
+type NameChange = { name: string; inode: Inode | null; state: 'pending' | 'doomed' };
+
+/** An operation under way. `effect` is applied when it ends, or perhaps when its process is killed. */
+type Operation = { effect: (share: number) => void };
+
+export type Disk = {
+  clock: Clock;
+  random: Random;
+  options: DiskOptions;
+  /** Counts the lives of the process; a folder of an earlier life is dead. */
+  life: number;
+  names: Map<string, Inode>;
+  keptNames: Map<string, Inode>;
+  nameChanges: NameChange[];
+  underWay: Set<Operation>;
+  isFull: boolean;
+  slowness: number;
+  hangsUntil: number;
+  failingSyncs: number;
+};
+
+const sectorBytes = 512;
+const defaults: DiskOptions = { operationMs: 0.1, syncMs: 2 };
+
+function create(clock: Clock, random: Random, options: Partial<DiskOptions> = {}): Disk {
+  return {
+    clock,
+    random,
+    options: { ...defaults, ...options },
+    life: 0,
+    names: new Map(),
+    keptNames: new Map(),
+    nameChanges: [],
+    underWay: new Set(),
+    isFull: false,
+    slowness: 1,
+    hangsUntil: 0,
+    failingSyncs: 0,
+  };
+}
+
+function failed<T>(code: string, what: string): Outcome<T, FileError> {
+  return { ok: false, error: { code, message: `${code}: ${what}` } };
+}
+
+const done: Outcome<void, FileError> = { ok: true, value: undefined };
+
+function delay(disk: Disk, baseMs: number): number {
+  const own = baseMs * (0.5 + disk.random()) * disk.slowness;
+  return Math.max(disk.hangsUntil - disk.clock.now(), 0) + own;
+}
+
+/**
+ * Starts an operation that takes effect by `finish` when its time is over. `partial` is what a kill in
+ * between may leave of it: it gets a share in (0, 1].
+ */
+function operate<T>(disk: Disk, life: number, baseMs: number, finish: () => T, partial?: (share: number) => void) {
+  return new Promise<T>(function start(resolve) {
+    if (life !== disk.life) return;
+    const operation: Operation = { effect: partial ?? nothing };
+    disk.underWay.add(operation);
+    function end(): void {
+      if (life !== disk.life) return;
+      const late = disk.hangsUntil - disk.clock.now();
+      if (late > 0) {
+        disk.clock.after(late, end);
+        return;
+      }
+      disk.underWay.delete(operation);
+      resolve(finish());
+    }
+    disk.clock.after(delay(disk, baseMs), end);
+  });
+}
+
+function nothing(): void {
+  /* leaves no trace */
+}
+
+function setName(disk: Disk, name: string, inode: Inode | null): void {
+  if (inode === null) disk.names.delete(name);
+  else disk.names.set(name, inode);
+  disk.nameChanges.push({ name, inode, state: 'pending' });
+}
+
+function contentOf(inode: Inode): Uint8Array {
+  return Buffer.concat(
+    inode.chunks.map(function bytes(chunk) {
+      return chunk.bytes;
+    }),
+  );
+}
+
+function syncFails(disk: Disk): boolean {
+  if (disk.failingSyncs === 0) return false;
+  disk.failingSyncs--;
+  return true;
+}
+
+function syncInode(disk: Disk, inode: Inode): Outcome<void, FileError> {
+  const covered = inode.chunks.filter(function isPending(chunk) {
+    return chunk.state === 'pending';
+  });
+  if (!syncFails(disk)) {
+    for (const chunk of covered) chunk.state = 'kept';
+    return done;
+  }
+  const isStillRead = disk.random() < 0.5;
+  for (const chunk of covered) {
+    chunk.state = 'doomed';
+    if (!isStillRead) chunk.bytes = new Uint8Array(chunk.bytes.length);
+  }
+  return failed('EIO', 'sync of a file');
+}
+
+function keepName(disk: Disk, change: NameChange): void {
+  if (change.inode === null) disk.keptNames.delete(change.name);
+  else disk.keptNames.set(change.name, change.inode);
+}
+
+function syncNames(disk: Disk): Outcome<void, FileError> {
+  if (syncFails(disk)) {
+    for (const change of disk.nameChanges) change.state = 'doomed';
+    return failed('EIO', 'sync of the folder');
+  }
+  const lost: NameChange[] = [];
+  for (const change of disk.nameChanges) {
+    if (change.state === 'pending') keepName(disk, change);
+    else lost.push(change);
+  }
+  disk.nameChanges = lost;
+  return done;
+}
+
+function appendTo(disk: Disk, inode: Inode, bytes: Uint8Array): Outcome<void, FileError> {
+  if (!disk.isFull) {
+    inode.chunks.push({ bytes, state: 'pending' });
+    return done;
+  }
+  const written = Math.floor(disk.random() * 2 * bytes.length) - bytes.length;
+  if (written > 0) inode.chunks.push({ bytes: bytes.subarray(0, written), state: 'pending' });
+  return failed('ENOSPC', 'append');
+}
+
+function appendFile(disk: Disk, life: number, inode: Inode): AppendFile {
+  const { operationMs, syncMs } = disk.options;
+  return {
+    append(bytes) {
+      const copy = Uint8Array.from(bytes);
+      return operate(
+        disk,
+        life,
+        operationMs,
+        function end() {
+          return appendTo(disk, inode, copy);
+        },
+        function cut(share) {
+          appendTo(disk, inode, copy.subarray(0, Math.ceil(copy.length * share)));
+        },
+      );
+    },
+    sync() {
+      return operate(disk, life, syncMs, function end() {
+        return syncInode(disk, inode);
+      });
+    },
+    close() {
+      return operate(disk, life, operationMs, nothing);
+    },
+  };
+}
+
+function createFile(disk: Disk, name: string): Outcome<Inode, FileError> {
+  if (disk.isFull) return failed('ENOSPC', `create ${name}`);
+  const inode: Inode = { chunks: [] };
+  setName(disk, name, inode);
+  return { ok: true, value: inode };
+}
+
+/** The two names of a rename are kept or lost each by itself, as the pages have it. */
+function renameFile(disk: Disk, from: string, to: string): Outcome<void, FileError> {
+  const inode = disk.names.get(from);
+  if (inode === undefined) return failed('ENOENT', `rename ${from}`);
+  if (disk.isFull) return failed('ENOSPC', `rename ${from}`);
+  setName(disk, to, inode);
+  setName(disk, from, null);
+  return done;
+}
+
+function removeFile(disk: Disk, name: string): Outcome<void, FileError> {
+  if (!disk.names.has(name)) return failed('ENOENT', `remove ${name}`);
+  setName(disk, name, null);
+  return done;
+}
+
+/** The folder as the process of the current life has it; it is dead after a kill or a loss of power. */
+function folder(disk: Disk): Folder {
+  const life = disk.life;
+  const { operationMs, syncMs } = disk.options;
+  function change<T>(finish: () => Outcome<T, FileError>): Promise<Outcome<T, FileError>> {
+    return operate(disk, life, operationMs, finish, finish);
+  }
+  return {
+    list() {
+      return operate(disk, life, operationMs, function end(): Outcome<string[], FileError> {
+        return { ok: true, value: [...disk.names.keys()] };
+      });
+    },
+    read(name) {
+      return operate(disk, life, operationMs, function end(): Outcome<Uint8Array, FileError> {
+        const inode = disk.names.get(name);
+        return inode ? { ok: true, value: contentOf(inode) } : failed('ENOENT', `read ${name}`);
+      });
+    },
+    create(name) {
+      return change(function end(): Outcome<AppendFile, FileError> {
+        const made = createFile(disk, name);
+        return made.ok ? { ok: true, value: appendFile(disk, life, made.value) } : made;
+      });
+    },
+    rename(from, to) {
+      return change(function end() {
+        return renameFile(disk, from, to);
+      });
+    },
+    remove(name) {
+      return change(function end() {
+        return removeFile(disk, name);
+      });
+    },
+    syncFolder() {
+      return operate(disk, life, syncMs, function end() {
+        return syncNames(disk);
+      });
+    },
+  };
+}
+
+/** The process ends. What it wrote stays readable; an operation under way is done, half done or not begun. */
+function kill(disk: Disk): void {
+  disk.life++;
+  for (const operation of disk.underWay) if (disk.random() < 0.5) operation.effect(1 - disk.random());
+  disk.underWay.clear();
+}
+
+function zeroSectors(disk: Disk, bytes: Uint8Array): Uint8Array {
+  const torn = Uint8Array.from(bytes);
+  for (let at = 0; at < torn.length; at += sectorBytes)
+    if (disk.random() < 0.5) torn.fill(0, at, Math.min(at + sectorBytes, torn.length));
+  return torn;
+}
+
+/** What a loss of power leaves of an unsynced append: all, nothing (a hole), a prefix or some sectors. */
+function drawChunk(disk: Disk, chunk: Chunk): Uint8Array | null {
+  const draw = disk.random();
+  if (chunk.state === 'doomed') return draw < 0.5 ? null : new Uint8Array(chunk.bytes.length);
+  if (draw < 0.3) return chunk.bytes;
+  if (draw < 0.55) return null;
+  if (draw < 0.7) return zeroSectors(disk, chunk.bytes);
+  const torn = new Uint8Array(chunk.bytes.length);
+  torn.set(chunk.bytes.subarray(0, Math.floor(disk.random() * chunk.bytes.length)));
+  return torn;
+}
+
+function settleInode(disk: Disk, inode: Inode): void {
+  const settled: Uint8Array[] = [];
+  let end = 0;
+  for (const chunk of inode.chunks) {
+    const left = chunk.state === 'kept' ? chunk.bytes : drawChunk(disk, chunk);
+    settled.push(left ?? new Uint8Array(chunk.bytes.length));
+    if (left !== null) end = settled.length;
+  }
+  inode.chunks = settled.slice(0, end).map(function keep(bytes): Chunk {
+    return { bytes, state: 'kept' };
+  });
+}
+
+/** The machine loses power: what was not synced is drawn, each write and each name by itself. */
+function powerLoss(disk: Disk): void {
+  kill(disk);
+  for (const change of disk.nameChanges) if (change.state === 'pending' && disk.random() < 0.5) keepName(disk, change);
+  disk.nameChanges = [];
+  disk.names = new Map(disk.keptNames);
+  for (const inode of new Set(disk.names.values())) settleInode(disk, inode);
+}
+
+/** The machine comes back with an empty disk. */
+function wipe(disk: Disk): void {
+  kill(disk);
+  disk.names.clear();
+  disk.keptNames.clear();
+  disk.nameChanges = [];
+}
+
+/** A full disk refuses every write, creation and rename; it still removes and syncs. */
+function setFull(disk: Disk, isFull: boolean): void {
+  disk.isFull = isFull;
+}
+
+/** Every operation begun from now on takes `factor` times as long. */
+function setSlow(disk: Disk, factor: number): void {
+  disk.slowness = factor;
+}
+
+/** No operation ends before the given time of the clock. */
+function hangUntil(disk: Disk, atMs: number): void {
+  disk.hangsUntil = Math.max(disk.hangsUntil, atMs);
+}
+
+/** The next `count` syncs, of files or the folder, fail with EIO and lose what they covered. */
+function failNextSync(disk: Disk, count = 1): void {
+  disk.failingSyncs += count;
+}
+
+/** The names that a process would see now. */
+function list(disk: Disk): string[] {
+  return [...disk.names.keys()];
+}
+
+/** The content of a file that a process would see now, or `null`. */
+function content(disk: Disk, name: string): Uint8Array | null {
+  const inode = disk.names.get(name);
+  return inode ? contentOf(inode) : null;
+}
+
+/** Breaks the disk's promise: a file holds other bytes than were kept, or with `null` is gone. */
+function damage(disk: Disk, name: string, bytes: Uint8Array | null): void {
+  const inode: Inode | null = bytes && { chunks: [{ bytes: Uint8Array.from(bytes), state: 'kept' }] };
+  for (const names of [disk.names, disk.keptNames]) {
+    if (inode) names.set(name, inode);
+    else names.delete(name);
+  }
+}
+
+export const disk = {
+  create,
+  folder,
+  kill,
+  powerLoss,
+  wipe,
+  setFull,
+  setSlow,
+  hangUntil,
+  failNextSync,
+  list,
+  content,
+  damage,
+};
