The log on disk on a file interface, names synced before they count

A last segment or a first identity could vanish whole with its unsynced name, and old segments went before the new one's name was kept.

--- /dev/null
+++ b/src/state/log/codec.ts
@@ -0,0 +1,133 @@
+/**
+ * The shapes of what is kept on disk or sent between members as bytes, checked when read. Bodies are
+ * MessagePack; nothing here throws on bad input.
+ */
+import { crc32 } from 'node:zlib';
+import { Packr } from 'msgpackr';
+import {
+  array,
+  enums,
+  is,
+  literal,
+  nullable,
+  number,
+  refine,
+  string,
+  type,
+  union,
+  unknown,
+  type Describe,
+} from 'superstruct';
+import type { Outcome } from '../../types.js';
+import type { Entry, LogRecord, Membership, Snapshot, VotingPromise } from './types.js';
+
+const packr = new Packr({ useRecords: false });
+
+const count = refine(number(), 'count', function isCount(value) {
+  return Number.isSafeInteger(value) && value >= 0;
+});
+const member = type({ id: string(), addr: string(), control: string() });
+const membership: Describe<Membership> = type({ voters: array(member), next: nullable(array(member)) });
+const promise: Describe<VotingPromise> = type({
+  term: count,
+  votedFor: nullable(string()),
+  leader: nullable(type({ id: string(), term: count })),
+});
+const entryData = union([
+  type({ kind: literal('noop') }),
+  type({ kind: literal('membership'), membership }),
+  type({ kind: literal('command'), command: unknown() }),
+]);
+const entry = type({ index: count, term: count, data: entryData });
+const snapshot = type({ index: count, term: count, membership, state: unknown() });
+const record = union([
+  type({ kind: literal('promise'), promise }),
+  type({ kind: literal('entry'), entry }),
+  type({ kind: literal('committed'), index: count }),
+]);
+
+/**
+ * The first record of a segment. `root`: it follows the snapshot in the file of number `snapshot`, and
+ * nothing older counts. `next`: it follows segment `previous`, of which the first `previousBytes` count.
+ */
+export type SegmentHead =
+  | {
+      kind: 'root';
+      memberId: string;
+      snapshot: number;
+      promise: VotingPromise;
+      entries: Entry[];
+      committed: number;
+    }
+  | { kind: 'next'; memberId: string; previous: number; previousBytes: number };
+
+/** What one frame of a segment holds: what was flushed together. Only the first frame has a `head`. */
+export type Batch = { head: SegmentHead | null; records: LogRecord[] };
+
+const segmentHead = union([
+  type({
+    kind: literal('root'),
+    memberId: string(),
+    snapshot: count,
+    promise,
+    entries: array(entry),
+    committed: count,
+  }),
+  type({ kind: literal('next'), memberId: string(), previous: count, previousBytes: count }),
+]);
+const batch = type({ head: nullable(segmentHead), records: array(record) });
+const snapshotFile = type({ kind: enums(['snapshot']), snapshot });
+
+function unpack(bytes: Uint8Array): Outcome<unknown, string> {
+  try {
+    return { ok: true, value: packr.unpack(bytes) as unknown };
+  } catch (error) {
+    return { ok: false, error: error instanceof Error ? error.message : 'not readable' };
+  }
+}
+
+function decodeAs<T>(bytes: Uint8Array, isShape: (value: unknown) => value is T, name: string): Outcome<T, string> {
+  const value = unpack(bytes);
+  if (!value.ok) return value;
+  return isShape(value.value) ? { ok: true, value: value.value } : { ok: false, error: `not a ${name}` };
+}
+
+function isBatch(value: unknown): value is Batch {
+  return is(value, batch);
+}
+
+function isSnapshotFile(value: unknown): value is { kind: 'snapshot'; snapshot: Snapshot } {
+  return is(value, snapshotFile) && 'state' in value.snapshot;
+}
+
+function encodeBatch(value: Batch): Buffer {
+  return packr.pack(value);
+}
+
+function decodeBatch(bytes: Uint8Array): Outcome<Batch, string> {
+  return decodeAs(bytes, isBatch, 'batch');
+}
+
+const checksumBytes = 4;
+
+/** A snapshot as bytes: its checksum (CRC-32, little-endian), then its body. */
+function encodeSnapshot(value: Snapshot): Uint8Array {
+  const body = packr.pack({ kind: 'snapshot', snapshot: value });
+  const out = Buffer.allocUnsafe(checksumBytes + body.length);
+  out.writeUInt32LE(crc32(body), 0);
+  body.copy(out, checksumBytes);
+  return out;
+}
+
+/** Reads a snapshot back; the error says what is wrong with the bytes. */
+function decodeSnapshot(bytes: Uint8Array): Outcome<Snapshot, string> {
+  if (bytes.length <= checksumBytes) return { ok: false, error: 'too short for a snapshot' };
+  const whole = Buffer.from(bytes.buffer, bytes.byteOffset, bytes.length);
+  const body = whole.subarray(checksumBytes);
+  if (crc32(body) !== whole.readUInt32LE(0)) return { ok: false, error: 'checksum of the snapshot is wrong' };
+  const file = decodeAs(body, isSnapshotFile, 'snapshot');
+  return file.ok ? { ok: true, value: file.value.snapshot } : file;
+}
+
+export const batchCodec = { encode: encodeBatch, decode: decodeBatch };
+export const snapshotCodec = { encode: encodeSnapshot, decode: decodeSnapshot };
--- /dev/null
+++ b/src/state/log/recovery.ts
@@ -0,0 +1,179 @@
+/**
+ * Reads a member's folder. The newest segment with a good first frame is the end of the log; its head
+ * leads back, segment by segment, to one that begins at a snapshot (the root). All else is superseded or
+ * was never finished. A segment that begins badly was never kept, unless a good frame stands behind or
+ * its marker is there. Nothing is changed on the disk, and nothing throws on bad content.
+ */
+import type { FileError, Folder } from '../../runtime.js';
+import type { MemberId, Outcome } from '../../types.js';
+import { snapshotCodec, type Batch, type SegmentHead } from './codec.js';
+import { replay } from './replay.js';
+import { segment, type Frame, type SegmentContent } from './segment.js';
+import type { Recovery, Snapshot } from './types.js';
+
+/**
+ * Where the log goes on. `first` is what the next segment must begin with: the last frame that was read
+ * may never have been synced, so it is written again, and the log goes on from what stands before it.
+ */
+export type Position = {
+  /** The segments that the log consists of, without one whose first frame is written again. */
+  segments: number[];
+  snapshot: number;
+  first: { head: SegmentHead; records: Batch['records'] };
+  /** Bytes of the frames that count. */
+  bytes: number;
+};
+
+/** `position` is given after `recovered`; `lastNumber` is the highest number among the log's files. */
+export type Reading = { recovery: Recovery; position: Position | null; lastNumber: number };
+
+type Segment = { name: string; number: number; content: SegmentContent };
+type Chain = { root: Extract<SegmentHead, { kind: 'root' }>; parts: { number: number; frames: Frame[] }[] };
+
+/** Ends a reading early: the disk refused, or the log is lost or was never begun. */
+type Stop = { kind: 'error'; error: FileError } | { kind: 'lost'; reason: string } | { kind: 'empty' };
+type Step<T> = Promise<Outcome<T, Stop>>;
+
+function lost<T>(reason: string): Outcome<T, Stop> {
+  return { ok: false, error: { kind: 'lost', reason } };
+}
+
+function stopped<T>(error: FileError): Outcome<T, Stop> {
+  return { ok: false, error: { kind: 'error', error } };
+}
+
+async function readSegment(folder: Folder, number: number): Step<Segment> {
+  const name = segment.fileName('segment', number);
+  const bytes = await folder.read(name);
+  if (!bytes.ok) return stopped(bytes.error);
+  return { ok: true, value: { name, number, content: segment.read(number, bytes.value) } };
+}
+
+/** Finds the newest segment that begins well; `torn` collects those that were never finished. */
+async function findLast(folder: Folder, names: string[], torn: string[]): Step<Segment> {
+  const lastMarker = segment.filesAmong(names, 'synced').at(-1)?.number ?? 0;
+  for (const file of segment.filesAmong(names, 'segment').reverse()) {
+    if (file.number < lastMarker) break;
+    const read = await readSegment(folder, file.number);
+    if (!read.ok) return read;
+    if (read.value.content.frames.length > 0) return read;
+    if (read.value.content.isDamaged || file.number === lastMarker) return lost(`${file.name} is damaged`);
+    torn.push(file.name);
+  }
+  if (lastMarker > 0) return lost(`${segment.fileName('segment', lastMarker)} is gone`);
+  return { ok: false, error: { kind: 'empty' } };
+}
+
+function headOf(frames: Frame[]): SegmentHead | null {
+  return frames[0]?.batch.head ?? null;
+}
+
+/** The frames of a segment up to a byte at which one must end. */
+function framesUpTo(frames: Frame[], bytes: number): Frame[] | null {
+  const count = frames.findIndex(function endsThere(frame) {
+    return frame.end === bytes;
+  });
+  return count === -1 ? null : frames.slice(0, count + 1);
+}
+
+async function readPrevious(
+  folder: Folder,
+  names: Set<string>,
+  after: number,
+  head: Extract<SegmentHead, { kind: 'next' }>,
+): Step<{ number: number; frames: Frame[] }> {
+  const name = segment.fileName('segment', head.previous);
+  if (head.previous >= after) return lost(`segment ${after} is said to follow ${name}`);
+  if (!names.has(name)) return lost(`${name} is gone`);
+  const read = await readSegment(folder, head.previous);
+  if (!read.ok) return read;
+  const frames = framesUpTo(read.value.content.frames, head.previousBytes);
+  if (frames === null) return lost(`${name} is damaged in its first ${head.previousBytes} bytes`);
+  if (headOf(frames)?.memberId !== head.memberId) return lost(`${name} is another member's`);
+  return { ok: true, value: { number: head.previous, frames } };
+}
+
+async function readChain(folder: Folder, names: Set<string>, last: Segment): Step<Chain> {
+  if (last.content.isDamaged) return lost(`${last.name} is damaged behind byte ${last.content.goodBytes}`);
+  const parts = [{ number: last.number, frames: last.content.frames }];
+  for (;;) {
+    const first = parts[0]!;
+    const head = headOf(first.frames);
+    if (head === null) return lost(`segment ${first.number} has no head`);
+    if (head.kind === 'root') return { ok: true, value: { root: head, parts } };
+    const previous = await readPrevious(folder, names, first.number, head);
+    if (!previous.ok) return previous;
+    parts.unshift(previous.value);
+  }
+}
+
+async function readSnapshot(folder: Folder, names: Set<string>, number: number): Step<Snapshot> {
+  const name = segment.fileName('snapshot', number);
+  if (!names.has(name)) return lost(`${name} is gone`);
+  const bytes = await folder.read(name);
+  if (!bytes.ok) return stopped(bytes.error);
+  const snapshot = snapshotCodec.decode(bytes.value);
+  return snapshot.ok ? snapshot : lost(`${name}: ${snapshot.error}`);
+}
+
+function positionOf(chain: Chain): Position {
+  const numbers = chain.parts.map(function number(part) {
+    return part.number;
+  });
+  const last = chain.parts.at(-1)!;
+  const lastFrame = last.frames.at(-1)!;
+  const head = headOf(last.frames)!;
+  const bytes = chain.parts.reduce(function add(sum, part) {
+    return sum + part.frames.at(-1)!.end;
+  }, 0);
+  const common = { snapshot: chain.root.snapshot, bytes };
+  const records = lastFrame.batch.records;
+  if (last.frames.length === 1) return { ...common, segments: numbers.slice(0, -1), first: { head, records } };
+  const next: SegmentHead = {
+    kind: 'next',
+    memberId: head.memberId,
+    previous: last.number,
+    previousBytes: lastFrame.start,
+  };
+  return { ...common, segments: numbers, first: { head: next, records } };
+}
+
+type Found = { recovery: Recovery; position: Position };
+
+async function readLog(folder: Folder, names: string[]): Step<Found> {
+  const torn: string[] = [];
+  const last = await findLast(folder, names, torn);
+  if (!last.ok) return last;
+  const nameSet = new Set(names);
+  const chain = await readChain(folder, nameSet, last.value);
+  if (!chain.ok) return chain;
+  const snapshot = await readSnapshot(folder, nameSet, chain.value.root.snapshot);
+  if (!snapshot.ok) return snapshot;
+  const batches = chain.value.parts.flatMap(function ofPart(part) {
+    return part.frames.map(function batch(frame) {
+      return frame.batch;
+    });
+  });
+  const replayed = replay.run(snapshot.value, batches);
+  if (!replayed.ok) return lost(replayed.error);
+  if (last.value.content.goodBytes < last.value.content.totalBytes) torn.push(last.value.name);
+  const memberId: MemberId = chain.value.root.memberId;
+  const recovered = { memberId, snapshot: snapshot.value, ...replayed.value };
+  return {
+    ok: true,
+    value: { recovery: { kind: 'recovered', recovered, torn }, position: positionOf(chain.value) },
+  };
+}
+
+/** Reads the folder; an error only if the disk refused to be read. */
+async function read(folder: Folder): Promise<Outcome<Reading, FileError>> {
+  const names = await folder.list();
+  if (!names.ok) return names;
+  const lastNumber = segment.highestNumber(names.value);
+  const log = await readLog(folder, names.value);
+  if (log.ok) return { ok: true, value: { ...log.value, lastNumber } };
+  if (log.error.kind === 'error') return { ok: false, error: log.error.error };
+  return { ok: true, value: { recovery: log.error, position: null, lastNumber } };
+}
+
+export const logRecovery = { read };
--- /dev/null
+++ b/src/transport/files.ts
@@ -0,0 +1,98 @@
+/** The folder of `runtime.ts` on the real file system. Errors are returned, never thrown. */
+import { mkdir, open, readdir, readFile, rename, unlink, type FileHandle } from 'node:fs/promises';
+import { dirname, join } from 'node:path';
+import type { AppendFile, FileError, Folder } from '../runtime.js';
+import type { Outcome } from '../types.js';
+
+function errorOf(thrown: unknown): FileError {
+  const error = thrown instanceof Error ? thrown : new Error(String(thrown));
+  const code = (error as NodeJS.ErrnoException).code;
+  return { code: code ?? 'EIO', message: error.message };
+}
+
+async function attempt<T>(run: () => Promise<T>): Promise<Outcome<T, FileError>> {
+  try {
+    return { ok: true, value: await run() };
+  } catch (thrown) {
+    return { ok: false, error: errorOf(thrown) };
+  }
+}
+
+function appendFile(handle: FileHandle): AppendFile {
+  return {
+    append(bytes) {
+      return attempt(function run() {
+        return handle.appendFile(bytes);
+      });
+    },
+    sync() {
+      return attempt(function run() {
+        return handle.datasync();
+      });
+    },
+    async close() {
+      await attempt(function run() {
+        return handle.close();
+      });
+    },
+  };
+}
+
+async function syncPath(path: string): Promise<void> {
+  const handle = await open(path, 'r');
+  try {
+    await handle.sync();
+  } finally {
+    await handle.close();
+  }
+}
+
+/** The folder at a path; nothing is touched before the first call. */
+function folder(path: string): Folder {
+  return {
+    list() {
+      return attempt(function run() {
+        return readdir(path);
+      });
+    },
+    read(name) {
+      return attempt(function run() {
+        return readFile(join(path, name));
+      });
+    },
+    create(name) {
+      return attempt(async function run() {
+        return appendFile(await open(join(path, name), 'w'));
+      });
+    },
+    rename(from, to) {
+      return attempt(function run() {
+        return rename(join(path, from), join(path, to));
+      });
+    },
+    remove(name) {
+      return attempt(function run() {
+        return unlink(join(path, name));
+      });
+    },
+    syncFolder() {
+      return attempt(function run() {
+        return syncPath(path);
+      });
+    },
+  };
+}
+
+/** Makes the folder where it is not there yet, with its own name kept, and opens it. */
+function prepare(path: string): Promise<Outcome<Folder, FileError>> {
+  return attempt(async function run() {
+    const firstMade = await mkdir(path, { recursive: true });
+    for (let made = path; firstMade !== undefined; made = dirname(made)) {
+      await syncPath(dirname(made));
+      if (made === firstMade || made === dirname(made)) break;
+    }
+    return folder(path);
+  });
+}
+
+export const files = { folder, prepare };
