--- a/src/state/log/segment.ts
+++ b/src/state/log/segment.ts
@@ -123,6 +123,11 @@
   return false;
 }
 
+/** Whether bytes begin as a segment does. */
+function hasMagic(bytes: Uint8Array): boolean {
+  return magic.equals(bytes.subarray(0, magic.length));
+}
+
 /** Reads the segment of the given number. */
 function read(number: number, bytes: Uint8Array): SegmentContent {
   const file = Buffer.from(bytes.buffer, bytes.byteOffset, bytes.length);
@@ -136,4 +141,4 @@
   return { frames, goodBytes: at, totalBytes: file.length, isDamaged };
 }
 
-export const segment = { fileName, temporaryName, highestNumber, superseded, filesAmong, encodeFrame, read };
+export const segment = { fileName, temporaryName, highestNumber, superseded, filesAmong, encodeFrame, hasMagic, read };
--- a/src/state/log/storage.ts
+++ b/src/state/log/storage.ts
@@ -405,6 +405,8 @@
 }
 
 async function sweepAll(storage: Storage): Promise<void> {
+  // Never ends in the turn in which it began, so that `sweeping` is set before it is cleared.
+  await Promise.resolve();
   while (storage.isSweepWanted && storage.phase === 'running') {
     storage.isSweepWanted = false;
     // Until what was read at the start is kept again, nothing that it may need goes.
--- a/src/tools/inspect.ts
+++ b/src/tools/inspect.ts
@@ -1,128 +1,211 @@
-// `milletcleat log inspect`: reads a coordinator's folder, offline and without changing it, and says
-// what is whole, torn or missing, and what the log holds.
-import { existsSync, readdirSync, readFileSync, statSync } from 'node:fs';
-import { join } from 'node:path';
-import type { Record_, Snapshot } from '../coordination/consensus/types.js';
-import { recovery, type SegmentHead } from '../state/log/recover.js';
-import { records } from '../state/log/records.js';
+/**
+ * `milletcleat log inspect`: reads a coordinator's folder, offline and without changing it, and says
+ * what is whole, torn or missing, and what the log holds.
+ */
+import { existsSync, statSync } from 'node:fs';
+import type { FileError, Folder } from '../runtime.js';
 import type { Command, ControlState } from '../state/control/reducer.js';
+import { snapshotCodec, type SegmentHead } from '../state/log/codec.js';
+import { logRecovery } from '../state/log/recovery.js';
+import { segment, type NumberedFile, type SegmentContent } from '../state/log/segment.js';
+import type { Entry, Recovered, Recovery } from '../state/log/types.js';
+import { files } from '../transport/files.js';
+import type { Outcome } from '../types.js';
+import { earlierInspect } from './inspect-earlier.js';
 import { toolEnd, type ToolEnd, type ToolFlags } from './types.js';
 
 const note = 'the fate of what stands behind that is known to the group, not to one disk';
 
+/** One file of the folder. `good`: bytes from its start that can be read; `entries`: their span or '-'. */
 type FileLine = { file: string; bytes: number; good: number; records: number; entries: string; heads: string };
 
-function span(values: (Record_ | SegmentHead)[]): string {
-  const at = values.flatMap(function index(v) {
-    return v.r === 'entry' ? [v.entry.index] : [];
+type FileContent = { file: NumberedFile; bytes: Uint8Array };
+
+function entriesOf(content: SegmentContent): Entry[] {
+  return content.frames.flatMap(function ofFrame({ batch }) {
+    const inHead = batch.head?.kind === 'root' ? batch.head.entries : [];
+    const inRecords = batch.records.flatMap(function ofRecord(record) {
+      return record.kind === 'entry' ? [record.entry] : [];
+    });
+    return [...inHead, ...inRecords];
   });
-  return at.length === 0 ? '-' : `${Math.min(...at)}..${Math.max(...at)}`;
 }
 
-function segment(dir: string, name: string): FileLine {
-  const raw = readFileSync(join(dir, name));
-  const { values, good } = records.readAll(raw);
-  const list = values as (Record_ | SegmentHead)[];
-  const head = list.find(function first(v): v is SegmentHead {
-    return v.r === 'head';
+function spanText(entries: Entry[]): string {
+  if (entries.length === 0) return '-';
+  const indexes = entries.map(function index(entry) {
+    return entry.index;
   });
+  return `${indexes.reduce(lower)}..${indexes.reduce(higher)}`;
+}
+
+function lower(a: number, b: number): number {
+  return Math.min(a, b);
+}
+
+function higher(a: number, b: number): number {
+  return Math.max(a, b);
+}
+
+function headText(head: SegmentHead | null | undefined): string {
+  if (head === null || head === undefined) return 'no head';
+  if (head.kind === 'root') return `${head.memberId}, after snapshot ${head.snapshot}, term ${head.promise.term}`;
+  return `${head.memberId}, after byte ${head.previousBytes} of segment ${head.previous}`;
+}
+
+function segmentLine({ file, bytes }: FileContent): FileLine {
+  const content = segment.read(file.number, bytes);
+  const records = content.frames.reduce(function add(sum, { batch }) {
+    return sum + batch.records.length + (batch.head === null ? 0 : 1);
+  }, 0);
   return {
-    file: name,
-    bytes: raw.length,
-    good,
-    records: list.length,
-    entries: span(list),
-    heads: head ? `${head.me}, after ${head.after}, term ${head.term}` : 'no head',
+    file: file.name,
+    bytes: content.totalBytes,
+    good: content.goodBytes,
+    records,
+    entries: spanText(entriesOf(content)),
+    heads: headText(content.frames[0]?.batch.head),
   };
 }
 
-function snapshotLine(dir: string, name: string): FileLine {
-  const raw = readFileSync(join(dir, name));
-  const { values, good } = records.readAll(raw);
-  const v = values[0] as Snapshot | undefined;
+function snapshotLine({ file, bytes }: FileContent): FileLine {
+  const snapshot = snapshotCodec.decode(bytes);
+  const common = { file: file.name, bytes: bytes.length };
+  if (!snapshot.ok) return { ...common, good: 0, records: 0, entries: '-', heads: 'not whole' };
+  const { index, term, membership } = snapshot.value;
   return {
-    file: name,
-    bytes: raw.length,
-    good,
-    records: values.length,
-    entries: v ? `snapshot at ${v.index}` : '-',
-    heads: v ? `term ${v.term}, roster of ${v.members.length}` : 'not whole',
+    ...common,
+    good: bytes.length,
+    records: 1,
+    entries: `snapshot at ${index}`,
+    heads: `term ${term}, ${membership.voters.length} voters`,
   };
 }
 
-function commandText(c: Command): string {
-  switch (c.c) {
+function isCommand(value: unknown): value is Command {
+  return typeof value === 'object' && value !== null && 'c' in value;
+}
+
+function commandText(command: Command): string {
+  switch (command.c) {
     case 'configure':
-      return `configuration ${c.configuration.revision}`;
+      return `configuration ${command.configuration.revision}`;
     case 'weights':
-      return `weights ${c.model}=${c.revision}`;
+      return `weights ${command.model}=${command.revision}`;
     case 'activate':
-      return `access rules of ${c.revision} in effect`;
+      return `access rules of ${command.revision} in effect`;
   }
 }
 
-function run(args: string[], flags: ToolFlags): ToolEnd {
-  const [verb, dir, ...more] = args;
-  if (verb !== 'inspect' || dir === undefined || more.length > 0) return toolEnd.usage('log inspect takes one folder');
-  if (!existsSync(dir)) return toolEnd.error(`${dir}: there is no such folder`);
-  if (!statSync(dir).isDirectory()) return toolEnd.error(`${dir}: is not a folder`);
-  const names = readdirSync(dir);
-  const snapshots = recovery.numbered(names, 'snapshot').map(function one(f) {
-    return snapshotLine(dir, f.name);
-  });
-  const segments = recovery.numbered(names, 'segment').map(function one(f) {
-    return segment(dir, f.name);
-  });
-  const files = [...snapshots, ...segments];
-  if (files.length === 0) return toolEnd.error(`${dir}: holds no log: neither a snapshot nor a segment`);
-  const r = recovery.recover(dir);
+function entryText({ data }: Entry): string {
+  switch (data.kind) {
+    case 'command':
+      return isCommand(data.command) ? commandText(data.command) : 'a command of an unknown kind';
+    case 'membership':
+      return `membership of ${data.membership.voters.length} voters${data.membership.next ? ', changing' : ''}`;
+    case 'noop':
+      return 'beginning of a term';
+  }
+}
+
+function summaryOf(recovered: Recovered) {
+  const state = recovered.snapshot.state as ControlState | null | undefined;
+  return {
+    member: recovered.memberId,
+    term: recovered.promise.term,
+    vote: recovered.promise.votedFor,
+    snapshot: recovered.snapshot.index,
+    last: recovered.snapshot.index + recovered.entries.length,
+    committed: recovered.committed,
+    configurationInSnapshot: state?.configuration?.revision ?? 0,
+    voters: recovered.snapshot.membership.voters.map(function id(member) {
+      return member.id;
+    }),
+    entries: recovered.entries.map(function one(entry) {
+      return { index: entry.index, term: entry.term, what: entryText(entry) };
+    }),
+  };
+}
+
+type Summary = ReturnType<typeof summaryOf>;
+
+function findingsOf(lines: FileLine[], recovery: Recovery): string[] {
   const found: string[] = [];
-  for (const f of files) if (f.good < f.bytes) found.push(`${f.file}: torn behind byte ${f.good} of ${f.bytes}`);
-  if (r.k === 'lost') found.push(`lost: ${r.why}`);
-  const whole = r.k === 'whole' ? r.found : null;
-  const state = whole?.snapshot.state as ControlState | undefined;
-  const summary = whole
-    ? {
-        member: whole.me,
-        term: whole.term,
-        vote: whole.vote,
-        snapshot: whole.snapshot.index,
-        last: whole.snapshot.index + whole.entries.length,
-        committed: whole.committed,
-        configurationInSnapshot: state?.configuration?.revision ?? 0,
-        roster: whole.snapshot.members.map(function id(m) {
-          return m.id;
-        }),
-        entries: whole.entries.map(function one(e) {
-          return {
-            index: e.index,
-            term: e.term,
-            what:
-              e.data.kind === 'order'
-                ? commandText(e.data.command as Command)
-                : e.data.kind === 'roster'
-                  ? `roster of ${e.data.members.length}`
-                  : 'opening of an term',
-          };
-        }),
-      }
-    : null;
-  if (flags.json) {
-    const out = JSON.stringify({ files, summary, findings: found, note }, null, 2);
-    return found.length > 0 ? toolEnd.error('', out) : toolEnd.well(out);
+  for (const { file, good, bytes } of lines)
+    if (good < bytes) found.push(`${file}: torn behind byte ${good} of ${bytes}`);
+  if (recovery.kind === 'lost') found.push(`lost: ${recovery.reason}`);
+  return found;
+}
+
+function lineText(line: FileLine): string {
+  return `${line.file}: ${line.bytes} bytes, ${line.records} records, entries ${line.entries}; ${line.heads}`;
+}
+
+function summaryText(summary: Summary): string[] {
+  const voters = summary.voters.join(', ') || 'none';
+  return [
+    `member ${summary.member}, promised term ${summary.term}, vote ${summary.vote ?? 'none'}`,
+    `snapshot at ${summary.snapshot} (configuration ${summary.configurationInSnapshot}, voters ${voters}), log up to ${summary.last}`,
+    ...summary.entries.map(function one(entry) {
+      return `  ${entry.index} term ${entry.term}: ${entry.what}`;
+    }),
+    `known here to be committed up to ${summary.committed}; ${note}`,
+  ];
+}
+
+async function readFiles(folder: Folder, wanted: NumberedFile[]): Promise<Outcome<FileContent[], FileError>> {
+  const contents: FileContent[] = [];
+  for (const file of wanted) {
+    const bytes = await folder.read(file.name);
+    if (!bytes.ok) return bytes;
+    contents.push({ file, bytes: bytes.value });
   }
-  const lines = files.map(function line(f) {
-    return `${f.file}: ${f.bytes} bytes, ${f.records} records, entries ${f.entries}; ${f.heads}`;
+  return { ok: true, value: contents };
+}
+
+function isEarlierFormat(segments: FileContent[]): boolean {
+  const written = segments.filter(function hasBytes({ bytes }) {
+    return bytes.length > 0;
   });
-  if (summary) {
-    lines.push(`member ${summary.member}, promised term ${summary.term}, vote ${summary.vote ?? 'none'}`);
-    lines.push(
-      `snapshot at ${summary.snapshot} (configuration ${summary.configurationInSnapshot}, roster ${summary.roster.join(', ') || 'empty'}), log up to ${summary.last}`,
-    );
-    for (const e of summary.entries) lines.push(`  ${e.index} term ${e.term}: ${e.what}`);
-    lines.push(`known here to be committed up to ${summary.committed}; ${note}`);
-  }
-  return found.length > 0 ? toolEnd.error(found.join('\n'), lines.join('\n')) : toolEnd.well(lines.join('\n'));
+  return (
+    written.length > 0 &&
+    !written.some(function isNew({ bytes }) {
+      return segment.hasMagic(bytes);
+    })
+  );
+}
+
+function report(lines: FileLine[], recovery: Recovery, isJson: boolean): ToolEnd {
+  const findings = findingsOf(lines, recovery);
+  const summary = recovery.kind === 'recovered' ? summaryOf(recovery.recovered) : null;
+  const out = isJson
+    ? JSON.stringify({ files: lines, summary, findings, note }, null, 2)
+    : [...lines.map(lineText), ...(summary ? summaryText(summary) : [])].join('\n');
+  return findings.length > 0 ? toolEnd.error(isJson ? '' : findings.join('\n'), out) : toolEnd.well(out);
+}
+
+async function inspect(path: string, args: string[], flags: ToolFlags): Promise<ToolEnd> {
+  const folder = files.folder(path);
+  const names = await folder.list();
+  if (!names.ok) return toolEnd.error(`${path}: ${names.error.message}`);
+  const snapshots = await readFiles(folder, segment.filesAmong(names.value, 'snapshot'));
+  if (!snapshots.ok) return toolEnd.error(`${path}: ${snapshots.error.message}`);
+  const segments = await readFiles(folder, segment.filesAmong(names.value, 'segment'));
+  if (!segments.ok) return toolEnd.error(`${path}: ${segments.error.message}`);
+  const lines = [...snapshots.value.map(snapshotLine), ...segments.value.map(segmentLine)];
+  if (lines.length === 0) return toolEnd.error(`${path}: holds no log: neither a snapshot nor a segment`);
+  if (isEarlierFormat(segments.value)) return earlierInspect.run(args, flags);
+  const reading = await logRecovery.read(folder);
+  if (!reading.ok) return toolEnd.error(`${path}: ${reading.error.message}`);
+  return report(lines, reading.value.recovery, flags.json);
+}
+
+async function run(args: string[], flags: ToolFlags): Promise<ToolEnd> {
+  const [verb, path, ...more] = args;
+  if (verb !== 'inspect' || path === undefined || more.length > 0) return toolEnd.usage('log inspect takes one folder');
+  if (!existsSync(path)) return toolEnd.error(`${path}: there is no such folder`);
+  if (!statSync(path).isDirectory()) return toolEnd.error(`${path}: is not a folder`);
+  return inspect(path, args, flags);
 }
 
 export const inspectTool = { run };
--- a/src/transport/files.ts
+++ b/src/transport/files.ts
@@ -1,6 +1,6 @@
 /** The folder of `runtime.ts` on the real file system. Errors are returned, never thrown. */
 import { mkdir, open, readdir, readFile, rename, unlink, type FileHandle } from 'node:fs/promises';
-import { dirname, join } from 'node:path';
+import { dirname, join, resolve } from 'node:path';
 import type { AppendFile, FileError, Folder } from '../runtime.js';
 import type { Outcome } from '../types.js';
 
@@ -86,8 +86,8 @@
 /** Makes the folder where it is not there yet, with its own name kept, and opens it. */
 function prepare(path: string): Promise<Outcome<Folder, FileError>> {
   return attempt(async function run() {
-    const firstMade = await mkdir(path, { recursive: true });
-    for (let made = path; firstMade !== undefined; made = dirname(made)) {
+    const firstMade = await mkdir(resolve(path), { recursive: true });
+    for (let made = resolve(path); firstMade !== undefined; made = dirname(made)) {
       await syncPath(dirname(made));
       if (made === firstMade || made === dirname(made)) break;
     }
--- /dev/null
+++ b/test/log.test.ts
@@ -0,0 +1,881 @@
+/**
+ * The log of a member on its disk: on real files against torn, missing and doubled writes; on the simulated
+ * disk through many lives with losses of power, failed syncs and full disks; its decoders on bad input. For
+ * each mechanism a mistake planted in the folder shows that the lives catch its absence.
+ */
+import { strict as assert } from 'node:assert';
+import {
+  appendFileSync,
+  mkdtempSync,
+  readdirSync,
+  readFileSync,
+  rmSync,
+  truncateSync,
+  unlinkSync,
+  writeFileSync,
+} from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { test } from 'node:test';
+import fc from 'fast-check';
+import type { AppendFile, Clock, Folder } from '../src/runtime.js';
+import { batchCodec, snapshotCodec, type Batch } from '../src/state/log/codec.js';
+import { logRecovery } from '../src/state/log/recovery.js';
+import { replay } from '../src/state/log/replay.js';
+import { segment } from '../src/state/log/segment.js';
+import { storage, type Storage } from '../src/state/log/storage.js';
+import type { Entry, LogRecord, Recovered, Recovery, Snapshot, VotingPromise } from '../src/state/log/types.js';
+import { files } from '../src/transport/files.js';
+import { virtualClock, type VirtualClock } from './sim/clock.js';
+import { disk, type Disk } from './sim/disk.js';
+import { logModel, stepKinds, type Step, type Wrapper } from './support/log-model.js';
+
+const snapshot0: Snapshot = {
+  index: 0,
+  term: 0,
+  membership: { voters: [{ id: 'a#first', addr: 'a', control: 'a' }], next: null },
+  state: { configuration: null },
+};
+const noPromise: VotingPromise = { term: 0, votedFor: null, leader: null };
+const promise2: VotingPromise = { term: 2, votedFor: 'a#first', leader: { id: 'b#first', term: 1 } };
+
+const realClock: Clock = {
+  now() {
+    return performance.now();
+  },
+  after(delayMs, run) {
+    const timer = setTimeout(run, delayMs);
+    return {
+      cancel() {
+        clearTimeout(timer);
+      },
+    };
+  },
+  every(intervalMs, run) {
+    const timer = setInterval(run, intervalMs);
+    return {
+      cancel() {
+        clearInterval(timer);
+      },
+    };
+  },
+};
+
+function entry(index: number, term: number): Entry {
+  return { index, term, data: { kind: 'command', command: index } };
+}
+
+function entryRecord(index: number, term: number): LogRecord {
+  return { kind: 'entry', entry: entry(index, term) };
+}
+
+function indexesOf(recovered: Recovered): number[] {
+  return recovered.entries.map(function index(one) {
+    return one.index;
+  });
+}
+
+function synced(opened: Storage, token: number): Promise<void> {
+  return new Promise(function run(done) {
+    opened.on('synced', function kept(announced: number) {
+      if (announced >= token) done();
+    });
+  });
+}
+
+// Real files.
+
+async function inFolder(run: (dir: string) => Promise<void>): Promise<void> {
+  const dir = mkdtempSync(join(tmpdir(), 'milletcleat-'));
+  try {
+    await run(dir);
+  } finally {
+    rmSync(dir, { recursive: true });
+  }
+}
+
+async function openReal(dir: string): Promise<{ storage: Storage; recovery: Recovery }> {
+  const folder = await files.prepare(dir);
+  assert.ok(folder.ok);
+  const opened = await storage.open(folder.value, realClock);
+  assert.ok(opened.ok);
+  return opened.value;
+}
+
+async function recoverReal(dir: string): Promise<Recovery> {
+  const reading = await logRecovery.read(files.folder(dir));
+  assert.ok(reading.ok);
+  return reading.value.recovery;
+}
+
+async function recovered(dir: string): Promise<{ recovered: Recovered; torn: string[] }> {
+  const recovery = await recoverReal(dir);
+  assert.ok(recovery.kind === 'recovered', JSON.stringify(recovery));
+  return recovery;
+}
+
+async function isLost(dir: string, reason: RegExp): Promise<void> {
+  const recovery = await recoverReal(dir);
+  assert.ok(recovery.kind === 'lost', recovery.kind);
+  assert.match(recovery.reason, reason);
+}
+
+async function filled(dir: string, count: number): Promise<void> {
+  const { storage: opened, recovery } = await openReal(dir);
+  assert.equal(recovery.kind, 'empty');
+  storage.begin(opened, 'a#first', snapshot0, noPromise);
+  storage.write(opened, [{ kind: 'promise', promise: promise2 }], 1);
+  await synced(opened, 1);
+  for (let index = 1; index <= count; index++) {
+    const kept = synced(opened, index + 1);
+    storage.write(opened, [entryRecord(index, 2)], index + 1);
+    await kept;
+  }
+  await storage.close(opened);
+}
+
+/** Another life: goes on after what is there, writes one entry and closes. */
+async function goneOn(dir: string, index: number): Promise<void> {
+  const { storage: opened, recovery } = await openReal(dir);
+  assert.ok(recovery.kind === 'recovered');
+  storage.resume(opened, recovery.recovered);
+  storage.write(opened, [entryRecord(index, 2)], 1);
+  await synced(opened, 1);
+  await storage.close(opened);
+}
+
+function lastSegment(dir: string): string {
+  return join(dir, segment.filesAmong(readdirSync(dir), 'segment').at(-1)!.name);
+}
+
+test('what was synced is read back', function run() {
+  return inFolder(async function body(dir) {
+    await filled(dir, 20);
+    const read = await recovered(dir);
+    assert.equal(read.recovered.entries.length, 20);
+    assert.equal(read.recovered.memberId, 'a#first');
+    assert.deepEqual(read.recovered.promise, promise2);
+    assert.deepEqual(read.recovered.snapshot, snapshot0);
+    assert.deepEqual(read.torn, []);
+  });
+});
+
+test('a folder that is not there is made, an empty one is empty', function run() {
+  return inFolder(async function body(dir) {
+    const opened = await openReal(join(dir, 'a', 'b'));
+    assert.equal(opened.recovery.kind, 'empty');
+    assert.equal((await files.folder(join(dir, 'none')).list()).ok, false);
+    assert.equal((await files.folder(dir).read('none')).ok, false);
+    assert.equal((await files.folder(dir).rename('none', 'some')).ok, false);
+  });
+});
+
+test('a torn tail ends the log before it, at whatever byte', function run() {
+  return inFolder(async function body(dir) {
+    await filled(dir, 10);
+    const file = lastSegment(dir);
+    const whole = readFileSync(file);
+    for (let cut = whole.length - 1; cut > whole.length - 250; cut -= 7) {
+      writeFileSync(file, whole);
+      truncateSync(file, cut);
+      const read = await recovered(dir);
+      const isAtFrame = read.torn.length === 0;
+      const frames = segment.read(Number(file.split('-').at(-1)), whole).frames;
+      assert.equal(
+        isAtFrame,
+        frames.some(function ends(frame) {
+          return frame.end === cut;
+        }),
+      );
+      assert.ok(read.recovered.entries.length < 10);
+      indexesOf(read.recovered).forEach(function each(index, place) {
+        assert.equal(index, place + 1);
+      });
+    }
+    const bad = Buffer.from(whole);
+    bad[bad.length - 3]! ^= 0xff;
+    writeFileSync(file, bad);
+    const read = await recovered(dir);
+    assert.equal(read.recovered.entries.length, 9);
+    assert.equal(read.torn.length, 1);
+  });
+});
+
+test('a wrong byte in front of good frames means the disk lost what it kept', function run() {
+  return inFolder(async function body(dir) {
+    await filled(dir, 10);
+    const file = lastSegment(dir);
+    const whole = readFileSync(file);
+    const frames = segment.read(Number(file.split('-').at(-1)), whole).frames;
+    assert.equal(frames.length, 12);
+    for (let at = 0; at < frames.at(-1)!.start; at += 3) {
+      const bad = Buffer.from(whole);
+      bad[at]! ^= 0x55;
+      writeFileSync(file, bad);
+      await isLost(dir, /is damaged/);
+    }
+  });
+});
+
+test('a segment that follows what is not there means the disk lost it', function run() {
+  return inFolder(async function body(dir) {
+    await filled(dir, 10);
+    await goneOn(dir, 11);
+    const before = await recovered(dir);
+    assert.equal(before.recovered.entries.length, 11);
+    const first = join(dir, segment.filesAmong(readdirSync(dir), 'segment')[0]!.name);
+    const whole = readFileSync(first);
+    truncateSync(first, 60);
+    await isLost(dir, /damaged in its first/);
+    unlinkSync(first);
+    await isLost(dir, /is gone/);
+    writeFileSync(first, whole);
+    assert.equal((await recoverReal(dir)).kind, 'recovered');
+    const snapshot = join(dir, segment.filesAmong(readdirSync(dir), 'snapshot')[0]!.name);
+    writeFileSync(snapshot, readFileSync(snapshot).subarray(0, 30));
+    await isLost(dir, /checksum/);
+    unlinkSync(snapshot);
+    await isLost(dir, /is gone/);
+  });
+});
+
+test('a last segment that was kept and is gone or empty is noticed', function run() {
+  return inFolder(async function body(dir) {
+    await filled(dir, 3);
+    await goneOn(dir, 4);
+    const file = lastSegment(dir);
+    truncateSync(file, 0);
+    await isLost(dir, /is damaged/);
+    unlinkSync(file);
+    await isLost(dir, /is gone/);
+    for (const { name } of segment.filesAmong(readdirSync(dir), 'segment')) unlinkSync(join(dir, name));
+    await isLost(dir, /is gone/);
+  });
+});
+
+test('a snapshot takes the place of the segments before it and keeps what came since', function run() {
+  return inFolder(async function body(dir) {
+    await filled(dir, 10);
+    const { storage: opened, recovery } = await openReal(dir);
+    assert.ok(recovery.kind === 'recovered');
+    storage.resume(opened, recovery.recovered);
+    const entries = [entry(9, 2), entry(10, 2)];
+    function tail() {
+      return { promise: promise2, entries };
+    }
+    storage.saveSnapshot(opened, { ...snapshot0, index: 8, term: 2 }, tail, { installed: false });
+    storage.write(opened, [entryRecord(11, 2)], 1);
+    entries.push(entry(11, 2));
+    await synced(opened, 1);
+    storage.write(opened, [entryRecord(12, 2)], 2);
+    await synced(opened, 2);
+    await storage.close(opened);
+    const read = await recovered(dir);
+    assert.equal(read.recovered.snapshot.index, 8);
+    assert.deepEqual(indexesOf(read.recovered), [9, 10, 11, 12]);
+    const names = readdirSync(dir);
+    assert.equal(segment.filesAmong(names, 'segment').length, 1);
+    assert.equal(segment.filesAmong(names, 'snapshot').length, 1);
+    assert.equal(names.length, 3);
+  });
+});
+
+test('garbage behind the log is no record', function run() {
+  return inFolder(async function body(dir) {
+    await filled(dir, 3);
+    appendFileSync(lastSegment(dir), Buffer.alloc(300, 7));
+    const read = await recovered(dir);
+    assert.equal(read.recovered.entries.length, 3);
+    assert.equal(read.torn.length, 1);
+  });
+});
+
+test('files that are not the log’s are left alone', function run() {
+  return inFolder(async function body(dir) {
+    writeFileSync(join(dir, 'segment-01'), 'x');
+    writeFileSync(join(dir, 'segment-99999999999'), 'x');
+    writeFileSync(join(dir, 'notes'), 'x');
+    await filled(dir, 2);
+    await goneOn(dir, 3);
+    for (const name of ['segment-01', 'segment-99999999999', 'notes'])
+      assert.equal(readFileSync(join(dir, name), 'utf8'), 'x');
+  });
+});
+
+// The rules of replay.
+
+function root(entries: Entry[], records: LogRecord[], committed = 0): Batch {
+  return {
+    head: { kind: 'root', memberId: 'a#first', snapshot: 1, promise: noPromise, entries, committed },
+    records,
+  };
+}
+
+test('an entry of a later term trims what stood there', function run() {
+  const played = replay.run(snapshot0, [
+    root([entry(1, 1)], [entryRecord(2, 1)]),
+    { head: null, records: [entryRecord(3, 1)] },
+    { head: null, records: [entryRecord(2, 2)] },
+    { head: null, records: [entryRecord(1, 1)] },
+  ]);
+  assert.ok(played.ok);
+  assert.deepEqual(played.value.entries, [entry(1, 1), entry(2, 2)]);
+});
+
+test('a gap, a missing root and a commit behind the end mean that something was lost', function run() {
+  assert.equal(replay.run(snapshot0, [root([], [entryRecord(2, 1)])]).ok, false);
+  assert.equal(replay.run(snapshot0, [root([entry(2, 1)], [])]).ok, false);
+  assert.equal(replay.run(snapshot0, [root([entry(1, 1)], [{ kind: 'committed', index: 2 }])]).ok, false);
+  assert.equal(replay.run(snapshot0, [{ head: null, records: [] }]).ok, false);
+  assert.equal(replay.run(snapshot0, []).ok, false);
+  const kept = replay.run({ ...snapshot0, index: 5 }, [root([], [entryRecord(3, 1), entryRecord(6, 1)], 4)]);
+  assert.ok(kept.ok);
+  assert.deepEqual([kept.value.entries, kept.value.committed], [[entry(6, 1)], 5]);
+});
+
+test('a promise of an earlier term does not come back', function run() {
+  const records: LogRecord[] = [
+    { kind: 'promise', promise: promise2 },
+    { kind: 'promise', promise: noPromise },
+  ];
+  const played = replay.run(snapshot0, [root([], records)]);
+  assert.ok(played.ok);
+  assert.deepEqual(played.value.promise, promise2);
+});
+
+// The simulated disk itself.
+
+type Bench = { clock: VirtualClock; disk: Disk; folder: Folder };
+
+function bench(seed: number): Bench {
+  const clock = virtualClock.create();
+  const made = disk.create(clock, logModel.random(seed));
+  return { clock, disk: made, folder: disk.folder(made) };
+}
+
+/** Runs the clock until the work is done; work that never ends fails. */
+async function completes<T>(b: Bench, work: Promise<T>): Promise<T> {
+  let isDone = false;
+  void work.then(function mark() {
+    isDone = true;
+  });
+  await b.clock.runUntilTrue(function check() {
+    return isDone;
+  }, 60_000);
+  assert.ok(isDone, 'the work does not end');
+  return work;
+}
+
+async function made(b: Bench, name: string, ...parts: string[]): Promise<AppendFile> {
+  const file = await completes(b, b.folder.create(name));
+  assert.ok(file.ok);
+  for (const part of parts) assert.ok((await completes(b, file.value.append(Buffer.from(part)))).ok);
+  return file.value;
+}
+
+function text(b: Bench, name: string): string | null {
+  const bytes = disk.content(b.disk, name);
+  return bytes && Buffer.from(bytes).toString();
+}
+
+/** What a loss of power leaves over many seeds, each outcome once, sorted. */
+async function outcomes(run: (b: Bench) => Promise<string>): Promise<string[]> {
+  const seen = new Set<string>();
+  for (let seed = 1; seed <= 200; seed++) seen.add(await run(bench(seed)));
+  return [...seen].sort();
+}
+
+test('disk: a name without a sync of the folder is kept or lost by itself', async function run() {
+  const seen = await outcomes(async function one(b) {
+    for (const name of ['x', 'y']) assert.ok((await completes(b, (await made(b, name, name)).sync())).ok);
+    disk.powerLoss(b.disk);
+    return disk.list(b.disk).join('');
+  });
+  assert.deepEqual(seen, ['', 'x', 'xy', 'y']);
+});
+
+test('disk: removals and renames are kept or lost by themselves, synced ones stay', async function run() {
+  const seen = await outcomes(async function one(b) {
+    for (const name of ['x', 'y']) await made(b, name);
+    await completes(b, b.folder.syncFolder());
+    await completes(b, b.folder.remove('x'));
+    await completes(b, b.folder.rename('y', 'z'));
+    disk.powerLoss(b.disk);
+    return disk.list(b.disk).sort().join('');
+  });
+  assert.deepEqual(seen, ['', 'x', 'xy', 'xyz', 'xz', 'y', 'yz', 'z']);
+  const synced = await outcomes(async function one(b) {
+    await made(b, 'x');
+    await completes(b, b.folder.rename('x', 'z'));
+    await completes(b, b.folder.syncFolder());
+    disk.powerLoss(b.disk);
+    return disk.list(b.disk).join('');
+  });
+  assert.deepEqual(synced, ['z']);
+});
+
+test('disk: unsynced writes are there, missing or torn, in any order; a kill keeps all', async function run() {
+  const seen = await outcomes(async function one(b) {
+    const file = await made(b, 'x', 'A');
+    await completes(b, file.sync());
+    await completes(b, b.folder.syncFolder());
+    await completes(b, file.append(Buffer.from('B')));
+    await completes(b, file.append(Buffer.from('CC')));
+    disk.kill(b.disk);
+    assert.equal(text(b, 'x'), 'ABCC');
+    disk.powerLoss(b.disk);
+    return text(b, 'x')!.replaceAll('\0', '.');
+  });
+  assert.deepEqual(seen, ['A', 'A.', 'A...', 'A.C.', 'A.CC', 'AB', 'AB..', 'ABC.', 'ABCC']);
+});
+
+test('disk: a failed sync loses what it covered, also if a later one succeeds', async function run() {
+  const seen = await outcomes(async function one(b) {
+    const file = await made(b, 'x', 'A');
+    await completes(b, b.folder.syncFolder());
+    disk.failNextSync(b.disk);
+    const failed = await completes(b, file.sync());
+    assert.ok(!failed.ok && failed.error.code === 'EIO');
+    assert.ok((await completes(b, file.sync())).ok);
+    await made(b, 'y');
+    disk.failNextSync(b.disk);
+    assert.equal((await completes(b, b.folder.syncFolder())).ok, false);
+    assert.ok((await completes(b, b.folder.syncFolder())).ok);
+    disk.powerLoss(b.disk);
+    return disk.list(b.disk).join('') + text(b, 'x')!.replaceAll('\0', '.');
+  });
+  assert.deepEqual(seen, ['x', 'x.']);
+});
+
+test('disk: what is under way when the process ends never ends in a later life', async function run() {
+  const b = bench(3);
+  const file = await made(b, 'x', 'A');
+  let answers = 0;
+  function count(): void {
+    answers++;
+  }
+  void file.append(Buffer.from('B')).then(count);
+  void b.folder.create('y').then(count);
+  disk.kill(b.disk);
+  const left = [text(b, 'x'), disk.list(b.disk).length];
+  void file.append(Buffer.from('C')).then(count);
+  void b.folder.list().then(count);
+  await b.clock.runFor(60_000);
+  assert.equal(answers, 0);
+  assert.deepEqual([text(b, 'x'), disk.list(b.disk).length], left);
+  disk.wipe(b.disk);
+  assert.deepEqual(disk.list(b.disk), []);
+});
+
+test('disk: full refuses writes, hanging delays all, slow takes longer', async function run() {
+  const b = bench(4);
+  const file = await made(b, 'x', 'A');
+  disk.setFull(b.disk, true);
+  const refused = await completes(b, file.append(Buffer.from('BB')));
+  assert.ok(!refused.ok && refused.error.code === 'ENOSPC');
+  assert.equal((await completes(b, b.folder.create('y'))).ok, false);
+  assert.equal((await completes(b, b.folder.rename('x', 'z'))).ok, false);
+  assert.equal((await completes(b, b.folder.remove('x'))).ok, true);
+  disk.setFull(b.disk, false);
+  const begun = file.sync();
+  disk.hangUntil(b.disk, b.clock.now() + 3000);
+  const hangsUntil = b.clock.now() + 3000;
+  await completes(b, begun);
+  assert.ok(b.clock.now() >= hangsUntil);
+  disk.setSlow(b.disk, 1000);
+  const from = b.clock.now();
+  await completes(b, file.sync());
+  assert.ok(b.clock.now() - from >= 1000);
+});
+
+// Many lives on the simulated disk.
+
+const stepsDrawn = fc.array(
+  fc.record<Step>({
+    kind: fc.constantFrom(...stepKinds),
+    size: fc.integer({ min: 0, max: 99 }),
+    place: fc.integer({ min: 0, max: 99 }),
+  }),
+  { minLength: 5, maxLength: 60, size: 'max' },
+);
+const livesSeed = 20;
+const livesRun = 400;
+
+function lives(wrap: Wrapper | undefined, numRuns: number) {
+  const property = fc.asyncProperty(fc.integer({ min: 1, max: 1e6 }), stepsDrawn, async function holds(seed, steps) {
+    await logModel.runAll(seed, steps, wrap);
+  });
+  return fc.check(property, { seed: livesSeed, numRuns, endOnFailure: true });
+}
+
+test('through many lives, all that was announced as kept is recovered', async function run() {
+  const result = await lives(undefined, livesRun);
+  assert.equal(result.failed, false, fc.defaultReportMessage(result) ?? '');
+});
+
+type FileWrapper = (file: AppendFile) => AppendFile;
+
+function withFiles(folder: Folder, wrap: FileWrapper): Folder {
+  return {
+    ...folder,
+    async create(name) {
+      const made_ = await folder.create(name);
+      return made_.ok ? { ok: true, value: wrap(made_.value) } : made_;
+    },
+  };
+}
+
+const succeeded = { ok: true, value: undefined } as const;
+
+function nothingDone(): Promise<typeof succeeded> {
+  return Promise.resolve(succeeded);
+}
+
+/** Removes whatever is older as soon as a snapshot has its name, before its segment is there. */
+function removingEarly(folder: Folder): Folder {
+  return {
+    ...folder,
+    async rename(from, to) {
+      const renamed = await folder.rename(from, to);
+      const names = await folder.list();
+      const old = names.ok ? segment.superseded(names.value, Number(to.split('-')[1]), new Set()) : [];
+      for (const name of old) await folder.remove(name);
+      return renamed;
+    },
+  };
+}
+
+const mistakes: Record<string, Wrapper> = {
+  'no sync of the folder'(folder) {
+    return { ...folder, syncFolder: nothingDone };
+  },
+  'no sync of files'(folder) {
+    return withFiles(folder, function unsynced(file) {
+      return { ...file, sync: nothingDone };
+    });
+  },
+  'a failed sync is tried again on the same file'(folder) {
+    return withFiles(folder, function retried(file) {
+      async function sync() {
+        const first = await file.sync();
+        return first.ok ? first : file.sync();
+      }
+      return { ...file, sync };
+    });
+  },
+  'a failed sync of the folder is tried again'(folder) {
+    async function syncFolder() {
+      const first = await folder.syncFolder();
+      return first.ok ? first : folder.syncFolder();
+    }
+    return { ...folder, syncFolder };
+  },
+  'a refused write goes unnoticed'(folder) {
+    return withFiles(folder, function unnoticed(file) {
+      async function append(bytes: Uint8Array) {
+        await file.append(bytes);
+        return succeeded;
+      }
+      return { ...file, append };
+    });
+  },
+  'old files go before the new ones are kept': removingEarly,
+};
+
+for (const [name, wrap] of Object.entries(mistakes))
+  test(`planted mistake is caught: ${name}`, async function run() {
+    const result = await lives(wrap, livesRun);
+    assert.equal(result.failed, true, 'no run failed');
+  });
+
+// Full disks, bounds and the end of a process.
+
+async function openOn(b: Bench): Promise<{ storage: Storage; recovery: Recovery }> {
+  const opened = await completes(b, storage.open(disk.folder(b.disk), b.clock));
+  assert.ok(opened.ok);
+  return opened.value;
+}
+
+async function beginOn(b: Bench): Promise<Storage> {
+  const { storage: opened } = await openOn(b);
+  storage.begin(opened, 'a#first', snapshot0, noPromise);
+  storage.write(opened, [{ kind: 'promise', promise: promise2 }], 1);
+  await completes(b, synced(opened, 1));
+  return opened;
+}
+
+test('a disk that is full during a snapshot loses nothing and takes it once there is room', async function run() {
+  for (let seed = 1; seed <= 60; seed++) {
+    const b = bench(seed);
+    const opened = await beginOn(b);
+    let refusals = 0;
+    opened.on('refused', function count() {
+      refusals++;
+    });
+    const entries: Entry[] = [];
+    for (let index = 1; index <= 5; index++) {
+      entries.push(entry(index, 2));
+      storage.write(opened, [entryRecord(index, 2)], index + 1);
+    }
+    await completes(b, synced(opened, 6));
+    const before = disk.list(b.disk).length;
+    function tail() {
+      return { promise: promise2, entries };
+    }
+    storage.saveSnapshot(opened, { ...snapshot0, index: 3, term: 2 }, tail, { installed: seed % 2 === 0 });
+    await b.clock.runFor((seed / 60) * 9);
+    disk.setFull(b.disk, true);
+    await b.clock.runFor(2000);
+    entries.push(entry(6, 2));
+    storage.write(opened, [entryRecord(6, 2)], 7);
+    await b.clock.runFor(2000);
+    assert.ok(refusals > 0);
+    assert.ok(disk.list(b.disk).length <= before + 2, 'what failed is removed');
+    disk.setFull(b.disk, false);
+    await completes(b, synced(opened, 7));
+    await b.clock.runFor(1000);
+    disk.powerLoss(b.disk);
+    const { recovery } = await openOn(b);
+    assert.ok(recovery.kind === 'recovered');
+    assert.equal(recovery.recovered.snapshot.index, 3);
+    assert.deepEqual(indexesOf(recovery.recovered), [4, 5, 6]);
+    assert.deepEqual(recovery.recovered.promise, promise2);
+  }
+});
+
+test('files and bytes on disk stay bounded through hundreds of snapshots and failures', async function run() {
+  const b = bench(7);
+  const opened = await beginOn(b);
+  for (let index = 1; index <= 300; index++) {
+    if (index % 10 === 0) disk.failNextSync(b.disk, index % 3);
+    storage.write(opened, [entryRecord(index, 2)], index + 1);
+    function tail() {
+      return { promise: promise2, entries: [entry(index, 2)] };
+    }
+    storage.saveSnapshot(opened, { ...snapshot0, index: index - 1, term: 2 }, tail, { installed: false });
+    await completes(b, synced(opened, index + 1));
+    await b.clock.runFor(50);
+    assert.ok(disk.list(b.disk).length <= 9, disk.list(b.disk).join(' '));
+    assert.ok(storage.size(opened) < 2000);
+  }
+  await b.clock.runFor(1000);
+  assert.equal(disk.list(b.disk).length, 3);
+});
+
+test('close flushes what is queued, and ends within a second on a disk that hangs', async function run() {
+  const b = bench(8);
+  const opened = await beginOn(b);
+  storage.write(opened, [entryRecord(1, 2)], 2);
+  await completes(b, storage.close(opened));
+  disk.powerLoss(b.disk);
+  const next = await openOn(b);
+  assert.ok(next.recovery.kind === 'recovered');
+  assert.deepEqual(indexesOf(next.recovery.recovered), [1]);
+  storage.resume(next.storage, next.recovery.recovered);
+  disk.hangUntil(b.disk, b.clock.now() + 30_000);
+  const from = b.clock.now();
+  await completes(b, storage.close(next.storage));
+  assert.ok(b.clock.now() - from <= 1100);
+});
+
+test('after a loss, a new identity takes the place of the old files, whatever comes back of them', async function run() {
+  for (let seed = 1; seed <= 60; seed++) {
+    const b = bench(seed);
+    const opened = await beginOn(b);
+    for (let index = 1; index <= 4; index++) {
+      storage.write(opened, [entryRecord(index, 2)], index + 1);
+      await completes(b, synced(opened, index + 1));
+    }
+    await b.clock.runFor(1000);
+    const name = segment.filesAmong(disk.list(b.disk), 'segment').at(-1)!.name;
+    disk.damage(b.disk, name, seed % 2 === 0 ? null : disk.content(b.disk, name)!.fill(0, 30, 60));
+    disk.kill(b.disk);
+    const { storage: second, recovery } = await openOn(b);
+    assert.equal(recovery.kind, 'lost');
+    const snapshot = { ...snapshot0, index: 2, term: 2 };
+    storage.begin(second, 'a#second', snapshot, { term: 5, votedFor: null, leader: null });
+    let isKept = false;
+    second.on('synced', function kept() {
+      isKept = true;
+    });
+    storage.write(second, [entryRecord(3, 5)], 1);
+    await b.clock.runFor(seed / 3);
+    disk.powerLoss(b.disk);
+    const { recovery: last } = await openOn(b);
+    assert.notEqual(last.kind, 'empty');
+    if (isKept) assert.equal(last.kind, 'recovered');
+    if (last.kind !== 'recovered') continue;
+    assert.equal(last.recovered.memberId, 'a#second');
+    assert.equal(last.recovered.promise.term, 5);
+    assert.equal(last.recovered.snapshot.index, 2);
+  }
+});
+
+test('a snapshot that was installed keeps the entries behind it', async function run() {
+  const b = bench(11);
+  const opened = await beginOn(b);
+  for (let index = 1; index <= 10; index++) storage.write(opened, [entryRecord(index, 2)], index + 1);
+  function tail() {
+    return { promise: promise2, entries: [entry(8, 2), entry(9, 2), entry(10, 2)] };
+  }
+  storage.saveSnapshot(opened, { ...snapshot0, index: 7, term: 2 }, tail, { installed: true });
+  await completes(b, synced(opened, 11));
+  disk.powerLoss(b.disk);
+  const { recovery } = await openOn(b);
+  assert.ok(recovery.kind === 'recovered');
+  assert.equal(recovery.recovered.snapshot.index, 7);
+  assert.deepEqual(indexesOf(recovery.recovered), [8, 9, 10]);
+});
+
+// Bad input.
+
+const wholeSnapshot: Snapshot = {
+  ...snapshot0,
+  index: 9,
+  term: 3,
+  state: { configuration: { revision: 4 }, list: [1] },
+};
+
+test('a snapshot comes back from its bytes, and no other bytes are taken for one', function run() {
+  const bytes = snapshotCodec.encode(wholeSnapshot);
+  const back = snapshotCodec.decode(bytes);
+  assert.ok(back.ok);
+  assert.deepEqual(back.value, wholeSnapshot);
+  for (let cut = 0; cut < bytes.length; cut++) assert.equal(snapshotCodec.decode(bytes.subarray(0, cut)).ok, false);
+  fc.assert(
+    fc.property(fc.nat(bytes.length - 1), fc.integer({ min: 1, max: 255 }), function flipped(at, mask) {
+      const bad = Uint8Array.from(bytes);
+      bad[at]! ^= mask;
+      assert.equal(snapshotCodec.decode(bad).ok, false);
+    }),
+    { seed: 1, numRuns: 500 },
+  );
+  fc.assert(
+    fc.property(fc.uint8Array({ maxLength: 200 }), function garbage(bad) {
+      assert.equal(snapshotCodec.decode(bad).ok, false);
+    }),
+    { seed: 2, numRuns: 500 },
+  );
+});
+
+test('a snapshot of the wrong shape is refused', function run() {
+  const wrong: unknown[] = [
+    null,
+    7,
+    {},
+    { ...wholeSnapshot, index: -1 },
+    { ...wholeSnapshot, index: 1.5 },
+    { ...wholeSnapshot, index: '9' },
+    { ...wholeSnapshot, term: 2 ** 60 },
+    { ...wholeSnapshot, membership: null },
+    { ...wholeSnapshot, membership: { voters: [7], next: null } },
+    { ...wholeSnapshot, membership: { voters: [], next: 'x' } },
+    { index: 1, term: 1, membership: wholeSnapshot.membership },
+  ];
+  for (const value of wrong) {
+    const back = snapshotCodec.decode(snapshotCodec.encode(value as Snapshot));
+    assert.equal(back.ok, false, JSON.stringify(value));
+  }
+});
+
+test('records of the wrong shape are refused', function run() {
+  const wrong: unknown[] = [
+    { kind: 'promise', promise: { ...promise2, term: -1 } },
+    { kind: 'promise', promise: { ...promise2, votedFor: 7 } },
+    { kind: 'promise', promise: { ...promise2, leader: { id: 'b' } } },
+    { kind: 'entry', entry: { index: 1, term: 1 } },
+    { kind: 'entry', entry: { index: 1, term: 1, data: { kind: 'other' } } },
+    { kind: 'entry', entry: { index: NaN, term: 1, data: { kind: 'noop' } } },
+    { kind: 'committed', index: null },
+    { kind: 'other' },
+    null,
+  ];
+  for (const record of wrong) {
+    const bytes = batchCodec.encode({ head: null, records: [record as LogRecord] });
+    assert.equal(batchCodec.decode(bytes).ok, false, JSON.stringify(record));
+  }
+  assert.equal(batchCodec.decode(batchCodec.encode({ head: null, records: [] })).ok, true);
+});
+
+test('decoders never throw: garbage, huge lengths, good beginnings', function run() {
+  const good = batchCodec.encode(root([entry(1, 1)], [entryRecord(2, 1)]));
+  const lengths = [0xc6, 0xc9, 0xdb, 0xdd, 0xdf].map(function huge(type) {
+    return Uint8Array.from([type, 0xff, 0xff, 0xff, 0xff, 1, 2, 3]);
+  });
+  for (const bytes of lengths) assert.equal(batchCodec.decode(bytes).ok, false);
+  fc.assert(
+    fc.property(fc.uint8Array({ maxLength: 300 }), fc.nat(good.length), function any(bytes, keep) {
+      batchCodec.decode(bytes);
+      batchCodec.decode(Buffer.concat([good.subarray(0, keep), bytes]));
+      segment.read(1, bytes);
+    }),
+    { seed: 5, numRuns: 2000 },
+  );
+});
+
+function twoFrames(): { bytes: Buffer; ends: number[] } {
+  const first = segment.encodeFrame(4, 0, root([entry(1, 1)], []));
+  const second = segment.encodeFrame(4, first.length, { head: null, records: [entryRecord(2, 1)] });
+  return { bytes: Buffer.concat([first, second]), ends: [first.length, first.length + second.length] };
+}
+
+test('no flipped, cut or misplaced bytes are taken for a frame', function run() {
+  const { bytes, ends } = twoFrames();
+  assert.equal(segment.read(4, bytes).frames.length, 2);
+  assert.equal(segment.read(5, bytes).frames.length, 0, 'of another segment');
+  assert.equal(segment.read(4, bytes.subarray(ends[0])).frames.length, 0, 'at another place');
+  const repeated = segment.read(4, Buffer.concat([bytes, bytes]));
+  assert.deepEqual([repeated.frames.length, repeated.isDamaged], [2, false], 'a copy of itself behind');
+  fc.assert(
+    fc.property(fc.nat(bytes.length - 1), fc.integer({ min: 1, max: 255 }), function flipped(at, mask) {
+      const bad = Buffer.from(bytes);
+      bad[at]! ^= mask;
+      const read = segment.read(4, bad);
+      const isInFirst = at < ends[0]!;
+      assert.deepEqual([read.frames.length, read.isDamaged], isInFirst ? [0, true] : [1, false]);
+    }),
+    { seed: 6, numRuns: 500 },
+  );
+  for (let cut = 0; cut < bytes.length; cut++) {
+    const read = segment.read(4, bytes.subarray(0, cut));
+    assert.deepEqual([read.frames.length, read.isDamaged], [cut < ends[0]! ? 0 : 1, false]);
+  }
+});
+
+test('recovery answers whatever the folder holds', async function run() {
+  const names = ['segment-1', 'segment-2', 'segment-3', 'snapshot-1', 'snapshot-2', 'synced-2', 'snapshot-3.tmp', 'x'];
+  const frames = twoFrames().bytes;
+  const good = [snapshotCodec.encode(wholeSnapshot), segment.encodeFrame(2, 0, root([entry(10, 3)], [])), frames];
+  const content = fc.oneof(fc.uint8Array({ maxLength: 100 }), fc.constantFrom(...good));
+  const folders = fc.dictionary(fc.constantFrom(...names), content, { maxKeys: 8 });
+  await fc.assert(
+    fc.asyncProperty(folders, async function any(contents) {
+      const b = bench(1);
+      for (const [name, bytes] of Object.entries(contents)) disk.damage(b.disk, name, bytes);
+      const { recovery, storage: opened } = await openOn(b);
+      assert.ok(['empty', 'recovered', 'lost'].includes(recovery.kind));
+      if (recovery.kind === 'recovered') storage.resume(opened, recovery.recovered);
+      else storage.begin(opened, 'a#new', snapshot0, noPromise);
+      storage.write(opened, [], 1);
+      await completes(b, synced(opened, 1));
+      disk.powerLoss(b.disk);
+      assert.equal((await openOn(b)).recovery.kind, 'recovered');
+    }),
+    { seed: 7, numRuns: 300 },
+  );
+});
+
+test('a folder that refuses to be read is an error, not a loss', async function run() {
+  const b = bench(2);
+  await beginOn(b);
+  const folder = disk.folder(b.disk);
+  const refused = { ok: false, error: { code: 'EIO', message: 'EIO' } } as const;
+  function refuse() {
+    return Promise.resolve(refused);
+  }
+  for (const bad of [
+    { ...folder, list: refuse },
+    { ...folder, read: refuse },
+  ])
+    assert.deepEqual(await completes(b, storage.open(bad, b.clock)), refused);
+});
