Typed endpoints for the calls between own processes; types.ts imports nothing

Cause: the inner door took 'any'; types.ts and state/history imported each other. Now each endpoint is defined in src/protocol/inner with its types and the checks of both directions, and the types of deltas, outcomes and verdicts live with their messages. Also: a wrong value that superstruct could not print (an object with a field toString) threw out of findings.of; it is a finding now.

--- a/src/controlplane/board.ts
+++ b/src/controlplane/board.ts
@@ -1,11 +1,12 @@
 // The board: soft state that the leader shows to the other coordinators and they to the sites.
 // Boards are ordered by (term, seq); an older one never replaces a newer one.
 import { replica } from '../coordination/consensus/driver.js';
+import type { BoardReply, BoardRequest } from '../protocol/inner/board.js';
 import { boardHistory } from '../state/history/boards.js';
 import { channel } from '../transport/inner/channel.js';
 import type { Board } from '../types.js';
 import { sessions } from './sessions.js';
-import type { Coordinator, Session } from './parts.js';
+import type { Coordinator } from './parts.js';
 
 const refreshMs = 400;
 const legMs = 500;
@@ -13,8 +14,6 @@
 
 // A call says which of the peer's replies came in last; from that the peer knows until when the
 // leader reckons with it. Sessions are told by their age, for clocks are not shared.
-type BoardCall = { board: Board | null; term: number; echo: number };
-type BoardReply = { have: [number, number]; no: number; revision: number; sessions: Session[] };
 
 function empty(): Board {
   return { term: 0, seq: 0, runners: null, sites: 0 };
@@ -73,7 +72,7 @@
   const news = newer(c.board, p.have[0], p.have[1]);
   if (onlyNews && !news) return;
   p.busy = true;
-  const call: BoardCall = {
+  const call: BoardRequest = {
     board: news ? c.board : null,
     term: c.replica.machine.term,
     echo: c.peerSessions.get(id)?.no ?? 0,
@@ -94,7 +93,7 @@
   }
 }
 
-function receive(c: Coordinator, call: BoardCall): BoardReply {
+function receive(c: Coordinator, call: BoardRequest): BoardReply {
   if (call.board && newer(call.board, c.board.term, c.board.seq)) {
     c.board = call.board;
     boardHistory.take(c.boardHistory, c.board);
--- a/src/controlplane/feed.ts
+++ b/src/controlplane/feed.ts
@@ -4,13 +4,13 @@
 import { replica } from '../coordination/consensus/driver.js';
 import { exchange, type Exchange } from '../coordination/exchange/machine.js';
 import type { Bench } from '../coordination/health/jury.js';
-import type { FeedAnswer, FeedCall } from '../types.js';
+import type { FeedReply, FeedRequest } from '../protocol/inner/feed.js';
 import type { Coordinator } from './parts.js';
 import { sessions } from './sessions.js';
 
 const trackMs = 100;
 
-type Waiter = { call: FeedCall; answer: () => void };
+type Waiter = { call: FeedRequest; answer: () => void };
 export type FeedState = Exchange & { waiters: Set<Waiter> };
 
 const states = new WeakMap<Coordinator, FeedState>();
@@ -36,7 +36,7 @@
   }
 }
 
-function call(c: Coordinator, f: FeedCall): Promise<FeedAnswer> | FeedAnswer | null {
+function call(c: Coordinator, f: FeedRequest): Promise<FeedReply> | FeedReply | null {
   if (!replica.isLeader(c.replica)) return null;
   const s = state(c);
   const known = exchange.take(s, f, performance.now());
--- a/src/controlplane/news.ts
+++ b/src/controlplane/news.ts
@@ -4,14 +4,14 @@
 import { boardHistory } from '../state/history/boards.js';
 import { configurationHistory } from '../state/history/configurations.js';
 import { replica } from '../coordination/consensus/driver.js';
-import type { NewsAnswer, NewsCall } from '../types.js';
+import type { NewsReply, NewsRequest } from '../protocol/inner/news.js';
 import { boards } from './board.js';
 import { sessions } from './sessions.js';
 import type { Coordinator, Waiter } from './parts.js';
 
 const longestHoldMs = 2000;
 
-function hasNews(c: Coordinator, call: NewsCall): boolean {
+function hasNews(c: Coordinator, call: NewsRequest): boolean {
   const s = c.replica.state;
   return (
     call.whole ||
@@ -22,7 +22,7 @@
   );
 }
 
-function answerOf(c: Coordinator, call: NewsCall): NewsAnswer {
+function answerOf(c: Coordinator, call: NewsRequest): NewsReply {
   const s = c.replica.state;
   const m = c.replica.machine;
   const isBehind = (s.configuration?.revision ?? 0) > call.revision || (call.whole && s.configuration !== null);
@@ -50,7 +50,7 @@
   };
 }
 
-function call(c: Coordinator, n: NewsCall): Promise<NewsAnswer> {
+function call(c: Coordinator, n: NewsRequest): Promise<NewsReply> {
   sessions.touch(c, n.site, n.life, n.revision);
   return new Promise(function run(done) {
     if (hasNews(c, n)) return done(answerOf(c, n));
--- a/src/controlplane/operator.ts
+++ b/src/controlplane/operator.ts
@@ -8,7 +8,7 @@
 import { answers, type Answer } from '../transport/http/answer.js';
 import { channel } from '../transport/inner/channel.js';
 import { ringLog } from '../logging/ring.js';
-import type { OperatorAnswer, OperatorCall } from '../types.js';
+import type { OperatorReply, OperatorRequest } from '../protocol/inner/operator.js';
 import type { Coordinator } from './parts.js';
 import { status } from './status.js';
 
@@ -32,20 +32,20 @@
   return m;
 }
 
-function fixed(status: number, value: unknown): OperatorAnswer {
+function fixed(status: number, value: unknown): OperatorReply {
   return { status, body: JSON.stringify(value) };
 }
 
 const unsettled = fixed(503, { message: 'no leader is sure of its term; send the call again' });
 
-async function read(c: Coordinator): Promise<OperatorAnswer> {
+async function read(c: Coordinator): Promise<OperatorReply> {
   if (!(await replica.confirm(c.replica, waitMs))) return unsettled;
   const now = c.replica.state.configuration;
   return now ? fixed(200, now) : fixed(404, { message: 'there is no configuration yet' });
 }
 
-async function change(c: Coordinator, call: OperatorCall): Promise<OperatorAnswer> {
-  return turn(c).runExclusive(async function one(): Promise<OperatorAnswer> {
+async function change(c: Coordinator, call: OperatorRequest): Promise<OperatorReply> {
+  return turn(c).runExclusive(async function one(): Promise<OperatorReply> {
     if (!(await replica.confirm(c.replica, waitMs))) return unsettled;
     const v = judge.call(c.replica.state, call);
     if (v.v === 'refused') return { status: v.status, body: String(answers.refusal(v.status, v.findings).body) };
@@ -65,12 +65,12 @@
 }
 
 // Judges a call here, as the leader; null when this node is not it.
-async function decide(c: Coordinator, call: OperatorCall): Promise<OperatorAnswer | null> {
+async function decide(c: Coordinator, call: OperatorRequest): Promise<OperatorReply | null> {
   if (!replica.isLeader(c.replica)) return null;
   return call.method === 'GET' ? read(c) : change(c, call);
 }
 
-async function handOver(c: Coordinator, call: OperatorCall): Promise<OperatorAnswer> {
+async function handOver(c: Coordinator, call: OperatorRequest): Promise<OperatorReply> {
   const until = performance.now() + waitMs;
   for (;;) {
     const here = await decide(c, call);
@@ -79,7 +79,7 @@
     if (left <= 0) return unsettled;
     const to = replica.leaderControl(c.replica);
     if (to !== null && to !== c.replica.machine.addr) {
-      const r = await channel.post<OperatorAnswer | null>(c.agent, to, '/inner/operator', call, Math.min(left, 1500));
+      const r = await channel.post<OperatorReply | null>(c.agent, to, '/inner/operator', call, Math.min(left, 1500));
       if (r.ok && r.value !== null && r.value.status !== 503) return r.value;
     }
     await new Promise(function pause(done) {
--- a/src/controlplane/status.ts
+++ b/src/controlplane/status.ts
@@ -5,13 +5,13 @@
 import { exchange } from '../coordination/exchange/machine.js';
 import { answers } from '../transport/http/answer.js';
 import { channel } from '../transport/inner/channel.js';
-import type { StatusAnswer } from '../types.js';
+import type { StatusReply } from '../protocol/inner/status.js';
 import { feed } from './feed.js';
 import type { Coordinator } from './parts.js';
 
 const legMs = 600;
 
-function own(c: Coordinator): StatusAnswer {
+function own(c: Coordinator): StatusReply {
   const m = c.replica.machine;
   const now = performance.now();
   const s = c.replica.state;
@@ -76,7 +76,7 @@
   req.resume();
   const to = replica.leaderControl(c.replica);
   if (to !== null && to !== c.replica.machine.addr) {
-    const r = await channel.post<StatusAnswer>(c.agent, to, '/inner/status', {}, legMs);
+    const r = await channel.post<StatusReply>(c.agent, to, '/inner/status', {}, legMs);
     if (r.ok) return answers.send(res, answers.json(200, r.value));
   }
   answers.send(res, answers.json(200, own(c)));
--- a/src/coordination/exchange/machine.ts
+++ b/src/coordination/exchange/machine.ts
@@ -7,7 +7,8 @@
 import { identity } from '../../state/index/identity.js';
 import { keptIndex, type KeptIndex } from '../../state/index/kept.js';
 import { itemHistory, type ItemHistory } from '../../state/history/items.js';
-import type { FeedAnswer, FeedCall, HotRow, Tracking, Tuning } from '../../types.js';
+import type { FeedReply, FeedRequest, HotRow, Tracking } from '../../protocol/inner/feed.js';
+import type { Tuning } from '../../types.js';
 
 const leastBeatMs = 20;
 const longestBeatMs = 250;
@@ -50,7 +51,7 @@
   return Math.min(longestBeatMs, Math.max(leastBeatMs, sites * beatMsPerSite));
 }
 
-function due(s: Exchange, call: FeedCall): boolean {
+function due(s: Exchange, call: FeedRequest): boolean {
   return (
     call.since[0] !== s.term ||
     keptIndex.last(s.index) > call.since[1] ||
@@ -60,13 +61,13 @@
   );
 }
 
-function loadsOf(s: Exchange, call: FeedCall): FeedAnswer['loads'] {
+function loadsOf(s: Exchange, call: FeedRequest): FeedReply['loads'] {
   const told = sums.since(s.sums, call.since[0] === s.term ? call.loadSeen : 0);
   return { ...told, shownNo: sums.shownNo(s.sums, call.site, call.life) };
 }
 
 // The hot set as a site lacks it: the parts that came in and those that left since it was told.
-function hotOf(s: Exchange, call: FeedCall): Tracking['hot'] {
+function hotOf(s: Exchange, call: FeedRequest): Tracking['hot'] {
   const known = call.since[0] === s.term ? call.hotSeq : -1;
   if (known === s.hotSeq) return null;
   const d = known < 0 ? null : itemHistory.since(s.hot, known);
@@ -82,7 +83,7 @@
 }
 
 // A call without a hold only reports: it is answered with what says that the report was taken.
-function answerOf(s: Exchange, call: FeedCall, known: boolean): FeedAnswer {
+function answerOf(s: Exchange, call: FeedRequest, known: boolean): FeedReply {
   const t = s.tracker;
   const isReport = call.hold === 0;
   const fresh = isReport ? [] : call.since[0] === s.term ? keptIndex.since(s.index, call.since[1]) : null;
@@ -110,7 +111,7 @@
   };
 }
 
-function take(s: Exchange, call: FeedCall, now: number): boolean {
+function take(s: Exchange, call: FeedRequest, now: number): boolean {
   sums.report(s.sums, call.site, call.life, call.loadNo, call.load, call.unhealthy, now);
   jury.hear(s.jury, call.site, call.outcomes, now);
   for (const [salt, part, tokens, place] of call.held) keptIndex.announce(s.index, place, salt, part, tokens);
--- a/src/coordination/health/jury.ts
+++ b/src/coordination/health/jury.ts
@@ -3,6 +3,8 @@
 // for several sites is unhealthy for all. The word of one site counts for little, and only a part of a
 // service's runners can be unhealthy at once, so that a false or cut-off accuser never empties a pool.
 // An unhealthy runner is tried again, after a pause that grows, by one site with a repeatable request.
+import type { OutcomeRow, Verdict } from '../../protocol/inner/feed.js';
+
 export type Word = { good: number; bad: number; at: number };
 export type CasePhase = 'clear' | 'unhealthy' | 'trial';
 export type Case = {
@@ -15,8 +17,6 @@
   trialNo: number;
 };
 export type Jury = { cases: Map<string, Case>; seq: number; trials: number };
-export type OutcomeRow = [string, number, number];
-export type Verdict = [string, string | null, number];
 export type Bench = { runners: Map<string, string>; sites: string[] };
 
 const halfMs = 2500;
--- a/src/dataplane/feed.ts
+++ b/src/dataplane/feed.ts
@@ -6,9 +6,9 @@
 import { transfers } from '../coordination/transfer/machine.js';
 import { identity } from '../state/index/identity.js';
 import { holdings, storePlace } from '../state/index/holdings.js';
-import type { OutcomeRow } from '../coordination/health/jury.js';
+import type { FeedReply, FeedRequest, OutcomeRow } from '../protocol/inner/feed.js';
 import { fleet } from '../state/runners/fleet.js';
-import type { LoadRow, FeedAnswer, FeedCall } from '../types.js';
+import type { LoadRow } from '../types.js';
 import type { Follower } from './follow.js';
 import { assign } from './policies/assign.js';
 import type { Site } from './types.js';
@@ -68,7 +68,7 @@
   return out;
 }
 
-function callOf(site: Site, x: Exchange, hold: number): FeedCall {
+function callOf(site: Site, x: Exchange, hold: number): FeedRequest {
   const load = loadOf(site);
   x.told = new Map(
     load.map(function pair(b) {
@@ -101,7 +101,7 @@
   site.storeLeases = others.at(x.others, storeName)[3];
 }
 
-function take(site: Site, x: Exchange, a: FeedAnswer, held: boolean): void {
+function take(site: Site, x: Exchange, a: FeedReply, held: boolean): void {
   const now = performance.now();
   x.heardAt = now;
   site.hintsUntil = now + hintsMs;
@@ -152,7 +152,7 @@
   const to = f.leader;
   if (to === null) return false;
   const call = callOf(site, x, hold);
-  const r = await channel.post<FeedAnswer | null>(f.via, to, '/inner/feed', call, hold + slackMs);
+  const r = await channel.post<FeedReply | null>(f.via, to, '/inner/feed', call, hold + slackMs);
   if (!r.ok || r.value === null) {
     x.held = [...call.held, ...x.held].slice(-200);
     return false;
--- a/src/dataplane/follow.ts
+++ b/src/dataplane/follow.ts
@@ -7,7 +7,8 @@
 import { configurationHistory } from '../state/history/configurations.js';
 import { routes } from '../state/control/routes.js';
 import { fleet } from '../state/runners/fleet.js';
-import type { Board, Configuration, NewsAnswer, NewsCall } from '../types.js';
+import type { NewsReply, NewsRequest } from '../protocol/inner/news.js';
+import type { Board, Configuration } from '../types.js';
 import { line } from './line.js';
 import type { Site } from './types.js';
 
@@ -58,7 +59,7 @@
   }
 }
 
-function take(site: Site, f: Follower, a: NewsAnswer): void {
+function take(site: Site, f: Follower, a: NewsReply): void {
   f.whole = false;
   takeConfiguration(
     site,
@@ -103,7 +104,7 @@
   while (!f.stopped) {
     const to = f.known[f.at % f.known.length]!;
     const sentAt = performance.now();
-    const call: NewsCall = {
+    const call: NewsRequest = {
       site: site.settings.node_name,
       life: f.life,
       revision: site.table?.revision ?? 0,
@@ -113,7 +114,7 @@
       hold: holdMs,
       whole: f.whole,
     };
-    const r = await channel.post<NewsAnswer>(f.via, to, '/inner/news', call, holdMs + slackMs);
+    const r = await channel.post<NewsReply>(f.via, to, '/inner/news', call, holdMs + slackMs);
     if (r.ok) take(site, f, r.value);
     if (r.ok && r.value.leave) site.leaveUntil = Math.max(site.leaveUntil, sentAt + leaveMs);
     if (r.ok && r.value.fresh) {
--- a/src/protocol/findings.ts
+++ b/src/protocol/findings.ts
@@ -3,8 +3,20 @@
 import { validate, type Struct } from 'superstruct';
 import type { Finding } from '../types.js';
 
+// Superstruct puts wrong values into its sentences and throws on one that can't be turned into text,
+// such as an object with a field named `toString`.
+function tryValidate<T, S>(raw: unknown, shape: Struct<T, S>): ReturnType<typeof validate<T, S>> | null {
+  try {
+    return validate(raw, shape);
+  } catch {
+    return null;
+  }
+}
+
 function of<T, S>(raw: unknown, shape: Struct<T, S>): Finding[] {
-  const [err] = validate(raw, shape);
+  const result = tryValidate(raw, shape);
+  if (!result) return [{ place: '(whole)', text: 'holds a value that cannot be shown' }];
+  const [err] = result;
   if (!err) return [];
   const list: Finding[] = [];
   for (const f of err.failures()) {
--- /dev/null
+++ b/src/protocol/inner/feed.ts
@@ -0,0 +1,146 @@
+/**
+ * `/inner/feed`: a router tells the leader its load, what it met and counted, and is told what the others
+ * have. Ordered by the leader's term, so it need not be bound to the life of the callee.
+ */
+import type { LoadRow } from '../../types.js';
+import { endpoint, type Endpoint } from './endpoint.js';
+import { guard } from './guard.js';
+
+/** Runner, good answers, broken answers. */
+export type OutcomeRow = [string, number, number];
+
+/** An unhealthy runner, the router that is to try it or null, and the number of that trial. */
+export type Verdict = [string, string | null, number];
+
+/** A part, its share of the requests, its length in tokens. */
+export type HotRow = [string, number, number];
+
+/** Counts of parts since the last report: part, arrivals, tokens. */
+export type CountReport = {
+  seq: number;
+  era: number;
+  m: number;
+  counts: [string, number, number][];
+  gather: number;
+};
+
+/** `since` is the (term, position) up to which the index is known; a `hold` of 0 milliseconds only reports. */
+export type FeedRequest = {
+  site: string;
+  life: string;
+  since: [number, number];
+  hotSeq: number;
+  hold: number;
+  load: LoadRow[];
+  loadNo: number;
+  loadSeen: number;
+  unhealthy: string[];
+  outcomes: OutcomeRow[];
+  verdictSeq: number;
+  held: [string, string, number, string][];
+  report: CountReport | null;
+};
+
+export type Tracking = {
+  k: number;
+  total: number;
+  gather: number;
+  era: number;
+  hotSeq: number;
+  hot: { whole: boolean; upserts: HotRow[]; removals: string[] } | null;
+};
+
+/** `changes`: operation, salt, part, tokens, place. */
+export type FeedReply = {
+  term: number;
+  at: number;
+  whole: boolean;
+  changes: [string, string, string, number, string][];
+  loads: { revision: number; whole: boolean; rows: LoadRow[]; shownNo: number } | null;
+  beatMs: number;
+  verdicts: { seq: number; rows: Verdict[] } | null;
+  taken: number;
+  known: boolean;
+  tracking: Tracking;
+};
+
+const maxBytes = 8 * 1024 * 1024;
+const maxHoldMs = 60_000;
+
+const { name, finite, integer, flag } = guard;
+const loadRow = guard.row<LoadRow>(name, finite, finite, finite, finite, finite);
+const namedPair = guard.row<[string, number, number]>(name, finite, finite);
+
+const request = guard.object<FeedRequest>({
+  site: name,
+  life: name,
+  since: guard.row<[number, number]>(integer, integer),
+  hotSeq: integer,
+  hold: guard.between(0, maxHoldMs),
+  load: guard.list(loadRow),
+  loadNo: integer,
+  loadSeen: integer,
+  unhealthy: guard.list(name),
+  outcomes: guard.list(namedPair),
+  verdictSeq: integer,
+  held: guard.list(guard.row<[string, string, number, string]>(name, name, finite, name)),
+  report: guard.nullable(
+    guard.object<CountReport>({
+      seq: integer,
+      era: finite,
+      m: finite,
+      counts: guard.list(namedPair),
+      gather: finite,
+    }),
+  ),
+});
+
+const tracking = guard.object<Tracking>({
+  k: finite,
+  total: finite,
+  gather: finite,
+  era: finite,
+  hotSeq: integer,
+  hot: guard.nullable(
+    guard.object<NonNullable<Tracking['hot']>>({
+      whole: flag,
+      upserts: guard.list(namedPair),
+      removals: guard.list(name),
+    }),
+  ),
+});
+
+const reply = guard.object<FeedReply>({
+  term: integer,
+  at: integer,
+  whole: flag,
+  changes: guard.list(guard.row<[string, string, string, number, string]>(name, name, name, finite, name)),
+  loads: guard.nullable(
+    guard.object<NonNullable<FeedReply['loads']>>({
+      revision: integer,
+      whole: flag,
+      rows: guard.list(loadRow),
+      shownNo: integer,
+    }),
+  ),
+  beatMs: guard.between(0, maxHoldMs),
+  verdicts: guard.nullable(
+    guard.object<NonNullable<FeedReply['verdicts']>>({
+      seq: integer,
+      rows: guard.list(guard.row<Verdict>(name, guard.nullable(name), integer)),
+    }),
+  ),
+  taken: integer,
+  known: flag,
+  tracking,
+});
+
+/** The reply is null where the callee is not the leader. */
+export const feedEndpoint: Endpoint<FeedRequest, FeedReply | null> = {
+  path: '/inner/feed',
+  checkRequest: endpoint.byGuard(request),
+  checkReply: endpoint.byGuard(guard.nullable(reply)),
+  maxBytes,
+  lane: 'control',
+  bindsToLife: false,
+};
--- /dev/null
+++ b/src/protocol/inner/operator.ts
@@ -0,0 +1,36 @@
+/**
+ * `/inner/operator`: a coordinator hands an operator's call over to the leader. The order itself is
+ * recognised by its content, in the log, so it need not be bound to the life of the callee.
+ */
+import { instance, integer, nullable, size, string, type } from 'superstruct';
+import { endpoint, type Endpoint } from './endpoint.js';
+
+/** `match` is the value of If-Match; `body` the bytes as the operator sent them. */
+export type OperatorRequest = { method: string; path: string; match: string | null; body: Uint8Array };
+
+/** The HTTP status and the JSON text for the operator. */
+export type OperatorReply = { status: number; body: string };
+
+const maxNameLength = 1024;
+const maxOrderBytes = 16 * 1024 * 1024;
+const envelopeBytes = 8 * 1024;
+const name = size(string(), 0, maxNameLength);
+
+const request = type({
+  method: name,
+  path: name,
+  match: nullable(name),
+  body: instance(Uint8Array),
+});
+
+const reply = nullable(type({ status: size(integer(), 100, 599), body: string() }));
+
+/** The reply is null where the callee is not the leader. */
+export const operatorEndpoint: Endpoint<OperatorRequest, OperatorReply | null> = {
+  path: '/inner/operator',
+  checkRequest: endpoint.byStruct(request),
+  checkReply: endpoint.byStruct(reply),
+  maxBytes: maxOrderBytes + envelopeBytes,
+  lane: 'bulk',
+  bindsToLife: false,
+};
--- /dev/null
+++ b/src/protocol/inner/status.ts
@@ -0,0 +1,78 @@
+/** `/inner/status`: what a coordinator says of the system. Of this moment, not bound to a life. */
+import { array, boolean, enums, nullable, number, record, string, type } from 'superstruct';
+import type { ModelAt } from '../../types.js';
+import { endpoint, type Endpoint } from './endpoint.js';
+
+export type StatusRequest = Record<string, never>;
+
+/** Ages (`heardMs`, `seenMs`) are in milliseconds; `match` is the last log index known to be kept there. */
+export type StatusReply = {
+  node: string;
+  phase: string;
+  term: number;
+  leader: string | null;
+  sure: boolean;
+  acts: boolean;
+  roster: { id: string; control: string; heardMs: number | null; match: number | null }[];
+  committed: number;
+  disk: 'takes' | 'refuses';
+  configuration: number;
+  weights: Record<string, number>;
+  rules: { active: Record<string, string[]>; pending: number };
+  sites: { site: string; revision: number; seenMs: number }[];
+  runners: {
+    id: string;
+    service: string;
+    addr: string;
+    zone: string;
+    draining: boolean;
+    parked: boolean;
+    models: ModelAt[];
+    unhealthyAt: number | null;
+    verdict: string | null;
+  }[];
+  hot: { part: string; share: number; tokens: number }[] | null;
+};
+
+const maxBytes = 1024;
+
+const request = type({});
+
+const reply = type({
+  node: string(),
+  phase: string(),
+  term: number(),
+  leader: nullable(string()),
+  sure: boolean(),
+  acts: boolean(),
+  roster: array(type({ id: string(), control: string(), heardMs: nullable(number()), match: nullable(number()) })),
+  committed: number(),
+  disk: enums(['takes', 'refuses']),
+  configuration: number(),
+  weights: record(string(), number()),
+  rules: type({ active: record(string(), array(string())), pending: number() }),
+  sites: array(type({ site: string(), revision: number(), seenMs: number() })),
+  runners: array(
+    type({
+      id: string(),
+      service: string(),
+      addr: string(),
+      zone: string(),
+      draining: boolean(),
+      parked: boolean(),
+      models: array(type({ label: string(), revision: number() })),
+      unhealthyAt: nullable(number()),
+      verdict: nullable(string()),
+    }),
+  ),
+  hot: nullable(array(type({ part: string(), share: number(), tokens: number() }))),
+});
+
+export const statusEndpoint: Endpoint<StatusRequest, StatusReply> = {
+  path: '/inner/status',
+  checkRequest: endpoint.byStruct(request),
+  checkReply: endpoint.byStruct(reply),
+  maxBytes,
+  lane: 'bulk',
+  bindsToLife: false,
+};
--- a/src/state/control/judge.ts
+++ b/src/state/control/judge.ts
@@ -1,7 +1,8 @@
 // Judges a call of the operator against the replicated state: either it is answered as it stands
 // (refused, lost its race, or taken before) or it becomes a command to be ordered.
 import { createHash } from 'node:crypto';
-import type { Configuration, Finding, OperatorCall } from '../../types.js';
+import type { OperatorRequest } from '../../protocol/inner/operator.js';
+import type { Configuration, Finding } from '../../types.js';
 import { configurationCheck } from '../../protocol/configuration/check.js';
 import { patch } from '../../protocol/configuration/patch.js';
 import type { Command, ControlState } from './reducer.js';
@@ -13,7 +14,7 @@
   return { v: 'refused', status, findings: [{ place, text }] };
 }
 
-function digest(call: OperatorCall): string {
+function digest(call: OperatorRequest): string {
   return createHash('sha256')
     .update(`${call.method} ${call.match ?? ''}\n`)
     .update(call.body)
@@ -28,7 +29,7 @@
   }
 }
 
-function ofConfiguration(s: ControlState, call: OperatorCall): Verdict {
+function ofConfiguration(s: ControlState, call: OperatorRequest): Verdict {
   const id = digest(call);
   if (s.taken.includes(id)) return { v: 'taken' };
   const json = parsed(call.body);
@@ -52,7 +53,7 @@
   return { v: 'order', command: { c: 'configure', configuration, call: id } };
 }
 
-function ofWeights(s: ControlState, call: OperatorCall): Verdict {
+function ofWeights(s: ControlState, call: OperatorRequest): Verdict {
   const json = parsed(call.body);
   if (!json.ok) return refused(400, '(whole)', json.why);
   const raw = json.value as { model_name?: unknown; revision?: unknown } | null;
@@ -69,7 +70,7 @@
   return { v: 'order', command: { c: 'weights', model, revision } };
 }
 
-function call(s: ControlState, c: OperatorCall): Verdict {
+function call(s: ControlState, c: OperatorRequest): Verdict {
   return c.path === '/v1/version-put' ? ofWeights(s, c) : ofConfiguration(s, c);
 }
 
--- a/src/state/history/configurations.ts
+++ b/src/state/history/configurations.ts
@@ -1,16 +1,10 @@
 // The differences between revisions of the configuration, for sites that have an earlier one. The
 // lists of routes, services and tenants are told by their changed items; the rest is small and told
 // whole. A site that stands before what is remembered is told everything.
+import type { ConfigurationDelta } from '../../protocol/inner/deltas.js';
 import type { Configuration, Route, Service, Tenant } from '../../types.js';
-import { itemHistory, type ItemDelta, type ItemHistory } from './items.js';
+import { itemHistory, type ItemHistory } from './items.js';
 
-export type ConfigurationDelta = {
-  from: number;
-  rest: Record<string, unknown>;
-  routes: ItemDelta<Route>;
-  services: ItemDelta<Service>;
-  tenants: ItemDelta<Tenant> | null;
-};
 export type ConfigurationHistory = {
   current: Configuration | null;
   revisions: Set<number>;
--- a/src/state/history/items.ts
+++ b/src/state/history/items.ts
@@ -1,13 +1,14 @@
 // Remembers, for a list of named items that changes by steps, at which step each item last changed or
 // left, so that whoever stands at an earlier step is told only the difference. Steps only rise. From
 // before the floor nothing is remembered, and the whole list has to be told.
+import type { ItemDelta } from '../../protocol/inner/deltas.js';
+
 export type ItemHistory<T> = {
   floor: number;
   at: number;
   items: Map<string, { value: T; text: string; at: number }>;
   gone: Map<string, number>;
 };
-export type ItemDelta<T> = { upserts: T[]; removals: string[]; count: number };
 
 const mostGone = 2000;
 
--- a/src/tools/status.ts
+++ b/src/tools/status.ts
@@ -1,5 +1,5 @@
 // `milletcleat status`: what a running system says of itself.
-import type { StatusAnswer } from '../types.js';
+import type { StatusReply } from '../protocol/inner/status.js';
 import { controlCall } from './control.js';
 import { toolEnd, type ToolEnd, type ToolFlags } from './types.js';
 
@@ -27,7 +27,7 @@
   return rows.length === 0 ? `${title}: none` : `${title}:\n${table([head, ...rows])}`;
 }
 
-function text(s: StatusAnswer): string {
+function text(s: StatusReply): string {
   const view =
     s.phase === 'leader' ? 'the leader' : `${s.phase}, not the leader: sites, health and hot set may be missing`;
   return [
@@ -94,9 +94,9 @@
   const r = await controlCall.call(flags.control, 'GET', '/v1/status', {});
   if (!r.ok) return toolEnd.error(r.error);
   if (r.value.status !== 200) return toolEnd.error(controlCall.refused(r.value));
-  let s: StatusAnswer;
+  let s: StatusReply;
   try {
-    s = JSON.parse(r.value.body.toString('utf8')) as StatusAnswer;
+    s = JSON.parse(r.value.body.toString('utf8')) as StatusReply;
   } catch {
     return toolEnd.error(`${flags.control} gave an answer that cannot be read`);
   }
--- a/src/types.ts
+++ b/src/types.ts
@@ -1,10 +1,8 @@
-// The shared types of the system, gathered in one module: outcomes and findings, what a process is
-// told, what the operator configures, what runners and the platform report, and what the programs
-// say to one another.
-
-import type { OutcomeRow, Verdict } from './coordination/health/jury.js';
-import type { BoardDelta } from './state/history/boards.js';
-import type { ConfigurationDelta } from './state/history/configurations.js';
+/**
+ * The shared types of the system: outcomes and findings, what a process is told, what the operator
+ * configures, what runners and the platform report. Imports nothing; what the programs say to one
+ * another is in `protocol/inner`.
+ */
 
 export type Outcome<T, E> = { ok: true; value: T } | { ok: false; error: E };
 export type Finding = { place: string; text: string };
@@ -111,31 +109,6 @@
   sites: number;
 };
 
-// `whole` asks for configuration and board whole: a difference that was told did not fit.
-export type NewsCall = {
-  site: string;
-  life: string;
-  revision: number;
-  board: [number, number];
-  weights: number;
-  rules: number;
-  hold: number;
-  whole: boolean;
-};
-export type NewsAnswer = {
-  configuration: Configuration | null;
-  configurationDelta: ConfigurationDelta | null;
-  weights: Record<string, number> | null;
-  weightsSeq: number;
-  rules: RulesState | null;
-  board: Board | null;
-  boardDelta: BoardDelta | null;
-  leader: string | null;
-  coordinators: string[];
-  fresh: boolean;
-  leave: boolean;
-};
-
 // The access rules in effect, and those that wait for their activation.
 export type RulesState = {
   seq: number;
@@ -149,74 +122,6 @@
 export type Load = [number, number, number, number, number];
 export type LoadRow = [string, ...Load];
 
-export type FeedCall = {
-  site: string;
-  life: string;
-  since: [number, number];
-  hotSeq: number;
-  hold: number;
-  load: LoadRow[];
-  loadNo: number;
-  loadSeen: number;
-  unhealthy: string[];
-  outcomes: OutcomeRow[];
-  verdictSeq: number;
-  held: [string, string, number, string][];
-  report: { seq: number; era: number; m: number; counts: [string, number, number][]; gather: number } | null;
-};
-export type FeedAnswer = {
-  term: number;
-  at: number;
-  whole: boolean;
-  changes: [string, string, string, number, string][];
-  loads: { revision: number; whole: boolean; rows: LoadRow[]; shownNo: number } | null;
-  beatMs: number;
-  verdicts: { seq: number; rows: Verdict[] } | null;
-  taken: number;
-  known: boolean;
-  tracking: Tracking;
-};
-export type Tracking = {
-  k: number;
-  total: number;
-  gather: number;
-  era: number;
-  hotSeq: number;
-  hot: { whole: boolean; upserts: HotRow[]; removals: string[] } | null;
-};
-export type HotRow = [string, number, number];
-
-export type OperatorCall = { method: string; path: string; match: string | null; body: Uint8Array };
-export type OperatorAnswer = { status: number; body: string };
-
-export type StatusAnswer = {
-  node: string;
-  phase: string;
-  term: number;
-  leader: string | null;
-  sure: boolean;
-  acts: boolean;
-  roster: { id: string; control: string; heardMs: number | null; match: number | null }[];
-  committed: number;
-  disk: 'takes' | 'refuses';
-  configuration: number;
-  weights: Record<string, number>;
-  rules: { active: Record<string, string[]>; pending: number };
-  sites: { site: string; revision: number; seenMs: number }[];
-  runners: {
-    id: string;
-    service: string;
-    addr: string;
-    zone: string;
-    draining: boolean;
-    parked: boolean;
-    models: ModelAt[];
-    unhealthyAt: number | null;
-    verdict: string | null;
-  }[];
-  hot: { part: string; share: number; tokens: number }[] | null;
-};
-
 // What may be set on the command line of the daemons; the defaults stand in tuning.ts.
 export type Tuning = {
   epsilon: number;
--- a/test/scale.test.ts
+++ b/test/scale.test.ts
@@ -9,7 +9,8 @@
 import { configurationHistory } from '../src/state/history/configurations.js';
 import { boardHistory } from '../src/state/history/boards.js';
 import { tuning } from '../src/protocol/settings/tuning.js';
-import type { LoadRow, Configuration, FeedAnswer, FeedCall, Runner } from '../src/types.js';
+import type { FeedReply, FeedRequest } from '../src/protocol/inner/feed.js';
+import type { LoadRow, Configuration, Runner } from '../src/types.js';
 import { luck, type Luck } from './support/random.js';
 
 const packr = new Packr({ useRecords: false });
@@ -27,7 +28,7 @@
 };
 type Counts = { sites: number; answers: number; bytesIn: number; bytesOut: number };
 
-function callOf(s: SimSite): FeedCall {
+function callOf(s: SimSite): FeedRequest {
   const load = [...s.rows.values()];
   return {
     site: s.name,
@@ -46,7 +47,7 @@
   };
 }
 
-function take(s: SimSite, a: FeedAnswer): void {
+function take(s: SimSite, a: FeedReply): void {
   if (a.loads) others.take(s.o, a.loads);
   s.since = [a.term, a.at];
   if (a.tracking.hot) s.hotSeq = a.tracking.hotSeq;
@@ -67,7 +68,7 @@
   const all: SimSite[] = Array.from({ length: n }, function one(_, i) {
     return { name: `edge-${i}`, o: others.create(), rows: new Map(), since: [1, 0], hotSeq: 0, verdictSeq: 0 };
   });
-  const open = new Map<SimSite, FeedCall>();
+  const open = new Map<SimSite, FeedRequest>();
   const out: Counts = { sites: n, answers: 0, bytesIn: 0, bytesOut: 0 };
   function ask(s: SimSite, now: number): void {
     const c = callOf(s);
--- a/test/standins/fleet.ts
+++ b/test/standins/fleet.ts
@@ -6,7 +6,7 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { dump } from 'js-yaml';
-import type { StatusAnswer } from '../../src/types.js';
+import type { StatusReply } from '../../src/protocol/inner/status.js';
 import { platformStandin, type PlatformStandin } from './platform.js';
 import { runnerStandin, type RunnerStandin } from './runner.js';
 
@@ -216,8 +216,8 @@
   return call(ip(f.net, 10 + site), ports.front, 'POST', path, { Host: host, ...headers }, body, agent);
 }
 
-async function status(f: Fleet, n: number): Promise<StatusAnswer> {
-  return JSON.parse((await operator(f, n, 'GET', '/v1/status', null)).body) as StatusAnswer;
+async function status(f: Fleet, n: number): Promise<StatusReply> {
+  return JSON.parse((await operator(f, n, 'GET', '/v1/status', null)).body) as StatusReply;
 }
 
 function ready(f: Fleet, site: number): Promise<Reply> {
--- a/test/state.test.ts
+++ b/test/state.test.ts
@@ -26,7 +26,8 @@
 import { recovery } from '../src/state/log/recover.js';
 import { store, type Store } from '../src/state/log/store.js';
 import type { Entry, Snapshot } from '../src/coordination/consensus/types.js';
-import type { Configuration, OperatorCall } from '../src/types.js';
+import type { OperatorRequest } from '../src/protocol/inner/operator.js';
+import type { Configuration } from '../src/types.js';
 
 const snapshot0: Snapshot = {
   index: 0,
@@ -201,17 +202,17 @@
   service_list: [{ label: 's' }],
 };
 
-function put(match: string | null, c: unknown, method = 'PUT'): OperatorCall {
+function put(match: string | null, c: unknown, method = 'PUT'): OperatorRequest {
   return { method, path: '/v1/config', match, body: Buffer.from(typeof c === 'string' ? c : JSON.stringify(c)) };
 }
 
-function taken(s: ControlState, call: OperatorCall): ControlState {
+function taken(s: ControlState, call: OperatorRequest): ControlState {
   const v = judge.call(s, call);
   assert.equal(v.v, 'order');
   return v.v === 'order' ? control.apply(s, v.command) : s;
 }
 
-function status(s: ControlState, call: OperatorCall): number {
+function status(s: ControlState, call: OperatorRequest): number {
   const v = judge.call(s, call);
   return v.v === 'refused' ? v.status : 200;
 }
@@ -236,7 +237,7 @@
 });
 
 test('weights are named once and never go back', function run() {
-  function name(revision: unknown): OperatorCall {
+  function name(revision: unknown): OperatorRequest {
     return {
       method: 'POST',
       path: '/v1/version-put',
