--- a/src/controlplane/board.ts
+++ b/src/controlplane/board.ts
@@ -1,41 +1,55 @@
-// The board: soft state that the leader shows to the other coordinators and they to the sites.
-// Boards are ordered by (term, seq); an older one never replaces a newer one.
+/**
+ * The board: soft state that the leader shows to the other coordinators and they to the sites. Boards
+ * are ordered by (term, seq); an older one never replaces a newer one. Term 0 is for provisional boards,
+ * which any leader's board replaces (`runners.ts`).
+ */
 import { replica } from '../coordination/consensus/driver.js';
 import { boardHistory } from '../state/history/boards.js';
-import { channel } from '../transport/inner/channel.js';
+import { control } from '../state/control/reducer.js';
 import type { Board } from '../types.js';
+import { freshness } from './freshness.js';
+import { inner } from './inner.js';
+import { members } from './members.js';
+import type { Coordinator, LeaderProgress, Session } from './parts.js';
 import { sessions } from './sessions.js';
-import type { Coordinator, Session } from './parts.js';
 
+/** The leader calls every other member at least this often. */
 const refreshMs = 400;
-const legMs = 500;
-export const witnessMs = 1500;
+const callTimeoutMs = 500;
 
-// A call says which of the peer's replies came in last; from that the peer knows until when the
-// leader reckons with it. Sessions are told by their age, for clocks are not shared.
-type BoardCall = { board: Board | null; term: number; echo: number };
-type BoardReply = { have: [number, number]; no: number; revision: number; sessions: Session[] };
+/**
+ * `lastReply` is the number of the last reply that came in, 0 if none: by it the receiver knows up to
+ * when the leader has heard it. `board` is null when the receiver has it already.
+ */
+export type BoardCall = { board: Board | null; progress: LeaderProgress; lastReply: number };
+
+/** `has` is [term, seq] of the receiver's board. `seenAt` in `sessions` is an age in ms, for clocks are not shared. */
+export type BoardReply = { has: [number, number]; replyNumber: number; revision: number; sessions: Session[] };
+
+type PeerProgress = { has: [number, number]; isBusy: boolean; isDueAgain: boolean };
+
+const progressOfPeers = new WeakMap<Coordinator, Map<string, PeerProgress>>();
 
 function empty(): Board {
   return { term: 0, seq: 0, runners: null, sites: 0 };
 }
 
-function newer(a: Board, term: number, seq: number): boolean {
-  return a.term > term || (a.term === term && a.seq > seq);
+function isNewer(board: Board, term: number, seq: number): boolean {
+  return board.term > term || (board.term === term && board.seq > seq);
 }
 
+/** Answers every waiting question for news that is due. */
 function wake(c: Coordinator): void {
-  for (const w of [...c.waiters]) {
-    if (w.due()) {
-      c.waiters.delete(w);
-      w.answer();
-    }
+  for (const waiter of [...c.waiters]) {
+    if (!waiter.isDue()) continue;
+    c.waiters.delete(waiter);
+    waiter.answer();
   }
 }
 
-// Changes the board; only the leader does, and the others are told at once.
+/** Changes the board; only the leader does, and the others are told at once. */
 function change(c: Coordinator, part: Partial<Board>): void {
-  const term = c.replica.machine.term;
+  const term = members.term(c);
   const seq = c.board.term === term ? c.board.seq + 1 : 1;
   c.board = { ...c.board, ...part, term, seq };
   boardHistory.take(c.boardHistory, c.board);
@@ -43,92 +57,95 @@
   tellAll(c, true);
 }
 
-const state = new WeakMap<Coordinator, Map<string, { have: [number, number]; busy: boolean; again: boolean }>>();
-
-function peerState(c: Coordinator, addr: string): { have: [number, number]; busy: boolean; again: boolean } {
-  let m = state.get(c);
-  if (!m) {
-    m = new Map();
-    state.set(c, m);
+function progressOf(c: Coordinator, address: string): PeerProgress {
+  let all = progressOfPeers.get(c);
+  if (!all) {
+    all = new Map();
+    progressOfPeers.set(c, all);
   }
-  let p = m.get(addr);
-  if (!p) {
-    p = { have: [0, 0], busy: false, again: false };
-    m.set(addr, p);
+  let one = all.get(address);
+  if (!one) {
+    one = { has: [0, 0], isBusy: false, isDueAgain: false };
+    all.set(address, one);
   }
-  return p;
+  return one;
 }
 
-function tellAll(c: Coordinator, onlyNews: boolean): void {
+function tellAll(c: Coordinator, onlyIfNewer: boolean): void {
   if (!replica.isLeader(c.replica)) return;
-  for (const p of c.replica.machine.peers.values()) void tell(c, p.id, p.addr, onlyNews);
+  for (const peer of members.peers(c)) void tell(c, peer.id, peer.address, onlyIfNewer);
 }
 
-async function tell(c: Coordinator, id: string, addr: string, onlyNews: boolean): Promise<void> {
-  const p = peerState(c, addr);
-  if (p.busy) {
-    p.again = true;
+async function tell(c: Coordinator, id: string, address: string, onlyIfNewer: boolean): Promise<void> {
+  const peer = progressOf(c, address);
+  if (peer.isBusy) {
+    peer.isDueAgain = true;
     return;
   }
-  const news = newer(c.board, p.have[0], p.have[1]);
-  if (onlyNews && !news) return;
-  p.busy = true;
+  const lacksBoard = isNewer(c.board, peer.has[0], peer.has[1]);
+  if (onlyIfNewer && !lacksBoard) return;
+  peer.isBusy = true;
   const call: BoardCall = {
-    board: news ? c.board : null,
-    term: c.replica.machine.term,
-    echo: c.peerSessions.get(id)?.no ?? 0,
+    board: lacksBoard ? c.board : null,
+    progress: freshness.progress(c),
+    lastReply: c.peerSessions.get(id)?.replyNumber ?? 0,
   };
-  const r = await channel.post<BoardReply>(c.agent, addr, '/inner/board', call, legMs);
-  p.busy = false;
-  if (r.ok) {
-    p.have = r.value.have;
-    const at = performance.now();
-    const list = r.value.sessions.map(function one(s) {
-      return { ...s, seenAt: at - s.seenAt };
-    });
-    c.peerSessions.set(id, { at, no: r.value.no, revision: r.value.revision, sessions: list });
-  }
-  if (p.again && r.ok) {
-    p.again = false;
-    void tell(c, id, addr, true);
-  }
+  const answer = await inner.board(c, address, call, callTimeoutMs);
+  peer.isBusy = false;
+  if (!answer.ok) return;
+  takeReply(c, id, peer, answer.value);
+  if (!peer.isDueAgain) return;
+  peer.isDueAgain = false;
+  void tell(c, id, address, true);
+}
+
+function takeReply(c: Coordinator, id: string, peer: PeerProgress, reply: BoardReply): void {
+  peer.has = reply.has;
+  const at = c.runtime.clock.now();
+  const list = reply.sessions.map(function dated(session) {
+    return { ...session, seenAt: at - session.seenAt };
+  });
+  c.peerSessions.set(id, { at, replyNumber: reply.replyNumber, revision: reply.revision, sessions: list });
 }
 
+function noteHeard(c: Coordinator, call: BoardCall): void {
+  const { reply } = c;
+  if (call.progress.term >= members.term(c))
+    reply.heardUpTo = Math.max(reply.heardUpTo, reply.sentAt.get(call.lastReply) ?? -Infinity);
+  for (const number of reply.sentAt.keys()) if (number < call.lastReply) reply.sentAt.delete(number);
+}
+
+/** Takes a call of the leader. */
 function receive(c: Coordinator, call: BoardCall): BoardReply {
-  if (call.board && newer(call.board, c.board.term, c.board.seq)) {
+  freshness.takeProgress(c, call.progress);
+  if (call.board && isNewer(call.board, c.board.term, c.board.seq)) {
     c.board = call.board;
     boardHistory.take(c.boardHistory, c.board);
-    wake(c);
   }
-  const now = performance.now();
+  wake(c);
+  noteHeard(c, call);
+  const now = c.runtime.clock.now();
   const { reply } = c;
-  if (call.term >= c.replica.machine.term)
-    reply.heardUpTo = Math.max(reply.heardUpTo, reply.sentAt.get(call.echo) ?? -Infinity);
-  for (const no of reply.sentAt.keys()) if (no < call.echo) reply.sentAt.delete(no);
-  reply.no++;
-  reply.sentAt.set(reply.no, now);
-  const list = sessions.own(c).map(function aged(s) {
-    return { ...s, seenAt: now - s.seenAt };
+  reply.number++;
+  reply.sentAt.set(reply.number, now);
+  const list = sessions.own(c).map(function aged(session) {
+    return { ...session, seenAt: now - session.seenAt };
   });
   return {
-    have: [c.board.term, c.board.seq],
-    no: reply.no,
-    revision: c.replica.state.configuration?.revision ?? 0,
+    has: [c.board.term, c.board.seq],
+    replyNumber: reply.number,
+    revision: control.revision(c.replica.state),
     sessions: list,
   };
 }
 
-// Whether this node may give sites leave to honour access rules: the leader while its hold lasts,
-// another while the leader is known to reckon with it.
-function hasLeave(c: Coordinator): boolean {
-  if (replica.isLeader(c.replica)) return replica.fresh(c.replica);
-  return replica.fresh(c.replica) && performance.now() - c.reply.heardUpTo < witnessMs;
-}
-
-function start(c: Coordinator): NodeJS.Timeout {
-  return setInterval(function refresh() {
+function start(c: Coordinator): void {
+  members.onRoleChanged(c, function elected() {
+    tellAll(c, false);
+  });
+  c.runtime.clock.every(refreshMs, function refresh() {
     tellAll(c, false);
-  }, refreshMs);
+  });
 }
 
-export const boards = { empty, newer, change, wake, receive, hasLeave, start };
+export const boards = { empty, isNewer, change, wake, receive, start };
--- a/src/controlplane/feed.ts
+++ b/src/controlplane/feed.ts
@@ -6,6 +6,7 @@
 import type { Bench } from '../coordination/health/jury.js';
 import type { FeedAnswer, FeedCall } from '../types.js';
 import type { Coordinator } from './parts.js';
+import { members } from './members.js';
 import { sessions } from './sessions.js';
 
 const trackMs = 100;
@@ -17,7 +18,7 @@
 
 function state(c: Coordinator): FeedState {
   let s = states.get(c);
-  const term = c.replica.machine.term;
+  const term = members.term(c);
   if (!s || s.term !== term) {
     for (const w of s?.waiters ?? []) w.answer();
     s = { ...exchange.create(term, c.tuning, sessions.count(c)), waiters: new Set() };
@@ -88,7 +89,7 @@
 
 function turn(c: Coordinator): void {
   const s = states.get(c);
-  if (s && replica.isLeader(c.replica) && s.term === c.replica.machine.term) {
+  if (s && replica.isLeader(c.replica) && s.term === members.term(c)) {
     exchange.beat(s, benchOf(c, s), performance.now());
     wake(s);
   }
--- /dev/null
+++ b/src/controlplane/freshness.ts
@@ -0,0 +1,70 @@
+/**
+ * Whether this coordinator may tell sites what it has as current. It must be in touch with a majority
+ * (the leader while its lease runs, a follower that hears the leader), and a follower must besides have
+ * applied what the leader of this term last told it to have applied itself: one that restarted or was
+ * cut off hears heartbeats again before it has caught up. The leader tells its progress at once when it
+ * is elected and then with every call of the board, so a follower can't lag unnoticed by more than
+ * their interval (`board.ts`).
+ */
+import { replica } from '../coordination/consensus/driver.js';
+import { control } from '../state/control/reducer.js';
+import { members } from './members.js';
+import type { Coordinator, LeaderProgress } from './parts.js';
+
+/** A coordinator may pass on the leave to honour access rules for this long after the leader heard it. */
+export const witnessMs = 1500;
+
+function progress(c: Coordinator): LeaderProgress {
+  const { state } = c.replica;
+  return {
+    term: members.term(c),
+    revision: control.revision(state),
+    weightsSeq: state.weightsSeq,
+    rulesSeq: state.rules.seq,
+  };
+}
+
+/** Takes what the leader told; calls may overtake each other, so within a term it only rises. */
+function takeProgress(c: Coordinator, told: LeaderProgress): void {
+  const known = c.leaderProgress;
+  if (told.term < known.term) return;
+  if (told.term > known.term) {
+    c.leaderProgress = told;
+    return;
+  }
+  known.revision = Math.max(known.revision, told.revision);
+  known.weightsSeq = Math.max(known.weightsSeq, told.weightsSeq);
+  known.rulesSeq = Math.max(known.rulesSeq, told.rulesSeq);
+}
+
+function hasCaughtUp(c: Coordinator): boolean {
+  const own = progress(c);
+  const leader = c.leaderProgress;
+  return (
+    leader.term === own.term &&
+    own.revision >= leader.revision &&
+    own.weightsSeq >= leader.weightsSeq &&
+    own.rulesSeq >= leader.rulesSeq
+  );
+}
+
+/** Whether a leader is in touch: this coordinator itself with a running lease, or one that it hears. */
+function hasLeader(c: Coordinator): boolean {
+  return replica.isFresh(c.replica);
+}
+
+function isUpToDate(c: Coordinator): boolean {
+  if (c.isStopping || !replica.isFresh(c.replica)) return false;
+  return replica.isLeader(c.replica) || hasCaughtUp(c);
+}
+
+/**
+ * Whether this coordinator may give sites leave to honour access rules: the leader while its lease
+ * runs, another while the leader is known to have heard it lately.
+ */
+function hasLeave(c: Coordinator): boolean {
+  if (!replica.isFresh(c.replica)) return false;
+  return replica.isLeader(c.replica) || c.runtime.clock.now() - c.reply.heardUpTo < witnessMs;
+}
+
+export const freshness = { progress, takeProgress, hasLeader, isUpToDate, hasLeave };
--- a/src/controlplane/kept.ts
+++ b/src/controlplane/kept.ts
@@ -6,6 +6,7 @@
 import { keptIndex } from '../state/index/kept.js';
 import { feed } from './feed.js';
 import type { Coordinator } from './parts.js';
+import { members } from './members.js';
 import { runners } from './runners.js';
 
 const waitMs = 1000;
@@ -42,7 +43,7 @@
 }
 
 async function follow(c: Coordinator, p: Place, term: number, open: Map<string, string>): Promise<void> {
-  while (replica.isLeader(c.replica) && c.replica.machine.term === term && open.get(p.name) === p.addr) {
+  while (replica.isLeader(c.replica) && members.term(c) === term && open.get(p.name) === p.addr) {
     const from = performance.now();
     const s = feed.state(c);
     const at = keptIndex.placeOf(s.index, p.name);
@@ -87,7 +88,7 @@
     for (const p of now) {
       if (open.get(p.name) === p.addr) continue;
       open.set(p.name, p.addr);
-      void follow(c, p, c.replica.machine.term, open);
+      void follow(c, p, members.term(c), open);
     }
   }, beatMs);
 }
--- a/src/controlplane/news.ts
+++ b/src/controlplane/news.ts
@@ -1,78 +1,146 @@
-// Answers a site's question for news: at once when there is something it does not have, otherwise
-// when there is or the hold runs out. Says whether this coordinator is itself up to date, so that a
-// site can turn to another.
+/**
+ * Answers a site's question for news: at once when there is something it does not have, otherwise when
+ * there is or the hold runs out. A coordinator that is not up to date (`freshness.ts`) says so and hands
+ * out nothing, so that the site turns to another; only a site that asks for it (`acceptsStale`, after no
+ * coordinator was up to date for a while) is given what there is.
+ */
 import { boardHistory } from '../state/history/boards.js';
-import { configurationHistory } from '../state/history/configurations.js';
+import { configurationHistory, type ConfigurationDelta } from '../state/history/configurations.js';
+import { control } from '../state/control/reducer.js';
 import { replica } from '../coordination/consensus/driver.js';
-import type { NewsAnswer, NewsCall } from '../types.js';
+import type { Board, NewsAnswer, NewsCall } from '../types.js';
 import { boards } from './board.js';
+import { freshness } from './freshness.js';
+import { members } from './members.js';
+import { runners } from './runners.js';
 import { sessions } from './sessions.js';
 import type { Coordinator, Waiter } from './parts.js';
 
 const longestHoldMs = 2000;
 
+/**
+ * A site that has no configuration is held for so long by a coordinator that is not up to date: after a
+ * loss of the whole core it gets its answer in the moment of the election, and the coordinators aren't
+ * flooded before it. Every other site is sent on at once.
+ */
+const startingHoldMs = 100;
+
+/** How often freshness is looked at; it also changes by mere silence, without any event. */
+const lookMs = 25;
+
+type ConfigurationNews = Pick<NewsAnswer, 'configuration' | 'configurationDelta'>;
+type BoardNews = Pick<NewsAnswer, 'board' | 'boardDelta'>;
+
+function mayTell(c: Coordinator, call: NewsCall): boolean {
+  return freshness.isUpToDate(c) || (call.acceptsStale && !c.isStopping);
+}
+
+function provisional(c: Coordinator, call: NewsCall): Board | null {
+  return call.board[0] === 0 ? runners.provisionalBoard(c, call.board[1]) : null;
+}
+
 function hasNews(c: Coordinator, call: NewsCall): boolean {
-  const s = c.replica.state;
+  const { state } = c.replica;
+  const lacksAnyBoard = call.board[0] === 0 && call.board[1] === 0;
   return (
     call.whole ||
-    (s.configuration?.revision ?? 0) > call.revision ||
-    s.weightsSeq > call.weights ||
-    s.rules.seq > call.rules ||
-    boards.newer(c.board, call.board[0], call.board[1])
+    control.revision(state) > call.revision ||
+    state.weightsSeq > call.weights ||
+    state.rules.seq > call.rules ||
+    boards.isNewer(c.board, call.board[0], call.board[1]) ||
+    (lacksAnyBoard && provisional(c, call) !== null)
   );
 }
 
+function isDue(c: Coordinator, call: NewsCall): boolean {
+  if (c.isStopping) return true;
+  if (mayTell(c, call)) return hasNews(c, call);
+  return call.revision > 0;
+}
+
+function holdMs(c: Coordinator, call: NewsCall): number {
+  return Math.min(call.hold, freshness.isUpToDate(c) ? longestHoldMs : startingHoldMs);
+}
+
+function deltaFor(c: Coordinator, call: NewsCall): ConfigurationDelta | null {
+  if (call.whole || c.configurations.current !== c.replica.state.configuration) return null;
+  return configurationHistory.since(c.configurations, call.revision);
+}
+
+function configurationNews(c: Coordinator, call: NewsCall): ConfigurationNews {
+  const { configuration } = c.replica.state;
+  const isBehind = (configuration?.revision ?? 0) > call.revision || call.whole;
+  if (configuration === null || !isBehind) return { configuration: null, configurationDelta: null };
+  const configurationDelta = deltaFor(c, call);
+  return { configuration: configurationDelta ? null : configuration, configurationDelta };
+}
+
+function boardNews(c: Coordinator, call: NewsCall): BoardNews {
+  const [term, seq] = call.board;
+  const lacks = boards.isNewer(c.board, term, seq) || (call.whole && c.board.seq > 0);
+  if (!lacks) return { board: provisional(c, call), boardDelta: null };
+  const boardDelta = call.whole ? null : boardHistory.since(c.boardHistory, term, seq);
+  return { board: boardDelta ? null : c.board, boardDelta };
+}
+
+const nothing = { configuration: null, configurationDelta: null, weights: null, rules: null, board: null };
+
 function answerOf(c: Coordinator, call: NewsCall): NewsAnswer {
-  const s = c.replica.state;
-  const m = c.replica.machine;
-  const isBehind = (s.configuration?.revision ?? 0) > call.revision || (call.whole && s.configuration !== null);
-  const configurationDelta =
-    !isBehind || call.whole || c.configurations.current !== s.configuration
-      ? null
-      : configurationHistory.since(c.configurations, call.revision);
-  const isOldBoard = boards.newer(c.board, call.board[0], call.board[1]) || (call.whole && c.board.seq > 0);
-  const boardDelta =
-    !isOldBoard || call.whole ? null : boardHistory.since(c.boardHistory, call.board[0], call.board[1]);
+  const { state } = c.replica;
+  const common = {
+    weightsSeq: state.weightsSeq,
+    leader: replica.leaderAddress(c.replica),
+    coordinators: members.addresses(c),
+    fresh: freshness.isUpToDate(c),
+    leave: !c.isStopping && freshness.hasLeave(c),
+  };
+  if (!mayTell(c, call)) return { ...common, ...nothing, boardDelta: null };
   return {
-    configuration: isBehind && !configurationDelta ? s.configuration : null,
-    configurationDelta,
-    weights: s.weightsSeq > call.weights ? s.weights : null,
-    weightsSeq: s.weightsSeq,
-    rules: s.rules.seq > call.rules ? s.rules : null,
-    board: isOldBoard && !boardDelta ? c.board : null,
-    boardDelta,
-    leader: replica.leaderControl(c.replica),
-    coordinators: m.roster.map(function at(x) {
-      return x.addr;
-    }),
-    fresh: replica.fresh(c.replica),
-    leave: boards.hasLeave(c),
+    ...common,
+    ...configurationNews(c, call),
+    ...boardNews(c, call),
+    weights: state.weightsSeq > call.weights ? state.weights : null,
+    rules: state.rules.seq > call.rules ? state.rules : null,
   };
 }
 
-function call(c: Coordinator, n: NewsCall): Promise<NewsAnswer> {
-  sessions.touch(c, n.site, n.life, n.revision);
+function wait(c: Coordinator, call: NewsCall): Promise<void> {
   return new Promise(function run(done) {
-    if (hasNews(c, n)) return done(answerOf(c, n));
-    const w: Waiter = {
-      due: function due() {
-        return hasNews(c, n);
+    const waiter: Waiter = {
+      isDue: function due() {
+        return isDue(c, call);
       },
       answer: function answer() {
-        clearTimeout(timer);
-        sessions.touch(c, n.site, n.life, n.revision);
-        done(answerOf(c, n));
+        timer.cancel();
+        done();
       },
     };
-    const timer = setTimeout(
-      function over() {
-        c.waiters.delete(w);
-        w.answer();
-      },
-      Math.min(longestHoldMs, n.hold),
-    );
-    c.waiters.add(w);
+    const timer = c.runtime.clock.after(holdMs(c, call), function over() {
+      c.waiters.delete(waiter);
+      done();
+    });
+    c.waiters.add(waiter);
   });
 }
 
-export const news = { call };
+async function call(c: Coordinator, question: NewsCall): Promise<NewsAnswer> {
+  sessions.touch(c, question.site, question.life, question.revision);
+  if (!isDue(c, question)) {
+    await wait(c, question);
+    sessions.touch(c, question.site, question.life, question.revision);
+  }
+  return answerOf(c, question);
+}
+
+function start(c: Coordinator): void {
+  let wasUpToDate = freshness.isUpToDate(c);
+  function look(): void {
+    const isUpToDate = freshness.isUpToDate(c);
+    if (isUpToDate === wasUpToDate) return;
+    wasUpToDate = isUpToDate;
+    boards.wake(c);
+  }
+  c.runtime.clock.every(lookMs, look);
+}
+
+export const news = { call, start };
--- a/src/controlplane/operator.ts
+++ b/src/controlplane/operator.ts
@@ -1,112 +1,218 @@
-// The operator's calls. Any coordinator takes them; the leader judges them one at a time, orders
-// what is to be ordered and acknowledges only what a majority has synced. The others hand the call
-// over inside and pass the answer on.
-import type { IncomingMessage, ServerResponse } from 'node:http';
+/**
+ * The operator's orders and reads. Any coordinator takes them; only the leader judges, after it has made
+ * sure that it leads and has applied all that was committed before its term, and it acknowledges only by
+ * the outcome of its own command. The others send the call on to the leader and pass its answer back.
+ *
+ * An order may arrive many times: callers send it again after a second of silence, and a coordinator may
+ * send it on while the first copy is still under way. Copies that are under way at one leader wait for
+ * the same result; copies at different leaders, and later ones, are told apart by the order memory of the
+ * replicated state. So no copy of an order is refused while another one may yet be taken.
+ */
 import { Mutex } from 'async-mutex';
-import { replica } from '../coordination/consensus/driver.js';
-import { judge } from '../state/control/judge.js';
-import { answers, type Answer } from '../transport/http/answer.js';
-import { channel } from '../transport/inner/channel.js';
+import { replica, type ProposalResult } from '../coordination/consensus/driver.js';
+import { judge, type Verdict } from '../state/control/judge.js';
+import { orders } from '../state/control/orders.js';
+import type { ApplyOutcome, Command } from '../state/control/reducer.js';
 import { ringLog } from '../logging/ring.js';
-import type { OperatorAnswer, OperatorCall } from '../types.js';
+import type { Finding, OperatorAnswer, OperatorCall } from '../types.js';
+import { inner } from './inner.js';
+import { members } from './members.js';
 import type { Coordinator } from './parts.js';
-import { status } from './status.js';
 
-const mostBytes = 16 * 1024 * 1024;
-const waitMs = 2500;
-const lookMs = 40;
-const turns = new WeakMap<Coordinator, Mutex>();
+/** Callers go on to another node after a second of silence; by then they have an answer, clear or not. */
+const answerWithinMs = 850;
 
-const known: Record<string, string[]> = {
+/** How long the leader waits for a majority before it gives up judging. */
+const confirmWithinMs = 700;
+
+/**
+ * How long one order may keep the others from being judged. What is not decided by then goes on by
+ * itself: the reducer decides between it and whatever is proposed behind it.
+ */
+const proposalWithinMs = 3000;
+
+/** A command that was superseded is judged again; each time another order won, so eight at once need no more. */
+const mostJudgements = 8;
+
+const retryMs = 40;
+
+type Desk = { mutex: Mutex; underWay: Map<string, Promise<OperatorAnswer>>; calls: number; idle: (() => void)[] };
+const desks = new WeakMap<Coordinator, Desk>();
+
+const methodsOf: Record<string, string[]> = {
   '/v1/config': ['GET', 'PUT', 'PATCH'],
   '/v1/version-put': ['POST'],
-  '/v1/status': ['GET'],
 };
 
-function turn(c: Coordinator): Mutex {
-  let m = turns.get(c);
-  if (!m) {
-    m = new Mutex();
-    turns.set(c, m);
+function deskOf(c: Coordinator): Desk {
+  let desk = desks.get(c);
+  if (!desk) {
+    desk = { mutex: new Mutex(), underWay: new Map(), calls: 0, idle: [] };
+    desks.set(c, desk);
   }
-  return m;
+  return desk;
 }
 
-function fixed(status: number, value: unknown): OperatorAnswer {
+function answer(status: number, value: unknown): OperatorAnswer {
   return { status, body: JSON.stringify(value) };
 }
 
-const unsettled = fixed(503, { message: 'no leader is sure of its term; send the call again' });
+function refusal(status: number, findings: Finding[]): OperatorAnswer {
+  const message = findings
+    .map(function line(finding) {
+      return `${finding.place}: ${finding.text}`;
+    })
+    .join('; ');
+  return answer(status, { message, findings });
+}
+
+const unclear = answer(503, { message: 'no leader could decide on this call; send it again as it was' });
+const tooOld = answer(503, {
+  message: 'this order builds on a revision of long ago; whether it was taken is not known',
+});
+const stopping = answer(503, { message: 'this coordinator is stopping; send the call to another' });
+const acknowledged = answer(200, { message: 'taken' });
+const known = answer(200, { message: 'taken before' });
+
+function pause(c: Coordinator, ms: number): Promise<void> {
+  return new Promise(function run(done) {
+    c.runtime.clock.after(ms, done);
+  });
+}
+
+/** The result, or `otherwise` when it takes longer; the work itself goes on. */
+function within<T>(c: Coordinator, ms: number, work: Promise<T>, otherwise: T): Promise<T> {
+  return new Promise(function run(done) {
+    const timer = c.runtime.clock.after(ms, function late() {
+      done(otherwise);
+    });
+    void work.then(function over(value) {
+      timer.cancel();
+      done(value);
+    });
+  });
+}
 
 async function read(c: Coordinator): Promise<OperatorAnswer> {
-  if (!(await replica.confirm(c.replica, waitMs))) return unsettled;
-  const now = c.replica.state.configuration;
-  return now ? fixed(200, now) : fixed(404, { message: 'there is no configuration yet' });
-}
-
-async function change(c: Coordinator, call: OperatorCall): Promise<OperatorAnswer> {
-  return turn(c).runExclusive(async function one(): Promise<OperatorAnswer> {
-    if (!(await replica.confirm(c.replica, waitMs))) return unsettled;
-    const v = judge.call(c.replica.state, call);
-    if (v.v === 'refused') return { status: v.status, body: String(answers.refusal(v.status, v.findings).body) };
-    if (v.v === 'taken') return fixed(200, { message: 'taken before' });
-    const ok = await replica.propose(c.replica, v.command);
-    ringLog.note(
-      c.log,
-      {
-        ok,
-        kind: v.command.c,
-        revision: v.command.c === 'configure' ? v.command.configuration.revision : v.command.revision,
-      },
-      'ordered',
-    );
-    return ok ? fixed(200, { message: 'taken' }) : unsettled;
+  if (!(await replica.confirmLeadership(c.replica, confirmWithinMs))) return unclear;
+  const { configuration } = c.replica.state;
+  return configuration ? answer(200, configuration) : answer(404, { message: 'there is no configuration yet' });
+}
+
+async function propose(c: Coordinator, call: OperatorCall, command: Command): Promise<ProposalResult> {
+  const result = await within<ProposalResult>(c, proposalWithinMs, replica.propose(c.replica, command), {
+    kind: 'unknown',
   });
+  const outcome = result.kind === 'applied' ? result.outcome.kind : result.kind;
+  ringLog.note(c.log, { call: call.id, command: command.kind, outcome }, 'proposed');
+  return result;
 }
 
-// Judges a call here, as the leader; null when this node is not it.
+/** The answer after the command was applied; null when the order has to be judged again. */
+function afterOutcome(verdict: Verdict & { kind: 'propose' }, outcome: ApplyOutcome): OperatorAnswer | null {
+  if (outcome.kind !== 'applied' && outcome.kind !== 'repeated') return null;
+  return verdict.refusal ? refusal(verdict.refusal.status, verdict.refusal.findings) : acknowledged;
+}
+
+function settled(verdict: Exclude<Verdict, { kind: 'propose' }>): OperatorAnswer {
+  switch (verdict.kind) {
+    case 'refused':
+      return refusal(verdict.refusal.status, verdict.refusal.findings);
+    case 'taken':
+      return known;
+    case 'unclear':
+      return tooOld;
+  }
+}
+
+async function decideOrder(c: Coordinator, call: OperatorCall): Promise<OperatorAnswer> {
+  for (let judgement = 0; judgement < mostJudgements; judgement++) {
+    if (!(await replica.confirmLeadership(c.replica, confirmWithinMs))) return unclear;
+    const verdict = judge.order(c.replica.state, call);
+    if (verdict.kind !== 'propose') return settled(verdict);
+    const result = await propose(c, call, verdict.command);
+    if (result.kind !== 'applied') return unclear;
+    const final = afterOutcome(verdict, result.outcome);
+    if (final) return final;
+  }
+  return unclear;
+}
+
+/** Decides an order; copies of it that come meanwhile share the result. */
+function order(c: Coordinator, call: OperatorCall): Promise<OperatorAnswer> {
+  const desk = deskOf(c);
+  const digest = orders.digest(call);
+  const first = desk.underWay.get(digest);
+  if (first) return first;
+  const result = desk.mutex
+    .runExclusive(function alone() {
+      return decideOrder(c, call);
+    })
+    .finally(function over() {
+      desk.underWay.delete(digest);
+    });
+  desk.underWay.set(digest, result);
+  return result;
+}
+
+/** Answers a call here, as the leader; null when this coordinator does not lead or is stopping. */
 async function decide(c: Coordinator, call: OperatorCall): Promise<OperatorAnswer | null> {
-  if (!replica.isLeader(c.replica)) return null;
-  return call.method === 'GET' ? read(c) : change(c, call);
+  if (c.isStopping || !replica.isLeader(c.replica)) return null;
+  return within(c, answerWithinMs, call.method === 'GET' ? read(c) : order(c, call), unclear);
+}
+
+async function sendOn(c: Coordinator, call: OperatorCall, ms: number): Promise<OperatorAnswer | null> {
+  const leader = replica.leaderAddress(c.replica);
+  if (leader === null || leader === members.ownAddress(c)) return null;
+  const r = await inner.operator(c, leader, call, ms);
+  return r.ok ? r.value : null;
 }
 
-async function handOver(c: Coordinator, call: OperatorCall): Promise<OperatorAnswer> {
-  const until = performance.now() + waitMs;
+async function decideOrSendOn(c: Coordinator, call: OperatorCall): Promise<OperatorAnswer> {
+  const until = c.runtime.clock.now() + answerWithinMs;
   for (;;) {
-    const here = await decide(c, call);
+    const leftMs = until - c.runtime.clock.now();
+    if (leftMs <= 0) return unclear;
+    const here = await within(c, leftMs, decide(c, call), unclear);
     if (here && here.status !== 503) return here;
-    const left = until - performance.now();
-    if (left <= 0) return unsettled;
-    const to = replica.leaderControl(c.replica);
-    if (to !== null && to !== c.replica.machine.addr) {
-      const r = await channel.post<OperatorAnswer | null>(c.agent, to, '/inner/operator', call, Math.min(left, 1500));
-      if (r.ok && r.value !== null && r.value.status !== 503) return r.value;
-    }
-    await new Promise(function pause(done) {
-      setTimeout(done, lookMs);
-    });
+    const there = await sendOn(c, call, until - c.runtime.clock.now());
+    if (there && there.status !== 503) return there;
+    await pause(c, retryMs);
   }
 }
 
-async function handle(c: Coordinator, req: IncomingMessage, res: ServerResponse): Promise<void> {
-  const path = (req.url ?? '').split('?')[0] ?? '';
-  const methods = known[path];
-  if (!methods) return answers.send(res, answers.refusal(404, [{ place: 'path', text: `there is no ${path}` }]));
-  const method = req.method ?? '';
-  if (!methods.includes(method))
-    return answers.send(res, answers.refusal(405, [{ place: 'method', text: `${path} takes ${methods.join(', ')}` }]));
-  if (path === '/v1/status') return status.handle(c, req, res);
-  const body = await channel.body(req, mostBytes);
-  if (body === null)
-    return answers.send(
-      res,
-      answers.refusal(413, [{ place: '(whole)', text: `over ${mostBytes} bytes, or cut short` }]),
-      true,
-    );
-  const match = req.headers['if-match'];
-  const r = await handOver(c, { method, path, match: typeof match === 'string' ? match : null, body });
-  const a: Answer = { status: r.status, headers: { 'Content-Type': 'application/json' }, body: r.body };
-  answers.send(res, a);
-}
-
-export const operator = { handle, decide };
+function release(desk: Desk): void {
+  desk.calls--;
+  if (desk.calls > 0) return;
+  for (const done of desk.idle.splice(0)) done();
+}
+
+/**
+ * Answers a call of the operator within a second: 200, 404 (no configuration yet), 400 or 412 as final
+ * refusals, 404 or 405 for what is not served, 503 when its fate is not known and it may be sent again.
+ */
+async function call(c: Coordinator, one: OperatorCall): Promise<OperatorAnswer> {
+  const methods = methodsOf[one.path];
+  if (!methods) return refusal(404, [{ place: 'path', text: `there is no ${one.path}` }]);
+  if (!methods.includes(one.method))
+    return refusal(405, [{ place: 'method', text: `${one.path} takes ${methods.join(', ')}` }]);
+  if (c.isStopping) return stopping;
+  const desk = deskOf(c);
+  desk.calls++;
+  try {
+    return await decideOrSendOn(c, one);
+  } finally {
+    release(desk);
+  }
+}
+
+/** Resolves once no call is being answered here. */
+function idle(c: Coordinator): Promise<void> {
+  const desk = deskOf(c);
+  if (desk.calls === 0) return Promise.resolve();
+  return new Promise(function run(done) {
+    desk.idle.push(done);
+  });
+}
+
+export const operator = { call, decide, idle };
--- /dev/null
+++ b/src/controlplane/outside.ts
@@ -0,0 +1,28 @@
+/** The calls to the platform and to runners over HTTP, as the daemons make them. */
+import type { Agent } from 'node:http';
+import { poller } from '../coordination/duties/poller.js';
+import { calls, type Call } from '../protocol/calls/pairs.js';
+import type { Outcome } from '../types.js';
+import type { Outside } from './parts.js';
+
+async function send<A>(via: Agent, address: string, call: Call<A>, timeoutMs: number): Promise<Outcome<A, string>> {
+  const r = await calls.send(via, address, call, timeoutMs);
+  return r.ok ? r : { ok: false, error: r.error.t };
+}
+
+/** `platform` is the address of the platform's list, asked for at each call, since settings change. */
+function create(via: Agent, platform: () => string): Outside {
+  return {
+    listRunners: function list() {
+      return poller.poll(via, platform());
+    },
+    sendOrder: function order(address, fenced, timeoutMs) {
+      return send(via, address, calls.revisionOrder(fenced), timeoutMs);
+    },
+    askReport: function report(address, timeoutMs) {
+      return send(via, address, calls.report(), timeoutMs);
+    },
+  };
+}
+
+export const outside = { create };
--- a/src/controlplane/parts.ts
+++ b/src/controlplane/parts.ts
@@ -1,26 +1,65 @@
-// What the parts of a coordinator share: its settings, the group, its log and the board it shows.
+/**
+ * What the parts of a coordinator share: its settings, its replica of the control state, the world
+ * outside and the soft state. No module of the control plane keeps state of its own beside it, but for
+ * what only it reads (see the `WeakMap`s). Time and calls come from `runtime`, so that a simulated
+ * world runs the same modules.
+ */
 import type { Agent } from 'node:http';
 import type { Replica } from '../coordination/consensus/driver.js';
 import type { Log } from '../logging/ring.js';
+import type { Method, OrderResult, Report } from '../protocol/calls/pairs.js';
+import type { Runtime } from '../runtime.js';
 import type { BoardHistory } from '../state/history/boards.js';
 import type { ConfigurationHistory } from '../state/history/configurations.js';
-import type { Board, Settings, Tuning } from '../types.js';
+import type { Board, Outcome, Runner, Settings, Tuning } from '../types.js';
 
+/** A site that asks this coordinator for news; `seenAt` in ms of the steady clock. */
 export type Session = { site: string; life: string; seenAt: number; revision: number };
-export type Told = { at: number; no: number; revision: number; sessions: Session[] };
-export type Waiter = { due: () => boolean; answer: () => void };
+
+/** What another coordinator last told the leader: its reply's number, its revision and its sessions. */
+export type PeerSessions = { at: number; replyNumber: number; revision: number; sessions: Session[] };
+
+/** A question for news that waits until `isDue`. */
+export type Waiter = { isDue: () => boolean; answer: () => void };
+
+/** How far the leader's state was when it last said so, and in which of its terms that was. */
+export type LeaderProgress = { term: number; revision: number; weightsSeq: number; rulesSeq: number };
+
+/** An order to a runner to bring a model to a revision of its weights; `fence` is the leader's term. */
+export type RevisionOrder = {
+  model: string;
+  revision: number;
+  method: Method;
+  holder: string;
+  fence: number;
+  instance: string;
+};
+
+/** Calls to what is not part of the system: the platform and the runners. Errors are texts for the log. */
+export type Outside = {
+  listRunners: () => Promise<Outcome<Runner[], string>>;
+  sendOrder: (address: string, order: RevisionOrder, timeoutMs: number) => Promise<Outcome<OrderResult, string>>;
+  askReport: (address: string, timeoutMs: number) => Promise<Outcome<Report, string>>;
+};
 
 export type Coordinator = {
   settings: Settings;
   log: Log;
   replica: Replica;
+  runtime: Runtime;
+  outside: Outside;
+  /** Kept connections for the long polls of `kept.ts`. */
   agent: Agent;
   board: Board;
   boardHistory: BoardHistory;
   configurations: ConfigurationHistory;
   sessions: Map<string, Session>;
-  peerSessions: Map<string, Told>;
-  reply: { no: number; sentAt: Map<number, number>; heardUpTo: number };
+  peerSessions: Map<string, PeerSessions>;
+  /** This coordinator's replies to the leader: their numbers, when each was sent, and up to when the leader has heard it. */
+  reply: { number: number; sentAt: Map<number, number>; heardUpTo: number };
+  leaderProgress: LeaderProgress;
   waiters: Set<Waiter>;
+  /** Set on SIGTERM: no new orders are taken and sites are sent to other members. */
+  isStopping: boolean;
   tuning: Tuning;
 };
--- a/src/controlplane/rollout.ts
+++ b/src/controlplane/rollout.ts
@@ -1,5 +1,7 @@
-// Drives the roll-out planner: sends its orders with the term as fence while this node holds the
-// duty beyond doubt, asks runners for their state, and shows the sites what is out of use.
+/**
+ * Drives the roll-out planner: sends its orders with the term as fence while this node certainly holds
+ * the duty, asks runners for their state, and shows the sites what is out of use.
+ */
 import { replica } from '../coordination/consensus/driver.js';
 import {
   rolloutPlan,
@@ -7,13 +9,13 @@
   type RolloutEvent,
   type RolloutState,
 } from '../coordination/duties/rollout.js';
-import { calls } from '../protocol/calls/pairs.js';
 import { ringLog } from '../logging/ring.js';
+import { members } from './members.js';
 import type { Coordinator } from './parts.js';
 import { runners } from './runners.js';
 
-const beatMs = 40;
-const legMs = 700;
+const intervalMs = 40;
+const timeoutMs = 700;
 
 function mayAct(c: Coordinator): boolean {
   return replica.mayAct(c.replica, c.settings.bound_set.lease_ms);
@@ -28,7 +30,7 @@
 }
 
 function feed(c: Coordinator, s: RolloutState, ev: RolloutEvent): void {
-  for (const f of rolloutPlan.step(s, ev, performance.now())) carry(c, s, f);
+  for (const f of rolloutPlan.step(s, ev, c.runtime.clock.now())) carry(c, s, f);
 }
 
 function carry(c: Coordinator, s: RolloutState, f: RolloutEffect): void {
@@ -47,23 +49,23 @@
 async function order(c: Coordinator, s: RolloutState, id: string, model: string, revision: number): Promise<void> {
   const addr = addrOf(c, id);
   if (addr === null || !mayAct(c)) return;
-  const call = calls.revisionOrder({
+  const fenced = {
     model,
     revision,
     method: c.tuning.orderMethod,
     holder: c.settings.node_name,
-    fence: c.replica.machine.term,
+    fence: members.term(c),
     instance: id,
-  });
-  const r = await calls.send(c.agent, addr, call, legMs);
-  ringLog.note(c.log, { runner: id, revision, result: r.ok ? r.value : r.error.t }, 'order');
+  };
+  const r = await c.outside.sendOrder(addr, fenced, timeoutMs);
+  ringLog.note(c.log, { runner: id, revision, result: r.ok ? r.value : r.error }, 'order');
   feed(c, s, { e: 'ordered', id, result: r.ok ? r.value : null });
 }
 
 async function report(c: Coordinator, s: RolloutState, id: string, model: string): Promise<void> {
   const addr = addrOf(c, id);
   if (addr === null) return;
-  const r = await calls.send(c.agent, addr, calls.report(), legMs);
+  const r = await c.outside.askReport(addr, timeoutMs);
   const at = r.ok
     ? r.value.models.find(function same(m) {
         return m.label === model;
@@ -72,7 +74,7 @@
   feed(c, s, { e: 'reported', id, revision: at?.revision ?? null, isBusy: r.ok ? r.value.isBusy : false });
 }
 
-function start(c: Coordinator): NodeJS.Timeout {
+function start(c: Coordinator): void {
   const s = rolloutPlan.create({
     share: c.tuning.orderShare,
     parkMs: 60,
@@ -81,10 +83,10 @@
     giveUpMs: 6000,
     pauseMs: 400,
   });
-  return setInterval(function beat() {
+  c.runtime.clock.every(intervalMs, function plan() {
     if (!replica.isLeader(c.replica) && s.jobs.size === 0) return;
     feed(c, s, { e: 'beat', runners: runners.listed(c), targets: c.replica.state.weights, mayAct: mayAct(c) });
-  }, beatMs);
+  });
 }
 
 export const rollout = { start };
--- a/src/controlplane/runners.ts
+++ b/src/controlplane/runners.ts
@@ -1,107 +1,186 @@
-// Keeps the board's list of runners: the leader asks the platform in a steady beat and shows a
-// changed list at once. A platform that is silent or refuses leaves the last list standing.
+/**
+ * Keeps the board's list of runners. In steady state only the leader asks the platform, so the calls of
+ * the whole system stay far below the platform's rate; it shows a changed list at once, and a platform
+ * that is silent leaves the last list standing.
+ *
+ * A coordinator that hears no leader asks for itself, from its own start on: so whoever is elected has a
+ * list ready to show at that moment, and while there is no leader's board at all (every process of the
+ * core was restarted) a *provisional board* can be handed to a site that has none.
+ */
 import { replica } from '../coordination/consensus/driver.js';
-import { poller } from '../coordination/duties/poller.js';
 import { ringLog } from '../logging/ring.js';
-import type { Runner } from '../types.js';
+import type { Board, Runner } from '../types.js';
 import { boards } from './board.js';
+import { freshness } from './freshness.js';
+import { members } from './members.js';
 import type { Coordinator } from './parts.js';
 import { sessions } from './sessions.js';
 
 const pollMs = 700;
+const tickMs = 50;
 
-type Hold = { listed: Runner[] | null; parked: Set<string>; known: Map<string, Map<string, number>> };
-const holds = new WeakMap<Coordinator, Hold>();
+/** Without a leader every coordinator polls; together about as often as three would, however many there are. */
+const pollersWithoutLeader = 3;
 
-function hold(c: Coordinator): Hold {
-  let h = holds.get(c);
-  if (!h) {
-    h = { listed: null, parked: new Set(), known: new Map() };
-    holds.set(c, h);
+/** After a poll that failed the next one comes soon, as long as there is no list at all. */
+const firstPollRetryMs = 350;
+
+/**
+ * A list that another than the leader of its time fetched is shown only up to this part of `drain_ms`.
+ * Such a list is the platform's own, fetched in this life of the process; what it can lack is what the
+ * platform showed since then. Half of `drain_ms` is left for the site to hear of that: it asks again
+ * within its hold, and the leader, once there is one, polls every `pollMs` and tells a change at once.
+ */
+const provisionalShare = 0.5;
+
+/** `known` holds weights learned from the runners themselves, by runner and model, ahead of the platform's list. */
+type RunnerState = {
+  listed: Runner[] | null;
+  fetchedAt: number;
+  parked: Set<string>;
+  known: Map<string, Map<string, number>>;
+  isPolling: boolean;
+  polledAt: number;
+};
+const states = new WeakMap<Coordinator, RunnerState>();
+
+function stateOf(c: Coordinator): RunnerState {
+  let state = states.get(c);
+  if (!state) {
+    state = {
+      listed: null,
+      fetchedAt: -Infinity,
+      parked: new Set(),
+      known: new Map(),
+      isPolling: false,
+      polledAt: -Infinity,
+    };
+    states.set(c, state);
   }
-  return h;
+  return state;
 }
 
-function merged(h: Hold): Runner[] {
-  return (h.listed ?? []).map(function one(r) {
-    const known = h.known.get(r.id);
+function merged(state: RunnerState): Runner[] {
+  return (state.listed ?? []).map(function one(runner) {
+    const known = state.known.get(runner.id);
     return {
-      ...r,
-      parked: h.parked.has(r.id),
-      models: r.models.map(function at(m) {
-        return { label: m.label, revision: Math.max(m.revision, known?.get(m.label) ?? 0) };
+      ...runner,
+      parked: state.parked.has(runner.id),
+      models: runner.models.map(function at(model) {
+        return { label: model.label, revision: Math.max(model.revision, known?.get(model.label) ?? 0) };
       }),
     };
   });
 }
 
+/** Shows the list on the board, if this coordinator leads and it differs from what stands there. */
 function show(c: Coordinator): void {
-  const h = hold(c);
-  if (!h.listed || !replica.isLeader(c.replica)) return;
-  const next = merged(h);
+  const state = stateOf(c);
+  if (!state.listed || !replica.isLeader(c.replica)) return;
+  const runners = merged(state);
   const sites = sessions.count(c);
-  const same =
-    c.board.term === c.replica.machine.term &&
+  const isSame =
+    c.board.term === members.term(c) &&
     c.board.sites === sites &&
-    JSON.stringify(next) === JSON.stringify(c.board.runners);
-  if (!same) boards.change(c, { runners: next, sites });
+    JSON.stringify(runners) === JSON.stringify(c.board.runners);
+  if (!isSame) boards.change(c, { runners, sites });
 }
 
-function park(c: Coordinator, id: string, on: boolean): void {
-  const h = hold(c);
-  if (on) h.parked.add(id);
-  else h.parked.delete(id);
+/** Takes a runner out of use for new requests, or into use again. */
+function park(c: Coordinator, id: string, isParked: boolean): void {
+  const state = stateOf(c);
+  if (isParked) state.parked.add(id);
+  else state.parked.delete(id);
   show(c);
 }
 
+/** Notes weights that a runner itself reported. */
 function learn(c: Coordinator, id: string, model: string, revision: number): void {
-  const h = hold(c);
-  const of = h.known.get(id) ?? new Map<string, number>();
-  if ((of.get(model) ?? 0) >= revision) return;
-  of.set(model, revision);
-  h.known.set(id, of);
+  const state = stateOf(c);
+  const known = state.known.get(id) ?? new Map<string, number>();
+  if ((known.get(model) ?? 0) >= revision) return;
+  known.set(model, revision);
+  state.known.set(id, known);
   show(c);
 }
 
-async function round(c: Coordinator): Promise<void> {
-  const h = hold(c);
-  if (!replica.isLeader(c.replica)) {
-    h.listed = null;
-    h.parked.clear();
-    return;
-  }
-  const r = await poller.poll(c.agent, c.settings.cloud_api.address);
-  if (!r.ok) {
-    ringLog.note(c.log, { why: r.error }, 'the platform gave no list');
-    return;
-  }
-  if (!replica.isLeader(c.replica)) return;
-  h.listed = r.value;
+function takeList(c: Coordinator, list: Runner[], askedAt: number): void {
+  const state = stateOf(c);
+  state.listed = list;
+  state.fetchedAt = askedAt;
   const ids = new Set(
-    r.value.map(function id(x) {
-      return x.id;
+    list.map(function id(runner) {
+      return runner.id;
     }),
   );
-  for (const id of [...h.known.keys()]) if (!ids.has(id)) h.known.delete(id);
-  for (const id of [...h.parked]) if (!ids.has(id)) h.parked.delete(id);
+  for (const id of [...state.known.keys()]) if (!ids.has(id)) state.known.delete(id);
+  for (const id of [...state.parked]) if (!ids.has(id)) state.parked.delete(id);
   show(c);
 }
 
-async function run(c: Coordinator): Promise<void> {
-  c.replica.on('phase', function changed() {
-    void round(c);
+async function poll(c: Coordinator): Promise<void> {
+  const state = stateOf(c);
+  if (state.isPolling) return;
+  state.isPolling = true;
+  const askedAt = c.runtime.clock.now();
+  state.polledAt = askedAt;
+  const list = await c.outside.listRunners();
+  state.isPolling = false;
+  if (list.ok) takeList(c, list.value, askedAt);
+  else ringLog.note(c.log, { why: list.error }, 'the platform gave no list');
+}
+
+function isRecent(c: Coordinator, state: RunnerState): boolean {
+  const ageMs = c.runtime.clock.now() - state.fetchedAt;
+  return state.listed !== null && ageMs <= c.settings.bound_set.drain_ms * provisionalShare;
+}
+
+/** The time between two polls; the first one comes at once in any case. */
+function intervalMs(c: Coordinator, state: RunnerState): number {
+  if (replica.isLeader(c.replica)) return pollMs;
+  if (freshness.hasLeader(c)) return Infinity;
+  const share = Math.max(1, members.addresses(c).length / pollersWithoutLeader);
+  return share * (state.listed === null ? firstPollRetryMs : pollMs);
+}
+
+function tick(c: Coordinator): void {
+  const state = stateOf(c);
+  if (!replica.isLeader(c.replica)) state.parked.clear();
+  if (c.runtime.clock.now() - state.polledAt >= intervalMs(c, state)) void poll(c);
+}
+
+/** A list from before the election is shown at once if it is recent; in any case a new one is asked for. */
+function roleChanged(c: Coordinator): void {
+  const state = stateOf(c);
+  if (!replica.isLeader(c.replica)) return;
+  if (isRecent(c, state)) show(c);
+  else state.listed = null;
+  void poll(c);
+}
+
+function start(c: Coordinator): void {
+  members.onRoleChanged(c, function changed() {
+    roleChanged(c);
   });
-  for (;;) {
-    const at = performance.now();
-    await round(c);
-    await new Promise(function pause(done) {
-      setTimeout(done, Math.max(50, pollMs - (performance.now() - at)));
-    });
-  }
+  c.runtime.clock.every(tickMs, function look() {
+    tick(c);
+  });
+  tick(c);
 }
 
+/** The runners as the leader has them, with what it learned itself. */
 function listed(c: Coordinator): Runner[] {
-  return merged(hold(c));
+  return merged(stateOf(c));
+}
+
+/**
+ * A board for a site that has none or only a provisional one, while there is no leader's board here;
+ * null when the own list is missing or too old. `after` is the seq of the site's provisional board.
+ */
+function provisionalBoard(c: Coordinator, after: number): Board | null {
+  const state = stateOf(c);
+  if (c.board.runners !== null || !isRecent(c, state)) return null;
+  return { term: 0, seq: after + 1, runners: merged(state), sites: sessions.count(c) };
 }
 
-export const runners = { run, park, learn, listed, show };
+export const runners = { start, park, learn, listed, show, provisionalBoard };
--- a/src/controlplane/sessions.ts
+++ b/src/controlplane/sessions.ts
@@ -1,43 +1,49 @@
-// Sessions of the sites: a site is a member while it keeps asking for news. Coordinators tell the
-// leader the sessions they have; together they give k, the number of sites, which is held at its
-// recent maximum so that a coordinator's loss does not make the fleet look small.
+/**
+ * Sessions of the sites: a site is a member while it keeps asking for news. Coordinators tell the
+ * leader the sessions they have; together they give the number of sites, which is held at its recent
+ * maximum so that a coordinator's loss does not make the fleet look small.
+ */
 import type { Coordinator, Session } from './parts.js';
 
-const standsMs = 3000;
-const maximumMs = 15_000;
+const sessionMs = 3000;
+const maximumOverMs = 15_000;
 
+type Count = { at: number; sites: number };
+const counts = new WeakMap<Coordinator, Count[]>();
+
+/** Notes that a site has just asked. */
 function touch(c: Coordinator, site: string, life: string, revision: number): void {
-  c.sessions.set(site, { site, life, seenAt: performance.now(), revision });
+  c.sessions.set(site, { site, life, seenAt: c.runtime.clock.now(), revision });
 }
 
+/** The sites that ask this coordinator. */
 function own(c: Coordinator): Session[] {
-  const now = performance.now();
-  for (const [k, s] of c.sessions) if (now - s.seenAt > standsMs) c.sessions.delete(k);
+  const now = c.runtime.clock.now();
+  for (const [site, session] of c.sessions) if (now - session.seenAt > sessionMs) c.sessions.delete(site);
   return [...c.sessions.values()];
 }
 
+/** All sites that are known here, with their lives. */
 function all(c: Coordinator): Map<string, string> {
-  const out = new Map<string, string>();
-  for (const s of own(c)) out.set(s.site, s.life);
-  const now = performance.now();
+  const lives = new Map<string, string>();
+  for (const session of own(c)) lives.set(session.site, session.life);
+  const now = c.runtime.clock.now();
   for (const told of c.peerSessions.values()) {
-    for (const s of told.sessions) if (now - s.seenAt <= standsMs) out.set(s.site, s.life);
+    for (const session of told.sessions) if (now - session.seenAt <= sessionMs) lives.set(session.site, session.life);
   }
-  return out;
+  return lives;
 }
 
-const peaks = new WeakMap<Coordinator, { at: number; n: number }[]>();
-
+/** The greatest number of sites seen at one time lately. */
 function count(c: Coordinator): number {
-  const now = performance.now();
-  const list = (peaks.get(c) ?? []).filter(function late(p) {
-    return now - p.at < maximumMs;
+  const now = c.runtime.clock.now();
+  const recent = (counts.get(c) ?? []).filter(function lately(one) {
+    return now - one.at < maximumOverMs;
   });
-  const n = all(c).size;
-  list.push({ at: now, n });
-  peaks.set(c, list);
-  return list.reduce(function most(m, p) {
-    return Math.max(m, p.n);
+  recent.push({ at: now, sites: all(c).size });
+  counts.set(c, recent);
+  return recent.reduce(function most(n, one) {
+    return Math.max(n, one.sites);
   }, 0);
 }
 
--- a/src/controlplane/status.ts
+++ b/src/controlplane/status.ts
@@ -1,19 +1,20 @@
-// What a coordinator says of the system when asked: the leader's view if it can be had, else its
-// own, marked as such.
-import type { IncomingMessage, ServerResponse } from 'node:http';
+/**
+ * What a coordinator says of the system when asked: as the leader sees it if that can be had, else as it
+ * sees it itself, marked as such.
+ */
 import { replica } from '../coordination/consensus/driver.js';
 import { exchange } from '../coordination/exchange/machine.js';
-import { answers } from '../transport/http/answer.js';
-import { channel } from '../transport/inner/channel.js';
 import type { StatusAnswer } from '../types.js';
 import { feed } from './feed.js';
+import { inner } from './inner.js';
+import { members } from './members.js';
 import type { Coordinator } from './parts.js';
 
-const legMs = 600;
+const timeoutMs = 600;
 
 function own(c: Coordinator): StatusAnswer {
   const m = c.replica.machine;
-  const now = performance.now();
+  const now = c.runtime.clock.now();
   const s = c.replica.state;
   const isLeader = replica.isLeader(c.replica);
   const told = isLeader
@@ -32,7 +33,7 @@
     phase: m.phase,
     term: m.term,
     leader: m.leader,
-    sure: replica.fresh(c.replica),
+    sure: replica.isFresh(c.replica),
     acts: replica.mayAct(c.replica, c.settings.bound_set.lease_ms),
     roster: m.roster.map(function one(x) {
       const p = m.peers.get(x.id);
@@ -72,14 +73,12 @@
   };
 }
 
-async function handle(c: Coordinator, req: IncomingMessage, res: ServerResponse): Promise<void> {
-  req.resume();
-  const to = replica.leaderControl(c.replica);
-  if (to !== null && to !== c.replica.machine.addr) {
-    const r = await channel.post<StatusAnswer>(c.agent, to, '/inner/status', {}, legMs);
-    if (r.ok) return answers.send(res, answers.json(200, r.value));
-  }
-  answers.send(res, answers.json(200, own(c)));
+/** The status as the leader tells it, or this coordinator's own. */
+async function ask(c: Coordinator): Promise<StatusAnswer> {
+  const leader = replica.leaderAddress(c.replica);
+  if (leader === null || leader === members.ownAddress(c)) return own(c);
+  const told = await inner.status(c, leader, timeoutMs);
+  return told.ok ? told.value : own(c);
 }
 
-export const status = { own, handle };
+export const status = { own, ask };
--- a/src/coordination/consensus/driver.ts
+++ b/src/coordination/consensus/driver.ts
@@ -7,7 +7,7 @@
 import { channel } from '../../transport/inner/channel.js';
 import { recovery } from '../../state/log/recover.js';
 import { store, type Store } from '../../state/log/store.js';
-import { control, type Command, type ControlState } from '../../state/control/reducer.js';
+import { control, type ApplyOutcome, type Command, type ControlState } from '../../state/control/reducer.js';
 import { ringLog, type Log } from '../../logging/ring.js';
 import { consensus } from './machine.js';
 import { log } from './log.js';
@@ -19,7 +19,8 @@
 const compactBytes = 4 * 1024 * 1024;
 const legMs = 600;
 
-type Pending = { index: number; term: number; done: (ok: boolean) => void };
+export type ProposalResult = { kind: 'applied'; outcome: ApplyOutcome } | { kind: 'unknown' } | { kind: 'not_leader' };
+type Pending = { index: number; term: number; done: (result: ProposalResult) => void };
 export type Replica = EventEmitter & {
   machine: ConsensusState;
   store: Store;
@@ -29,7 +30,7 @@
   pending: Pending[];
   outbox: Map<string, Message[]>;
   open: Map<string, number>;
-  seeds: string[];
+  seeds: () => string[];
   beat: NodeJS.Timeout | null;
   joinAt: number;
 };
@@ -91,9 +92,11 @@
     pending: [],
     outbox: new Map<string, Message[]>(),
     open: new Map<string, number>(),
-    seeds: seeds.map(function at(m) {
-      return m.addr;
-    }),
+    seeds: function current() {
+      return seedMembers(s).map(function at(m) {
+        return m.addr;
+      });
+    },
     beat: null,
     joinAt: 0,
   });
@@ -169,7 +172,12 @@
 
 function deliver(d: Replica, f: ConsensusEffect & { f: 'deliver' }): void {
   const { entry } = f;
-  if (entry.data.kind === 'order') d.state = control.apply(d.state, entry.data.command as Command);
+  let outcome: ApplyOutcome = { kind: 'applied' };
+  if (entry.data.kind === 'order') {
+    const applied = control.apply(d.state, entry.data.command as Command);
+    d.state = applied.state;
+    outcome = applied.outcome;
+  }
   if (entry.data.kind === 'roster')
     ringLog.note(
       d.log,
@@ -187,7 +195,8 @@
     d.pending = d.pending.filter(function later(p) {
       return p.index > entry.index;
     });
-    for (const p of due) p.done(p.index === entry.index && p.term === entry.term);
+    for (const p of due)
+      p.done(p.index === entry.index && p.term === entry.term ? { kind: 'applied', outcome } : { kind: 'unknown' });
   }
   d.emit('delivered');
   if (d.store.bytes > compactBytes && !d.store.snapshot) {
@@ -212,20 +221,16 @@
 function failAll(d: Replica): void {
   const all = d.pending;
   d.pending = [];
-  for (const p of all) p.done(false);
+  for (const p of all) p.done({ kind: 'unknown' });
 }
 
-// Proposes a command; true once it is committed in the term in which it was proposed. False says
-// nothing about its fate: it may yet be in force.
-function propose(d: Replica, command: Command): Promise<boolean> {
+// Proposes a command and tells what the reducer did with it; `unknown` says nothing about its fate.
+function propose(d: Replica, command: Command): Promise<ProposalResult> {
   return new Promise(function run(done) {
-    const out = step(d, { e: 'propose', command });
-    const p = out.find(function mine(f) {
-      return f.f === 'proposed';
-    });
-    if (!p || p.f !== 'proposed') return done(false);
-    if (d.machine.delivered >= p.index) return done(true);
-    d.pending.push({ index: p.index, term: p.term, done });
+    // A member alone applies within the step, so the proposal has to be known before it.
+    if (d.machine.phase !== 'leader') return done({ kind: 'not_leader' });
+    d.pending.push({ index: log.last(d.machine) + 1, term: d.machine.term, done });
+    step(d, { e: 'propose', command });
   });
 }
 
@@ -271,7 +276,7 @@
   if (log.isMember(s, s.me) || now - d.joinAt < joinMs) return;
   d.joinAt = now;
   const known = new Set([
-    ...d.seeds,
+    ...d.seeds(),
     ...s.roster.map(function at(m) {
       return m.addr;
     }),
@@ -283,7 +288,7 @@
 
 // Waits until this node, if it is the leader, is sure that no later term was running when the
 // call came in.
-function confirm(d: Replica, waitMs: number): Promise<boolean> {
+function confirmLeadership(d: Replica, waitMs: number): Promise<boolean> {
   const since = performance.now();
   step(d, { e: 'beat' });
   return new Promise(function run(done) {
@@ -301,7 +306,7 @@
   return d.machine.phase === 'leader';
 }
 
-function leaderControl(d: Replica): string | null {
+function leaderAddress(d: Replica): string | null {
   const s = d.machine;
   return (
     s.roster.find(function same(m) {
@@ -310,9 +315,10 @@
   );
 }
 
-function fresh(d: Replica): boolean {
+function isFresh(d: Replica): boolean {
   const now = performance.now();
-  if (d.machine.phase === 'leader') return now < consensus.holdsUntil(d.machine, now);
+  if (d.machine.phase === 'leader')
+    return log.termAt(d.machine, d.machine.committed) === d.machine.term && now < consensus.holdsUntil(d.machine, now);
   return d.machine.leader !== null && now - d.machine.heardAt < timing.silenceMs;
 }
 
@@ -321,7 +327,11 @@
   return d.machine.phase === 'leader' && now - d.machine.wonAt >= leaseMs && now < consensus.holdsUntil(d.machine, now);
 }
 
-async function stop(d: Replica): Promise<void> {
+async function handOver(): Promise<void> {
+  /* the next driver hands leadership over */
+}
+
+async function close(d: Replica): Promise<void> {
   if (d.beat) clearInterval(d.beat);
   await store.close(d.store);
   d.agent.destroy();
@@ -333,11 +343,12 @@
   step,
   propose,
   receive,
-  confirm,
+  confirmLeadership,
   isLeader,
-  leaderControl,
-  fresh,
+  leaderAddress,
+  isFresh,
   mayAct,
-  stop,
+  handOver: handOver as (d: Replica, timeoutMs: number) => Promise<void>,
+  close,
   innerAddr,
 };
--- a/src/milletcleat.ts
+++ b/src/milletcleat.ts
@@ -75,17 +75,19 @@
   process.on('SIGUSR2', function show() {
     ringLog.flush(log);
   });
-  process.on('SIGHUP', function reread() {
-    const again = settings.read(path, part);
+  function reread(): void {
+    const again = settings.read(path!, part);
+    if (!read.ok) return;
     if (again.ok) Object.assign(read.value, again.value);
     else ringLog.error(log, { findings: again.error }, 'the changed settings are not taken');
-  });
+  }
+  process.on('SIGHUP', reread);
   try {
     const start =
       part === 'site'
         ? (await import('./programs/site.js')).siteProgram.start
         : (await import('./programs/coordinator.js')).coordinatorProgram.start;
-    await start(read.value, log, tuned.value);
+    await start(read.value, log, tuned.value, reread);
   } catch (err) {
     ringLog.error(log, { why: (err as Error).stack }, 'could not start');
     process.exit(1);
--- a/src/programs/coordinator.ts
+++ b/src/programs/coordinator.ts
@@ -1,89 +1,132 @@
-// The program of the core: a member of the group that keeps the control state, the door for the
-// operator, and the answers to the sites' questions for news.
-import { createServer } from 'node:http';
+/**
+ * The program of the core: a member of the group that keeps the control state, the door for the
+ * operator, and the answers to the sites' questions for news.
+ */
+import type { Server } from 'node:http';
 import { boardHistory } from '../state/history/boards.js';
 import { configurationHistory } from '../state/history/configurations.js';
 import { replica } from '../coordination/consensus/driver.js';
 import { boards } from '../controlplane/board.js';
 import { access } from '../controlplane/access.js';
+import { door } from '../controlplane/door.js';
 import { feed } from '../controlplane/feed.js';
+import { freshness } from '../controlplane/freshness.js';
+import { innerPaths } from '../controlplane/inner.js';
 import { kept } from '../controlplane/kept.js';
+import { members } from '../controlplane/members.js';
 import { news } from '../controlplane/news.js';
 import { operator } from '../controlplane/operator.js';
+import { outside } from '../controlplane/outside.js';
 import type { Coordinator } from '../controlplane/parts.js';
 import { runners } from '../controlplane/runners.js';
 import { rollout } from '../controlplane/rollout.js';
+import { shutdown } from '../controlplane/shutdown.js';
 import { status } from '../controlplane/status.js';
 import type { Log } from '../logging/ring.js';
-import { ringLog } from '../logging/ring.js';
-import { answers } from '../transport/http/answer.js';
 import { ask } from '../transport/http/ask.js';
 import { channel } from '../transport/inner/channel.js';
 import type { Settings, Tuning } from '../types.js';
+import { machineRuntime } from './runtime.js';
+import { settingsWatch } from './watch.js';
 
-async function start(s: Settings, log: Log, tuning: Tuning): Promise<void> {
-  const member = replica.create(s, log);
-  const c: Coordinator = {
-    settings: s,
+function create(settings: Settings, log: Log, tuning: Tuning): Coordinator {
+  const agent = channel.agent();
+  return {
+    settings,
     log,
-    replica: member,
-    agent: channel.agent(),
+    replica: replica.create(settings, log),
+    runtime: machineRuntime.create(agent),
+    outside: outside.create(agent, function platform() {
+      return settings.cloud_api.address;
+    }),
+    agent,
     board: boards.empty(),
     boardHistory: boardHistory.create(),
     configurations: configurationHistory.create(),
     sessions: new Map(),
     peerSessions: new Map(),
-    reply: { no: 0, sentAt: new Map(), heardUpTo: -Infinity },
+    reply: { number: 0, sentAt: new Map(), heardUpTo: -Infinity },
+    leaderProgress: { term: 0, revision: 0, weightsSeq: 0, rulesSeq: 0 },
     waiters: new Set(),
+    isStopping: false,
     tuning,
   };
-  member.on('delivered', function news() {
-    if (member.state.configuration) configurationHistory.take(c.configurations, member.state.configuration);
-    boards.wake(c);
-  });
-  await channel.listen(s.ip_addr, s.port_range[0], {
-    '/inner/consensus': function messages(b) {
-      return replica.receive(member, b.messages);
+}
+
+function listenInside(c: Coordinator): Promise<Server> {
+  return channel.listen(c.settings.ip_addr, c.settings.port_range[0], {
+    [innerPaths.consensus]: function messages(b) {
+      return replica.receive(c.replica, b.messages);
     },
-    '/inner/board': function board(b) {
+    [innerPaths.board]: function board(b) {
       return boards.receive(c, b);
     },
-    '/inner/news': function question(b) {
+    [innerPaths.news]: function question(b) {
       return news.call(c, b);
     },
-    '/inner/feed': function exchange(b) {
+    [innerPaths.feed]: function exchange(b) {
       return feed.call(c, b);
     },
-    '/inner/status': function view() {
+    [innerPaths.status]: function state() {
       return status.own(c);
     },
-    '/inner/operator': function call(b) {
+    [innerPaths.operator]: function call(b) {
       return operator.decide(c, b);
     },
   });
-  const door = createServer(function got(req, res) {
-    operator.handle(c, req, res).catch(function bad(err: Error) {
-      ringLog.error(log, { why: err.stack }, 'an operator call met an error of our own');
-      answers.send(res, answers.plain(500, err.message), true);
+}
+
+function listenAtDoor(c: Coordinator): Promise<Server> {
+  const server = door.create(c);
+  const { host, port } = ask.split(c.settings.bind_addrs.control_addr!);
+  return new Promise(function run(done, fail) {
+    server.on('error', fail);
+    server.listen(port, host, function up() {
+      done(server);
     });
   });
-  const { host, port } = ask.split(s.bind_addrs.control_addr!);
-  await new Promise<void>(function run(done, fail) {
-    door.on('error', fail);
-    door.listen(port, host, done);
+}
+
+/** Starts all duties of a coordinator whose replica runs. */
+function startParts(c: Coordinator): void {
+  members.onApplied(c, function applied() {
+    const { configuration } = c.replica.state;
+    if (configuration) configurationHistory.take(c.configurations, configuration);
+    boards.wake(c);
   });
-  replica.start(member);
+  runners.start(c);
   boards.start(c);
-  void runners.run(c);
+  news.start(c);
   rollout.start(c);
   feed.start(c);
   access.start(c);
   kept.start(c);
+}
+
+async function stop(c: Coordinator, server: Server): Promise<void> {
+  await shutdown.run(c);
+  server.close();
+  server.closeIdleConnections();
+  process.exit(0);
+}
+
+/** `reread` reads the settings file again, in place. */
+async function start(s: Settings, log: Log, tuning: Tuning, reread: () => void): Promise<void> {
+  const c = create(s, log, tuning);
+  await listenInside(c);
+  const server = await listenAtDoor(c);
+  startParts(c);
+  replica.start(c.replica);
+  settingsWatch.start(
+    c.runtime.clock,
+    function hasLeader() {
+      return freshness.hasLeader(c);
+    },
+    reread,
+  );
   process.on('SIGTERM', function term() {
-    void replica.stop(member).then(function gone() {
-      process.exit(0);
-    });
+    if (!c.isStopping) void stop(c, server);
   });
 }
 
-export const coordinatorProgram = { start };
+export const coordinatorProgram = { create, startParts, start };
--- a/src/programs/site.ts
+++ b/src/programs/site.ts
@@ -1,5 +1,7 @@
-// The program that carries traffic: a front for clients, an answer for the platform's readiness
-// question, and a session with the control plane. It has no disk and starts with nothing known.
+/**
+ * The program that carries traffic: a front for clients, an answer for the platform's readiness
+ * question, and a session with the control plane. It has no disk and starts with nothing known.
+ */
 import { EventEmitter } from 'node:events';
 import { randomBytes } from 'node:crypto';
 import { createServer, type Server } from 'node:http';
@@ -20,10 +22,13 @@
 import { replica } from '../coordination/consensus/driver.js';
 import { hash } from '../state/index/hash.js';
 import type { Settings, Tuning } from '../types.js';
+import { machineRuntime } from './runtime.js';
+import { settingsWatch } from './watch.js';
 
 const silentMs = 500;
 const sweepMs = 100;
 const quietMs = 60;
+const inTouchMs = 1500;
 const moveTiming = { leaseMs: 4000, mostAtSource: 6, longestQueueMs: 1500 };
 
 function create(s: Settings, log: Log, tuning: Tuning): Site {
@@ -85,31 +90,35 @@
   }
 }
 
-async function start(s: Settings, log: Log, tuning: Tuning): Promise<void> {
+/** `reread` reads the settings file again, in place. */
+async function start(s: Settings, log: Log, tuning: Tuning, reread: () => void): Promise<void> {
   const site = create(s, log, tuning);
   const probe = createServer(function asked(req, res) {
     answers.send(res, answers.plain(req.url === '/v1/ready' ? (isReady(site) ? 200 : 503) : 404));
   });
   await listen(probe, s.bind_addrs.ready_probe!);
-  const seeds = s.seed_addrs.map(function inner(a) {
-    return replica.innerAddr(a, s.port_range[0]);
-  });
-  const f: Follower = {
-    life: randomBytes(6).toString('hex'),
-    via: channel.agent(),
-    known: seeds,
-    seeds,
-    at: Math.floor(hash.of(s.node_name) * seeds.length),
-    leader: null,
-    stopped: false,
-    whole: false,
+  const via = channel.agent();
+  const seeds = function current(): string[] {
+    return s.seed_addrs.map(function inner(a) {
+      return replica.innerAddr(a, s.port_range[0]);
+    });
   };
+  const life = randomBytes(6).toString('hex');
+  const runtime = machineRuntime.create(via);
+  const f = follow.create({ life, runtime, via, seeds }, Math.floor(hash.of(s.node_name) * s.seed_addrs.length));
   const server = front.create(site);
   site.stirred.on('configuration', function changed() {
     front.adapt(site, server);
   });
   await listen(server, s.bind_addrs.front_addr!);
   void follow.run(site, f);
+  settingsWatch.start(
+    runtime.clock,
+    function isInTouch() {
+      return runtime.clock.now() - f.freshAt < inTouchMs;
+    },
+    reread,
+  );
   void feeding.run(site, f);
   setInterval(function beat() {
     sweep(site);
--- /dev/null
+++ b/src/state/control/orders.ts
@@ -0,0 +1,76 @@
+/**
+ * The memory of operator orders, a part of the replicated state and so of every snapshot. An order is
+ * known by a digest of its method, path, `If-Match` and body, which a caller that got no clear answer
+ * sends again unchanged.
+ *
+ * What may be forgotten, and why that is safe: each base revision has at most one successor, so an
+ * order that is not remembered was taken only if its base is one of those whose order was forgotten.
+ * Those are exactly the bases up to `forgottenBase`. An order on such a base is answered as unclear; an
+ * order on any later base that is not remembered was certainly not taken. The order in force is the
+ * newest one and never forgotten.
+ */
+import { createHash } from 'node:crypto';
+import type { OperatorCall } from '../../types.js';
+
+/** 16 bytes of SHA-256 in base64url, 22 characters: collisions are out of reach for the orders of any system's life. */
+export type OrderDigest = string;
+
+/**
+ * `taken`: digest and base revision, oldest first. `refused`: digests of orders that were refused although
+ * their base may yet come into force, oldest first. `forgottenBase`: the highest base whose order is no
+ * longer in `taken`, -1 while all are.
+ */
+export type OrderMemory = { taken: [OrderDigest, number][]; refused: OrderDigest[]; forgottenBase: number };
+
+/**
+ * A day may hold hundreds of changes and eight orders at once; 4,096 covers several such days. With its
+ * base an entry takes about 30 bytes packed, so the whole adds at most 120 KB to a snapshot.
+ */
+const mostTaken = 4096;
+
+/**
+ * Refusals are remembered only against copies of the same order that are still on their way between
+ * members, a second or two; at eight orders at once that is far below this many.
+ */
+const mostRefused = 256;
+
+function empty(): OrderMemory {
+  return { taken: [], refused: [], forgottenBase: -1 };
+}
+
+function digest(call: OperatorCall): OrderDigest {
+  return createHash('sha256')
+    .update(`${call.method} ${call.path} ${call.match ?? ''}\n`)
+    .update(call.body)
+    .digest()
+    .subarray(0, 16)
+    .toString('base64url');
+}
+
+function isTaken(memory: OrderMemory, order: OrderDigest): boolean {
+  return memory.taken.some(function same([known]) {
+    return known === order;
+  });
+}
+
+function isRefused(memory: OrderMemory, order: OrderDigest): boolean {
+  return memory.refused.includes(order);
+}
+
+/** Whether an order on this base may have been taken and forgotten since. */
+function mayBeForgotten(memory: OrderMemory, base: number): boolean {
+  return base <= memory.forgottenBase;
+}
+
+function take(memory: OrderMemory, order: OrderDigest, base: number): OrderMemory {
+  const all: [OrderDigest, number][] = [...memory.taken, [order, base]];
+  const excess = all.length - mostTaken;
+  if (excess <= 0) return { ...memory, taken: all };
+  return { ...memory, taken: all.slice(excess), forgottenBase: all[excess - 1]![1] };
+}
+
+function refuse(memory: OrderMemory, order: OrderDigest): OrderMemory {
+  return { ...memory, refused: [...memory.refused, order].slice(-mostRefused) };
+}
+
+export const orders = { mostTaken, empty, digest, isTaken, isRefused, mayBeForgotten, take, refuse };
--- /dev/null
+++ b/src/state/history/changes.ts
@@ -0,0 +1,97 @@
+/**
+ * What turns one configuration into the next, exactly: the lists of routes, services and tenants by
+ * their changed items with the places where they stand, everything else whole. Unlike the differences
+ * told to sites, the result is equal to the target down to the order of the items, since an operator
+ * who reads a revision back must find what was sent under its number.
+ */
+import { isDeepStrictEqual } from 'node:util';
+import type { Configuration } from '../../types.js';
+
+type Item = { label: string };
+
+/** `removals` go first; each upsert then stands at its index in the resulting list, the others fill the gaps in order. */
+export type ListChange = { removals: string[]; upserts: [number, unknown][] };
+
+/** `lists` holds a change for every list that base and target both have; `rest` is every other field of the target. */
+export type ConfigurationChange =
+  | { kind: 'whole'; configuration: Configuration }
+  | { kind: 'items'; rest: Record<string, unknown>; lists: Record<string, ListChange> };
+
+const listNames = ['route_list', 'service_list', 'tenant_list'] as const;
+
+function byLabel(list: Item[]): Map<string, string> {
+  return new Map(
+    list.map(function pair(item) {
+      return [item.label, JSON.stringify(item)] as const;
+    }),
+  );
+}
+
+function listBetween(base: Item[], target: Item[]): ListChange {
+  const before = byLabel(base);
+  const after = new Set(
+    target.map(function label(item) {
+      return item.label;
+    }),
+  );
+  const upserts: [number, unknown][] = [];
+  target.forEach(function compare(item, index) {
+    if (before.get(item.label) !== JSON.stringify(item)) upserts.push([index, item]);
+  });
+  const removals = [...before.keys()].filter(function left(label) {
+    return !after.has(label);
+  });
+  return { removals, upserts };
+}
+
+function applyList(base: Item[], change: ListChange): Item[] {
+  const replaced = new Set(change.removals);
+  for (const [, item] of change.upserts) replaced.add((item as Item).label);
+  const result = base.filter(function kept(item) {
+    return !replaced.has(item.label);
+  });
+  for (const [index, item] of change.upserts) result.splice(index, 0, item as Item);
+  return result;
+}
+
+function items(base: Configuration, target: Configuration): ConfigurationChange {
+  const rest: Record<string, unknown> = { ...target };
+  const lists: Record<string, ListChange> = {};
+  for (const name of listNames) {
+    const before = base[name];
+    const after = target[name];
+    if (before === undefined || after === undefined) continue;
+    lists[name] = listBetween(before, after);
+    delete rest[name];
+  }
+  return { kind: 'items', rest, lists };
+}
+
+/** The configuration that `change` makes of `base`; null where it needs a base and there is none. */
+function apply(base: Configuration | null, change: ConfigurationChange): Configuration | null {
+  if (change.kind === 'whole') return change.configuration;
+  if (base === null) return null;
+  const next: Record<string, unknown> = { ...change.rest };
+  for (const name of listNames) {
+    const list = change.lists[name];
+    if (list === undefined) continue;
+    const before = base[name];
+    if (before === undefined) return null;
+    next[name] = applyList(before, list);
+  }
+  return next as unknown as Configuration;
+}
+
+/**
+ * The smaller of the two ways to bring `base` to `target`. A change by items is used only after it was
+ * applied here and gave exactly the target; a list that was re-ordered, for one, is told whole.
+ */
+function between(base: Configuration | null, target: Configuration): ConfigurationChange {
+  const whole: ConfigurationChange = { kind: 'whole', configuration: target };
+  if (base === null) return whole;
+  const byItems = items(base, target);
+  if (JSON.stringify(byItems).length >= JSON.stringify(whole).length) return whole;
+  return isDeepStrictEqual(apply(base, byItems), target) ? byItems : whole;
+}
+
+export const configurationChanges = { between, apply };
--- a/src/tools/inspect.ts
+++ b/src/tools/inspect.ts
@@ -51,9 +51,11 @@
 }
 
 function commandText(c: Command): string {
-  switch (c.c) {
+  switch (c.kind) {
     case 'configure':
-      return `configuration ${c.configuration.revision}`;
+      return `configuration ${c.revision} on ${c.base}, ${c.change.kind === 'whole' ? 'whole' : 'by items'}`;
+    case 'refuse':
+      return `refusal of an order on ${c.base}`;
     case 'weights':
       return `weights ${c.model}=${c.revision}`;
     case 'activate':
--- a/src/types.ts
+++ b/src/types.ts
@@ -111,7 +111,8 @@
   sites: number;
 };
 
-// `whole` asks for configuration and board whole: a difference that was told did not fit.
+// `whole` asks for configuration and board whole: a difference that was told did not fit. `acceptsStale`
+// asks a coordinator that is not up to date for what it has, see dataplane/follow.ts.
 export type NewsCall = {
   site: string;
   life: string;
@@ -121,6 +122,7 @@
   rules: number;
   hold: number;
   whole: boolean;
+  acceptsStale: boolean;
 };
 export type NewsAnswer = {
   configuration: Configuration | null;
@@ -186,7 +188,9 @@
 };
 export type HotRow = [string, number, number];
 
-export type OperatorCall = { method: string; path: string; match: string | null; body: Uint8Array };
+// `id` names one call at the coordinator that took it, for the logs; what makes two calls the same order
+// is the digest of the rest (state/control/orders.ts).
+export type OperatorCall = { id: string; method: string; path: string; match: string | null; body: Uint8Array };
 export type OperatorAnswer = { status: number; body: string };
 
 export type StatusAnswer = {
--- a/test/access.test.ts
+++ b/test/access.test.ts
@@ -15,7 +15,13 @@
 }
 
 function configured(s: ControlState, c: Configuration): ControlState {
-  return control.apply(s, { c: 'configure', configuration: c, call: `call ${c.revision}` });
+  return control.apply(s, {
+    kind: 'configure',
+    base: control.revision(s),
+    revision: c.revision,
+    change: { kind: 'whole', configuration: c },
+    order: `order ${c.revision}`,
+  }).state;
 }
 
 test('a rule forbids what it does not name; no rule forbids nothing', function run() {
@@ -44,8 +50,8 @@
   assert.deepEqual(first.rules, { seq: 1, active: { t: ['a'] }, next: null, pending: 0 });
   const second = configured(first, conf(2, ['b']));
   assert.deepEqual(second.rules, { seq: 2, active: { t: ['a'] }, next: { t: ['b'] }, pending: 2 });
-  assert.equal(control.apply(second, { c: 'activate', revision: 1 }), second);
-  const done = control.apply(second, { c: 'activate', revision: 2 });
+  assert.equal(control.apply(second, { kind: 'activate', revision: 1 }).state, second);
+  const done = control.apply(second, { kind: 'activate', revision: 2 }).state;
   assert.deepEqual(done.rules, { seq: 3, active: { t: ['b'] }, next: null, pending: 0 });
   const back = configured(second, conf(3, ['a']));
   assert.deepEqual([back.rules.next, back.rules.pending], [null, 0]);
@@ -139,7 +145,7 @@
       if (
         activation.mayActivate({ pending: head.state.rules.pending, wonAt: 0, leaseMs, freshMs, own, witnesses }, now)
       ) {
-        head.state = control.apply(head.state, { c: 'activate', revision: head.state.rules.pending });
+        head.state = control.apply(head.state, { kind: 'activate', revision: head.state.rules.pending }).state;
       }
     }
     const honoured = new Set<string>();
--- a/test/scale/run.ts
+++ b/test/scale/run.ts
@@ -12,6 +12,7 @@
 import { follow, type Follower } from '../../src/dataplane/follow.js';
 import type { Assigned, Passage, Site } from '../../src/dataplane/types.js';
 import { ringLog } from '../../src/logging/ring.js';
+import { machineRuntime } from '../../src/programs/runtime.js';
 import { siteProgram } from '../../src/programs/site.js';
 import { tuning } from '../../src/protocol/settings/tuning.js';
 import { identity } from '../../src/state/index/identity.js';
@@ -80,11 +81,21 @@
     seed_addrs: seeds,
     is_first_start: true,
     beat_ms: 1000,
-    bound_set: { retry_window_s: 10, retry_ratio: 0.2, retry_slack: 58, version_ms: 8000 },
+    bound_set: { contact_ms: 3000, retry_window_s: 10, retry_ratio: 0.2, retry_slack: 58, version_ms: 8000 },
   } as unknown as Settings;
   return {
     site: siteProgram.create(s, ringLog.create('site', s.node_name), tuning.defaults),
-    f: { life: `life-${n}`, via: agent, known: seeds, seeds, at: n % 3, leader: null, stopped: false, whole: false },
+    f: follow.create(
+      {
+        life: `life-${n}`,
+        via: agent,
+        runtime: machineRuntime.create(agent),
+        seeds: function current() {
+          return seeds;
+        },
+      },
+      n % 3,
+    ),
   };
 }
 
--- a/test/state.test.ts
+++ b/test/state.test.ts
@@ -202,24 +202,30 @@
 };
 
 function put(match: string | null, c: unknown, method = 'PUT'): OperatorCall {
-  return { method, path: '/v1/config', match, body: Buffer.from(typeof c === 'string' ? c : JSON.stringify(c)) };
+  return {
+    id: 'test',
+    method,
+    path: '/v1/config',
+    match,
+    body: Buffer.from(typeof c === 'string' ? c : JSON.stringify(c)),
+  };
 }
 
 function taken(s: ControlState, call: OperatorCall): ControlState {
-  const v = judge.call(s, call);
-  assert.equal(v.v, 'order');
-  return v.v === 'order' ? control.apply(s, v.command) : s;
+  const v = judge.order(s, call);
+  assert.ok(v.kind === 'propose' && v.refusal === null);
+  return control.apply(s, v.command).state;
 }
 
 function status(s: ControlState, call: OperatorCall): number {
-  const v = judge.call(s, call);
-  return v.v === 'refused' ? v.status : 200;
+  const v = judge.order(s, call);
+  return v.kind === 'refused' ? v.refusal.status : 200;
 }
 
 test('the judge takes, knows again, and refuses without a change', function run() {
   const first = put('0', base);
   const s = taken(control.empty(), first);
-  assert.equal(judge.call(s, first).v, 'taken');
+  assert.equal(judge.order(s, first).kind, 'taken');
   assert.equal(status(s, put('0', { ...base, revision: 9 })), 412);
   assert.equal(status(s, put('4', { ...base, revision: 4 })), 400);
   assert.equal(status(s, put('4', '{"revision": 5,')), 400);
@@ -227,8 +233,8 @@
   const change = put('4', { revision: 6, removals: { route_list: ['r'] } }, 'PATCH');
   const next = taken(s, change);
   assert.equal(next.configuration!.route_list.length, 0);
-  assert.equal(judge.call(next, change).v, 'taken');
-  assert.equal(judge.call(next, first).v, 'taken');
+  assert.equal(judge.order(next, change).kind, 'taken');
+  assert.equal(judge.order(next, first).kind, 'taken');
   assert.equal(
     status(s, put('4', { revision: 7, upserts: { route_list: [{ ...base.route_list[0], target: 'x' }] } }, 'PATCH')),
     400,
@@ -238,6 +244,7 @@
 test('weights are named once and never go back', function run() {
   function name(revision: unknown): OperatorCall {
     return {
+      id: 'test',
       method: 'POST',
       path: '/v1/version-put',
       match: null,
@@ -245,8 +252,8 @@
     };
   }
   const s = taken(control.empty(), name(2));
-  assert.equal(judge.call(s, name(2)).v, 'taken');
-  assert.equal(judge.call(s, name(1)).v, 'taken');
+  assert.equal(judge.order(s, name(2)).kind, 'taken');
+  assert.equal(judge.order(s, name(1)).kind, 'taken');
   assert.equal(status(s, name('x')), 400);
   assert.equal(taken(s, name(3)).weights.m, 3);
 });
