--- /dev/null
+++ b/src/controlplane/inner.ts
@@ -0,0 +1,33 @@
+/**
+ * The calls between coordinators, all in one place. Each answers with an `Outcome`; errors say whether
+ * the other end may have seen the call (see `CallError`).
+ */
+import { boardEndpoint, type BoardReply, type BoardRequest } from '../protocol/inner/board.js';
+import { endpoint } from '../protocol/inner/endpoint.js';
+import { operatorEndpoint, type OperatorReply, type OperatorRequest } from '../protocol/inner/operator.js';
+import { statusEndpoint, type StatusReply } from '../protocol/inner/status.js';
+import type { CallError } from '../runtime.js';
+import type { Outcome } from '../types.js';
+import type { Coordinator } from './parts.js';
+
+type Reply<T> = Promise<Outcome<T, CallError>>;
+
+function board(c: Coordinator, address: string, request: BoardRequest, timeoutMs: number): Reply<BoardReply> {
+  return endpoint.call(c.runtime.network, address, boardEndpoint, request, { timeoutMs });
+}
+
+/** Sends an order or a read on to the leader; null when the receiver does not lead. */
+function operator(
+  c: Coordinator,
+  address: string,
+  request: OperatorRequest,
+  timeoutMs: number,
+): Reply<OperatorReply | null> {
+  return endpoint.call(c.runtime.network, address, operatorEndpoint, request, { timeoutMs });
+}
+
+function status(c: Coordinator, address: string, timeoutMs: number): Reply<StatusReply> {
+  return endpoint.call(c.runtime.network, address, statusEndpoint, {}, { timeoutMs });
+}
+
+export const inner = { board, operator, status };
--- a/src/coordination/consensus/driver.ts
+++ b/src/coordination/consensus/driver.ts
@@ -4,6 +4,7 @@
  * control state and tells the rest of the program about it.
  */
 import { EventEmitter } from 'node:events';
+import { crc32 } from 'node:zlib';
 import { ringLog, type Log } from '../../logging/ring.js';
 import { consensusEndpoint } from '../../protocol/inner/consensus.js';
 import type { FileError, Folder, Runtime, Timer } from '../../runtime.js';
@@ -51,6 +52,8 @@
   runtime: Runtime;
   machine: ConsensusState;
   storage: Storage;
+  /** Whether the last attempt to write was refused. */
+  isDiskRefusing: boolean;
   state: ControlState;
   appliedIndex: number;
   appliedTerm: number;
@@ -76,7 +79,7 @@
 
 function store(snapshot: Snapshot): StoredSnapshot {
   const data = snapshotCodec.encode(snapshot);
-  return { ...snapshot, data, checksum: snapshotCodec.checksum(data) };
+  return { ...snapshot, data, checksum: crc32(data) };
 }
 
 type Beginning = { memberId: string; promise: VotingPromise; snapshot: Snapshot; entries: Entry[]; committed: number };
@@ -147,6 +150,7 @@
     runtime: options.runtime,
     machine,
     storage: kept,
+    isDiskRefusing: false,
     state: snapshot.state as ControlState,
     appliedIndex: snapshot.index,
     appliedTerm: snapshot.term,
@@ -159,9 +163,11 @@
     ticker: null,
   });
   kept.on('synced', function synced(token: number) {
+    replica.isDiskRefusing = false;
     step(replica, { type: 'synced', token });
   });
   kept.on('refused', function refused(error: FileError) {
+    replica.isDiskRefusing = true;
     ringLog.error(replica.log, { why: error.message, code: error.code }, 'the disk refused a write');
   });
   return replica;
--- a/src/protocol/inner/board.ts
+++ b/src/protocol/inner/board.ts
@@ -7,21 +7,32 @@
 import { guard } from './guard.js';
 import { shapes } from './shapes.js';
 
-/** `board` is null when the callee has it already; `echo` is the number of the last reply that came in. */
-export type BoardRequest = { board: Board | null; term: number; echo: number };
+/** How far the leader's state was when it said so, and in which of its terms that was. */
+export type LeaderProgress = { term: number; revision: number; weightsSeq: number; rulesSeq: number };
+
+/**
+ * `lastReply` is the number of the last reply that came in, 0 if none: by it the receiver knows up to
+ * when the leader has heard it. `board` is null when the receiver has it already.
+ */
+export type BoardRequest = { board: Board | null; progress: LeaderProgress; lastReply: number };
 
 /** A router's session; `seenAt` is its age in milliseconds. */
 export type SessionRow = { site: string; life: string; seenAt: number; revision: number };
 
-/** `have` is the (term, seq) of the board that the callee shows now, `no` numbers the replies of one life. */
-export type BoardReply = { have: [number, number]; no: number; revision: number; sessions: SessionRow[] };
+/** `has` is the (term, seq) of the board that the callee shows now; `replyNumber` counts the replies of one life. */
+export type BoardReply = { has: [number, number]; replyNumber: number; revision: number; sessions: SessionRow[] };
 
 const maxBytes = 8 * 1024 * 1024;
 
 const request = guard.object<BoardRequest>({
   board: guard.nullable(shapes.board),
-  term: guard.count,
-  echo: guard.count,
+  progress: guard.object<LeaderProgress>({
+    term: guard.count,
+    revision: guard.count,
+    weightsSeq: guard.count,
+    rulesSeq: guard.count,
+  }),
+  lastReply: guard.count,
 });
 
 const session = guard.object<SessionRow>({
@@ -32,13 +43,13 @@
 });
 
 const reply = guard.object<BoardReply>({
-  have: guard.row<[number, number]>(guard.count, guard.count),
-  no: guard.count,
+  has: guard.row<[number, number]>(guard.count, guard.count),
+  replyNumber: guard.count,
   revision: guard.count,
   sessions: guard.list(session),
 });
 
-/** Bound to the life of the callee: `echo` refers to a reply that only that life remembers. */
+/** Bound to the life of the callee: `lastReply` refers to a reply that only that life remembers. */
 export const boardEndpoint: Endpoint<BoardRequest, BoardReply> = {
   path: '/inner/board',
   checkRequest: endpoint.byGuard(request),
--- a/src/protocol/inner/news.ts
+++ b/src/protocol/inner/news.ts
@@ -9,7 +9,10 @@
 import { guard } from './guard.js';
 import { shapes } from './shapes.js';
 
-/** What the router has; `whole` asks for configuration and board whole: a difference did not fit. */
+/**
+ * What the router has; `whole` asks for configuration and board whole: a difference did not fit.
+ * `acceptsStale` asks a coordinator that is not up to date for what it has, see `dataplane/follow.ts`.
+ */
 export type NewsRequest = {
   site: string;
   life: string;
@@ -19,6 +22,7 @@
   rules: number;
   hold: number;
   whole: boolean;
+  acceptsStale: boolean;
 };
 
 /** Null fields are not newer than what the router has. `fresh`: this coordinator is in touch itself. */
@@ -48,6 +52,7 @@
   rules: guard.count,
   hold: guard.between(0, maxHoldMs),
   whole: guard.flag,
+  acceptsStale: guard.flag,
 });
 
 const reply = guard.object<NewsReply>({
--- a/src/protocol/inner/operator.ts
+++ b/src/protocol/inner/operator.ts
@@ -5,8 +5,12 @@
 import { instance, integer, nullable, size, string, type } from 'superstruct';
 import { endpoint, type Endpoint } from './endpoint.js';
 
-/** `match` is the value of If-Match; `body` the bytes as the operator sent them. */
-export type OperatorRequest = { method: string; path: string; match: string | null; body: Uint8Array };
+/**
+ * `id` names one call at the coordinator that took it, for the logs; what makes two calls the same order is
+ * the digest of the rest (`state/control/orders.ts`). `match` is the value of If-Match; `body` the bytes as
+ * the operator sent them.
+ */
+export type OperatorRequest = { id: string; method: string; path: string; match: string | null; body: Uint8Array };
 
 /** The HTTP status and the JSON text for the operator. */
 export type OperatorReply = { status: number; body: string };
@@ -17,6 +21,7 @@
 const name = size(string(), 0, maxNameLength);
 
 const request = type({
+  id: name,
   method: name,
   path: name,
   match: nullable(name),
--- a/src/protocol/inner/status.ts
+++ b/src/protocol/inner/status.ts
@@ -8,12 +8,12 @@
 /** Ages (`heardMs`, `seenMs`) are in milliseconds; `match` is the last log index known to be kept there. */
 export type StatusReply = {
   node: string;
-  phase: string;
+  role: string;
   term: number;
   leader: string | null;
   sure: boolean;
   acts: boolean;
-  roster: { id: string; control: string; heardMs: number | null; match: number | null }[];
+  voters: { id: string; control: string; heardMs: number | null; match: number | null }[];
   committed: number;
   disk: 'takes' | 'refuses';
   configuration: number;
@@ -40,12 +40,12 @@
 
 const reply = type({
   node: string(),
-  phase: string(),
+  role: string(),
   term: number(),
   leader: nullable(string()),
   sure: boolean(),
   acts: boolean(),
-  roster: array(type({ id: string(), control: string(), heardMs: nullable(number()), match: nullable(number()) })),
+  voters: array(type({ id: string(), control: string(), heardMs: nullable(number()), match: nullable(number()) })),
   committed: number(),
   disk: enums(['takes', 'refuses']),
   configuration: number(),
--- a/src/state/log/codec.ts
+++ b/src/state/log/codec.ts
@@ -36,7 +36,7 @@
 const entryData = union([
   type({ kind: literal('noop') }),
   type({ kind: literal('membership'), membership }),
-  type({ kind: literal('command'), command: unknown() }),
+  type({ kind: literal('command'), command: unknown(), size: count }),
 ]);
 const entry = type({ index: count, term: count, data: entryData });
 const snapshot = type({ index: count, term: count, membership, state: unknown() });
@@ -129,5 +129,10 @@
   return file.ok ? { ok: true, value: file.value.snapshot } : file;
 }
 
+/** How many bytes a value takes when it is encoded. */
+function sizeOf(value: unknown): number {
+  return packr.pack(value).length;
+}
+
 export const batchCodec = { encode: encodeBatch, decode: decodeBatch };
-export const snapshotCodec = { encode: encodeSnapshot, decode: decodeSnapshot };
+export const snapshotCodec = { encode: encodeSnapshot, decode: decodeSnapshot, sizeOf };
--- a/src/tools/inspect.ts
+++ b/src/tools/inspect.ts
@@ -11,7 +11,6 @@
 import type { Entry, Recovered, Recovery } from '../state/log/types.js';
 import { files } from '../transport/files.js';
 import type { Outcome } from '../types.js';
-import { earlierInspect } from './inspect-earlier.js';
 import { toolEnd, type ToolEnd, type ToolFlags } from './types.js';
 
 const note = 'the fate of what stands behind that is known to the group, not to one disk';
@@ -83,13 +82,15 @@
 }
 
 function isCommand(value: unknown): value is Command {
-  return typeof value === 'object' && value !== null && 'c' in value;
+  return typeof value === 'object' && value !== null && 'kind' in value;
 }
 
 function commandText(command: Command): string {
-  switch (command.c) {
+  switch (command.kind) {
     case 'configure':
-      return `configuration ${command.configuration.revision}`;
+      return `configuration ${command.revision} on ${command.base}, ${command.change.kind === 'whole' ? 'whole' : 'by items'}`;
+    case 'refuse':
+      return `refusal of an order on ${command.base}`;
     case 'weights':
       return `weights ${command.model}=${command.revision}`;
     case 'activate':
@@ -163,18 +164,6 @@
   return { ok: true, value: contents };
 }
 
-function isEarlierFormat(segments: FileContent[]): boolean {
-  const written = segments.filter(function hasBytes({ bytes }) {
-    return bytes.length > 0;
-  });
-  return (
-    written.length > 0 &&
-    !written.some(function isNew({ bytes }) {
-      return segment.hasMagic(bytes);
-    })
-  );
-}
-
 function report(lines: FileLine[], recovery: Recovery, isJson: boolean): ToolEnd {
   const findings = findingsOf(lines, recovery);
   const summary = recovery.kind === 'recovered' ? summaryOf(recovery.recovered) : null;
@@ -184,7 +173,7 @@
   return findings.length > 0 ? toolEnd.error(isJson ? '' : findings.join('\n'), out) : toolEnd.well(out);
 }
 
-async function inspect(path: string, args: string[], flags: ToolFlags): Promise<ToolEnd> {
+async function inspect(path: string, flags: ToolFlags): Promise<ToolEnd> {
   const folder = files.folder(path);
   const names = await folder.list();
   if (!names.ok) return toolEnd.error(`${path}: ${names.error.message}`);
@@ -194,7 +183,6 @@
   if (!segments.ok) return toolEnd.error(`${path}: ${segments.error.message}`);
   const lines = [...snapshots.value.map(snapshotLine), ...segments.value.map(segmentLine)];
   if (lines.length === 0) return toolEnd.error(`${path}: holds no log: neither a snapshot nor a segment`);
-  if (isEarlierFormat(segments.value)) return earlierInspect.run(args, flags);
   const reading = await logRecovery.read(folder);
   if (!reading.ok) return toolEnd.error(`${path}: ${reading.error.message}`);
   return report(lines, reading.value.recovery, flags.json);
@@ -205,7 +193,7 @@
   if (verb !== 'inspect' || path === undefined || more.length > 0) return toolEnd.usage('log inspect takes one folder');
   if (!existsSync(path)) return toolEnd.error(`${path}: there is no such folder`);
   if (!statSync(path).isDirectory()) return toolEnd.error(`${path}: is not a folder`);
-  return inspect(path, args, flags);
+  return inspect(path, flags);
 }
 
 export const inspectTool = { run };
--- a/src/tools/simulate/core.ts
+++ b/src/tools/simulate/core.ts
@@ -1,10 +1,13 @@
-// The simulator's core: the coordinators' group machine on virtual time, with disks that keep what
-// was written. It says who the leader is at any moment; what hangs on that is the fleet's affair.
+/**
+ * The simulator's core: the coordinators' consensus machine on virtual time, with disks that keep what
+ * was written. It says who the leader is at any moment; what depends on that is the fleet's affair.
+ */
+import { timing } from '../../coordination/consensus/driver.js';
 import { consensus } from '../../coordination/consensus/machine.js';
-import type { ConsensusEvent, ConsensusState, Timing, Snapshot } from '../../coordination/consensus/types.js';
+import type { ConsensusEffect, ConsensusEvent, ConsensusState } from '../../coordination/consensus/types.js';
+import type { Member } from '../../types.js';
 import type { Clock } from './clock.js';
 
-const timing: Timing = { beatMs: 150, silenceMs: 700, spreadMs: 500, legMs: 400, goneMs: 1500, yieldMs: 700 };
 const syncMs = 5;
 const tickMs = 50;
 
@@ -15,94 +18,93 @@
   delayMs: number;
 };
 
-function create(clock: Clock, n: number, delayMs: number): SimCore {
-  const members = Array.from({ length: n }, function one(_, i) {
+function create(clock: Clock, count: number, delayMs: number): SimCore {
+  const voters = Array.from({ length: count }, function member(_, i): Member {
     return { id: `c${i}#first`, addr: `c${i}`, control: `c${i}` };
   });
-  const snapshot: Snapshot = { index: 0, term: 0, members, state: null };
-  const c: SimCore = {
-    clock,
-    delayMs,
-    messages: 0,
-    nodes: members.map(function node(m, i) {
-      const machine = consensus.create({
-        me: m.id,
-        addr: m.addr,
-        control: m.control,
-        timing,
-        seed: i * 7919 + clock.below(1e6),
-        target: n,
-        term: 0,
-        vote: null,
-        snapshot,
-        entries: [],
-        now: clock.now,
-      });
-      return { addr: m.addr, up: true, machine };
-    }),
-  };
-  for (const node of c.nodes) tick(c, node.addr);
-  return c;
+  const core: SimCore = { clock, delayMs, messages: 0, nodes: [] };
+  voters.forEach(function add(self, i) {
+    const { state, effects } = consensus.create({
+      self,
+      timing,
+      seed: i * 7919 + clock.below(1e6),
+      targetVoters: count,
+      promise: { term: 0, votedFor: null, leader: null },
+      snapshot: { index: 0, term: 0, membership: { voters, next: null }, data: new Uint8Array(), checksum: 0 },
+      entries: [],
+      committed: 0,
+      now: clock.now,
+    });
+    core.nodes.push({ addr: self.addr, up: true, machine: state });
+    carryOut(core, self.addr, effects);
+  });
+  for (const node of core.nodes) tick(core, node.addr);
+  return core;
 }
 
-function tick(c: SimCore, addr: string): void {
-  step(c, addr, { e: 'beat' });
-  c.clock.after(tickMs, function again() {
-    tick(c, addr);
+function tick(core: SimCore, addr: string): void {
+  step(core, addr, { type: 'tick' });
+  core.clock.after(tickMs, function again() {
+    tick(core, addr);
   });
 }
 
-function step(c: SimCore, addr: string, ev: ConsensusEvent): void {
-  const node = c.nodes.find(function same(x) {
-    return x.addr === addr;
+function nodeAt(core: SimCore, addr: string): SimCore['nodes'][number] | undefined {
+  return core.nodes.find(function same(node) {
+    return node.addr === addr;
   });
+}
+
+function step(core: SimCore, addr: string, event: ConsensusEvent): void {
+  const node = nodeAt(core, addr);
   if (!node?.up) return;
-  for (const f of consensus.step(node.machine, ev, c.clock.now)) {
-    if (f.f === 'send') {
-      c.messages++;
-      const copy = structuredClone(f.message);
-      c.clock.after(c.delayMs, function arrive() {
-        step(c, f.addr, { e: 'message', message: copy });
+  carryOut(core, addr, consensus.step(node.machine, event, core.clock.now));
+}
+
+function carryOut(core: SimCore, addr: string, effects: ConsensusEffect[]): void {
+  for (const effect of effects) {
+    if (effect.type === 'send') {
+      core.messages++;
+      const message = structuredClone(effect.message);
+      core.clock.after(core.delayMs, function arrive() {
+        step(core, effect.address, { type: 'message', message });
       });
-    } else if (f.f === 'write') {
-      const { token } = f;
-      c.clock.after(syncMs, function kept() {
-        step(c, addr, { e: 'synced', token });
+    } else if (effect.type === 'write') {
+      const { token } = effect;
+      core.clock.after(syncMs, function kept() {
+        step(core, addr, { type: 'synced', token });
       });
     }
   }
 }
 
-function leader(c: SimCore): string | null {
-  return (
-    c.nodes.find(function leads(n) {
-      return n.up && n.machine.phase === 'leader';
-    })?.addr ?? null
-  );
+function leader(core: SimCore): string | null {
+  const found = core.nodes.find(function leads(node) {
+    return node.up && node.machine.role === 'leader';
+  });
+  return found?.addr ?? null;
 }
 
-function down(c: SimCore, addr: string, forMs: number): void {
-  const node = c.nodes.find(function same(x) {
-    return x.addr === addr;
-  })!;
+function down(core: SimCore, addr: string, forMs: number): void {
+  const node = nodeAt(core, addr)!;
   if (!node.up) return;
   node.up = false;
-  const m = node.machine;
-  c.clock.after(forMs, function back() {
-    node.machine = consensus.create({
-      me: m.me,
-      addr: m.addr,
-      control: m.control,
+  const was = node.machine;
+  core.clock.after(forMs, function back() {
+    const { state, effects } = consensus.create({
+      self: was.self,
       timing,
-      seed: m.seed,
-      target: m.target,
-      term: m.term,
-      vote: m.vote,
-      snapshot: m.latestSnapshot!,
-      entries: m.entries,
-      now: c.clock.now,
+      seed: was.randomSeed,
+      targetVoters: was.targetVoters,
+      promise: { term: was.term, votedFor: was.votedFor, leader: was.knownLeader },
+      snapshot: was.snapshot!,
+      entries: was.entries,
+      committed: was.committed,
+      now: core.clock.now,
     });
+    node.machine = state;
     node.up = true;
+    carryOut(core, addr, effects);
   });
 }
 
--- a/src/tools/status.ts
+++ b/src/tools/status.ts
@@ -29,7 +29,7 @@
 
 function text(s: StatusReply): string {
   const view =
-    s.phase === 'leader' ? 'the leader' : `${s.phase}, not the leader: sites, health and hot set may be missing`;
+    s.role === 'leader' ? 'the leader' : `${s.role}, not the leader: sites, health and hot set may be missing`;
   return [
     `told by ${s.node} (${view})`,
     `term ${s.term}, leader ${s.leader ?? 'none'}, ${s.sure ? 'sure of its term' : 'not sure of its term'}, duties ${s.acts ? 'held' : 'not held here'}`,
@@ -43,9 +43,9 @@
         .join(', ') || 'none'
     }`,
     block(
-      'roster',
+      'voters',
       ['member', 'control', 'heard ms ago', 'holds up to'],
-      s.roster.map(function row(m) {
+      s.voters.map(function row(m) {
         return [m.id, m.control, String(m.heardMs ?? '?'), String(m.match ?? '?')];
       }),
     ),
--- a/src/types.ts
+++ b/src/types.ts
@@ -35,6 +35,7 @@
   is_first_start: boolean;
   data_dir?: string | null;
   beat_ms: number;
+  tolerance?: { machine_losses: number };
   bound_set: Bounds;
   cloud_api: { address: string; rate_per_s: number; lag_ms: number };
 };
--- a/test/log.test.ts
+++ b/test/log.test.ts
@@ -62,7 +62,7 @@
 };
 
 function entry(index: number, term: number): Entry {
-  return { index, term, data: { kind: 'command', command: index } };
+  return { index, term, data: { kind: 'command', command: index, size: 8 } };
 }
 
 function entryRecord(index: number, term: number): LogRecord {
--- a/test/support/log-model.ts
+++ b/test/support/log-model.ts
@@ -198,7 +198,7 @@
     const command = { value: model.nextValue++, filler: 'x'.repeat((model.nextValue % 7) * 150) };
     const term = state.promise.term;
     log.push({ term, value: command });
-    records.push({ kind: 'entry', entry: { index, term, data: { kind: 'command', command } } });
+    records.push({ kind: 'entry', entry: { index, term, data: { kind: 'command', command, size: 8 } } });
   }
   write(model, records, { ...state, log });
 }
@@ -232,7 +232,7 @@
 function tailOf(model: Model): { promise: VotingPromise; entries: Entry[] } {
   const { promise, log } = present(model);
   const entries = log.map(function entry({ term, value }, place): Entry {
-    return { index: place + 1, term, data: { kind: 'command', command: value } };
+    return { index: place + 1, term, data: { kind: 'command', command: value, size: 8 } };
   });
   return { promise, entries: entries.slice(model.life.snapshot.index) };
 }
--- a/test/tools.test.ts
+++ b/test/tools.test.ts
@@ -47,7 +47,7 @@
         return cli('status', '--control', control(1), '--json');
       },
       function led(r) {
-        return r.status === 0 && (JSON.parse(r.out) as { phase: string }).phase === 'leader';
+        return r.status === 0 && (JSON.parse(r.out) as { role: string }).role === 'leader';
       },
       'a leader',
     );
