--- a/src/state/log/storage.ts
+++ b/src/state/log/storage.ts
@@ -51,7 +51,7 @@
   open: OpenSegment | null;
   jobs: Job[];
   snapshot: NextSnapshot | null;
-  /** A snapshot that failed gives way to the queued records once. */
+  /** A snapshot that failed or was replaced gives way to the queued records once. */
   isSnapshotDelayed: boolean;
   committed: number;
   logBytes: number;
@@ -209,7 +209,7 @@
     return flushed;
   }
   const flushed = await flushSnapshot(storage, storage.snapshot!);
-  storage.isSnapshotDelayed = !flushed.ok;
+  storage.isSnapshotDelayed = storage.snapshot !== null;
   return flushed;
 }
 
@@ -320,6 +320,7 @@
 async function flushSnapshot(storage: Storage, next: NextSnapshot): Promise<Done> {
   const saved = await saveSnapshotFile(storage, next.snapshot);
   if (!saved.ok) return saved;
+  if (storage.snapshot !== next) return dropSnapshot(storage, saved.value);
   const tail = next.tail();
   const covered = next.isBeginning ? [] : storage.jobs.splice(0);
   const opened = await openSegment(storage, rootBatch(storage, next.snapshot, tail, saved.value));
@@ -338,6 +339,12 @@
   return done;
 }
 
+/** A newer snapshot was asked for meanwhile, so that the tail no longer fits this one. */
+async function dropSnapshot(storage: Storage, number: number): Promise<Done> {
+  await storage.folder.remove(segment.fileName('snapshot', number));
+  return done;
+}
+
 function rootBatch(storage: Storage, snapshot: Snapshot, tail: Tail, number: number): Batch {
   const entries = tail.entries.filter(function isBehind(entry) {
     return entry.index > snapshot.index;
