--- a/src/transport/http/ask.ts
+++ b/src/transport/http/ask.ts
@@ -1,7 +1,7 @@
 // One request with a bounded wait on a kept channel: the answer whole, or a tagged error. Used for
 // everything the programs ask of each other, of the platform and of the runners' side calls; the
 // requests of clients go their own way.
-import { request, type Agent, type IncomingHttpHeaders } from 'node:http';
+import { request, type Agent, type ClientRequest, type IncomingHttpHeaders } from 'node:http';
 import type { Outcome } from '../../types.js';
 
 export type Reply = { status: number; headers: IncomingHttpHeaders; body: Buffer };
@@ -27,7 +27,13 @@
     const { host, port } = split(a.addr);
     const headers: Record<string, string | number> = { ...a.headers };
     if (a.body) headers['Content-Length'] = a.body.length;
-    const req = request({ agent: a.agent, host, port, method: a.method, path: a.path, headers });
+    let req: ClientRequest;
+    try {
+      req = request({ agent: a.agent, host, port, method: a.method, path: a.path, headers });
+    } catch (err) {
+      // Not a host, port or path: addresses come out of lists and messages.
+      return done({ ok: false, error: { t: 'broken', why: (err as Error).message, sent: false } });
+    }
     let over = false;
     let connected = false;
     function end(o: Outcome<Reply, AskError>): void {
--- /dev/null
+++ b/src/transport/inner/agents.ts
@@ -0,0 +1,44 @@
+/**
+ * Connections to other processes of our own, kept between calls, one pool per lane. Bytes that arrive on
+ * a connection while no call is under way on it belong to nobody: the connection is destroyed.
+ */
+import { Agent } from 'node:http';
+import type { Duplex } from 'node:stream';
+
+const maxConnectionsPerAddress = 64;
+/** Shorter than the server keeps an idle connection, so that the caller closes it first. */
+export const callerIdleMs = 15_000;
+export const serverIdleMs = 30_000;
+
+/** `onStray` is told once per connection that was destroyed for bytes of nobody. */
+function create(onStray: () => void): Agent {
+  const agent = new Agent({
+    keepAlive: true,
+    maxSockets: maxConnectionsPerAddress,
+    scheduling: 'lifo',
+    timeout: callerIdleMs,
+  });
+  const watchers = new WeakMap<Duplex, () => void>();
+  const keepSocketAlive = agent.keepSocketAlive.bind(agent);
+  const reuseSocket = agent.reuseSocket.bind(agent);
+  agent.keepSocketAlive = function keepWatched(socket) {
+    const isKept = keepSocketAlive(socket) as unknown as boolean;
+    function onData(): void {
+      onStray();
+      socket.destroy();
+    }
+    if (isKept) {
+      watchers.set(socket, onData);
+      socket.once('data', onData);
+    }
+    return isKept;
+  };
+  agent.reuseSocket = function reuseUnwatched(socket, request) {
+    const onData = watchers.get(socket);
+    if (onData) socket.removeListener('data', onData);
+    reuseSocket(socket, request);
+  };
+  return agent;
+}
+
+export const laneAgent = { create };
--- /dev/null
+++ b/test/inner.test.ts
@@ -0,0 +1,970 @@
+/**
+ * Calls between own processes: whatever arrives ends as an outcome, replies reach only the call they
+ * answer, requests are carried out once, and the lanes and time-outs keep what they promise.
+ */
+import { strict as assert } from 'node:assert';
+import { once } from 'node:events';
+import { Agent, request as httpRequest } from 'node:http';
+import { connect, createServer, type AddressInfo, type Server, type Socket } from 'node:net';
+import { test } from 'node:test';
+import fc from 'fast-check';
+import { Packr } from 'msgpackr';
+import { boardEndpoint, type BoardReply, type BoardRequest } from '../src/protocol/inner/board.js';
+import { consensusEndpoint } from '../src/protocol/inner/consensus.js';
+import { endpoint, rejectionStatus, type Check, type Endpoint, type Handler } from '../src/protocol/inner/endpoint.js';
+import { feedEndpoint, type FeedReply, type FeedRequest } from '../src/protocol/inner/feed.js';
+import { guard } from '../src/protocol/inner/guard.js';
+import { newsEndpoint, type NewsReply, type NewsRequest } from '../src/protocol/inner/news.js';
+import { operatorEndpoint } from '../src/protocol/inner/operator.js';
+import { statusEndpoint, type StatusReply } from '../src/protocol/inner/status.js';
+import type { Network } from '../src/runtime.js';
+import { exchange } from '../src/transport/inner/exchange.js';
+import { identity, identityHeader } from '../src/transport/inner/identity.js';
+import { lives } from '../src/transport/inner/lives.js';
+import { seenCalls } from '../src/transport/inner/seen.js';
+import { innerServer, type InnerServer } from '../src/transport/inner/server.js';
+import { createNetwork, systemClock, type InnerNetwork } from '../src/transport/runtime.js';
+
+const host = '127.79.9.1';
+const seed = 79;
+const runs = 300;
+const timeoutMs = 5000;
+const packr = new Packr({ useRecords: false });
+const lifeA = 'aaaaaaaaaaaaaaaa';
+const lifeB = 'bbbbbbbbbbbbbbbb';
+
+// ---- messages ----
+
+const runner = {
+  id: 'i-1',
+  service: 's',
+  addr: '10.0.0.1:80',
+  zone: 'z',
+  slots: 4,
+  draining: false,
+  models: [{ label: 'm', revision: 1 }],
+  parked: false,
+};
+const board = { term: 3, seq: 9, runners: [runner], sites: 2 };
+const route = { label: 'r', hostname: 'h', path_prefix: '/', variant: 'streaming' as const, deadline_ms: 100 };
+const boardRequest: BoardRequest = { board, term: 3, echo: 7 };
+const boardReply: BoardReply = {
+  have: [3, 9],
+  no: 8,
+  revision: 4,
+  sessions: [{ site: 'e-1', life: 'x', seenAt: 12.5, revision: 4 }],
+};
+const newsRequest: NewsRequest = {
+  site: 'e-1',
+  life: 'x',
+  revision: 4,
+  board: [3, 9],
+  weights: 1,
+  rules: 1,
+  hold: 600,
+  whole: false,
+};
+const newsReply: NewsReply = {
+  configuration: {
+    revision: 5,
+    route_list: [route],
+    service_list: [{ label: 's' }],
+    tenant_list: [{ label: 't', api_keys: ['k'] }],
+  },
+  configurationDelta: {
+    from: 4,
+    rest: { revision: 5 },
+    routes: { upserts: [route], removals: ['q'], count: 1 },
+    services: { upserts: [], removals: [], count: 1 },
+    tenants: { upserts: [{ label: 't', api_keys: ['k'] }], removals: [], count: 1 },
+  },
+  weights: { m: 2 },
+  weightsSeq: 2,
+  rules: { seq: 1, active: { t: ['k'] }, next: { t: ['l'] }, pending: 2 },
+  board,
+  boardDelta: { from: 8, term: 3, seq: 9, sites: 2, runners: { upserts: [runner], removals: ['i-0'], count: 1 } },
+  leader: '10.0.0.1:18083',
+  coordinators: ['10.0.0.1:18083'],
+  fresh: true,
+  leave: true,
+};
+const feedRequest: FeedRequest = {
+  site: 'e-1',
+  life: 'x',
+  since: [-1, 0],
+  hotSeq: 0,
+  hold: 500,
+  load: [['i-1', 1, 2, 3, 4, 5]],
+  loadNo: 1,
+  loadSeen: 0,
+  unhealthy: ['i-2'],
+  outcomes: [['i-1', 3, 1]],
+  verdictSeq: -1,
+  held: [['salt', 'part', 100, 'i-1']],
+  report: { seq: 1, era: 0, m: 10, counts: [['part', 3, 100]], gather: 0 },
+};
+const feedReply: FeedReply = {
+  term: 3,
+  at: 4,
+  whole: true,
+  changes: [['+', 'salt', 'part', 100, 'i-1']],
+  loads: { revision: 2, whole: false, rows: [['i-1', 1, 2, 3, 4, 5]], shownNo: 1 },
+  beatMs: 20,
+  verdicts: { seq: 1, rows: [['i-1', null, 0]] },
+  taken: 1,
+  known: true,
+  tracking: {
+    k: 2,
+    total: 10,
+    gather: 0,
+    era: 0,
+    hotSeq: 1,
+    hot: { whole: true, upserts: [['p', 0.1, 9]], removals: ['q'] },
+  },
+};
+const statusReply: StatusReply = {
+  node: 'core-1',
+  phase: 'leader',
+  term: 3,
+  leader: 'a',
+  sure: true,
+  acts: true,
+  roster: [{ id: 'a', control: '10.0.0.1:80', heardMs: 0, match: 4 }],
+  committed: 4,
+  disk: 'takes',
+  configuration: 5,
+  weights: { m: 1 },
+  rules: { active: { t: ['k'] }, pending: 0 },
+  sites: [{ site: 'e-1', revision: 5, seenMs: 3 }],
+  runners: [
+    {
+      id: 'i-1',
+      service: 's',
+      addr: 'a:1',
+      zone: 'z',
+      draining: false,
+      parked: false,
+      models: [{ label: 'm', revision: 1 }],
+      unhealthyAt: 0,
+      verdict: 'clear',
+    },
+  ],
+  hot: [{ part: 'p', share: 0.1, tokens: 9 }],
+};
+
+type ConsensusMessage = { from: string; term: number };
+const consensus = consensusEndpoint.create(guard.object<ConsensusMessage>({ from: guard.name, term: guard.count }));
+
+type Sample = { name: string; check: Check<unknown>; valid: unknown };
+
+const endpoints: { endpoint: Endpoint<unknown, unknown>; request: unknown; reply: unknown }[] = [
+  { endpoint: boardEndpoint, request: boardRequest, reply: boardReply },
+  { endpoint: newsEndpoint, request: newsRequest, reply: newsReply },
+  { endpoint: feedEndpoint, request: feedRequest, reply: feedReply },
+  { endpoint: statusEndpoint, request: {}, reply: statusReply },
+  {
+    endpoint: operatorEndpoint,
+    request: { method: 'PUT', path: '/v1/config', match: '3', body: new Uint8Array([1, 2, 3]) },
+    reply: { status: 200, body: '{}' },
+  },
+  {
+    endpoint: consensus,
+    request: { messages: [{ from: 'a', term: 1 }] },
+    reply: { messages: [{ from: 'b', term: 1 }] },
+  },
+];
+
+const samples: Sample[] = endpoints.flatMap(function both(each) {
+  return [
+    { name: `${each.endpoint.path} request`, check: each.endpoint.checkRequest, valid: each.request },
+    { name: `${each.endpoint.path} reply`, check: each.endpoint.checkReply, valid: each.reply },
+  ];
+});
+
+// ---- mutations ----
+
+type Path = (string | number)[];
+
+function pathsOf(value: unknown, prefix: Path = []): Path[] {
+  if (typeof value !== 'object' || value === null || value instanceof Uint8Array) return [prefix];
+  const below = Object.entries(value).flatMap(function each([key, inner]) {
+    return pathsOf(inner, [...prefix, key]);
+  });
+  return [prefix, ...below];
+}
+
+function decoded(value: unknown): unknown {
+  return packr.unpack(packr.pack(value)) as unknown;
+}
+
+/** A copy of the value with what stands at the path replaced, or removed where `replacement` is undefined. */
+function mutated(value: unknown, path: Path, replacement: unknown): unknown {
+  if (path.length === 0) return replacement;
+  const root = decoded(value);
+  let at = root as Record<string | number, unknown>;
+  for (const key of path.slice(0, -1)) at = at[key] as Record<string | number, unknown>;
+  const last = path.at(-1)!;
+  if (replacement === undefined) delete at[last];
+  else at[last] = replacement;
+  return root;
+}
+
+const oddities = fc.oneof(
+  fc.constant(undefined),
+  fc.constantFrom(null, NaN, Infinity, -1, 0.5, 2 ** 60, true, '', 'x'.repeat(5000)),
+  fc.constantFrom({}, [], [[]], { toString: 1 }, { length: 3 }, { __proto_: 1 }, new Date(0), new Set([1]), new Map()),
+  fc.constant(JSON.parse('{"__proto__": {"polluted": 1}, "constructor": 1, "hasOwnProperty": 1}') as unknown),
+  fc.constant(new Array(200_000).fill(0)),
+  fc.anything({ withMap: true, withSet: true, withDate: true, withBigInt: true }),
+);
+
+const aSample = fc.constantFrom(...samples);
+
+test('every valid message passes its check, as it is and once decoded', function valid() {
+  for (const { name, check, valid: message } of samples) {
+    assert.deepEqual(check(message), { ok: true, value: message }, name);
+    const outcome = check(decoded(message));
+    assert.equal(outcome.ok, true, name);
+  }
+});
+
+test('a missing field of any message is a fault at its place', function missing() {
+  for (const { name, check, valid: message } of samples) {
+    for (const path of pathsOf(message)) {
+      const parent = path.at(-1);
+      if (typeof parent !== 'string' || /^\d+$/.test(parent)) continue;
+      const isMapKey = ['weights', 'active', 'next'].includes(String(path.at(-2)));
+      const isOptional = parent === 'tenant_list';
+      const outcome = check(mutated(message, path, undefined));
+      if (isMapKey || isOptional) assert.equal(outcome.ok, true, `${name} without ${path.join('.')}`);
+      else assert.equal(!outcome.ok && outcome.error.place, path.join('.'), `${name} without ${path.join('.')}`);
+    }
+  }
+});
+
+test('checks of mutated messages always end as an outcome and change nothing', function fuzzChecks() {
+  fc.assert(
+    fc.property(aSample, fc.nat(), oddities, function one(sample, pick, odd) {
+      const paths = pathsOf(sample.valid);
+      const message = mutated(sample.valid, paths[pick % paths.length]!, odd);
+      const before = structuredCloneable(message);
+      const outcome = sample.check(message);
+      assert.equal(typeof outcome.ok, 'boolean');
+      if (outcome.ok) assert.equal(outcome.value, message);
+      else assert.equal(typeof outcome.error.place + typeof outcome.error.text, 'stringstring');
+      assert.deepEqual(structuredCloneable(message), before);
+      assert.equal(({} as { polluted?: number }).polluted, undefined);
+    }),
+    { seed, numRuns: runs * 10 },
+  );
+});
+
+function structuredCloneable(message: unknown): unknown {
+  return structuredClone(message);
+}
+
+test('a wrong type in any place of a checked row or field is refused', function wrongTypes() {
+  const wrong = [{ odd: true }, new Date(0)];
+  for (const { name, check, valid: message } of samples) {
+    for (const path of pathsOf(message)) {
+      const at = path.reduce<unknown>(function down(value, key) {
+        return (value as Record<string | number, unknown>)[key];
+      }, message);
+      const isOpen = path.includes('rest') && path.at(-1) !== 'revision';
+      if (isOpen || (typeof at === 'object' && at !== null && !Array.isArray(at) && !(at instanceof Uint8Array)))
+        continue;
+      for (const value of wrong)
+        assert.equal(check(mutated(message, path, value)).ok, false, `${name}: ${path.join('.')}`);
+    }
+  }
+});
+
+test('too many messages in one consensus batch are refused', function batch() {
+  const message = { from: 'a', term: 1 };
+  const outcome = consensus.checkRequest({ messages: new Array(100_000).fill(message) });
+  assert.deepEqual(outcome, { ok: false, error: { place: 'messages', text: 'over 256 items' } });
+});
+
+// ---- a real server ----
+
+type Handled = { path: string; request: unknown }[];
+
+function addressOf(server: { address: () => unknown }): string {
+  return `${host}:${(server.address() as AddressInfo).port}`;
+}
+
+async function withServer(
+  handlers: Handler[],
+  run: (server: InnerServer, network: InnerNetwork, address: string, failures: string[]) => Promise<void>,
+): Promise<void> {
+  const failures: string[] = [];
+  const server = await innerServer.listen(host, 0, handlers, {
+    life: lifeA,
+    onFailure: function failed(path, error) {
+      failures.push(`${path} ${error.message}`);
+    },
+  });
+  const network = createNetwork();
+  try {
+    await run(server, network, addressOf(server.server), failures);
+  } finally {
+    network.close();
+    await server.close();
+  }
+}
+
+function allHandlers(handled: Handled): Handler[] {
+  return endpoints.map(function each({ endpoint: door, reply }) {
+    return endpoint.handler(door, function handle(request) {
+      handled.push({ path: door.path, request });
+      return reply;
+    });
+  });
+}
+
+let rawCallId = 0;
+const rawAgent = new Agent({ keepAlive: true, maxSockets: 4 });
+
+/** Posts bytes with an identity as a process of ours would; the reply's status, 0 for none. */
+function postBytes(
+  address: string,
+  path: string,
+  body: Uint8Array,
+  head: Record<string, string> | null = null,
+): Promise<{ status: number; text: string }> {
+  rawCallId++;
+  const headers = head ?? {
+    [identityHeader]: identity.formatRequest({
+      callId: rawCallId,
+      callerLife: lifeB,
+      calleeLife: null,
+      lane: 'control',
+    }),
+  };
+  const [ip, port] = address.split(':');
+  return new Promise(function run(resolve) {
+    const sending = httpRequest({ agent: rawAgent, host: ip, port, path, method: 'POST', headers });
+    sending.on('error', function failed() {
+      resolve({ status: 0, text: '' });
+    });
+    sending.on('response', function responded(reply) {
+      let text = '';
+      reply.setEncoding('latin1');
+      reply.on('data', function received(piece: string) {
+        text += piece;
+      });
+      reply.on('end', function ended() {
+        resolve({ status: reply.statusCode ?? 0, text });
+      });
+    });
+    sending.end(body);
+  });
+}
+
+test('each endpoint carries its request and reply over the wire', async function carries() {
+  const handled: Handled = [];
+  await withServer(allHandlers(handled), async function run(server, network, address) {
+    for (const { endpoint: door, request, reply } of endpoints) {
+      const outcome = await endpoint.call(network, address, door, request, { timeoutMs });
+      assert.deepEqual(outcome, { ok: true, value: decoded(reply) }, door.path);
+      assert.deepEqual(handled.at(-1), { path: door.path, request: decoded(request) });
+    }
+    assert.equal(server.counters.requests, endpoints.length);
+  });
+});
+
+test('truncated, flipped and foreign bytes end as counted rejections; the handler sees checked messages only', async function bytes() {
+  const handled: Handled = [];
+  await withServer(allHandlers(handled), async function run(server, network, address) {
+    const damage = fc.array(fc.tuple(fc.nat(), fc.integer({ min: 0, max: 255 })), { minLength: 0, maxLength: 6 });
+    await fc.assert(
+      fc.asyncProperty(
+        fc.constantFrom(...endpoints),
+        damage,
+        fc.double({ min: 0, max: 1, noNaN: true }),
+        async function one(target, flips, share) {
+          const whole = Buffer.from(packr.pack(target.request));
+          const cut = whole.subarray(0, Math.ceil(whole.length * share));
+          for (const [at, value] of flips) if (cut.length > 0) cut[at % cut.length] = value;
+          const handledBefore = handled.length;
+          const malformedBefore = server.counters.malformed;
+          const reply = await postBytes(address, target.endpoint.path, cut);
+          assert.ok(reply.status === 200 || reply.status === rejectionStatus.malformed, `status ${reply.status}`);
+          if (reply.status === 200) {
+            assert.equal(handled.length, handledBefore + 1);
+            assert.equal(target.endpoint.checkRequest(handled.at(-1)!.request).ok, true);
+            return;
+          }
+          assert.equal(handled.length, handledBefore);
+          assert.equal(server.counters.malformed, malformedBefore + 1);
+          assert.match(reply.text, /^[^ ]+: /);
+          assert.doesNotMatch(reply.text, /\n\s+at /);
+        },
+      ),
+      { seed, numRuns: runs },
+    );
+    const after = await endpoint.call(network, address, statusEndpoint, {}, { timeoutMs });
+    assert.equal(after.ok, true);
+    assert.equal(server.counters.handlerFailures, 0);
+  });
+});
+
+test('lengths far beyond the message are refused at once', async function lengths() {
+  const handled: Handled = [];
+  await withServer(allHandlers(handled), async function run(_server, _network, address) {
+    const claims = [
+      [0xdd, 0xff, 0xff, 0xff, 0xff],
+      [0xdf, 0xff, 0xff, 0xff, 0xff],
+      [0xc6, 0xff, 0xff, 0xff, 0xff],
+      [0xdb, 0x7f, 0xff, 0xff, 0xff],
+      new Array<number>(7000).fill(0x91),
+      new Array<number[]>(1000).fill([0xdd, 0x01, 0xff, 0xff, 0xff]).flat(),
+    ];
+    for (const claim of claims) {
+      const reply = await postBytes(address, newsEndpoint.path, Uint8Array.from(claim));
+      assert.equal(reply.status, rejectionStatus.malformed);
+    }
+    assert.equal(handled.length, 0);
+  });
+});
+
+test('unknown paths, oversized bodies, missing identities and bytes that are no HTTP are counted', async function bad() {
+  const handled: Handled = [];
+  await withServer(allHandlers(handled), async function run(server, network, address) {
+    const unknown = await network.call(address, '/inner/none', {}, { timeoutMs });
+    assert.deepEqual(unknown, { ok: false, error: { kind: 'rejected', status: 404, message: 'path: unknown' } });
+    const big = { ...newsRequest, extra: 'x'.repeat(newsEndpoint.maxBytes) };
+    const oversized = await endpoint.call(network, address, newsEndpoint, big, { timeoutMs });
+    assert.equal(!oversized.ok && oversized.error.kind === 'rejected' && oversized.error.status, 413);
+    const nameless = await postBytes(address, newsEndpoint.path, packr.pack(newsRequest), {});
+    assert.equal(nameless.status, rejectionStatus.malformed);
+    const garbled = await postBytes(address, newsEndpoint.path, packr.pack(newsRequest), { [identityHeader]: '1 2 3' });
+    assert.equal(garbled.status, rejectionStatus.malformed);
+    const [ip, port] = address.split(':');
+    const socket = connect(Number(port), ip);
+    socket.on('error', function reset() {
+      /* the server may reset it */
+    });
+    socket.end('\x00\x01no http\r\n\r\n');
+    await once(socket.resume(), 'close');
+    const { unknownPaths, oversized: tooBig, unidentified, unreadable } = server.counters;
+    assert.deepEqual(
+      { unknownPaths, tooBig, unidentified, unreadable },
+      { unknownPaths: 1, tooBig: 1, unidentified: 2, unreadable: 1 },
+    );
+    assert.equal(handled.length, 0);
+  });
+});
+
+test('a request whose connection ends early is counted and not handled', async function cutShort() {
+  const handled: Handled = [];
+  await withServer(allHandlers(handled), async function run(server, _network, address) {
+    const [ip, port] = address.split(':');
+    const socket = connect(Number(port), ip);
+    const head = identity.formatRequest({ callId: 1, callerLife: lifeB, calleeLife: null, lane: 'control' });
+    socket.write(
+      `POST ${newsEndpoint.path} HTTP/1.1\r\nHost: x\r\n${identityHeader}: ${head}\r\nContent-Length: 100\r\n\r\nabc`,
+    );
+    while (server.counters.requests === 0) await new Promise(setImmediate);
+    socket.destroy();
+    while (server.counters.cutShort === 0) await new Promise(setImmediate);
+    assert.equal(handled.length, 0);
+  });
+});
+
+test('a handler that throws is reported and answered as rejected, without its stack', async function throwing() {
+  const handlers = [
+    endpoint.handler(statusEndpoint, function fail(): StatusReply {
+      throw new Error('secret detail');
+    }),
+  ];
+  await withServer(handlers, async function run(server, network, address, failures) {
+    for (let i = 0; i < 2; i++) {
+      const outcome = await endpoint.call(network, address, statusEndpoint, {}, { timeoutMs });
+      assert.deepEqual(outcome, { ok: false, error: { kind: 'rejected', status: 500, message: 'the handler failed' } });
+    }
+    assert.equal(server.counters.handlerFailures, 2);
+    assert.deepEqual(failures, ['/inner/status secret detail', '/inner/status secret detail']);
+  });
+});
+
+test('a reply of the wrong shape is broken, with the place, and counted', async function malformedReply() {
+  const handlers = [
+    endpoint.handler(statusEndpoint, function odd() {
+      return { ...statusReply, term: 'three' } as unknown as StatusReply;
+    }),
+  ];
+  await withServer(handlers, async function run(_server, network, address) {
+    const outcome = await endpoint.call(network, address, statusEndpoint, {}, { timeoutMs });
+    assert.equal(!outcome.ok && outcome.error.kind, 'broken');
+    assert.match(JSON.stringify(outcome), /term: /);
+    assert.equal(endpoint.malformedReplies(network), 1);
+  });
+});
+
+// ---- replies and their callers: a peer of our own making ----
+
+type RawRequest = { id: number; life: string; calleeLife: string; path: string; body: Buffer };
+type RawPeer = { server: Server; address: string; sockets: Socket[]; close: () => Promise<void> };
+
+function parseRaw(bytes: Buffer): { request: RawRequest; rest: Buffer } | null {
+  const headEnd = bytes.indexOf('\r\n\r\n');
+  if (headEnd < 0) return null;
+  const head = bytes.toString('latin1', 0, headEnd);
+  const length = Number(/content-length: (\d+)/i.exec(head)?.[1] ?? 0);
+  const end = headEnd + 4 + length;
+  if (bytes.length < end) return null;
+  const [, id, life, calleeLife] = new RegExp(`${identityHeader}: (\\d+) (\\w+) ([\\w-]+)`, 'i').exec(head)!;
+  const path = head.split(' ')[1]!;
+  const request = {
+    id: Number(id),
+    life: life!,
+    calleeLife: calleeLife!,
+    path,
+    body: bytes.subarray(headEnd + 4, end),
+  };
+  return { request, rest: bytes.subarray(end) };
+}
+
+async function rawPeer(serve: (request: RawRequest, socket: Socket, no: number) => void): Promise<RawPeer> {
+  const sockets: Socket[] = [];
+  let no = 0;
+  const server = createServer(function connected(socket) {
+    sockets.push(socket);
+    let pending = Buffer.alloc(0);
+    socket.on('error', function reset() {
+      /* the caller destroys connections */
+    });
+    socket.on('data', function received(piece) {
+      pending = Buffer.concat([pending, piece]);
+      for (let parsed = parseRaw(pending); parsed; parsed = parseRaw(pending)) {
+        pending = Buffer.from(parsed.rest);
+        no++;
+        serve(parsed.request, socket, no);
+      }
+    });
+  });
+  server.listen(0, host);
+  await once(server, 'listening');
+  function close(): Promise<void> {
+    for (const socket of sockets) socket.destroy();
+    return new Promise(function run(resolve) {
+      server.close(function closed() {
+        resolve();
+      });
+    });
+  }
+  return { server, address: addressOf(server), sockets, close };
+}
+
+function rawReply(id: number, life: string, calleeLife: string, value: unknown): string {
+  const body = Buffer.from(packr.pack(value)).toString('latin1');
+  return `HTTP/1.1 200 OK\r\n${identityHeader}: ${id} ${life} ${calleeLife}\r\nContent-Length: ${body.length}\r\n\r\n${body}`;
+}
+
+function send(socket: Socket, text: string): void {
+  socket.write(Buffer.from(text, 'latin1'));
+}
+
+async function withPeer(
+  serve: (request: RawRequest, socket: Socket, no: number) => void,
+  run: (peer: RawPeer, network: InnerNetwork) => Promise<void>,
+): Promise<void> {
+  const peer = await rawPeer(serve);
+  const network = createNetwork();
+  try {
+    await run(peer, network);
+  } finally {
+    network.close();
+    await peer.close();
+  }
+}
+
+function ask(network: Network, address: string, value: unknown): ReturnType<Network['call']> {
+  return network.call(address, '/inner/echo', value, { timeoutMs });
+}
+
+function kindOf(outcome: Awaited<ReturnType<Network['call']>>): string {
+  return outcome.ok ? 'ok' : outcome.error.kind;
+}
+
+test('a reply with the id of another call is dropped with its connection', async function otherId() {
+  function serve(request: RawRequest, socket: Socket, no: number): void {
+    send(socket, rawReply(no === 2 ? request.id - 1 : request.id, request.life, lifeA, packr.unpack(request.body)));
+  }
+  await withPeer(serve, async function run(peer, network) {
+    assert.deepEqual(await ask(network, peer.address, 'one'), { ok: true, value: 'one' });
+    assert.deepEqual(await ask(network, peer.address, 'two'), {
+      ok: false,
+      error: { kind: 'broken', message: 'a reply to another call' },
+    });
+    assert.deepEqual(await ask(network, peer.address, 'three'), { ok: true, value: 'three' });
+    assert.equal(peer.sockets.length, 2);
+    assert.equal(network.counters.mismatchedReplies, 1);
+  });
+});
+
+test('a reply to an earlier life of the caller, or to nobody, is dropped', async function otherCaller() {
+  function serve(request: RawRequest, socket: Socket, no: number): void {
+    if (no === 1) send(socket, rawReply(request.id, lifeB, lifeA, 'not yours'));
+    else send(socket, 'HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n\x01');
+  }
+  await withPeer(serve, async function run(peer, network) {
+    assert.equal(kindOf(await ask(network, peer.address, 'one')), 'broken');
+    assert.equal(kindOf(await ask(network, peer.address, 'two')), 'broken');
+    assert.equal(network.counters.mismatchedReplies, 2);
+  });
+});
+
+test('a doubled reply never answers the next call: answers are not matched by position', async function doubled() {
+  let late: string | null = null;
+  function serve(request: RawRequest, socket: Socket): void {
+    const reply = rawReply(request.id, request.life, lifeA, packr.unpack(request.body));
+    send(socket, late ?? reply);
+    if (late !== null) send(socket, reply);
+    late = reply;
+  }
+  await withPeer(serve, async function run(peer, network) {
+    assert.deepEqual(await ask(network, peer.address, 'one'), { ok: true, value: 'one' });
+    for (const value of ['two', 'three']) {
+      const outcome = await ask(network, peer.address, value);
+      assert.equal(kindOf(outcome), 'broken', value);
+    }
+    assert.equal(network.counters.mismatchedReplies, 2);
+  });
+});
+
+test('bytes on a resting connection destroy it and reach no later call', async function stray() {
+  let repeat = '';
+  function serve(request: RawRequest, socket: Socket): void {
+    repeat = rawReply(request.id, request.life, lifeA, packr.unpack(request.body));
+    send(socket, repeat);
+  }
+  await withPeer(serve, async function run(peer, network) {
+    assert.deepEqual(await ask(network, peer.address, 'one'), { ok: true, value: 'one' });
+    while (Object.keys(network.agents.control.freeSockets).length === 0) await new Promise(setImmediate);
+    const closed = once(peer.sockets[0]!, 'close');
+    send(peer.sockets[0]!, repeat);
+    await closed;
+    assert.equal(network.counters.strayConnections, 1);
+    assert.deepEqual(await ask(network, peer.address, 'two'), { ok: true, value: 'two' });
+    assert.equal(network.counters.mismatchedReplies, 0);
+  });
+});
+
+test('a reply of a life of the callee that was followed by another is dropped', async function earlierLife() {
+  const said = [lifeA, lifeB, lifeA, lifeB];
+  function serve(request: RawRequest, socket: Socket, no: number): void {
+    send(socket, rawReply(request.id, request.life, said[no - 1]!, no));
+  }
+  await withPeer(serve, async function run(peer, network) {
+    const kinds: string[] = [];
+    for (let i = 0; i < said.length; i++) kinds.push(kindOf(await ask(network, peer.address, i)));
+    assert.deepEqual(kinds, ['ok', 'ok', 'broken', 'ok']);
+    assert.equal(network.counters.earlierLifeReplies, 1);
+    assert.equal(network.counters.newLives, 1);
+  });
+});
+
+test('replies in any order reach the calls they answer, or nobody', async function anyOrder() {
+  const plan = fc.array(fc.tuple(fc.integer({ min: 0, max: 3 }), fc.boolean()), { minLength: 1, maxLength: 12 });
+  await fc.assert(
+    fc.asyncProperty(plan, async function one(steps) {
+      const replies: string[] = [];
+      function serve(request: RawRequest, socket: Socket, no: number): void {
+        replies.push(rawReply(request.id, request.life, lifeA, packr.unpack(request.body)));
+        const [back, isTwice] = steps[(no - 1) % steps.length]!;
+        const reply = replies[Math.max(0, replies.length - 1 - back)]!;
+        send(socket, isTwice ? reply + reply : reply);
+      }
+      await withPeer(serve, async function run(peer, network) {
+        for (let i = 0; i < steps.length; i++) {
+          const outcome = await ask(network, peer.address, `value ${i}`);
+          if (outcome.ok) assert.equal(outcome.value, `value ${i}`);
+          else assert.equal(outcome.error.kind, 'broken');
+        }
+      });
+    }),
+    { seed, numRuns: 40 },
+  );
+});
+
+// ---- requests and their fate ----
+
+test('a doubled request is carried out once, on the same connection and on another', async function doubledRequest() {
+  const handled: Handled = [];
+  await withServer(allHandlers(handled), async function run(server, _network, address) {
+    const [ip, port] = address.split(':');
+    const body = Buffer.from(packr.pack({}));
+    const head = identity.formatRequest({ callId: 5, callerLife: lifeB, calleeLife: null, lane: 'control' });
+    const bytes = Buffer.concat([
+      Buffer.from(
+        `POST ${statusEndpoint.path} HTTP/1.1\r\nHost: x\r\n${identityHeader}: ${head}\r\nContent-Length: ${body.length}\r\n\r\n`,
+      ),
+      body,
+    ]);
+    const replies: string[] = [];
+    for (const times of [2, 1]) {
+      const socket = connect(Number(port), ip);
+      let text = '';
+      socket.on('data', function received(piece) {
+        text += piece.toString('latin1');
+      });
+      for (let i = 0; i < times; i++) socket.write(bytes);
+      await once(socket, 'close');
+      replies.push(text);
+    }
+    assert.equal(replies[0]!.split('HTTP/1.1 200').length - 1, 1);
+    assert.equal(replies[1], '');
+    assert.equal(handled.length, 1);
+    assert.equal(server.counters.duplicates, 2);
+  });
+});
+
+test('the memory of calls takes each id once and stays bounded', function memory() {
+  fc.assert(
+    fc.property(fc.array(fc.nat(200), { maxLength: 400 }), function one(ids) {
+      const seen = seenCalls.create();
+      const taken = ids.filter(function isNew(id) {
+        return seenCalls.take(seen, lifeA, id, 0);
+      });
+      assert.deepEqual(taken, [...new Set(ids)]);
+    }),
+    { seed, numRuns: runs },
+  );
+  const seen = seenCalls.create();
+  for (let id = 0; id < 10_000; id++) assert.equal(seenCalls.take(seen, lifeA, id, id), true);
+  const memoryOfA = seen.callers.get(lifeA)!;
+  assert.ok(memoryOfA.current.ids.size + memoryOfA.previous.ids.size <= 512);
+  for (let id = 0; id < 10_000; id++) assert.equal(seenCalls.take(seen, lifeA, id, 10_000), false);
+  for (let i = 0; i < 10_000; i++) seenCalls.take(seen, `life ${i}`, 1, 0);
+  assert.ok(seen.callers.size <= 4096);
+});
+
+test('the memory of lives stays bounded', function boundedLives() {
+  const known = lives.create();
+  for (let i = 0; i < 20_000; i++) lives.hear(known, `10.0.0.1:${i}`, '/inner/x', lifeA);
+  for (let i = 0; i < 100; i++) lives.hear(known, 'one:1', '/inner/x', `life ${i}`);
+  assert.ok(known.byAddress.size <= 1024 && known.byPath.size <= 8192);
+  assert.ok(known.byAddress.get('one:1')!.earlier.length <= 8);
+});
+
+async function untilNoneFree(network: InnerNetwork): Promise<void> {
+  while (Object.keys(network.agents.control.freeSockets).length > 0) await new Promise(setImmediate);
+}
+
+test('a restarted peer rejects what was meant for its earlier life, once, and takes the rest', async function restarted() {
+  const handled: Handled = [];
+  const network = createNetwork();
+  const first = await innerServer.listen(host, 0, allHandlers(handled), { life: lifeA });
+  const address = addressOf(first.server);
+  const control = { timeoutMs, lane: 'control' as const };
+  assert.equal((await endpoint.call(network, address, boardEndpoint, boardRequest, control)).ok, true);
+  assert.equal((await endpoint.call(network, address, statusEndpoint, {}, control)).ok, true);
+  await first.close();
+  await untilNoneFree(network);
+  const port = Number(address.split(':')[1]);
+  const second = await innerServer.listen(host, port, allHandlers(handled), { life: lifeB });
+  try {
+    const unbound = await endpoint.call(network, address, statusEndpoint, {}, control);
+    assert.equal(unbound.ok, true);
+    const bound = await endpoint.call(network, address, boardEndpoint, boardRequest, control);
+    assert.equal(!bound.ok && endpoint.isOtherLife(bound.error), true);
+    assert.equal(second.counters.otherLife, 1);
+    assert.equal(handled.length, 3);
+    assert.equal((await endpoint.call(network, address, boardEndpoint, boardRequest, control)).ok, true);
+    assert.equal(network.counters.newLives, 1);
+  } finally {
+    network.close();
+    await second.close();
+  }
+});
+
+test('unreached only where nothing was sent; silent and broken where it may have been', async function fates() {
+  function serve(request: RawRequest, socket: Socket): void {
+    const what = packr.unpack(request.body) as string;
+    if (what === 'reset') socket.resetAndDestroy();
+    if (what === 'half') socket.end('HTTP/1.1 200 OK\r\nContent-Le');
+    if (what === 'cut') socket.end(rawReply(request.id, request.life, lifeA, 'some value of a length').slice(0, -3));
+  }
+  await withPeer(serve, async function run(peer, network) {
+    for (const what of ['reset', 'half', 'cut'])
+      assert.equal(kindOf(await ask(network, peer.address, what)), 'broken', what);
+    const silent = await network.call(peer.address, '/inner/echo', 'nothing', { timeoutMs: 50 });
+    assert.equal(kindOf(silent), 'silent');
+    network.agents.control.maxSockets = 1;
+    const held = network.call(peer.address, '/inner/echo', 'nothing', { timeoutMs: 300 });
+    const queued = await network.call(peer.address, '/inner/echo', 'queued', { timeoutMs: 50 });
+    assert.equal(kindOf(queued), 'unreached');
+    assert.equal(kindOf(await held), 'silent');
+    const { address } = peer;
+    await peer.close();
+    assert.equal(kindOf(await ask(network, address, 'one')), 'unreached');
+    for (const nowhere of ['', 'nowhere', `${host}:99999`, `${host}:x`])
+      assert.equal(kindOf(await ask(network, nowhere, 'one')), 'unreached', nowhere);
+  });
+});
+
+// ---- lanes and time-outs ----
+
+test('a bulk call under way does not hold up a control call', async function separateLanes() {
+  const waiting: (() => void)[] = [];
+  function serve(request: RawRequest, socket: Socket): void {
+    const reply = rawReply(request.id, request.life, lifeA, 'done');
+    if (packr.unpack(request.body) === 'large')
+      waiting.push(function release() {
+        send(socket, reply);
+      });
+    else send(socket, reply);
+  }
+  await withPeer(serve, async function run(peer, network) {
+    network.agents.control.maxSockets = 1;
+    network.agents.bulk.maxSockets = 1;
+    const bulk = network.call(peer.address, '/inner/echo', 'large', { timeoutMs, lane: 'bulk' });
+    while (waiting.length === 0) await new Promise(setImmediate);
+    const small = await network.call(peer.address, '/inner/echo', 'small', { timeoutMs: 2000, lane: 'control' });
+    assert.equal(kindOf(small), 'ok');
+    waiting[0]!();
+    assert.equal(kindOf(await bulk), 'ok');
+  });
+});
+
+const paceMs = 60;
+const idleTimeoutMs = 400;
+
+/** Sends the reply a byte at a time; `bytes` of them, then no more. */
+function dripping(bytes: number): (request: RawRequest, socket: Socket) => void {
+  return function serve(request, socket) {
+    const whole = Buffer.from(rawReply(request.id, request.life, lifeA, 'a value of some bytes'), 'latin1');
+    const body = whole.length - whole.indexOf('\r\n\r\n') - 4;
+    socket.write(whole.subarray(0, whole.length - body));
+    let sent = 0;
+    const timer = setInterval(function drip() {
+      if (sent >= Math.min(bytes, body) || socket.destroyed) return clearInterval(timer);
+      socket.write(whole.subarray(whole.length - body + sent, whole.length - body + sent + 1));
+      sent++;
+    }, paceMs);
+  };
+}
+
+test('a bulk call lasts while its reply moves; a control call ends at its time-out', async function progress() {
+  await withPeer(dripping(Infinity), async function run(peer, network) {
+    const [bulk, control] = await Promise.all([
+      network.call(peer.address, '/inner/echo', 1, { timeoutMs: idleTimeoutMs, lane: 'bulk' }),
+      network.call(peer.address, '/inner/echo', 1, { timeoutMs: idleTimeoutMs, lane: 'control' }),
+    ]);
+    assert.deepEqual(bulk, { ok: true, value: 'a value of some bytes' });
+    assert.equal(kindOf(control), 'silent');
+  });
+});
+
+test('a bulk call whose bytes stop ends at its idle time-out', async function stalled() {
+  await withPeer(dripping(2), async function run(peer, network) {
+    const startedAt = systemClock.now();
+    const outcome = await network.call(peer.address, '/inner/echo', 1, { timeoutMs: idleTimeoutMs, lane: 'bulk' });
+    assert.equal(kindOf(outcome), 'silent');
+    assert.ok(systemClock.now() - startedAt >= idleTimeoutMs);
+  });
+});
+
+test('the cap ends an exchange however steadily its bytes move', async function capped() {
+  const agent = new Agent();
+  await withPeer(dripping(Infinity), async function run(peer) {
+    const [ip, port] = peer.address.split(':');
+    const outcome = await exchange.send({
+      agent,
+      host: ip!,
+      port: Number(port),
+      path: '/inner/echo',
+      headers: { [identityHeader]: `1 ${lifeA} - bulk` },
+      body: packr.pack(1),
+      timeoutMs: idleTimeoutMs,
+      capMs: idleTimeoutMs + paceMs,
+      maxReplyBytes: 1000,
+      refuse: function never() {
+        return null;
+      },
+    });
+    assert.deepEqual(outcome, { ok: false, error: { kind: 'silent' } });
+  });
+});
+
+/** Passes on what a caller sends at a limited rate; replies at once. */
+async function slowLink(to: string, bytesPerStep: number, stepMs: number): Promise<RawPeer> {
+  const [ip, port] = to.split(':');
+  const sockets: Socket[] = [];
+  const server = createServer(function connected(socket) {
+    const beyond = connect(Number(port), ip);
+    sockets.push(socket, beyond);
+    let pending = Buffer.alloc(0);
+    socket.on('data', function received(piece) {
+      pending = Buffer.concat([pending, piece]);
+      if (pending.length > bytesPerStep) socket.pause();
+    });
+    const timer = setInterval(function step() {
+      beyond.write(pending.subarray(0, bytesPerStep));
+      pending = pending.subarray(bytesPerStep);
+      if (pending.length <= bytesPerStep) socket.resume();
+    }, stepMs);
+    beyond.pipe(socket);
+    for (const end of [socket, beyond]) {
+      end.on('error', function reset() {
+        /* told by close */
+      });
+      end.on('close', function closed() {
+        clearInterval(timer);
+        socket.destroy();
+        beyond.destroy();
+      });
+    }
+  });
+  server.listen(0, host);
+  await once(server, 'listening');
+  function close(): Promise<void> {
+    for (const socket of sockets) socket.destroy();
+    return new Promise(function run(resolve) {
+      server.close(function closed() {
+        resolve();
+      });
+    });
+  }
+  return { server, address: addressOf(server), sockets, close };
+}
+
+test('a large request over a slow link is not given up while its bytes arrive', async function slowUpload() {
+  const handled: Handled = [];
+  await withServer(allHandlers(handled), async function run(_server, network, address) {
+    const link = await slowLink(address, 128 * 1024, 40);
+    const body = new Uint8Array(3 * 1024 * 1024);
+    const order = { method: 'PUT', path: '/v1/config', match: null, body };
+    try {
+      const bulk = await endpoint.call(network, link.address, operatorEndpoint, order, { timeoutMs: idleTimeoutMs });
+      assert.equal(kindOf(bulk), 'ok');
+      const control = await endpoint.call(network, link.address, operatorEndpoint, order, {
+        timeoutMs: idleTimeoutMs,
+        lane: 'control',
+      });
+      assert.equal(kindOf(control), 'silent');
+    } finally {
+      await link.close();
+    }
+  });
+});
+
+test('the system clock runs once, repeatedly, and not after a cancel', async function clock() {
+  let ticks = 0;
+  const cancelled = systemClock.after(1, function never() {
+    assert.fail('was cancelled');
+  });
+  cancelled.cancel();
+  cancelled.cancel();
+  await new Promise<void>(function run(resolve) {
+    const repeated = systemClock.every(1, function tick() {
+      ticks++;
+      if (ticks < 3) return;
+      repeated.cancel();
+      systemClock.after(1, resolve);
+    });
+  });
+  assert.equal(ticks, 3);
+});
