--- a/src/dataplane/budget.ts
+++ b/src/dataplane/budget.ts
@@ -1,4 +1,4 @@
-// The part of the shared budget of further legs that one site may use: the ratio of its own requests
+// The part of the shared budget of further attempts that one site may use: the ratio of its own requests
 // in the running window, and its share of the slack among the sites known to be in. While the number
 // of sites is unknown there is no slack. Counted in slices so that the window slides.
 export type Budget = {
--- a/src/dataplane/front.ts
+++ b/src/dataplane/front.ts
@@ -1,6 +1,8 @@
-// The site's front: takes requests from clients and walks each through the policies. An answer that
-// cannot be finished ends with its channel; one that was not begun gets an answer of our own. A request
-// counts as open until its answer has left whole or its channel is gone.
+/**
+ * The site's front: takes requests from clients and walks each through the policies. An answer that can't be
+ * finished ends with its connection; one that was not begun gets an answer of our own. A request counts as open
+ * until its answer has left whole or its connection is gone.
+ */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { Duplex } from 'node:stream';
 import { answers } from '../transport/http/answer.js';
@@ -10,21 +12,23 @@
 import { limits } from './policies/limits.js';
 import { route } from './policies/route.js';
 import { tenant } from './policies/tenant.js';
-import type { Passage, Policy, Site } from './types.js';
+import { clientAnswers } from './client-answer.js';
+import { fates } from './fate.js';
+import type { Policy, RequestContext, Site, Step } from './types.js';
 
-const path: Policy[] = [limits, route, tenant, access, deliver];
+const policies: Policy[] = [limits, route, tenant, access, deliver];
 const mostHeaderBytes = 64 * 1024;
 
-function passage(req: IncomingMessage, res: ServerResponse): Passage {
+function contextOf(req: IncomingMessage, res: ServerResponse): RequestContext {
   return {
     req,
-    res,
+    client: clientAnswers.create(res),
     at: performance.now(),
     path: '',
-    attempt: '',
+    attemptId: '',
     body: Buffer.alloc(0),
-    route: null as unknown as Passage['route'],
-    service: null as unknown as Passage['service'],
+    route: null as unknown as RequestContext['route'],
+    service: null as unknown as RequestContext['service'],
     tenant: null,
     rank: 0,
     model: null,
@@ -34,32 +38,36 @@
     deadlineAt: Infinity,
     aimMs: 0,
     isStream: false,
-    repeatable: false,
-    legs: 0,
+    isRepeatable: false,
+    terms: { isRepeatable: false, tries: 1 },
+    fate: fates.begin(),
     runners: new Set(),
-    maybeRun: false,
-    headSent: false,
-    lastEventId: null,
-    gone: false,
-    events: 0,
+    isGone: false,
   };
 }
 
+/** Says the last word on a request; whatever has begun and isn't whole ends with its connection. */
+function close(site: Site, context: RequestContext, step: Step): void {
+  const { res, given } = context.client;
+  if (step.kind === 'answer' && given === 'nothing')
+    answers.send(res, step.answer, step.closing === true || site.leaving);
+  else if (!res.writableEnded) res.destroy();
+}
+
 async function walk(site: Site, req: IncomingMessage, res: ServerResponse): Promise<void> {
   if (!site.table) return answers.send(res, answers.bounce(503, 500), true);
-  const p = passage(req, res);
-  site.open.add(p);
+  const context = contextOf(req, res);
+  site.open.add(context);
   res.on('close', function over() {
-    if (!res.writableFinished) p.gone = true;
-    site.open.delete(p);
+    if (!res.writableFinished) context.isGone = true;
+    site.open.delete(context);
     if (site.closing) req.socket.destroySoon();
     if (site.leaving && site.open.size === 0) site.stirred.emit('idle');
   });
-  for (const policy of path) {
-    const step = await policy.run(site, p);
-    if (step.s === 'next') continue;
-    if (step.s === 'answer' && !p.headSent) answers.send(res, step.answer, step.closing === true || site.leaving);
-    else if (!res.writableEnded) res.destroy();
+  for (const policy of policies) {
+    const step = await policy.run(site, context);
+    if (step.kind === 'next') continue;
+    close(site, context, step);
     break;
   }
 }
@@ -92,9 +100,9 @@
 }
 
 function adapt(site: Site, server: Server): void {
-  const l = site.table?.limits;
-  server.headersTimeout = l?.header_ms ?? 10_000;
-  server.keepAliveTimeout = l?.idle_ms ?? 15_000;
+  const limit = site.table?.limits;
+  server.headersTimeout = limit?.header_ms ?? 10_000;
+  server.keepAliveTimeout = limit?.idle_ms ?? 15_000;
 }
 
 export const front = { create, adapt };
--- a/src/dataplane/line.ts
+++ b/src/dataplane/line.ts
@@ -1,13 +1,13 @@
 // Where requests wait at the site for a runner: the more urgent rank is tried first, but each rank is
 // worth only so much waiting, so that nobody is passed over for long.
 export type Waiter = { key: number; attempt: () => boolean; end: (found: boolean) => void };
-export type Line = { waiters: Waiter[]; beat: NodeJS.Timeout | null };
+export type Line = { waiters: Waiter[]; timer: NodeJS.Timeout | null };
 
 const rankMs = 60;
-const beatMs = 25;
+const lookMs = 25;
 
 function create(): Line {
-  return { waiters: [], beat: null };
+  return { waiters: [], timer: null };
 }
 
 function keyOf(rank: number, at: number): number {
@@ -26,9 +26,9 @@
 function leave(l: Line, w: Waiter): void {
   const at = l.waiters.indexOf(w);
   if (at >= 0) l.waiters.splice(at, 1);
-  if (l.waiters.length === 0 && l.beat) {
-    clearInterval(l.beat);
-    l.beat = null;
+  if (l.waiters.length === 0 && l.timer) {
+    clearInterval(l.timer);
+    l.timer = null;
   }
 }
 
@@ -48,9 +48,9 @@
       w.end(attempt());
     }, ms);
     l.waiters.push(w);
-    l.beat ??= setInterval(function beat() {
+    l.timer ??= setInterval(function timer() {
       stir(l);
-    }, beatMs);
+    }, lookMs);
   });
 }
 
--- a/src/dataplane/policies/access.ts
+++ b/src/dataplane/policies/access.ts
@@ -1,26 +1,26 @@
 // Who may call which model. The rules in effect come with the news, apart from the configuration, so
 // that a changed rule is honoured nowhere while the old one still is somewhere: a call on which the
-// two differ is bounced meanwhile, and so is one under a rule when this site has been without word
+// two differ is rejected meanwhile, and so is one under a rule when this site has been without word
 // from the core for longer than its leave. A refusal is plain and final, and no runner sees the call.
 import { answers } from '../../transport/http/answer.js';
 import { rules } from '../../state/control/rules.js';
-import type { Passage, Policy, Site, Step } from '../types.js';
+import type { RequestContext, Policy, Site, Step } from '../types.js';
 
 const againMs = 250;
 
-function run(site: Site, p: Passage): Step {
-  if (!p.tenant) return { s: 'next' };
+function run(site: Site, context: RequestContext): Step {
+  if (!context.tenant) return { kind: 'next' };
   const { active, next } = site.rules;
-  const { label } = p.tenant;
-  if (!rules.isRuled(active, label) && (next === null || !rules.isRuled(next, label))) return { s: 'next' };
-  if (performance.now() > site.leaveUntil) return { s: 'answer', answer: answers.bounce(503, againMs) };
-  switch (rules.verdict(active, next, label, p.model)) {
+  const { label } = context.tenant;
+  if (!rules.isRuled(active, label) && (next === null || !rules.isRuled(next, label))) return { kind: 'next' };
+  if (performance.now() > site.leaveUntil) return { kind: 'answer', answer: answers.bounce(503, againMs) };
+  switch (rules.verdict(active, next, label, context.model)) {
     case 'allowed':
-      return { s: 'next' };
+      return { kind: 'next' };
     case 'undecided':
-      return { s: 'answer', answer: answers.bounce(503, againMs) };
+      return { kind: 'answer', answer: answers.bounce(503, againMs) };
     case 'forbidden':
-      return { s: 'answer', answer: answers.plain(403, 'this tenant may not call this model') };
+      return { kind: 'answer', answer: answers.plain(403, 'this tenant may not call this model') };
   }
 }
 
--- a/src/dataplane/policies/assign.ts
+++ b/src/dataplane/policies/assign.ts
@@ -7,17 +7,17 @@
 import { prices, type Prices, type Where } from '../../coordination/transfer/price.js';
 import { identity } from '../../state/index/identity.js';
 import { holdings, storePlace } from '../../state/index/holdings.js';
-import { channels } from '../../state/runners/channels.js';
+import { connections } from '../../state/runners/connections.js';
 import { fleet, type Slot } from '../../state/runners/fleet.js';
 import type { Part } from '../../protocol/calls/heads.js';
-import type { Assigned, Passage, Site, Source } from '../types.js';
+import type { Assigned, RequestContext, Site, Source } from '../types.js';
 
 const suspectCost = 40_000;
 const runCost = 60;
 const zoneCost = 300;
 const shareCost = 600;
 const ownBlocks = 16;
-const newChannelCost = 100;
+const newConnectionCost = 100;
 const queuedCost = 4000;
 const downMs = 5000;
 const crampedCost = 3;
@@ -26,38 +26,46 @@
 const apartCost = 12_000;
 const besideLongCost = 0.1;
 
-function saltOf(p: Passage, revision: number): string {
-  return identity.salt({ wall: p.wall, model: p.model ?? '', revision });
+function saltOf(context: RequestContext, revision: number): string {
+  return identity.salt({ wall: context.wall, model: context.model ?? '', revision });
 }
 
-function prompt(p: Passage): number {
-  return p.tokens?.prompt ?? Math.ceil(p.body.length / 4);
+function prompt(context: RequestContext): number {
+  return context.tokens?.prompt ?? Math.ceil(context.body.length / 4);
 }
 
-function revisionAt(p: Passage, s: Slot): number | null {
-  if (p.model === null) return null;
-  return s.revisions.get(p.model) ?? null;
+function revisionAt(context: RequestContext, s: Slot): number | null {
+  if (context.model === null) return null;
+  return s.revisions.get(context.model) ?? null;
 }
 
 // Past most of version_ms after new weights were named, a runner that still has older ones is left
 // alone: a request must not begin on them.
-function tooOld(site: Site, p: Passage, revision: number | null, now: number): boolean {
-  if (p.model === null || revision === null) return false;
-  const newest = site.weights[p.model];
-  const at = site.weightsAt.get(p.model);
+function tooOld(site: Site, context: RequestContext, revision: number | null, now: number): boolean {
+  if (context.model === null || revision === null) return false;
+  const newest = site.weights[context.model];
+  const at = site.weightsAt.get(context.model);
   if (newest === undefined || at === undefined || revision >= newest) return false;
   return now - at > site.settings.bound_set.version_ms * 0.85;
 }
 
 // A stream that broke is better taken up at a runner under suspicion than given up.
-function mayResume(p: Passage, s: Slot): boolean {
-  return p.legs > 0 && p.repeatable && p.maybeRun && s.phase === 'suspect' && s.listed && !s.draining && !s.parked;
-}
-
-function mayTake(site: Site, p: Passage, s: Slot, now: number): boolean {
-  if (p.runners.has(s.ix) || !(fleet.usable(s, now) || mayResume(p, s))) return false;
+function mayResume(context: RequestContext, s: Slot): boolean {
+  return (
+    context.fate.sent > 0 &&
+    context.isRepeatable &&
+    context.fate.mayHaveRun &&
+    s.phase === 'suspect' &&
+    s.listed &&
+    !s.draining &&
+    !s.parked
+  );
+}
+
+function mayTake(site: Site, context: RequestContext, s: Slot, now: number): boolean {
+  if (context.runners.has(s.ix) || !(fleet.usable(s, now) || mayResume(context, s))) return false;
   if (s.active >= Math.min(s.slots * 2, s.cap)) return false;
-  return !tooOld(site, p, revisionAt(p, s), now);
+  return !tooOld(site, context, revisionAt(context, s), now);
 }
 
 function whereIs(site: Site, a: string, b: string): Where {
@@ -70,7 +78,7 @@
 // the same weights and wall, that a lease can be had on, and from where the move pays.
 function bestSource(
   site: Site,
-  p: Passage,
+  context: RequestContext,
   salt: string,
   s: Slot,
   has: number,
@@ -79,7 +87,7 @@
   now: number,
 ): Source | null {
   const least = site.tuning.movedTokens;
-  const big = shared(p).find(function large(x) {
+  const big = shared(context).find(function large(x) {
     return x.tokens >= least;
   });
   if (!big || !site.tuning.transfers || now > site.hintsUntil) return null;
@@ -90,9 +98,9 @@
   let bestGain = 0;
   for (const [place, held] of there) {
     if (place === s.ix) continue;
-    const n = holdings.prefixAt(site.holdings, salt, p.parts, place, now, true);
+    const n = holdings.prefixAt(site.holdings, salt, context.parts, place, now, true);
     if (n - has < least) continue;
-    const from = place === storePlace ? storeOf(site) : runnerSource(site, p, s, place, revision);
+    const from = place === storePlace ? storeOf(site) : runnerSource(site, context, s, place, revision);
     if (!from) continue;
     const where = whereIs(site, from.zone, s.zone);
     const ms = prices.move(at, n - has, where);
@@ -124,7 +132,7 @@
     : null;
 }
 
-function runnerSource(site: Site, p: Passage, s: Slot, place: number, revision: number): From | null {
+function runnerSource(site: Site, context: RequestContext, s: Slot, place: number, revision: number): From | null {
   const from = site.fleet.slots[place];
   if (
     !from ||
@@ -135,28 +143,28 @@
     from.service !== s.service
   )
     return null;
-  return from.revisions.get(p.model!) === revision
+  return from.revisions.get(context.model!) === revision
     ? { addr: from.addr, zone: from.zone, leases: from.othersLeases }
     : null;
 }
 
 // What requests with the same session or the same shared part have in common.
-function affinity(p: Passage): string {
-  const part = p.parts.at(-2);
-  return part ? `${p.wall} ${part.id}` : p.attempt;
+function affinity(context: RequestContext): string {
+  const part = context.parts.at(-2);
+  return part ? `${context.wall} ${part.id}` : context.attemptId;
 }
 
 // The parts of a prompt that others may share: all but the last, which is the request's own.
-function shared(p: Passage): Part[] {
-  return p.parts.slice(0, -1);
+function shared(context: RequestContext): Part[] {
+  return context.parts.slice(0, -1);
 }
 
 // The store gets a copy of a shared part that is hot, counting this request, unless it has one.
-function saveTo(site: Site, p: Passage, salt: string, now: number): string | null {
+function saveTo(site: Site, context: RequestContext, salt: string, now: number): string | null {
   const store = site.table!.stores[0]?.kv_store_addr;
   if (!store || !site.tuning.hotSet) return null;
   const { phi, epsilon, movedTokens } = site.tuning;
-  for (const x of shared(p)) {
+  for (const x of shared(context)) {
     if (x.tokens < movedTokens || holdings.tokensAt(site.holdings, salt, x.id, storePlace, now) > 0) continue;
     const { share, total } = site.hot;
     if (((share.get(identity.key(salt, x.id)) ?? 0) * total + 1) / (total + 1) >= phi - epsilon / 2) return store;
@@ -175,31 +183,32 @@
 
 // An unhealthy runner is tried again by one repeatable request: by this site's own judgement once its
 // pause is over and nothing of this site runs there, by the jury's when it names this site. One to
-// which no channel came up is seldom back and takes long to try, so it rests longer.
-function mayTry(p: Passage, s: Slot, now: number): boolean {
-  if (!p.repeatable || p.legs > 0 || s.active > 0) return false;
+// which no connection came up is seldom back and takes long to try, so it rests longer.
+function mayTry(context: RequestContext, s: Slot, now: number): boolean {
+  if (!context.isRepeatable || context.fate.sent > 0 || s.active > 0) return false;
   return s.verdict === 'try' || (s.verdict === 'clear' && now >= s.until + (s.phase === 'down' ? downMs : 0));
 }
 
-function choose(site: Site, p: Passage, now: number): Assigned | null {
-  const of = site.fleet.byService.get(p.service.label);
+function choose(site: Site, context: RequestContext, now: number): Assigned | null {
+  const of = site.fleet.byService.get(context.service.label);
   if (!of) return null;
-  const whole = prompt(p);
+  const whole = prompt(context);
   let best: Assigned | null = null;
   let bestCost = Infinity;
-  const draw = affinity(p);
+  const draw = affinity(context);
   const isLong = whole >= longTokens;
   const among = isLong ? forLong(of) : null;
-  const claims = whole + (p.tokens?.most ?? 0);
-  const engine = p.service.engine_kind;
+  const claims = whole + (context.tokens?.most ?? 0);
+  const engine = context.service.engine_kind;
   const at = prices.ofLink(site.prices, engine?.token_bytes, engine?.link_mbps);
-  const room = p.service.engine_kind?.kv_capacity ?? Infinity;
+  const room = context.service.engine_kind?.kv_capacity ?? Infinity;
   for (const s of of) {
-    if (!mayTake(site, p, s, now)) continue;
-    const revision = revisionAt(p, s);
-    const salt = revision === null ? null : saltOf(p, revision);
-    const has = salt === null ? 0 : holdings.prefixAt(site.holdings, salt, p.parts, s.ix, now);
-    const source = salt === null || revision === null ? null : bestSource(site, p, salt, s, has, revision, at, now);
+    if (!mayTake(site, context, s, now)) continue;
+    const revision = revisionAt(context, s);
+    const salt = revision === null ? null : saltOf(context, revision);
+    const has = salt === null ? 0 : holdings.prefixAt(site.holdings, salt, context.parts, s.ix, now);
+    const source =
+      salt === null || revision === null ? null : bestSource(site, context, salt, s, has, revision, at, now);
     const moved = source?.tokens ?? 0;
     const moveCost = source ? source.ms / at.readMs : 0;
     const reads = Math.max(ownBlocks, whole - has - moved);
@@ -207,12 +216,12 @@
     const queued = s.active + s.othersActive + 1 - s.slots;
     if (queued > 0) cost += queued * queuedCost;
     if (s.zone !== site.settings.zone_name) cost += zoneCost;
-    if (!channels.isWarm(s.agent, p.repeatable, now)) cost += newChannelCost;
+    if (!connections.isWarm(s.agent, context.isRepeatable, now)) cost += newConnectionCost;
     const over = s.claimed + s.othersClaimed + claims - room * 0.9;
     if (over > 0) cost += over * crampedCost;
     if (among && !among.has(s)) cost += apartCost;
     if (!isLong) cost += (s.claimed + s.othersClaimed) * besideLongCost;
-    if (s.phase !== 'healthy' || s.verdict !== 'clear') cost += mayTry(p, s, now) ? -suspectCost : suspectCost;
+    if (s.phase !== 'healthy' || s.verdict !== 'clear') cost += mayTry(context, s, now) ? -suspectCost : suspectCost;
     cost += hash.of(`${s.id} ${draw}`) * shareCost;
     if (cost < bestCost) {
       bestCost = cost;
@@ -231,7 +240,7 @@
       };
     }
   }
-  if (best && best.salt !== null) best.saveTo = saveTo(site, p, best.salt, now);
+  if (best && best.salt !== null) best.saveTo = saveTo(site, context, best.salt, now);
   return best;
 }
 
--- /dev/null
+++ b/src/dataplane/relay.ts
@@ -0,0 +1,162 @@
+/**
+ * Passes a runner's answer on to the client, unchanged and as it comes. A stream goes event by event, so that
+ * what was passed on always ends behind a whole event. A small answer that may be repeated is held back until
+ * it is whole, so that another runner can still be asked when it breaks off.
+ */
+import type { ClientRequest, IncomingMessage } from 'node:http';
+import { heads } from '../protocol/calls/heads.js';
+import { continuation, type Continuation } from '../protocol/stream/continuation.js';
+import { eventCut, type Event } from '../protocol/stream/events.js';
+import { fleet } from '../state/runners/fleet.js';
+import { clientAnswers } from './client-answer.js';
+import type { Assigned, RequestContext, Site } from './types.js';
+
+/** `whole`: the client has it all. `late`: the deadline passed first. */
+export type RelayEnd = 'whole' | 'broken' | 'client_gone' | 'late';
+
+/** An answer under way: its head and its request, and whether it is passed on event by event. */
+export type RunnerAnswer = { res: IncomingMessage; req: ClientRequest; byEvent: boolean };
+
+/** Takes the bytes of an answer as they come; `take` is false when they can't be part of it. */
+type Passer = { take: (bytes: Buffer) => boolean; finish: () => void };
+
+/** The most bytes of one answer that are held back until it is whole. */
+const heldBytes = 32 * 1024;
+/** The longest piece of a stream that is waited for without the blank line which ends an event. */
+const longestEventBytes = 1024 * 1024;
+/** How long past the deadline an answer that is under way may still end, in ms. */
+const graceMs = 60;
+const versionLine = /^x-weight-versions:\s*([^\r\n]+)/m;
+
+function learnVersion(context: RequestContext, assigned: Assigned, event: Event): void {
+  if (context.model === null || !event.head.startsWith('x-weight-versions')) return;
+  const seen = heads.versions(versionLine.exec(event.head)?.[1], context.model);
+  if (seen !== null) fleet.learn(assigned.slot, context.model, seen);
+}
+
+function continuationOf(context: RequestContext): Continuation | null {
+  const { given, lastEventId } = context.client;
+  return given === 'events' && lastEventId !== null ? continuation.create(lastEventId) : null;
+}
+
+function eventPasser(site: Site, context: RequestContext, assigned: Assigned, res: IncomingMessage): Passer {
+  const cut = eventCut.create();
+  const continued = continuationOf(context);
+  function pass(event: Event): boolean {
+    learnVersion(context, assigned, event);
+    const what = continued ? continuation.take(continued, event) : 'pass';
+    if (what === 'pass') clientAnswers.passEvent(context.client, res, site.leaving, event);
+    return what !== 'mismatch';
+  }
+  return {
+    take: function take(bytes) {
+      return eventCut.take(cut, bytes).every(pass) && cut.rest.length <= longestEventBytes;
+    },
+    finish: function finish() {
+      if (cut.rest.length > 0) clientAnswers.passBytes(context.client, res, site.leaving, cut.rest);
+      clientAnswers.finish(context.client, res, site.leaving);
+    },
+  };
+}
+
+function bytePasser(site: Site, context: RequestContext, res: IncomingMessage): Passer {
+  return {
+    take: function take(bytes) {
+      clientAnswers.passBytes(context.client, res, site.leaving, bytes);
+      return true;
+    },
+    finish: function finish() {
+      clientAnswers.finish(context.client, res, site.leaving);
+    },
+  };
+}
+
+function heldPasser(site: Site, context: RequestContext, res: IncomingMessage): Passer {
+  const direct = bytePasser(site, context, res);
+  let held: Buffer[] = [];
+  let count = 0;
+  function release(): void {
+    for (const bytes of held) direct.take(bytes);
+    held = [];
+  }
+  return {
+    take: function take(bytes) {
+      held.push(bytes);
+      count += bytes.length;
+      if (count > heldBytes) release();
+      return true;
+    },
+    finish: function finish() {
+      release();
+      direct.finish();
+    },
+  };
+}
+
+function isLarge(res: IncomingMessage): boolean {
+  return Number(res.headers['content-length'] ?? 0) > heldBytes;
+}
+
+function passerOf(site: Site, context: RequestContext, assigned: Assigned, answer: RunnerAnswer): Passer {
+  if (answer.byEvent) return eventPasser(site, context, assigned, answer.res);
+  if (context.isRepeatable && !isLarge(answer.res)) return heldPasser(site, context, answer.res);
+  return bytePasser(site, context, answer.res);
+}
+
+/** Passes on until the answer ends one way or the other; `onRead` tells that the prompt has been read. */
+function run(
+  site: Site,
+  context: RequestContext,
+  assigned: Assigned,
+  answer: RunnerAnswer,
+  onRead: () => void,
+): Promise<RelayEnd> {
+  const { res, req } = answer;
+  const out = context.client.res;
+  const passer = passerOf(site, context, assigned, answer);
+  if (!answer.byEvent) onRead();
+  return new Promise(function relayed(done) {
+    let isOver = false;
+    function end(how: RelayEnd): void {
+      if (isOver) return;
+      isOver = true;
+      clearTimeout(lateTimer);
+      out.removeListener('close', clientGone);
+      out.removeListener('drain', drained);
+      if (how !== 'whole') req.destroy();
+      done(how);
+    }
+    function clientGone(): void {
+      end('client_gone');
+    }
+    function drained(): void {
+      res.resume();
+    }
+    function broke(): void {
+      end('broken');
+    }
+    function late(): void {
+      end('late');
+    }
+    const lateTimer = setTimeout(late, Math.max(1, context.deadlineAt + graceMs - performance.now()));
+    out.on('close', clientGone);
+    out.on('drain', drained);
+    res.on('data', function more(bytes: Buffer) {
+      if (isOver) return;
+      fleet.spoke(assigned.slot, performance.now());
+      onRead();
+      if (!passer.take(bytes)) end('broken');
+      else if (out.writableNeedDrain) res.pause();
+    });
+    res.on('end', function ended() {
+      if (isOver) return;
+      if (!res.complete) return end('broken');
+      passer.finish();
+      end('whole');
+    });
+    res.on('error', broke);
+    res.on('close', broke);
+  });
+}
+
+export const relay = { run };
--- /dev/null
+++ b/src/dataplane/try-runner.ts
@@ -0,0 +1,195 @@
+/**
+ * Tries a request at the runner that it was assigned: sends one attempt, judges the answer, passes it on, and
+ * tells how the attempt ended. What the attempt showed of the runner's health is noted on the way.
+ */
+import type { ClientRequest, IncomingMessage } from 'node:http';
+import { ringLog } from '../logging/ring.js';
+import { heads, names } from '../protocol/calls/heads.js';
+import { fleet } from '../state/runners/fleet.js';
+import { attempts, type Attempt, type AttemptResult } from './attempt.js';
+import { awaitHead } from './await-head.js';
+import { fates, type AttemptEnd } from './fate.js';
+import { moves } from './moves.js';
+import { places } from './places.js';
+import { relay, type RelayEnd } from './relay.js';
+import type { Assigned, RequestContext, Site } from './types.js';
+import { verify, type AnswerKind } from './verify.js';
+
+type Head = { res: IncomingMessage; req: ClientRequest };
+type NoHead = Exclude<AttemptResult, { kind: 'head' }>;
+type TurnedAway = Extract<AnswerKind, { kind: 'turned_away' }>;
+
+/** A runner that has been silent for so long when a request is given up is counted as bad, in ms. */
+const silentMs = 800;
+/** The longest wait for the rest of an answer that is not used, before its connection is closed, in ms. */
+const discardMs = 500;
+
+function note(site: Site, context: RequestContext, assigned: Assigned, fields: object, text: string): void {
+  ringLog.note(site.log, { runner: assigned.slot.id, attempt: context.attemptId, ...fields }, text);
+}
+
+/** Lets an answer that is not used run out, so that its connection can be kept; one that does not is closed. */
+function discard(head: Head): void {
+  const timer = setTimeout(function tooLong() {
+    head.req.destroy();
+  }, discardMs);
+  head.res.on('error', function ignore() {
+    /* nothing was wanted of it */
+  });
+  head.res.on('close', function over() {
+    clearTimeout(timer);
+  });
+  head.res.resume();
+}
+
+function givenUp(assigned: Assigned, attempt: Attempt, sentAt: number): AttemptEnd {
+  const silentFor = performance.now() - Math.max(sentAt, assigned.slot.lastByteAt);
+  if (silentFor > silentMs) fleet.met(assigned.slot, 'bad');
+  return { kind: attempt.cancel() };
+}
+
+function silent(site: Site, context: RequestContext, assigned: Assigned, attempt: Attempt): AttemptEnd {
+  fleet.met(assigned.slot, 'bad');
+  fleet.turn(assigned.slot, 'suspect', performance.now());
+  note(site, context, assigned, {}, 'silent');
+  return { kind: attempt.cancel() };
+}
+
+function withoutHead(site: Site, context: RequestContext, assigned: Assigned, result: NoHead): AttemptEnd {
+  const { slot } = assigned;
+  note(site, context, assigned, { why: result.why, end: result.kind }, 'attempt without an answer');
+  if (result.kind === 'lost' && result.wasDropped) return { kind: 'lost' };
+  fleet.met(slot, 'bad');
+  fleet.turn(slot, result.kind === 'not_sent' ? 'down' : 'suspect', performance.now());
+  return { kind: result.kind };
+}
+
+function learnVersion(context: RequestContext, assigned: Assigned, res: IncomingMessage): void {
+  if (context.model === null || res.headers[names.attempt] !== context.attemptId) return;
+  const seen = heads.versions(res.headers[names.versions] as string | undefined, context.model);
+  if (seen !== null) fleet.learn(assigned.slot, context.model, seen);
+}
+
+/** A runner that turns requests away although little is known to run there is not merely full. */
+function isIdle(assigned: Assigned): boolean {
+  return assigned.slot.active + assigned.slot.othersActive < assigned.slot.slots / 2;
+}
+
+/** While new weights are on their way a runner turns requests away until it has them. */
+function isLoading(site: Site, context: RequestContext, assigned: Assigned): boolean {
+  if (assigned.slot.parked) return true;
+  const at = context.model === null ? undefined : site.weightsAt.get(context.model);
+  return at !== undefined && performance.now() - at < site.settings.bound_set.version_ms;
+}
+
+/** Another version of the weights runs there: it is noted, and the same runner may be asked again. */
+function otherVersion(site: Site, context: RequestContext, assigned: Assigned): void {
+  const { slot, revision } = assigned;
+  if (context.model === null || revision === null) return;
+  const newest = site.weights[context.model] ?? 0;
+  if (slot.revisions.get(context.model) === revision && newest > revision) fleet.learn(slot, context.model, newest);
+  context.runners.delete(slot.ix);
+}
+
+function turnedAway(site: Site, context: RequestContext, assigned: Assigned, head: Head, why: TurnedAway): AttemptEnd {
+  const { slot } = assigned;
+  const { status, instance } = why;
+  note(site, context, assigned, { status, instance }, 'turned away');
+  if (status === 503 && isIdle(assigned) && !isLoading(site, context, assigned)) fleet.met(slot, 'bad');
+  if (status !== 421) {
+    discard(head);
+    return { kind: 'turned_away' };
+  }
+  // The same runner may be asked again under the same id: never on the connection of this answer.
+  head.req.destroy();
+  if (instance !== null && instance !== slot.id) slot.listed = false;
+  else otherVersion(site, context, assigned);
+  return { kind: 'turned_away' };
+}
+
+function stray(site: Site, context: RequestContext, assigned: Assigned, head: Head, why: string): AttemptEnd {
+  head.req.destroy();
+  fleet.met(assigned.slot, 'bad');
+  const echoed = head.res.headers[names.attempt];
+  note(site, context, assigned, { echoed, status: head.res.statusCode, why }, 'not an answer to this request');
+  return { kind: 'lost' };
+}
+
+/** A failure of the runner is kept from the client only where another attempt is still allowed. */
+function mayHide(context: RequestContext): boolean {
+  const next = fates.after(context.fate, { kind: 'failed' });
+  return fates.mayRetry(next, context.terms, context.client.given);
+}
+
+function failed(site: Site, context: RequestContext, assigned: Assigned, head: Head): AttemptEnd {
+  discard(head);
+  note(site, context, assigned, { status: head.res.statusCode }, 'failed at the runner');
+  return { kind: 'failed' };
+}
+
+function relayed(assigned: Assigned, status: number, end: RelayEnd): AttemptEnd {
+  const { slot } = assigned;
+  if (end === 'whole') {
+    if (status < 300) fleet.met(slot, 'good');
+    return { kind: 'answered' };
+  }
+  if (end !== 'client_gone') {
+    fleet.met(slot, 'bad');
+    fleet.turn(slot, 'suspect', performance.now());
+  }
+  return { kind: 'broken' };
+}
+
+async function withHead(
+  site: Site,
+  context: RequestContext,
+  assigned: Assigned,
+  head: Head,
+  sentAt: number,
+): Promise<AttemptEnd> {
+  const { res, req } = head;
+  learnVersion(context, assigned, res);
+  const status = res.statusCode ?? 0;
+  const { attemptId, isStream, client } = context;
+  const kind = verify.answer({ status, headers: res.headers }, { attemptId, isStream, continuesStatus: client.status });
+  if (kind.kind === 'turned_away') return turnedAway(site, context, assigned, head, kind);
+  if (kind.kind === 'stray') return stray(site, context, assigned, head, kind.why);
+  if (kind.kind === 'failure') {
+    fleet.met(assigned.slot, 'bad');
+    if (mayHide(context)) return failed(site, context, assigned, head);
+  }
+  const byEvent = kind.kind === 'final' && kind.byEvent;
+  const end = await relay.run(site, context, assigned, { res, req, byEvent }, function read() {
+    places.read(site, assigned, performance.now() - sentAt);
+  });
+  return relayed(assigned, status, end);
+}
+
+async function one(site: Site, context: RequestContext, assigned: Assigned): Promise<AttemptEnd> {
+  const sentAt = performance.now();
+  const attempt = attempts.send(context, assigned, site.tuning.urgency);
+  moves.sent(site, assigned, sentAt);
+  const what = await awaitHead.run(context, assigned, attempt);
+  switch (what.kind) {
+    case 'client_gone':
+    case 'late':
+      return givenUp(assigned, attempt, sentAt);
+    case 'silent':
+      return silent(site, context, assigned, attempt);
+    case 'head':
+      return withHead(site, context, assigned, what, sentAt);
+    default:
+      return withoutHead(site, context, assigned, what);
+  }
+}
+
+/** Sends the request to the runner whose place it holds, and gives the place back. */
+async function run(site: Site, context: RequestContext, assigned: Assigned): Promise<AttemptEnd> {
+  try {
+    return await one(site, context, assigned);
+  } finally {
+    places.release(site, assigned);
+  }
+}
+
+export const tryRunner = { run };
--- a/src/dataplane/types.ts
+++ b/src/dataplane/types.ts
@@ -1,5 +1,5 @@
-// What a request carries on its way through the policies, and what a site is made of.
-import type { IncomingMessage, ServerResponse } from 'node:http';
+/** What a request carries on its way through the policies, and what a site is made of. */
+import type { IncomingMessage } from 'node:http';
 import type { EventEmitter } from 'node:events';
 import type { Log } from '../logging/ring.js';
 import type { Part, Tokens } from '../protocol/calls/heads.js';
@@ -8,6 +8,8 @@
 import type { Answer } from '../transport/http/answer.js';
 import type { Board, Configuration, Route, RulesState, Service, Settings, Tenant, Tuning } from '../types.js';
 import type { Budget } from './budget.js';
+import type { ClientAnswer } from './client-answer.js';
+import type { Fate, Terms } from './fate.js';
 import type { Line } from './line.js';
 import type { Transfers } from '../coordination/transfer/machine.js';
 import type { Prices } from '../coordination/transfer/price.js';
@@ -37,18 +39,22 @@
   leaving: boolean;
   closing: boolean;
   line: Line;
-  open: Set<Passage>;
+  open: Set<RequestContext>;
   stirred: EventEmitter;
   loadChanged: () => void;
-  sent: (p: Passage, a: Assigned) => void;
+  sent: (context: RequestContext, assigned: Assigned) => void;
 };
 
-export type Passage = {
+/**
+ * One request of a client. `at` and `deadlineAt` are on the process's own clock, in ms; `wall` names those whose
+ * prompts may share parts; `fate` and `client` tell what became of it so far.
+ */
+export type RequestContext = {
   req: IncomingMessage;
-  res: ServerResponse;
+  client: ClientAnswer;
   at: number;
   path: string;
-  attempt: string;
+  attemptId: string;
   body: Buffer;
   route: Route;
   service: Service;
@@ -61,17 +67,16 @@
   deadlineAt: number;
   aimMs: number;
   isStream: boolean;
-  repeatable: boolean;
-  legs: number;
+  isRepeatable: boolean;
+  terms: Terms;
+  fate: Fate;
   runners: Set<number>;
-  maybeRun: boolean;
-  headSent: boolean;
-  lastEventId: string | null;
-  gone: boolean;
-  events: number;
+  isGone: boolean;
 };
 
+/** Where parts of a prompt are moved from: `tokens` of them, in `ms`. */
 export type Source = { place: number; addr: string; key: string; tokens: number; ms: number; generation: number };
+/** A runner that was chosen for a request, with what the request will take there, in tokens. */
 export type Assigned = {
   slot: Slot;
   revision: number | null;
@@ -86,5 +91,6 @@
   saveTo: string | null;
 };
 
-export type Step = { s: 'next' } | { s: 'answer'; answer: Answer; closing?: boolean } | { s: 'done' };
-export type Policy = { name: string; run: (site: Site, p: Passage) => Step | Promise<Step> };
+/** What a policy says of a request: on to the next one, an answer of our own, or nothing more to say. */
+export type Step = { kind: 'next' } | { kind: 'answer'; answer: Answer; closing?: boolean } | { kind: 'done' };
+export type Policy = { name: string; run: (site: Site, context: RequestContext) => Step | Promise<Step> };
--- a/src/state/runners/channels.ts
+++ b/src/state/runners/connections.ts
@@ -1,7 +1,7 @@
-// The kept channels to one runner. A runner may drop an idle channel without a word, and whatever is
-// sent on it next is lost: for a request that may run only once that is the end. So a channel is given
+// The kept connections to one runner. A runner may drop an idle connection without a word, and whatever is
+// sent on it next is lost: for a request that may run only once that is the end. So a connection is given
 // up a while before its promised time is over, and earlier once drops were seen; what may not be
-// repeated goes only on a channel that was idle for a short while, or on a new one.
+// repeated goes only on a connection that was idle for a short while, or on a new one.
 import { Agent, type ClientRequest, type IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
 
@@ -33,7 +33,7 @@
   this.destroy();
 }
 
-// Keeps channels whose runner promised to keep them, gives them up a while before that promise runs
+// Keeps connections whose runner promised to keep them, gives them up a while before that promise runs
 // out, and destroys one on which a byte comes while no request is on it.
 function create(most: number): Agent {
   const agent = new Agent({ keepAlive: true, maxSockets: most, maxFreeSockets: most, scheduling: 'lifo' });
@@ -70,7 +70,7 @@
   });
 }
 
-// Before a request goes out: gives up the channels that were idle for too long to be trusted with it.
+// Before a request goes out: gives up the connections that were idle for too long to be trusted with it.
 function retire(a: Agent, isRepeatable: boolean, now: number): void {
   const l = lifeOf(a);
   const most = isRepeatable ? l.longestMs : Math.min(l.onceMs, l.longestMs);
@@ -88,7 +88,7 @@
   }
 }
 
-// Whether a request would find a channel that it may use, and so spare the runner a new one.
+// Whether a request would find a connection that it may use, and so spare the runner a new one.
 function isWarm(a: Agent, isRepeatable: boolean, now: number): boolean {
   const free = idle(a);
   if (free.length === 0) return false;
@@ -96,8 +96,8 @@
   return idleFor(free.at(-1)!, now) <= (isRepeatable ? l.longestMs : Math.min(l.onceMs, l.longestMs));
 }
 
-// A channel broke as it was used again after so long a rest: the others that rest as long are given
-// up, and from now on channels rest for less. One that had hardly rested was not dropped for that.
+// A connection broke as it was used again after so long a rest: the others that rest as long are given
+// up, and from now on connections rest for less. One that had hardly rested was not dropped for that.
 function dropped(a: Agent, ms: number): void {
   if (ms < leastMs) return;
   const l = lifeOf(a);
@@ -107,4 +107,4 @@
   for (const s of idle(a)) if (idleFor(s, now) >= ms * droppedShare) s.destroy();
 }
 
-export const channels = { create, isWarm, idleFor, retire, dropped };
+export const connections = { create, isWarm, idleFor, retire, dropped };
--- a/src/state/runners/fleet.ts
+++ b/src/state/runners/fleet.ts
@@ -1,8 +1,8 @@
 // A site's table of runners: names are mapped to dense indices when a board comes in, and everything
-// the request path keeps about a runner (load, health, weight versions, channels) stands at its
+// the request path keeps about a runner (load, health, weight versions, connections) stands at its
 // index. An index is never used again for another life of a runner.
 import type { Agent } from 'node:http';
-import { channels } from './channels.js';
+import { connections } from './connections.js';
 import type { RouteTable } from '../control/routes.js';
 import type { Runner } from '../../types.js';
 
@@ -74,7 +74,7 @@
     othersClaimed: 0,
     othersLeases: 0,
     othersMoveMs: 0,
-    agent: channels.create(leastCap),
+    agent: connections.create(leastCap),
     cap: leastCap,
     good: 0,
     bad: 0,
@@ -114,7 +114,7 @@
   }
 }
 
-// A runner takes only so many channels from all callers together: each site keeps to its part, by the
+// A runner takes only so many connections from all callers together: each site keeps to its part, by the
 // number of sites that are known to be in; while it is unknown, to a small one.
 function capAll(f: Fleet, table: RouteTable | null, sites: number): void {
   for (const s of f.byId.values()) {
--- a/src/tools/simulate/fleet.ts
+++ b/src/tools/simulate/fleet.ts
@@ -1,5 +1,5 @@
 // The simulated fleet: clients, sites and runners on virtual time. What the daemons decide by is run
-// here as it is: the assignment of runners, soundness, the budget of further legs, the tracking of hot
+// here as it is: the assignment of runners, health, the budget of further attempts, the tracking of hot
 // parts, the index of kept parts, the roll-out of weights and the group that elects the leader.
 // Sockets, the daemons' delivery loop and the engines are simpler stand-ins.
 import { EventEmitter } from 'node:events';
@@ -9,7 +9,8 @@
 import { budget } from '../../dataplane/budget.js';
 import { moves } from '../../dataplane/moves.js';
 import { assign } from '../../dataplane/policies/assign.js';
-import type { Assigned, Passage, Site } from '../../dataplane/types.js';
+import { fates } from '../../dataplane/fate.js';
+import type { Assigned, RequestContext, Site } from '../../dataplane/types.js';
 import { keptIndex, type KeptIndex } from '../../state/index/kept.js';
 import { transfers } from '../../coordination/transfer/machine.js';
 import { prices } from '../../coordination/transfer/price.js';
@@ -318,7 +319,7 @@
   return Math.min(t.things - 1, Math.floor(t.things * u ** (1 / (1 - Math.min(0.95, t.skew)))));
 }
 
-function passage(sim: Sim, t: Traffic, now: number): Passage {
+function contextOf(sim: Sim, t: Traffic, now: number): RequestContext {
   const table = sim.sites[0]!.site.table!;
   const tenant = sim.c.below(t.tenants);
   const wall = tenant < Math.round(t.tenants * t.isolated) ? `t-${tenant}` : 'all';
@@ -327,9 +328,9 @@
     { id: `${t.name}${pickThing(sim.c, t)}`, tokens: t.shared_tokens },
     { id: `own${id}`, tokens: t.own_tokens },
   ];
-  const p: Partial<Passage> = {
+  const p: Partial<RequestContext> = {
     at: now,
-    attempt: `a${id}`,
+    attemptId: `a${id}`,
     body: Buffer.alloc(0),
     route: table.hosts.get(t.name)![0]!,
     service: table.services.get(service)!,
@@ -340,12 +341,11 @@
     deadlineAt: now + t.deadline_ms,
     aimMs: t.aim_ms,
     isStream: true,
-    repeatable: t.resumable,
-    legs: 0,
+    isRepeatable: t.resumable,
+    fate: fates.begin(),
     runners: new Set(),
-    maybeRun: false,
   };
-  return p as Passage;
+  return p as RequestContext;
 }
 
 function arrive(sim: Sim, t: Traffic, zone: string): void {
@@ -371,19 +371,21 @@
     return;
   }
   budget.asked(s.site.budget, now);
-  deliver(sim, s, passage(sim, t, now), t, tally, w);
+  deliver(sim, s, contextOf(sim, t, now), t, tally, w);
 }
 
-function deliver(sim: Sim, s: SimSite, p: Passage, t: Traffic, tally: Tally, w: { good: number }): void {
+function deliver(sim: Sim, s: SimSite, p: RequestContext, t: Traffic, tally: Tally, w: { good: number }): void {
   const now = sim.c.now;
-  const again = p.legs > 0;
+  const again = p.fate.sent > 0;
   if (
     now >= p.deadlineAt ||
     !s.up ||
     (again &&
-      (p.legs >= t.tries || (p.maybeRun && !p.repeatable) || !budget.take(s.site.budget, now, s.site.board.sites)))
+      (p.fate.sent >= t.tries ||
+        (p.fate.mayHaveRun && !p.isRepeatable) ||
+        !budget.take(s.site.budget, now, s.site.board.sites)))
   ) {
-    if (p.maybeRun || !s.up) tally.failed++;
+    if (p.fate.mayHaveRun || !s.up) tally.failed++;
     else tally.bounced++;
     return;
   }
@@ -400,7 +402,15 @@
   send(sim, s, p, a, t, tally, w);
 }
 
-function send(sim: Sim, s: SimSite, p: Passage, a: Assigned, t: Traffic, tally: Tally, w: { good: number }): void {
+function send(
+  sim: Sim,
+  s: SimSite,
+  p: RequestContext,
+  a: Assigned,
+  t: Traffic,
+  tally: Tally,
+  w: { good: number },
+): void {
   const { slot } = a;
   const reads = a.reads;
   slot.active++;
@@ -435,7 +445,7 @@
     if (r.revision !== a.revision || sim.c.now < r.busyUntil) {
       done();
       fleet.learn(slot, model, r.revision);
-      p.legs++;
+      p.fate = fates.after(p.fate, { kind: 'turned_away' });
       p.runners.delete(slot.ix);
       deliver(sim, s, p, t, tally, w);
       return;
@@ -451,7 +461,7 @@
 function run(
   sim: Sim,
   s: SimSite,
-  p: Passage,
+  p: RequestContext,
   a: Assigned,
   t: Traffic,
   tally: Tally,
@@ -516,7 +526,7 @@
       w.good++;
     } else tally.late++;
   });
-  s.felt.set(p.attempt, life);
+  s.felt.set(p.attemptId, life);
   watch(sim, s, p, a, t, tally, w, r, life, when.end, done);
 }
 
@@ -524,7 +534,7 @@
 function watch(
   sim: Sim,
   s: SimSite,
-  p: Passage,
+  p: RequestContext,
   a: Assigned,
   t: Traffic,
   tally: Tally,
@@ -539,8 +549,7 @@
     if (r.life === life) return watch(sim, s, p, a, t, tally, w, r, life, end, done);
     done();
     fleet.turn(a.slot, 'suspect', sim.c.now);
-    p.legs++;
-    p.maybeRun = true;
+    p.fate = fates.after(p.fate, { kind: 'lost' });
     deliver(sim, s, p, t, tally, w);
   });
 }
--- a/test/channels.test.ts
+++ b/test/connections.test.ts
@@ -1,10 +1,10 @@
-// Kept channels that a runner may drop without a word: what may run only once finds none that rested for
+// Kept connections that a runner may drop without a word: what may run only once finds none that rested for
 // long, a drop that was seen shortens the rests, and a reset under load is not taken for one.
 import { strict as assert } from 'node:assert';
 import { test } from 'node:test';
 import type { Agent } from 'node:http';
 import type { Socket } from 'node:net';
-import { channels } from '../src/state/runners/channels.js';
+import { connections } from '../src/state/runners/connections.js';
 
 type Kept = { destroyed: boolean; idleMs: number };
 type Keeping = { keepSocketAlive: (s: unknown) => boolean; freeSockets: Record<string, unknown[]> };
@@ -34,53 +34,53 @@
   return s as unknown as Kept & Socket;
 }
 
-test('what may run only once never goes on a channel that rested for long, what may be repeated does', function run() {
-  const a = channels.create(4);
+test('what may run only once never goes on a connection that rested for long, what may be repeated does', function run() {
+  const a = connections.create(4);
   const s = rest(a);
   const now = performance.now();
-  assert.equal(channels.isWarm(a, false, now + 1000), true);
-  channels.retire(a, false, now + 1000);
+  assert.equal(connections.isWarm(a, false, now + 1000), true);
+  connections.retire(a, false, now + 1000);
   assert.equal(s.destroyed, false);
-  assert.equal(channels.isWarm(a, false, now + 4000), false);
-  assert.equal(channels.isWarm(a, true, now + 4000), true);
-  channels.retire(a, true, now + 4000);
+  assert.equal(connections.isWarm(a, false, now + 4000), false);
+  assert.equal(connections.isWarm(a, true, now + 4000), true);
+  connections.retire(a, true, now + 4000);
   assert.equal(s.destroyed, false);
-  channels.retire(a, false, now + 4000);
+  connections.retire(a, false, now + 4000);
   assert.equal(s.destroyed, true);
 });
 
-test('a channel is given up before the time that its runner promised is over', function run() {
-  const a = channels.create(4);
+test('a connection is given up before the time that its runner promised is over', function run() {
+  const a = connections.create(4);
   assert.ok(rest(a, 'timeout=4').idleMs < 4000);
   assert.ok(rest(a, 'timeout=4').idleMs >= 2000);
   assert.ok(rest(a).idleMs > 4000);
 });
 
-test('a drop that was seen gives up channels that rest as long, and shortens the rests for a while', function run() {
-  const a = channels.create(4);
+test('a drop that was seen gives up connections that rest as long, and shortens the rests for a while', function run() {
+  const a = connections.create(4);
   const s = rest(a);
   const now = performance.now();
-  channels.dropped(a, 900);
+  connections.dropped(a, 900);
   assert.equal(s.destroyed, false, 'it has not rested yet');
   assert.ok(rest(a).idleMs <= 1800, 'from now on they rest for less');
-  assert.equal(channels.isWarm(a, false, now + 800), false);
-  channels.retire(a, false, now + 800);
+  assert.equal(connections.isWarm(a, false, now + 800), false);
+  connections.retire(a, false, now + 800);
   assert.equal(s.destroyed, true);
-  const fresh = channels.create(4);
-  channels.dropped(fresh, 900);
+  const fresh = connections.create(4);
+  connections.dropped(fresh, 900);
   const t = rest(fresh);
-  for (let i = 0; i < 60; i++) channels.retire(fresh, true, performance.now());
+  for (let i = 0; i < 60; i++) connections.retire(fresh, true, performance.now());
   assert.equal(t.destroyed, false);
   assert.equal(
-    channels.isWarm(fresh, false, performance.now() + 2000),
+    connections.isWarm(fresh, false, performance.now() + 2000),
     true,
     'without further drops the rests grow again',
   );
 });
 
-test('a reset on a channel that had hardly rested is no drop of an idle one', function run() {
-  const a = channels.create(4);
-  for (let i = 0; i < 20; i++) channels.dropped(a, 5);
+test('a reset on a connection that had hardly rested is no drop of an idle one', function run() {
+  const a = connections.create(4);
+  for (let i = 0; i < 20; i++) connections.dropped(a, 5);
   assert.ok(rest(a).idleMs > 10_000);
-  assert.equal(channels.isWarm(a, false, performance.now() + 2000), true);
+  assert.equal(connections.isWarm(a, false, performance.now() + 2000), true);
 });
--- a/test/dataplane.test.ts
+++ b/test/dataplane.test.ts
@@ -4,10 +4,11 @@
 import { test } from 'node:test';
 import { transfers } from '../src/coordination/transfer/machine.js';
 import { prices } from '../src/coordination/transfer/price.js';
+import { fates } from '../src/dataplane/fate.js';
 import { moves } from '../src/dataplane/moves.js';
 import { line } from '../src/dataplane/line.js';
 import { assign } from '../src/dataplane/policies/assign.js';
-import type { Passage, Site } from '../src/dataplane/types.js';
+import type { RequestContext, Site } from '../src/dataplane/types.js';
 import { tuning } from '../src/protocol/settings/tuning.js';
 import { routes } from '../src/state/control/routes.js';
 import { holdings, storePlace } from '../src/state/index/holdings.js';
@@ -64,9 +65,10 @@
 
 let n = 0;
 
-function request(s: Site, shared: number, own = 300, id = 'aa'): Passage {
-  const p: Partial<Passage> = {
-    attempt: `a${n++}`,
+function request(s: Site, shared: number, own = 300, id = 'aa'): RequestContext {
+  const p: Partial<RequestContext> = {
+    attemptId: `a${n++}`,
+    fate: fates.begin(),
     body: Buffer.alloc(0),
     service: s.table!.services.get('s')!,
     model: 'm',
@@ -79,7 +81,7 @@
     runners: new Set(),
     route: conf.route_list[0]!,
   };
-  return p as Passage;
+  return p as RequestContext;
 }
 
 function slot(s: Site, id: string): Slot {
@@ -226,7 +228,7 @@
   line.stir(l);
   assert.deepEqual(await Promise.all(all), [true, true, true, true]);
   assert.deepEqual(order, ['early and high', 'early and low', 'late and high', 'late and low']);
-  assert.equal(l.beat, null);
+  assert.equal(l.timer, null);
   assert.equal(
     await line.wait(l, 0, 1, function never() {
       return false;
@@ -308,8 +310,7 @@
   );
   function goes(repeatable: boolean): string {
     const p = request(s, 60);
-    p.repeatable = repeatable;
-    p.legs = 0;
+    p.isRepeatable = repeatable;
     const a = assign.choose(s, p, 10_000)!;
     fleet.tried(a.slot);
     return a.slot.id;
@@ -333,8 +334,7 @@
   );
   fleet.turn(slot(s, 'a'), 'suspect', 0);
   const p = request(s, 60);
-  p.repeatable = true;
-  p.legs = 0;
+  p.isRepeatable = true;
   assert.equal(assign.choose(s, p, 100)!.slot.id, 'b');
   assert.equal(assign.choose(s, p, 5000)!.slot.id, 'a');
   slot(s, 'a').active = 1;
@@ -348,7 +348,7 @@
     }),
   );
   const p = request(s, 60);
-  Object.assign(p, { repeatable: true, legs: 1, maybeRun: true });
+  Object.assign(p, { isRepeatable: true, fate: fates.after(fates.begin(), { kind: 'lost' }) });
   p.runners.add(slot(s, 'a').ix);
   fleet.turn(slot(s, 'b'), 'suspect', 0);
   assert.equal(assign.choose(s, p, 10)!.slot.id, 'b');
--- a/test/scale/run.ts
+++ b/test/scale/run.ts
@@ -10,7 +10,7 @@
 import type { Socket } from 'node:net';
 import { feeding } from '../../src/dataplane/feed.js';
 import { follow, type Follower } from '../../src/dataplane/follow.js';
-import type { Assigned, Passage, Site } from '../../src/dataplane/types.js';
+import type { Assigned, RequestContext, Site } from '../../src/dataplane/types.js';
 import { ringLog } from '../../src/logging/ring.js';
 import { siteProgram } from '../../src/programs/site.js';
 import { tuning } from '../../src/protocol/settings/tuning.js';
@@ -101,7 +101,7 @@
   if (isLong) {
     const part = { id: (0x1000 + luck.below(l, 400)).toString(16), tokens: 13_000 };
     h.site.sent(
-      { parts: [part, { id: 'ff', tokens: 2000 }] } as unknown as Passage,
+      { parts: [part, { id: 'ff', tokens: 2000 }] } as unknown as RequestContext,
       { slot, salt: identity.salt({ wall: 'all', model, revision: 1 }) } as unknown as Assigned,
     );
   }
--- /dev/null
+++ b/test/standins/router.ts
@@ -0,0 +1,314 @@
+/**
+ * A router in this process, over loopback, between one client and scripted runners: the k-th call that
+ * arrives at any runner under an attempt id takes the k-th step of that id's script, byte for byte. Nothing of
+ * the control side runs; the router is given its table and its runners by hand.
+ */
+import { request, type IncomingHttpHeaders, type Server } from 'node:http';
+import { createServer, type Server as TcpServer, type Socket } from 'node:net';
+import { front } from '../../src/dataplane/front.js';
+import type { Site } from '../../src/dataplane/types.js';
+import { ringLog } from '../../src/logging/ring.js';
+import { siteProgram } from '../../src/programs/site.js';
+import { tuning } from '../../src/protocol/settings/tuning.js';
+import { routes } from '../../src/state/control/routes.js';
+import { fleet } from '../../src/state/runners/fleet.js';
+import type { Route, Settings } from '../../src/types.js';
+
+/** One request as a runner read it. `order` counts the calls on its connection from 0. */
+export type Call = {
+  attemptId: string;
+  runner: string;
+  method: string;
+  path: string;
+  body: string;
+  lastEventId: string | undefined;
+  connection: number;
+  order: number;
+};
+
+/** What a runner does with a call: whatever it writes to the socket. */
+export type ScriptStep = (call: Call, socket: Socket) => void;
+
+/** What the client got: `isWhole` is false when the connection ended before the answer did. */
+export type ClientResult = { status: number; headers: IncomingHttpHeaders; body: string; isWhole: boolean };
+
+export type RouterWorld = {
+  net: number;
+  site: Site;
+  server: Server;
+  runners: TcpServer[];
+  sockets: Set<Socket>;
+  connections: number;
+  scripts: Map<string, ScriptStep[]>;
+  calls: Call[];
+};
+
+const runnerPort = 7000;
+const frontPort = 7001;
+const headEnd = '\r\n\r\n';
+
+function route(label: string, over: Partial<Route>): Route {
+  return {
+    label,
+    hostname: 'a.example',
+    path_prefix: `/${label}/`,
+    variant: 'idempotent',
+    deadline_ms: 2000,
+    target_ms: 300,
+    target: 'pool',
+    tries: 3,
+    ...over,
+  };
+}
+
+const table = routes.build({
+  revision: 1,
+  route_list: [
+    route('repeat', {}),
+    route('once', { variant: 'non_idempotent' }),
+    route('resume', { variant: 'streaming', resumable: true }),
+    route('stream', { variant: 'streaming' }),
+  ],
+  service_list: [{ label: 'pool', max_conns: 90, engine_kind: { slot_count: 8, kv_capacity: 100_000 } }],
+});
+
+function settings(): Settings {
+  return {
+    node_name: 'edge-1',
+    zone_name: 'z',
+    zones: { z: 'r' },
+    bound_set: { retry_window_s: 10, retry_ratio: 0.2, retry_slack: 1000, version_ms: 8000 },
+  } as unknown as Settings;
+}
+
+function headerOf(head: string, name: string): string | undefined {
+  return new RegExp(`^${name}: *([^\\r]*)`, 'im').exec(head)?.[1];
+}
+
+function readCall(world: RouterWorld, runner: string, socket: Socket): void {
+  const connection = ++world.connections;
+  let order = 0;
+  let buffered = '';
+  world.sockets.add(socket);
+  socket.on('error', function ignore() {
+    /* told by close */
+  });
+  socket.on('data', function more(bytes) {
+    buffered += bytes.toString('latin1');
+    for (;;) {
+      const headLength = buffered.indexOf(headEnd);
+      if (headLength < 0) return;
+      const head = buffered.slice(0, headLength);
+      const end = headLength + headEnd.length + Number(headerOf(head, 'content-length') ?? 0);
+      if (buffered.length < end) return;
+      const [method, path] = head.split(' ') as [string, string];
+      const call: Call = {
+        attemptId: headerOf(head, 'x-attempt-id') ?? '',
+        runner,
+        method,
+        path,
+        body: buffered.slice(headLength + headEnd.length, end),
+        lastEventId: headerOf(head, 'last-event-id'),
+        connection,
+        order: order++,
+      };
+      buffered = buffered.slice(end);
+      const earlier = world.calls.filter(function same(other) {
+        return other.attemptId === call.attemptId;
+      }).length;
+      world.calls.push(call);
+      (world.scripts.get(call.attemptId)?.[earlier] ?? steps.whole('fine'))(call, socket);
+    }
+  });
+}
+
+function listen(server: TcpServer | Server, host: string, port: number): Promise<void> {
+  return new Promise(function run(done) {
+    server.listen(port, host, done);
+  });
+}
+
+/** Starts a router at 127.78.`net`.1 and `count` runners behind it. */
+async function create(net: number, count: number): Promise<RouterWorld> {
+  const site = siteProgram.create(settings(), ringLog.create('test', 'edge-1'), tuning.defaults);
+  const world: RouterWorld = {
+    net,
+    site,
+    server: front.create(site),
+    runners: [],
+    sockets: new Set(),
+    connections: 0,
+    scripts: new Map(),
+    calls: [],
+  };
+  const list = [];
+  for (let n = 0; n < count; n++) {
+    const host = `127.78.${net}.${10 + n}`;
+    const id = `runner-${n}`;
+    const runner = createServer(function connected(socket) {
+      readCall(world, id, socket);
+    });
+    await listen(runner, host, runnerPort);
+    world.runners.push(runner);
+    list.push({
+      id,
+      service: 'pool',
+      addr: `${host}:${runnerPort}`,
+      zone: 'z',
+      slots: 8,
+      draining: false,
+      parked: false,
+      models: [],
+    });
+  }
+  site.table = table;
+  site.board = { term: 1, seq: 1, runners: list, sites: 1 };
+  fleet.take(site.fleet, list);
+  fleet.capAll(site.fleet, table, 1);
+  await listen(world.server, `127.78.${net}.1`, frontPort);
+  return world;
+}
+
+async function stop(world: RouterWorld): Promise<void> {
+  for (const slot of world.site.fleet.byId.values()) slot.agent.destroy();
+  for (const socket of world.sockets) socket.destroy();
+  world.server.closeAllConnections();
+  await Promise.all(
+    [world.server, ...world.runners].map(function closed(server) {
+      return new Promise(function run(done) {
+        server.close(done);
+      });
+    }),
+  );
+}
+
+/** What earlier requests met is forgotten, so that each finds all runners healthy. */
+function heal(world: RouterWorld): void {
+  for (const slot of world.site.fleet.byId.values()) fleet.turn(slot, 'healthy', performance.now());
+}
+
+/** Sends one request of the client on a new connection and waits for its end, whichever that is. */
+function send(
+  world: RouterWorld,
+  path: string,
+  attemptId: string,
+  script: ScriptStep[],
+  headers: Record<string, string> = {},
+): Promise<ClientResult> {
+  heal(world);
+  world.scripts.set(attemptId, script);
+  return new Promise(function run(done) {
+    const got: ClientResult = { status: 0, headers: {}, body: '', isWhole: false };
+    const call = request({
+      host: `127.78.${world.net}.1`,
+      port: frontPort,
+      agent: false,
+      method: 'POST',
+      path,
+      headers: { Host: 'a.example', 'X-Attempt-Id': attemptId, 'Content-Length': '4', ...headers },
+    });
+    call.on('response', function head(answer) {
+      got.status = answer.statusCode ?? 0;
+      got.headers = answer.headers;
+      answer.on('data', function more(bytes) {
+        got.body += String(bytes);
+      });
+      answer.on('error', function ignore() {
+        /* told by close */
+      });
+      answer.on('close', function over() {
+        got.isWhole = answer.complete;
+        done(got);
+      });
+    });
+    call.on('error', function broken() {
+      if (got.status === 0) done(got);
+    });
+    call.end('body');
+  });
+}
+
+/** The calls that arrived at runners under an attempt id. */
+function callsOf(world: RouterWorld, attemptId: string): Call[] {
+  return world.calls.filter(function same(call) {
+    return call.attemptId === attemptId;
+  });
+}
+
+function head(call: Call, status: string, fields: Record<string, string> = {}): string {
+  const all: Record<string, string> = {
+    'X-Attempt-Id': call.attemptId,
+    'X-Server-Seal': `seal of ${call.runner}`,
+    ...fields,
+  };
+  const lines = Object.entries(all)
+    .filter(function set([, value]) {
+      return value !== '';
+    })
+    .map(function line([name, value]) {
+      return `${name}: ${value}\r\n`;
+    });
+  return `HTTP/1.1 ${status}\r\n${lines.join('')}\r\n`;
+}
+
+function chunk(text: string): string {
+  return `${text.length.toString(16)}\r\n${text}\r\n`;
+}
+
+/** Events with rising ids from `first` to `last`. */
+function events(first: number, last: number): string {
+  let text = '';
+  for (let id = first; id <= last; id++) text += `id: ${id}\ndata: piece ${id}\n\n`;
+  return text;
+}
+
+const eventHead = { 'Content-Type': 'text/event-stream', 'Transfer-Encoding': 'chunked' };
+
+function whole(body: string, status = '200 OK', fields: Record<string, string> = {}): ScriptStep {
+  return function answer(call, socket) {
+    socket.write(head(call, status, { 'Content-Length': String(body.length), ...fields }) + body);
+  };
+}
+
+/** A head that promises `length` bytes, fewer bytes than that, and the end of the connection. */
+function cutWithLength(part: string, length: number, status = '200 OK'): ScriptStep {
+  return function answer(call, socket) {
+    socket.end(head(call, status, { 'Content-Length': String(length) }) + part);
+  };
+}
+
+function cutInChunks(part: string, fields: Record<string, string> = {}): ScriptStep {
+  return function answer(call, socket) {
+    socket.end(head(call, '200 OK', { 'Transfer-Encoding': 'chunked', ...fields }) + chunk(part));
+  };
+}
+
+function stream(text: string, fields: Record<string, string> = {}): ScriptStep {
+  return function answer(call, socket) {
+    socket.write(`${head(call, '200 OK', { ...eventHead, ...fields })}${chunk(text)}0\r\n\r\n`);
+  };
+}
+
+/** Some events and a torn one, then the end of the connection. */
+function cutStream(text: string): ScriptStep {
+  return cutInChunks(text, eventHead);
+}
+
+/** Bytes as they are, with `{id}` replaced by the attempt id. */
+function bytes(text: string): ScriptStep {
+  return function answer(call, socket) {
+    socket.write(text.replaceAll('{id}', call.attemptId));
+  };
+}
+
+function reset(_call: Call, socket: Socket): void {
+  socket.resetAndDestroy();
+}
+
+function silence(): void {
+  /* no answer */
+}
+
+const steps = { whole, cutWithLength, cutInChunks, stream, cutStream, bytes, reset, silence };
+
+export const routerStandin = { create, stop, send, callsOf, steps, events };
--- a/test/state.test.ts
+++ b/test/state.test.ts
@@ -1,5 +1,5 @@
 // State kept and state derived: the log on disk against torn, missing and doubled writes, the judge of
-// operator calls, the index of kept parts, the budget of further legs, routes and the cut of streams.
+// operator calls, the index of kept parts, the budget of further attempts, routes and the cut of streams.
 import { strict as assert } from 'node:assert';
 import {
   appendFileSync,
