--- a/src/dataplane/policies/deliver.ts
+++ b/src/dataplane/policies/deliver.ts
@@ -16,12 +16,19 @@
 /** The part of its aim for which a request waits for a runner, and the shortest such wait in ms. */
 const queueShare = 0.23;
 const shortestQueueMs = 20;
+/** A request with less time left than this, in ms, is out of time; timers may fire that much early. */
+const leastLeftMs = 2;
 /** What a rejected client is told to wait, in ms. */
 const retryAfterMs = 60;
 
+function isOutOfTime(context: RequestContext, now: number): boolean {
+  return context.deadlineAt - now < leastLeftMs;
+}
+
 function unclear(context: RequestContext, now: number): Step {
-  const answer =
-    now >= context.deadlineAt ? answers.plain(504, 'out of time') : answers.plain(502, 'the runner did not finish');
+  const answer = isOutOfTime(context, now)
+    ? answers.plain(504, 'out of time')
+    : answers.plain(502, 'the runner did not finish');
   return { kind: 'answer', answer };
 }
 
@@ -39,7 +46,7 @@
 }
 
 function mayTry(site: Site, context: RequestContext, now: number): boolean {
-  if (context.isGone || now >= context.deadlineAt) return false;
+  if (context.isGone || isOutOfTime(context, now)) return false;
   if (!fates.mayRetry(context.fate, context.terms, context.client.given)) return false;
   return context.fate.sent === 0 || budget.take(site.budget, now, site.board.sites);
 }
--- /dev/null
+++ b/test/kept-connections.test.ts
@@ -0,0 +1,128 @@
+/**
+ * Kept connections to one runner that misbehaves on them: what is left of an earlier request never becomes the
+ * answer to a later one, and a request of unknown fate is not sent again.
+ */
+import { strict as assert } from 'node:assert';
+import { after, before, test } from 'node:test';
+import { routerStandin as router, type Call, type RouterWorld } from './standins/router.js';
+
+const { steps } = router;
+const lateAnswer = 'HTTP/1.1 200 OK\r\nX-Attempt-Id: earlier\r\nX-Server-Seal: s\r\nContent-Length: 5\r\n\r\nextra';
+let world: RouterWorld;
+let lastId = 0;
+
+before(async function up() {
+  world = await router.create(2, 1);
+});
+
+after(function down() {
+  return router.stop(world);
+});
+
+function nextId(): string {
+  return `kept-${++lastId}`;
+}
+
+function callOf(id: string): Call {
+  return router.callsOf(world, id)[0]!;
+}
+
+async function warm(): Promise<Call> {
+  const id = nextId();
+  const result = await router.send(world, '/once/x', id, [steps.whole('warm')]);
+  assert.deepEqual([result.status, result.body], [200, 'warm']);
+  return callOf(id);
+}
+
+test('a late answer in the slot of the next one is neither an answer nor a promise', async function run() {
+  const lates = [
+    lateAnswer,
+    'HTTP/1.1 503 Busy\r\nX-Attempt-Id: earlier\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n',
+    'HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n',
+    'HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n',
+  ];
+  for (const late of lates) {
+    const first = await warm();
+    const id = nextId();
+    const result = await router.send(world, '/once/x', id, [
+      function lateFirst(call, socket) {
+        socket.write(late);
+        steps.whole('own answer')(call, socket);
+      },
+    ]);
+    assert.equal(callOf(id).connection, first.connection, 'it went on the kept connection');
+    assert.equal(router.callsOf(world, id).length, 1);
+    assert.equal(result.status, 502, late);
+    const next = nextId();
+    const after = await router.send(world, '/once/x', next, [steps.whole('next')]);
+    assert.deepEqual([after.status, after.body], [200, 'next']);
+    assert.notEqual(callOf(next).connection, first.connection, 'that connection is not used again');
+  }
+});
+
+test('a second answer behind a whole one ends the connection and reaches nobody', async function run() {
+  const id = nextId();
+  const result = await router.send(world, '/once/x', id, [
+    function twice(call, socket) {
+      socket.write(`${router.head(call, '200 OK', { 'Content-Length': '10' })}own answer${lateAnswer}`);
+    },
+  ]);
+  assert.deepEqual([result.status, result.body, result.isWhole], [200, 'own answer', true]);
+  const next = nextId();
+  const after = await router.send(world, '/once/x', next, [steps.whole('next')]);
+  assert.deepEqual([after.status, after.body], [200, 'next']);
+  assert.notEqual(callOf(next).connection, callOf(id).connection);
+});
+
+test('bytes on a kept connection while nothing is asked of it end it', async function run() {
+  const first = await warm();
+  const closed = new Promise(function run(done) {
+    for (const socket of world.sockets) if (!socket.destroyed) socket.once('close', done);
+  });
+  for (const socket of world.sockets) if (!socket.destroyed) socket.write(lateAnswer);
+  await closed;
+  const second = await warm();
+  assert.notEqual(second.connection, first.connection);
+});
+
+test('a reset as a kept connection is used again: what may run once is not sent again', async function run() {
+  const first = await warm();
+  const id = nextId();
+  const result = await router.send(world, '/once/x', id, [steps.reset, steps.whole('second run')]);
+  assert.equal(callOf(id).connection, first.connection);
+  assert.equal(router.callsOf(world, id).length, 1);
+  assert.ok(result.status === 502 || result.status === 0);
+});
+
+test('asked again under the same id, a runner is asked on another connection', async function run() {
+  const away = steps.whole('', '421 Misdirected Request', { 'X-Server-Seal': '' });
+  const id = nextId();
+  const result = await router.send(
+    world,
+    '/once/x',
+    id,
+    [
+      away,
+      function afterDoubledRefusal(call, socket) {
+        if (call.order > 0) away(call, socket);
+        steps.whole('own answer')(call, socket);
+      },
+      steps.whole('second run'),
+    ],
+    { 'X-Model': router.model },
+  );
+  const [first, second] = router.callsOf(world, id);
+  assert.notEqual(first!.connection, second!.connection);
+  assert.equal(router.callsOf(world, id).length, 2);
+  assert.deepEqual([result.status, result.body], [200, 'own answer']);
+});
+
+test('a runner that takes no connection has not run anything', async function run() {
+  const { agent } = [...world.site.fleet.byId.values()][0]!;
+  agent.destroy();
+  world.runners[0]!.close();
+  for (const socket of world.sockets) socket.destroy();
+  const id = nextId();
+  const result = await router.send(world, '/once/x', id, []);
+  assert.deepEqual([result.status, router.callsOf(world, id).length], [503, 0]);
+});
--- a/test/standins/router.ts
+++ b/test/standins/router.ts
@@ -43,6 +43,8 @@
   calls: Call[];
 };
 
+/** The model whose weights the runners are listed with, at revision 1. */
+const model = 'm';
 const runnerPort = 7000;
 const frontPort = 7001;
 const headEnd = '\r\n\r\n';
@@ -90,6 +92,7 @@
   let order = 0;
   let buffered = '';
   world.sockets.add(socket);
+  socket.setNoDelay(true);
   socket.on('error', function ignore() {
     /* told by close */
   });
@@ -158,10 +161,11 @@
       slots: 8,
       draining: false,
       parked: false,
-      models: [],
+      models: [{ label: model, revision: 1 }],
     });
   }
   site.table = table;
+  site.weights = { [model]: 1 };
   site.board = { term: 1, seq: 1, runners: list, sites: 1 };
   fleet.take(site.fleet, list);
   fleet.capAll(site.fleet, table, 1);
@@ -311,4 +315,4 @@
 
 const steps = { whole, cutWithLength, cutInChunks, stream, cutStream, bytes, reset, silence };
 
-export const routerStandin = { create, stop, send, callsOf, steps, events };
+export const routerStandin = { create, stop, send, callsOf, steps, events, head, model };
