--- a/test/inner.test.ts
+++ b/test/inner.test.ts
@@ -47,10 +47,14 @@
 };
 const board = { term: 3, seq: 9, runners: [runner], sites: 2 };
 const route = { label: 'r', hostname: 'h', path_prefix: '/', variant: 'streaming' as const, deadline_ms: 100 };
-const boardRequest: BoardRequest = { board, term: 3, echo: 7 };
+const boardRequest: BoardRequest = {
+  board,
+  progress: { term: 3, revision: 4, weightsSeq: 1, rulesSeq: 0 },
+  lastReply: 7,
+};
 const boardReply: BoardReply = {
-  have: [3, 9],
-  no: 8,
+  has: [3, 9],
+  replyNumber: 8,
   revision: 4,
   sessions: [{ site: 'e-1', life: 'x', seenAt: 12.5, revision: 4 }],
 };
@@ -63,6 +67,7 @@
   rules: 1,
   hold: 600,
   whole: false,
+  acceptsStale: false,
 };
 const newsReply: NewsReply = {
   configuration: {
@@ -124,12 +129,12 @@
 };
 const statusReply: StatusReply = {
   node: 'core-1',
-  phase: 'leader',
+  role: 'leader',
   term: 3,
   leader: 'a',
   sure: true,
   acts: true,
-  roster: [{ id: 'a', control: '10.0.0.1:80', heardMs: 0, match: 4 }],
+  voters: [{ id: 'a', control: '10.0.0.1:80', heardMs: 0, match: 4 }],
   committed: 4,
   disk: 'takes',
   configuration: 5,
@@ -936,7 +941,7 @@
   await withServer(allHandlers(handled), async function run(_server, network, address) {
     const link = await slowLink(address, 128 * 1024, 40);
     const body = new Uint8Array(3 * 1024 * 1024);
-    const order = { method: 'PUT', path: '/v1/config', match: null, body };
+    const order = { id: 'c-1', method: 'PUT', path: '/v1/config', match: null, body };
     try {
       const bulk = await endpoint.call(network, link.address, operatorEndpoint, order, { timeoutMs: idleTimeoutMs });
       assert.equal(kindOf(bulk), 'ok');
