The group behind a port: core.ts alone knows the driver

Cause: the control plane's modules read the driver's machine in many places, so no test could run them on another group.

--- a/src/controlplane/board.ts
+++ b/src/controlplane/board.ts
@@ -3,13 +3,11 @@
  * are ordered by (term, seq); an older one never replaces a newer one. Term 0 is for provisional boards,
  * which any leader's board replaces (`runners.ts`).
  */
-import { replica } from '../coordination/consensus/driver.js';
 import { boardHistory } from '../state/history/boards.js';
 import { control } from '../state/control/reducer.js';
 import type { Board } from '../types.js';
 import { freshness } from './freshness.js';
 import { inner } from './inner.js';
-import { members } from './members.js';
 import type { Coordinator, LeaderProgress, Session } from './parts.js';
 import { sessions } from './sessions.js';
 
@@ -49,7 +47,7 @@
 
 /** Changes the board; only the leader does, and the others are told at once. */
 function change(c: Coordinator, part: Partial<Board>): void {
-  const term = members.term(c);
+  const term = c.core.term();
   const seq = c.board.term === term ? c.board.seq + 1 : 1;
   c.board = { ...c.board, ...part, term, seq };
   boardHistory.take(c.boardHistory, c.board);
@@ -72,8 +70,8 @@
 }
 
 function tellAll(c: Coordinator, onlyIfNewer: boolean): void {
-  if (!replica.isLeader(c.replica)) return;
-  for (const peer of members.peers(c)) void tell(c, peer.id, peer.address, onlyIfNewer);
+  if (!c.core.isLeader()) return;
+  for (const peer of c.core.peers()) void tell(c, peer.id, peer.address, onlyIfNewer);
 }
 
 async function tell(c: Coordinator, id: string, address: string, onlyIfNewer: boolean): Promise<void> {
@@ -110,7 +108,7 @@
 
 function noteHeard(c: Coordinator, call: BoardCall): void {
   const { reply } = c;
-  if (call.progress.term >= members.term(c))
+  if (call.progress.term >= c.core.term())
     reply.heardUpTo = Math.max(reply.heardUpTo, reply.sentAt.get(call.lastReply) ?? -Infinity);
   for (const number of reply.sentAt.keys()) if (number < call.lastReply) reply.sentAt.delete(number);
 }
@@ -134,13 +132,13 @@
   return {
     has: [c.board.term, c.board.seq],
     replyNumber: reply.number,
-    revision: control.revision(c.replica.state),
+    revision: control.revision(c.core.state()),
     sessions: list,
   };
 }
 
 function start(c: Coordinator): void {
-  members.onRoleChanged(c, function elected() {
+  c.core.onRoleChanged(function elected() {
     tellAll(c, false);
   });
   c.runtime.clock.every(refreshMs, function refresh() {
--- a/src/controlplane/feed.ts
+++ b/src/controlplane/feed.ts
@@ -1,12 +1,12 @@
-// Drives the exchange between sites and the leader: a site tells its load, what it sent where, what
-// it met and its counts; it is told the load of the others, who is unhealthy, what is kept where, and
-// the hot set. All of it is advisory: a site without it chooses by what it knows itself.
-import { replica } from '../coordination/consensus/driver.js';
+/**
+ * Drives the exchange between sites and the leader: a site tells its load, what it sent where, what
+ * it met and its counts; it is told the load of the others, who is unhealthy, what is kept where, and
+ * the hot set. All of it is advisory: a site without it chooses by what it knows itself.
+ */
 import { exchange, type Exchange } from '../coordination/exchange/machine.js';
 import type { Bench } from '../coordination/health/jury.js';
 import type { FeedAnswer, FeedCall } from '../types.js';
 import type { Coordinator } from './parts.js';
-import { members } from './members.js';
 import { sessions } from './sessions.js';
 
 const trackMs = 100;
@@ -18,7 +18,7 @@
 
 function state(c: Coordinator): FeedState {
   let s = states.get(c);
-  const term = members.term(c);
+  const term = c.core.term();
   if (!s || s.term !== term) {
     for (const w of s?.waiters ?? []) w.answer();
     s = { ...exchange.create(term, c.tuning, sessions.count(c)), waiters: new Set() };
@@ -27,8 +27,7 @@
   return s;
 }
 
-// Answers all who wait for what is there now; run once per beat, so that however many sites report,
-// each is answered at most once a beat.
+/** Answers all who wait for what is there now; run once an interval, so that each site is answered at most once in it. */
 function wake(s: FeedState): void {
   for (const w of [...s.waiters]) {
     if (!exchange.due(s, w.call)) continue;
@@ -38,28 +37,28 @@
 }
 
 function call(c: Coordinator, f: FeedCall): Promise<FeedAnswer> | FeedAnswer | null {
-  if (!replica.isLeader(c.replica)) return null;
+  if (!c.core.isLeader()) return null;
   const s = state(c);
-  const known = exchange.take(s, f, performance.now());
+  const known = exchange.take(s, f, c.runtime.clock.now());
   if (f.hold === 0 || f.since[0] !== s.term) return exchange.answerOf(s, f, known);
   return new Promise(function run(done) {
     const w: Waiter = {
       call: f,
       answer: function answer() {
-        clearTimeout(timer);
+        timer.cancel();
         done(exchange.answerOf(s, f, known));
       },
     };
-    const timer = setTimeout(function over() {
+    const timer = c.runtime.clock.after(f.hold, function over() {
       s.waiters.delete(w);
       w.answer();
-    }, f.hold);
+    });
     s.waiters.add(w);
   });
 }
 
 function track(c: Coordinator): void {
-  if (!replica.isLeader(c.replica)) {
+  if (!c.core.isLeader()) {
     const s = states.get(c);
     if (s) for (const w of s.waiters) w.answer();
     states.delete(c);
@@ -67,12 +66,12 @@
   }
   exchange.track(
     state(c),
-    { k: sessions.count(c), live: new Set(sessions.all(c).values()), weights: c.replica.state.weights },
-    performance.now(),
+    { k: sessions.count(c), live: new Set(sessions.all(c).values()), weights: c.core.state().weights },
+    c.runtime.clock.now(),
   );
 }
 
-// Whom the jury judges, and who may try an unhealthy runner.
+/** Whom the jury judges, and who may try an unhealthy runner. */
 function benchOf(c: Coordinator, s: FeedState): Bench {
   const serving = (c.board.runners ?? []).filter(function serves(r) {
     return !r.draining;
@@ -89,20 +88,20 @@
 
 function turn(c: Coordinator): void {
   const s = states.get(c);
-  if (s && replica.isLeader(c.replica) && s.term === members.term(c)) {
-    exchange.beat(s, benchOf(c, s), performance.now());
+  if (s && c.core.isLeader() && s.term === c.core.term()) {
+    exchange.beat(s, benchOf(c, s), c.runtime.clock.now());
     wake(s);
   }
-  setTimeout(function next() {
+  c.runtime.clock.after(s?.beatMs ?? trackMs, function next() {
     turn(c);
-  }, s?.beatMs ?? trackMs);
+  });
 }
 
-function start(c: Coordinator): NodeJS.Timeout {
+function start(c: Coordinator): void {
   turn(c);
-  return setInterval(function tick() {
+  c.runtime.clock.every(trackMs, function tick() {
     track(c);
-  }, trackMs);
+  });
 }
 
 export const feed = { call, start, state };
--- a/src/controlplane/freshness.ts
+++ b/src/controlplane/freshness.ts
@@ -6,18 +6,16 @@
  * is elected and then with every call of the board, so a follower can't lag unnoticed by more than
  * their interval (`board.ts`).
  */
-import { replica } from '../coordination/consensus/driver.js';
 import { control } from '../state/control/reducer.js';
-import { members } from './members.js';
 import type { Coordinator, LeaderProgress } from './parts.js';
 
 /** A coordinator may pass on the leave to honour access rules for this long after the leader heard it. */
 export const witnessMs = 1500;
 
 function progress(c: Coordinator): LeaderProgress {
-  const { state } = c.replica;
+  const state = c.core.state();
   return {
-    term: members.term(c),
+    term: c.core.term(),
     revision: control.revision(state),
     weightsSeq: state.weightsSeq,
     rulesSeq: state.rules.seq,
@@ -50,12 +48,12 @@
 
 /** Whether a leader is in touch: this coordinator itself with a running lease, or one that it hears. */
 function hasLeader(c: Coordinator): boolean {
-  return replica.isFresh(c.replica);
+  return c.core.isFresh();
 }
 
 function isUpToDate(c: Coordinator): boolean {
-  if (c.isStopping || !replica.isFresh(c.replica)) return false;
-  return replica.isLeader(c.replica) || hasCaughtUp(c);
+  if (c.isStopping || !c.core.isFresh()) return false;
+  return c.core.isLeader() || hasCaughtUp(c);
 }
 
 /**
@@ -63,8 +61,8 @@
  * runs, another while the leader is known to have heard it lately.
  */
 function hasLeave(c: Coordinator): boolean {
-  if (!replica.isFresh(c.replica)) return false;
-  return replica.isLeader(c.replica) || c.runtime.clock.now() - c.reply.heardUpTo < witnessMs;
+  if (!c.core.isFresh()) return false;
+  return c.core.isLeader() || c.runtime.clock.now() - c.reply.heardUpTo < witnessMs;
 }
 
 export const freshness = { progress, takeProgress, hasLeader, isUpToDate, hasLeave };
--- a/src/controlplane/kept.ts
+++ b/src/controlplane/kept.ts
@@ -1,25 +1,25 @@
-// Asks every engine and store for its events, as the leader, with long waits that need no slot,
-// and keeps the index up to date. A gap is repaired from the place's list.
-import { replica } from '../coordination/consensus/driver.js';
+/**
+ * Asks every engine and store for its events, as the leader, with long waits that need no slot,
+ * and keeps the index up to date. A gap is repaired from the place's list.
+ */
 import { calls } from '../protocol/calls/pairs.js';
 import { ringLog } from '../logging/ring.js';
 import { keptIndex } from '../state/index/kept.js';
 import { feed } from './feed.js';
 import type { Coordinator } from './parts.js';
-import { members } from './members.js';
 import { runners } from './runners.js';
 
 const waitMs = 1000;
 const gapMs = 250;
 const slackMs = 500;
 const failedMs = 600;
-const beatMs = 200;
+const lookMs = 200;
 export const storeName = 'store';
 
 type Place = { name: string; addr: string };
 
 function places(c: Coordinator): Place[] {
-  const services = c.replica.state.configuration?.service_list ?? [];
+  const services = c.core.state().configuration?.service_list ?? [];
   const out: Place[] = [];
   for (const s of services)
     if (s.kv_store_addr !== undefined && out.length === 0) out.push({ name: storeName, addr: s.kv_store_addr });
@@ -36,25 +36,25 @@
   return out;
 }
 
-function pause(ms: number): Promise<void> {
+function pause(c: Coordinator, ms: number): Promise<void> {
   return new Promise(function wait(done) {
-    setTimeout(done, ms);
+    c.runtime.clock.after(ms, done);
   });
 }
 
 async function follow(c: Coordinator, p: Place, term: number, open: Map<string, string>): Promise<void> {
-  while (replica.isLeader(c.replica) && members.term(c) === term && open.get(p.name) === p.addr) {
-    const from = performance.now();
+  while (c.core.isLeader() && c.core.term() === term && open.get(p.name) === p.addr) {
+    const from = c.runtime.clock.now();
     const s = feed.state(c);
     const at = keptIndex.placeOf(s.index, p.name);
     const r = await calls.send(c.agent, p.addr, calls.events(at.next, waitMs), waitMs + slackMs);
     if (!r.ok) {
-      await pause(failedMs);
+      await pause(c, failedMs);
       continue;
     }
     if (feed.state(c) !== s) break;
-    if (keptIndex.events(s.index, p.name, r.value, performance.now())) await repair(c, p);
-    await pause(Math.max(0, gapMs - (performance.now() - from)));
+    if (keptIndex.events(s.index, p.name, r.value, c.runtime.clock.now())) await repair(c, p);
+    await pause(c, Math.max(0, gapMs - (c.runtime.clock.now() - from)));
   }
   if (open.get(p.name) === p.addr) open.delete(p.name);
 }
@@ -63,13 +63,13 @@
   const s = feed.state(c);
   const r = await calls.send(c.agent, p.addr, calls.keptList(), waitMs);
   ringLog.note(c.log, { place: p.name, ok: r.ok }, 'asked for all that is kept');
-  if (r.ok && feed.state(c) === s) keptIndex.list(s.index, p.name, r.value, performance.now());
+  if (r.ok && feed.state(c) === s) keptIndex.list(s.index, p.name, r.value, c.runtime.clock.now());
 }
 
-function start(c: Coordinator): NodeJS.Timeout {
+function start(c: Coordinator): void {
   const open = new Map<string, string>();
-  return setInterval(function look() {
-    if (!replica.isLeader(c.replica)) {
+  c.runtime.clock.every(lookMs, function look() {
+    if (!c.core.isLeader()) {
       open.clear();
       return;
     }
@@ -88,9 +88,9 @@
     for (const p of now) {
       if (open.get(p.name) === p.addr) continue;
       open.set(p.name, p.addr);
-      void follow(c, p, members.term(c), open);
+      void follow(c, p, c.core.term(), open);
     }
-  }, beatMs);
+  });
 }
 
 export const kept = { start };
--- a/src/controlplane/news.ts
+++ b/src/controlplane/news.ts
@@ -7,11 +7,9 @@
 import { boardHistory } from '../state/history/boards.js';
 import { configurationHistory, type ConfigurationDelta } from '../state/history/configurations.js';
 import { control } from '../state/control/reducer.js';
-import { replica } from '../coordination/consensus/driver.js';
 import type { Board, NewsAnswer, NewsCall } from '../types.js';
 import { boards } from './board.js';
 import { freshness } from './freshness.js';
-import { members } from './members.js';
 import { runners } from './runners.js';
 import { sessions } from './sessions.js';
 import type { Coordinator, Waiter } from './parts.js';
@@ -40,7 +38,7 @@
 }
 
 function hasNews(c: Coordinator, call: NewsCall): boolean {
-  const { state } = c.replica;
+  const state = c.core.state();
   const lacksAnyBoard = call.board[0] === 0 && call.board[1] === 0;
   return (
     call.whole ||
@@ -63,12 +61,12 @@
 }
 
 function deltaFor(c: Coordinator, call: NewsCall): ConfigurationDelta | null {
-  if (call.whole || c.configurations.current !== c.replica.state.configuration) return null;
+  if (call.whole || c.configurations.current !== c.core.state().configuration) return null;
   return configurationHistory.since(c.configurations, call.revision);
 }
 
 function configurationNews(c: Coordinator, call: NewsCall): ConfigurationNews {
-  const { configuration } = c.replica.state;
+  const { configuration } = c.core.state();
   const isBehind = (configuration?.revision ?? 0) > call.revision || call.whole;
   if (configuration === null || !isBehind) return { configuration: null, configurationDelta: null };
   const configurationDelta = deltaFor(c, call);
@@ -86,11 +84,11 @@
 const nothing = { configuration: null, configurationDelta: null, weights: null, rules: null, board: null };
 
 function answerOf(c: Coordinator, call: NewsCall): NewsAnswer {
-  const { state } = c.replica;
+  const state = c.core.state();
   const common = {
     weightsSeq: state.weightsSeq,
-    leader: replica.leaderAddress(c.replica),
-    coordinators: members.addresses(c),
+    leader: c.core.leaderAddress(),
+    coordinators: c.core.addresses(),
     fresh: freshness.isUpToDate(c),
     leave: !c.isStopping && freshness.hasLeave(c),
   };
--- a/src/controlplane/operator.ts
+++ b/src/controlplane/operator.ts
@@ -9,14 +9,13 @@
  * replicated state. So no copy of an order is refused while another one may yet be taken.
  */
 import { Mutex } from 'async-mutex';
-import { replica, type ProposalResult } from '../coordination/consensus/driver.js';
+import type { ProposalResult } from './core.js';
 import { judge, type Verdict } from '../state/control/judge.js';
 import { orders } from '../state/control/orders.js';
 import type { ApplyOutcome, Command } from '../state/control/reducer.js';
 import { ringLog } from '../logging/ring.js';
 import type { Finding, OperatorAnswer, OperatorCall } from '../types.js';
 import { inner } from './inner.js';
-import { members } from './members.js';
 import type { Coordinator } from './parts.js';
 
 /** Callers go on to another node after a second of silence; by then they have an answer, clear or not. */
@@ -94,13 +93,13 @@
 }
 
 async function read(c: Coordinator): Promise<OperatorAnswer> {
-  if (!(await replica.confirmLeadership(c.replica, confirmWithinMs))) return unclear;
-  const { configuration } = c.replica.state;
+  if (!(await c.core.confirmLeadership(confirmWithinMs))) return unclear;
+  const { configuration } = c.core.state();
   return configuration ? answer(200, configuration) : answer(404, { message: 'there is no configuration yet' });
 }
 
 async function propose(c: Coordinator, call: OperatorCall, command: Command): Promise<ProposalResult> {
-  const result = await within<ProposalResult>(c, proposalWithinMs, replica.propose(c.replica, command), {
+  const result = await within<ProposalResult>(c, proposalWithinMs, c.core.propose(command), {
     kind: 'unknown',
   });
   const outcome = result.kind === 'applied' ? result.outcome.kind : result.kind;
@@ -127,8 +126,8 @@
 
 async function decideOrder(c: Coordinator, call: OperatorCall): Promise<OperatorAnswer> {
   for (let judgement = 0; judgement < mostJudgements; judgement++) {
-    if (!(await replica.confirmLeadership(c.replica, confirmWithinMs))) return unclear;
-    const verdict = judge.order(c.replica.state, call);
+    if (!(await c.core.confirmLeadership(confirmWithinMs))) return unclear;
+    const verdict = judge.order(c.core.state(), call);
     if (verdict.kind !== 'propose') return settled(verdict);
     const result = await propose(c, call, verdict.command);
     if (result.kind !== 'applied') return unclear;
@@ -157,13 +156,13 @@
 
 /** Answers a call here, as the leader; null when this coordinator does not lead or is stopping. */
 async function decide(c: Coordinator, call: OperatorCall): Promise<OperatorAnswer | null> {
-  if (c.isStopping || !replica.isLeader(c.replica)) return null;
+  if (c.isStopping || !c.core.isLeader()) return null;
   return within(c, answerWithinMs, call.method === 'GET' ? read(c) : order(c, call), unclear);
 }
 
 async function sendOn(c: Coordinator, call: OperatorCall, ms: number): Promise<OperatorAnswer | null> {
-  const leader = replica.leaderAddress(c.replica);
-  if (leader === null || leader === members.ownAddress(c)) return null;
+  const leader = c.core.leaderAddress();
+  if (leader === null || leader === c.core.ownAddress()) return null;
   const r = await inner.operator(c, leader, call, ms);
   return r.ok ? r.value : null;
 }
--- a/src/controlplane/parts.ts
+++ b/src/controlplane/parts.ts
@@ -5,12 +5,12 @@
  * world runs the same modules.
  */
 import type { Agent } from 'node:http';
-import type { Replica } from '../coordination/consensus/driver.js';
 import type { Log } from '../logging/ring.js';
 import type { Method, OrderResult, Report } from '../protocol/calls/pairs.js';
 import type { Runtime } from '../runtime.js';
 import type { BoardHistory } from '../state/history/boards.js';
 import type { ConfigurationHistory } from '../state/history/configurations.js';
+import type { Core } from './core.js';
 import type { Board, Outcome, Runner, Settings, Tuning } from '../types.js';
 
 /** A site that asks this coordinator for news; `seenAt` in ms of the steady clock. */
@@ -45,7 +45,7 @@
 export type Coordinator = {
   settings: Settings;
   log: Log;
-  replica: Replica;
+  core: Core;
   runtime: Runtime;
   outside: Outside;
   /** Kept connections for the long polls of `kept.ts`. */
--- a/src/controlplane/rollout.ts
+++ b/src/controlplane/rollout.ts
@@ -2,7 +2,6 @@
  * Drives the roll-out planner: sends its orders with the term as fence while this node certainly holds
  * the duty, asks runners for their state, and shows the sites what is out of use.
  */
-import { replica } from '../coordination/consensus/driver.js';
 import {
   rolloutPlan,
   type RolloutEffect,
@@ -10,7 +9,6 @@
   type RolloutState,
 } from '../coordination/duties/rollout.js';
 import { ringLog } from '../logging/ring.js';
-import { members } from './members.js';
 import type { Coordinator } from './parts.js';
 import { runners } from './runners.js';
 
@@ -18,7 +16,7 @@
 const timeoutMs = 700;
 
 function mayAct(c: Coordinator): boolean {
-  return replica.mayAct(c.replica, c.settings.bound_set.lease_ms);
+  return c.core.mayAct(c.settings.bound_set.lease_ms);
 }
 
 function addrOf(c: Coordinator, id: string): string | null {
@@ -54,7 +52,7 @@
     revision,
     method: c.tuning.orderMethod,
     holder: c.settings.node_name,
-    fence: members.term(c),
+    fence: c.core.term(),
     instance: id,
   };
   const r = await c.outside.sendOrder(addr, fenced, timeoutMs);
@@ -84,8 +82,8 @@
     pauseMs: 400,
   });
   c.runtime.clock.every(intervalMs, function plan() {
-    if (!replica.isLeader(c.replica) && s.jobs.size === 0) return;
-    feed(c, s, { e: 'beat', runners: runners.listed(c), targets: c.replica.state.weights, mayAct: mayAct(c) });
+    if (!c.core.isLeader() && s.jobs.size === 0) return;
+    feed(c, s, { e: 'beat', runners: runners.listed(c), targets: c.core.state().weights, mayAct: mayAct(c) });
   });
 }
 
--- a/src/controlplane/runners.ts
+++ b/src/controlplane/runners.ts
@@ -7,12 +7,10 @@
  * list ready to show at that moment, and while there is no leader's board at all (every process of the
  * core was restarted) a *provisional board* can be handed to a site that has none.
  */
-import { replica } from '../coordination/consensus/driver.js';
 import { ringLog } from '../logging/ring.js';
 import type { Board, Runner } from '../types.js';
 import { boards } from './board.js';
 import { freshness } from './freshness.js';
-import { members } from './members.js';
 import type { Coordinator } from './parts.js';
 import { sessions } from './sessions.js';
 
@@ -76,11 +74,11 @@
 /** Shows the list on the board, if this coordinator leads and it differs from what stands there. */
 function show(c: Coordinator): void {
   const state = stateOf(c);
-  if (!state.listed || !replica.isLeader(c.replica)) return;
+  if (!state.listed || !c.core.isLeader()) return;
   const runners = merged(state);
   const sites = sessions.count(c);
   const isSame =
-    c.board.term === members.term(c) &&
+    c.board.term === c.core.term() &&
     c.board.sites === sites &&
     JSON.stringify(runners) === JSON.stringify(c.board.runners);
   if (!isSame) boards.change(c, { runners, sites });
@@ -137,29 +135,29 @@
 
 /** The time between two polls; the first one comes at once in any case. */
 function intervalMs(c: Coordinator, state: RunnerState): number {
-  if (replica.isLeader(c.replica)) return pollMs;
+  if (c.core.isLeader()) return pollMs;
   if (freshness.hasLeader(c)) return Infinity;
-  const share = Math.max(1, members.addresses(c).length / pollersWithoutLeader);
+  const share = Math.max(1, c.core.addresses().length / pollersWithoutLeader);
   return share * (state.listed === null ? firstPollRetryMs : pollMs);
 }
 
 function tick(c: Coordinator): void {
   const state = stateOf(c);
-  if (!replica.isLeader(c.replica)) state.parked.clear();
+  if (!c.core.isLeader()) state.parked.clear();
   if (c.runtime.clock.now() - state.polledAt >= intervalMs(c, state)) void poll(c);
 }
 
 /** A list from before the election is shown at once if it is recent; in any case a new one is asked for. */
 function roleChanged(c: Coordinator): void {
   const state = stateOf(c);
-  if (!replica.isLeader(c.replica)) return;
+  if (!c.core.isLeader()) return;
   if (isRecent(c, state)) show(c);
   else state.listed = null;
   void poll(c);
 }
 
 function start(c: Coordinator): void {
-  members.onRoleChanged(c, function changed() {
+  c.core.onRoleChanged(function changed() {
     roleChanged(c);
   });
   c.runtime.clock.every(tickMs, function look() {
--- a/src/controlplane/shutdown.ts
+++ b/src/controlplane/shutdown.ts
@@ -4,7 +4,6 @@
  * then the replica is closed. Every step is bounded, so that all end well before the platform kills the
  * process at `grace_s`.
  */
-import { replica } from '../coordination/consensus/driver.js';
 import { boards } from './board.js';
 import { operator } from './operator.js';
 import type { Coordinator } from './parts.js';
@@ -31,8 +30,8 @@
   boards.wake(c);
   await atMost(c, graceMs * ordersShare, operator.idle(c));
   const handOverMs = graceMs * handOverShare;
-  await atMost(c, handOverMs, replica.handOver(c.replica, handOverMs));
-  await replica.close(c.replica);
+  await atMost(c, handOverMs, c.core.handOver(handOverMs));
+  await c.core.close();
 }
 
 export const shutdown = { run };
--- a/src/controlplane/status.ts
+++ b/src/controlplane/status.ts
@@ -2,21 +2,18 @@
  * What a coordinator says of the system when asked: as the leader sees it if that can be had, else as it
  * sees it itself, marked as such.
  */
-import { replica } from '../coordination/consensus/driver.js';
 import { exchange } from '../coordination/exchange/machine.js';
 import type { StatusAnswer } from '../types.js';
 import { feed } from './feed.js';
 import { inner } from './inner.js';
-import { members } from './members.js';
 import type { Coordinator } from './parts.js';
 
 const timeoutMs = 600;
 
 function own(c: Coordinator): StatusAnswer {
-  const m = c.replica.machine;
   const now = c.runtime.clock.now();
-  const s = c.replica.state;
-  const isLeader = replica.isLeader(c.replica);
+  const s = c.core.state();
+  const isLeader = c.core.isLeader();
   const told = isLeader
     ? [...c.peerSessions.values()].flatMap(function all(t) {
         return t.sessions;
@@ -30,22 +27,9 @@
   const f = isLeader ? feed.state(c) : null;
   return {
     node: c.settings.node_name,
-    phase: m.phase,
-    term: m.term,
-    leader: m.leader,
-    sure: replica.isFresh(c.replica),
-    acts: replica.mayAct(c.replica, c.settings.bound_set.lease_ms),
-    roster: m.roster.map(function one(x) {
-      const p = m.peers.get(x.id);
-      return {
-        id: x.id,
-        control: x.control,
-        heardMs: x.id === m.me ? 0 : p ? Math.round(now - p.heardAt) : null,
-        match: x.id === m.me ? m.durable : (p?.match ?? null),
-      };
-    }),
-    committed: m.committed,
-    disk: c.replica.store.failing ? 'refuses' : 'takes',
+    ...c.core.status(now),
+    sure: c.core.isFresh(),
+    acts: c.core.mayAct(c.settings.bound_set.lease_ms),
     configuration: s.configuration?.revision ?? 0,
     weights: s.weights,
     rules: { active: s.rules.active, pending: s.rules.pending },
@@ -75,8 +59,8 @@
 
 /** The status as the leader tells it, or this coordinator's own. */
 async function ask(c: Coordinator): Promise<StatusAnswer> {
-  const leader = replica.leaderAddress(c.replica);
-  if (leader === null || leader === members.ownAddress(c)) return own(c);
+  const leader = c.core.leaderAddress();
+  if (leader === null || leader === c.core.ownAddress()) return own(c);
   const told = await inner.status(c, leader, timeoutMs);
   return told.ok ? told.value : own(c);
 }
--- a/src/programs/coordinator.ts
+++ b/src/programs/coordinator.ts
@@ -5,15 +5,16 @@
 import type { Server } from 'node:http';
 import { boardHistory } from '../state/history/boards.js';
 import { configurationHistory } from '../state/history/configurations.js';
-import { replica } from '../coordination/consensus/driver.js';
-import { boards } from '../controlplane/board.js';
+import { replica, type Replica } from '../coordination/consensus/driver.js';
+import type { Message } from '../coordination/consensus/types.js';
+import { boards, type BoardCall } from '../controlplane/board.js';
 import { access } from '../controlplane/access.js';
+import { core } from '../controlplane/core.js';
 import { door } from '../controlplane/door.js';
 import { feed } from '../controlplane/feed.js';
 import { freshness } from '../controlplane/freshness.js';
 import { innerPaths } from '../controlplane/inner.js';
 import { kept } from '../controlplane/kept.js';
-import { members } from '../controlplane/members.js';
 import { news } from '../controlplane/news.js';
 import { operator } from '../controlplane/operator.js';
 import { outside } from '../controlplane/outside.js';
@@ -25,21 +26,21 @@
 import type { Log } from '../logging/ring.js';
 import { ask } from '../transport/http/ask.js';
 import { channel } from '../transport/inner/channel.js';
-import type { Settings, Tuning } from '../types.js';
+import type { FeedCall, NewsCall, OperatorCall, Settings, Tuning } from '../types.js';
 import { machineRuntime } from './runtime.js';
 import { settingsWatch } from './watch.js';
 
-function create(settings: Settings, log: Log, tuning: Tuning): Coordinator {
-  const agent = channel.agent();
+/** A coordinator that has not started, in the given world: the group, the clock, the network, the outside. */
+function create(
+  settings: Settings,
+  log: Log,
+  tuning: Tuning,
+  world: Pick<Coordinator, 'core' | 'runtime' | 'outside' | 'agent'>,
+): Coordinator {
   return {
+    ...world,
     settings,
     log,
-    replica: replica.create(settings, log),
-    runtime: machineRuntime.create(agent),
-    outside: outside.create(agent, function platform() {
-      return settings.cloud_api.address;
-    }),
-    agent,
     board: boards.empty(),
     boardHistory: boardHistory.create(),
     configurations: configurationHistory.create(),
@@ -53,24 +54,24 @@
   };
 }
 
-function listenInside(c: Coordinator): Promise<Server> {
+function listenInside(c: Coordinator, member: Replica): Promise<Server> {
   return channel.listen(c.settings.ip_addr, c.settings.port_range[0], {
-    [innerPaths.consensus]: function messages(b) {
-      return replica.receive(c.replica, b.messages);
+    [innerPaths.consensus]: function messages(b: { messages: Message[] }) {
+      return replica.receive(member, b.messages);
     },
-    [innerPaths.board]: function board(b) {
+    [innerPaths.board]: function board(b: BoardCall) {
       return boards.receive(c, b);
     },
-    [innerPaths.news]: function question(b) {
+    [innerPaths.news]: function question(b: NewsCall) {
       return news.call(c, b);
     },
-    [innerPaths.feed]: function exchange(b) {
+    [innerPaths.feed]: function exchange(b: FeedCall) {
       return feed.call(c, b);
     },
     [innerPaths.status]: function state() {
       return status.own(c);
     },
-    [innerPaths.operator]: function call(b) {
+    [innerPaths.operator]: function call(b: OperatorCall) {
       return operator.decide(c, b);
     },
   });
@@ -89,8 +90,8 @@
 
 /** Starts all duties of a coordinator whose replica runs. */
 function startParts(c: Coordinator): void {
-  members.onApplied(c, function applied() {
-    const { configuration } = c.replica.state;
+  c.core.onApplied(function applied() {
+    const { configuration } = c.core.state();
     if (configuration) configurationHistory.take(c.configurations, configuration);
     boards.wake(c);
   });
@@ -112,11 +113,20 @@
 
 /** `reread` reads the settings file again, in place. */
 async function start(s: Settings, log: Log, tuning: Tuning, reread: () => void): Promise<void> {
-  const c = create(s, log, tuning);
-  await listenInside(c);
+  const member = replica.create(s, log);
+  const agent = channel.agent();
+  const c = create(s, log, tuning, {
+    core: core.of(member),
+    runtime: machineRuntime.create(agent),
+    outside: outside.create(agent, function platform() {
+      return s.cloud_api.address;
+    }),
+    agent,
+  });
+  await listenInside(c, member);
   const server = await listenAtDoor(c);
   startParts(c);
-  replica.start(c.replica);
+  replica.start(member);
   settingsWatch.start(
     c.runtime.clock,
     function hasLeader() {
