--- a/src/controlplane/news.ts
+++ b/src/controlplane/news.ts
@@ -8,12 +8,10 @@
 import type { ConfigurationDelta } from '../protocol/inner/deltas.js';
 import { configurationHistory } from '../state/history/configurations.js';
 import { control } from '../state/control/reducer.js';
-import { replica } from '../coordination/consensus/driver.js';
 import type { NewsReply, NewsRequest } from '../protocol/inner/news.js';
 import type { Board } from '../types.js';
 import { boards } from './board.js';
 import { freshness } from './freshness.js';
-import { members } from './members.js';
 import { runners } from './runners.js';
 import { sessions } from './sessions.js';
 import type { Coordinator, Waiter } from './parts.js';
@@ -42,7 +40,7 @@
 }
 
 function hasNews(c: Coordinator, call: NewsRequest): boolean {
-  const { state } = c.replica;
+  const state = c.core.state();
   const lacksAnyBoard = call.board[0] === 0 && call.board[1] === 0;
   return (
     call.whole ||
@@ -65,12 +63,12 @@
 }
 
 function deltaFor(c: Coordinator, call: NewsRequest): ConfigurationDelta | null {
-  if (call.whole || c.configurations.current !== c.replica.state.configuration) return null;
+  if (call.whole || c.configurations.current !== c.core.state().configuration) return null;
   return configurationHistory.since(c.configurations, call.revision);
 }
 
 function configurationNews(c: Coordinator, call: NewsRequest): ConfigurationNews {
-  const { configuration } = c.replica.state;
+  const { configuration } = c.core.state();
   const isBehind = (configuration?.revision ?? 0) > call.revision || call.whole;
   if (configuration === null || !isBehind) return { configuration: null, configurationDelta: null };
   const configurationDelta = deltaFor(c, call);
@@ -88,11 +86,11 @@
 const nothing = { configuration: null, configurationDelta: null, weights: null, rules: null, board: null };
 
 function answerOf(c: Coordinator, call: NewsRequest): NewsReply {
-  const { state } = c.replica;
+  const state = c.core.state();
   const common = {
     weightsSeq: state.weightsSeq,
-    leader: replica.leaderAddress(c.replica),
-    coordinators: members.addresses(c),
+    leader: c.core.leaderAddress(),
+    coordinators: c.core.addresses(),
     fresh: freshness.isUpToDate(c),
     leave: !c.isStopping && freshness.hasLeave(c),
   };
--- a/src/dataplane/follow.ts
+++ b/src/dataplane/follow.ts
@@ -6,7 +6,6 @@
  * is current. Where no coordinator has been up to date for `contact_ms`, the site asks for what they have
  * (`acceptsStale`): the fleet must go on serving when the core has lost its majority.
  */
-import type { Agent } from 'node:http';
 import { ringLog } from '../logging/ring.js';
 import type { Outcome } from '../types.js';
 import type { CallError, Runtime } from '../runtime.js';
@@ -43,8 +42,6 @@
 export type Follower = {
   life: string;
   runtime: Runtime;
-  /** Kept connections for the exchange of `feed.ts`. */
-  via: Agent;
   /** Inner addresses of the coordinators, asked in turn from `at` on. */
   known: string[];
   /** The inner addresses of the seeds as the settings have them now. */
@@ -58,7 +55,7 @@
   freshAt: number;
 };
 
-type FollowerStart = Pick<Follower, 'life' | 'runtime' | 'via' | 'seeds'>;
+type FollowerStart = Pick<Follower, 'life' | 'runtime' | 'seeds'>;
 
 /** A session that begins with the seed of number `first`. */
 function create(start: FollowerStart, first: number): Follower {
--- a/src/programs/coordinator.ts
+++ b/src/programs/coordinator.ts
@@ -2,18 +2,17 @@
  * The program of the core: a member of the group that keeps the control state, the door for the
  * operator, and the answers to the sites' questions for news.
  */
-import { mkdir } from 'node:fs/promises';
 import type { Server } from 'node:http';
 import { boardHistory } from '../state/history/boards.js';
 import { configurationHistory } from '../state/history/configurations.js';
 import { consensusCalls, replica, type Replica } from '../coordination/consensus/driver.js';
 import { boards } from '../controlplane/board.js';
 import { access } from '../controlplane/access.js';
+import { core } from '../controlplane/core.js';
 import { door } from '../controlplane/door.js';
 import { feed } from '../controlplane/feed.js';
 import { freshness } from '../controlplane/freshness.js';
 import { kept } from '../controlplane/kept.js';
-import { members } from '../controlplane/members.js';
 import { news } from '../controlplane/news.js';
 import { operator } from '../controlplane/operator.js';
 import { outside } from '../controlplane/outside.js';
@@ -22,36 +21,32 @@
 import { rollout } from '../controlplane/rollout.js';
 import { shutdown } from '../controlplane/shutdown.js';
 import { status } from '../controlplane/status.js';
-import type { Log } from '../logging/ring.js';
-import { ask } from '../transport/http/ask.js';
-import { channel } from '../transport/inner/channel.js';
+import { ringLog, type Log } from '../logging/ring.js';
+import { boardEndpoint } from '../protocol/inner/board.js';
+import { endpoint, type Handler } from '../protocol/inner/endpoint.js';
+import { feedEndpoint } from '../protocol/inner/feed.js';
+import { newsEndpoint } from '../protocol/inner/news.js';
+import { operatorEndpoint } from '../protocol/inner/operator.js';
+import { statusEndpoint } from '../protocol/inner/status.js';
 import type { Runtime } from '../runtime.js';
+import { ask } from '../transport/http/ask.js';
 import { files } from '../transport/files.js';
+import { innerServer, type InnerServer } from '../transport/inner/server.js';
 import type { Settings, Tuning } from '../types.js';
 import { machineRuntime } from './runtime.js';
 import { settingsWatch } from './watch.js';
 
-/** Reads the disk; a disk that cannot be read at all is an error at the start. */
-async function openReplica(settings: Settings, log: Log, runtime: Runtime): Promise<Replica> {
-  const path = settings.data_dir!;
-  await mkdir(path, { recursive: true });
-  const opened = await replica.open({ settings, log, runtime, folder: files.folder(path) });
-  if (!opened.ok) throw new Error(`the data folder cannot be read: ${opened.error}`);
-  return opened.value;
-}
-
-async function create(settings: Settings, log: Log, tuning: Tuning): Promise<Coordinator> {
-  const agent = channel.agent();
-  const runtime = machineRuntime.create(agent);
+/** A coordinator that has not started, in the given world: the group, the clock, the network, the outside. */
+function create(
+  settings: Settings,
+  log: Log,
+  tuning: Tuning,
+  world: Pick<Coordinator, 'core' | 'runtime' | 'outside' | 'agent'>,
+): Coordinator {
   return {
+    ...world,
     settings,
     log,
-    replica: await openReplica(settings, log, runtime),
-    runtime,
-    outside: outside.create(agent, function platform() {
-      return settings.cloud_api.address;
-    }),
-    agent,
     board: boards.empty(),
     boardHistory: boardHistory.create(),
     configurations: configurationHistory.create(),
@@ -65,26 +60,49 @@
   };
 }
 
-function listenInside(c: Coordinator): Promise<Server> {
-  return channel.listen(c.settings.ip_addr, c.settings.port_range[0], {
-    '/inner/consensus': function messages(b) {
-      const checked = consensusCalls.checkRequest(b);
-      return { messages: checked.ok ? replica.receive(c.replica, checked.value.messages) : [] };
-    },
-    '/inner/board': function board(b) {
-      return boards.receive(c, b);
-    },
-    '/inner/news': function question(b) {
-      return news.call(c, b);
-    },
-    '/inner/feed': function exchange(b) {
-      return feed.call(c, b);
-    },
-    '/inner/status': function state() {
+/** Reads the disk; one that cannot be read at all is an error at the start. */
+async function openReplica(settings: Settings, log: Log, runtime: Runtime): Promise<Replica> {
+  const path = settings.data_dir!;
+  const prepared = await files.prepare(path);
+  if (!prepared.ok) throw new Error(`the data folder cannot be made: ${prepared.error.message}`);
+  const opened = await replica.open({ settings, log, runtime, folder: prepared.value });
+  if (!opened.ok) throw new Error(`the data folder cannot be read: ${opened.error}`);
+  return opened.value;
+}
+
+/** The calls of the system's own processes, each checked before it is handled. */
+function innerHandlers(c: Coordinator, member: Replica): Handler[] {
+  return [
+    endpoint.handler(consensusCalls, function messages(batch) {
+      return { messages: replica.receive(member, batch.messages) };
+    }),
+    endpoint.handler(boardEndpoint, function board(request) {
+      return boards.receive(c, request);
+    }),
+    endpoint.handler(newsEndpoint, function question(request) {
+      return news.call(c, request);
+    }),
+    endpoint.handler(feedEndpoint, function exchange(request) {
+      return feed.call(c, request);
+    }),
+    endpoint.handler(statusEndpoint, function state() {
       return status.own(c);
+    }),
+    endpoint.handler(operatorEndpoint, function order(request) {
+      return operator.decide(c, request);
+    }),
+  ];
+}
+
+function listenInside(c: Coordinator, member: Replica, life: string): Promise<InnerServer> {
+  const handlers = innerHandlers(c, member);
+  return innerServer.listen(c.settings.ip_addr, c.settings.port_range[0], handlers, {
+    life,
+    onFault: function fault(found) {
+      ringLog.note(c.log, found, 'an inner call was rejected');
     },
-    '/inner/operator': function call(b) {
-      return operator.decide(c, b);
+    onFailure: function failed(path, error) {
+      ringLog.error(c.log, { path, why: error.stack }, 'a handler failed');
     },
   });
 }
@@ -102,8 +120,8 @@
 
 /** Starts all duties of a coordinator whose replica runs. */
 function startParts(c: Coordinator): void {
-  members.onApplied(c, function applied() {
-    const { configuration } = c.replica.state;
+  c.core.onApplied(function applied() {
+    const { configuration } = c.core.state();
     if (configuration) configurationHistory.take(c.configurations, configuration);
     boards.wake(c);
   });
@@ -125,11 +143,21 @@
 
 /** `reread` reads the settings file again, in place. */
 async function start(s: Settings, log: Log, tuning: Tuning, reread: () => void): Promise<void> {
-  const c = await create(s, log, tuning);
-  await listenInside(c);
+  const runtime = machineRuntime.create();
+  const member = await openReplica(s, log, runtime);
+  const agent = ask.agent();
+  const c = create(s, log, tuning, {
+    core: core.of(member),
+    runtime,
+    outside: outside.create(agent, function platform() {
+      return s.cloud_api.address;
+    }),
+    agent,
+  });
+  await listenInside(c, member, runtime.network.life);
   const server = await listenAtDoor(c);
   startParts(c);
-  replica.start(c.replica);
+  replica.start(member);
   settingsWatch.start(
     c.runtime.clock,
     function hasLeader() {
--- a/src/programs/site.ts
+++ b/src/programs/site.ts
@@ -3,7 +3,6 @@
  * question, and a session with the control plane. It has no disk and starts with nothing known.
  */
 import { EventEmitter } from 'node:events';
-import { randomBytes } from 'node:crypto';
 import { createServer, type Server } from 'node:http';
 import { budget } from '../dataplane/budget.js';
 import { feeding } from '../dataplane/feed.js';
@@ -18,7 +17,6 @@
 import { fleet } from '../state/runners/fleet.js';
 import { answers } from '../transport/http/answer.js';
 import { ask } from '../transport/http/ask.js';
-import { channel } from '../transport/inner/channel.js';
 import { replica } from '../coordination/consensus/driver.js';
 import { hash } from '../state/index/hash.js';
 import type { Settings, Tuning } from '../types.js';
@@ -97,15 +95,16 @@
     answers.send(res, answers.plain(req.url === '/v1/ready' ? (isReady(site) ? 200 : 503) : 404));
   });
   await listen(probe, s.bind_addrs.ready_probe!);
-  const via = channel.agent();
   const seeds = function current(): string[] {
     return s.seed_addrs.map(function inner(a) {
       return replica.innerAddress(a, s.port_range[0]);
     });
   };
-  const life = randomBytes(6).toString('hex');
-  const runtime = machineRuntime.create(via);
-  const f = follow.create({ life, runtime, via, seeds }, Math.floor(hash.of(s.node_name) * s.seed_addrs.length));
+  const runtime = machineRuntime.create();
+  const f = follow.create(
+    { life: runtime.network.life, runtime, seeds },
+    Math.floor(hash.of(s.node_name) * s.seed_addrs.length),
+  );
   const server = front.create(site);
   site.stirred.on('configuration', function changed() {
     front.adapt(site, server);
--- a/src/transport/http/ask.ts
+++ b/src/transport/http/ask.ts
@@ -1,7 +1,7 @@
 // One request with a bounded wait on a kept channel: the answer whole, or a tagged error. Used for
 // everything the programs ask of each other, of the platform and of the runners' side calls; the
 // requests of clients go their own way.
-import { request, type Agent, type ClientRequest, type IncomingHttpHeaders } from 'node:http';
+import { Agent, request, type ClientRequest, type IncomingHttpHeaders } from 'node:http';
 import type { Outcome } from '../../types.js';
 
 export type Reply = { status: number; headers: IncomingHttpHeaders; body: Buffer };
@@ -82,4 +82,11 @@
   });
 }
 
-export const ask = { send, split };
+/** Kept connections for calls to runners and the platform, and how many of them to one address. */
+const mostConnections = 64;
+
+function agent(): Agent {
+  return new Agent({ keepAlive: true, maxSockets: mostConnections, scheduling: 'lifo' });
+}
+
+export const ask = { send, split, agent };
--- /dev/null
+++ b/src/transport/http/body.ts
@@ -0,0 +1,26 @@
+/** Reads the body of a request whole, within a bound. */
+import type { IncomingMessage } from 'node:http';
+
+/** The body, or null when it is over `mostBytes` or the connection ended before it did. */
+function read(request: IncomingMessage, mostBytes: number): Promise<Buffer | null> {
+  return new Promise(function run(resolve) {
+    const parts: Buffer[] = [];
+    let bytes = 0;
+    request.on('data', function more(part: Buffer) {
+      bytes += part.length;
+      if (bytes <= mostBytes) parts.push(part);
+      else {
+        parts.length = 0;
+        resolve(null);
+      }
+    });
+    request.on('end', function whole() {
+      resolve(Buffer.concat(parts));
+    });
+    request.on('close', function cut() {
+      resolve(null);
+    });
+  });
+}
+
+export const requestBody = { read };
--- a/test/consensus-rules.test.ts
+++ b/test/consensus-rules.test.ts
@@ -473,7 +473,7 @@
   assert.equal(s.role, 'follower');
   const [now] = sent(effects, 'timeout_now');
   assert.equal(now?.to, 'b#first');
-  consensus.step(b, { type: 'message', message: now! }, 2011);
+  consensus.step(b, { type: 'message', message: now }, 2011);
   assert.equal(b.role, 'candidate');
   const asked = sent(syncAll(b, 2012), 'request_vote');
   const c = machine('c', { leader: { id: 'a#first', term: 4 }, term: 4, now: 1900 });
