Failed segments stay, emptied, until a newer one is kept; a harder simulated disk

The simulated disk now keeps by luck some of what a failed sync covered, and lets later kept changes of a name overrule earlier failed ones. Seen with it: a removed failed segment may come back under a higher number than a next life uses.

--- a/src/state/log/storage.ts
+++ b/src/state/log/storage.ts
@@ -49,6 +49,8 @@
   resumed: FirstBatch | null;
   kept: KeptLog | null;
   open: OpenSegment | null;
+  /** The last attempt at a segment that failed, until a newer one is kept; `isEmptied`: that is synced. */
+  failedSegment: { number: number; isEmptied: boolean } | null;
   jobs: Job[];
   snapshot: NextSnapshot | null;
   /** A snapshot that failed or was replaced gives way to the queued records once. */
@@ -83,6 +85,7 @@
     resumed: null,
     kept: null,
     open: null,
+    failedSegment: null,
     jobs: [],
     snapshot: null,
     isSnapshotDelayed: false,
@@ -298,6 +301,7 @@
 function takeOpen(storage: Storage, opened: OpenSegment): void {
   giveUpOpen(storage);
   storage.open = opened;
+  storage.failedSegment = null;
   sweep(storage);
 }
 
@@ -313,10 +317,27 @@
   const named = written.ok ? await storage.folder.syncFolder() : written;
   if (named.ok) return { ok: true, value: { file: created.value, number, bytes: frame.length } };
   void created.value.close();
-  await storage.folder.remove(name);
+  await retireFailed(storage, number);
   return named;
 }
 
+/**
+ * Empties a segment that failed, and removes the one that failed before it. The last one stays as long as
+ * no newer segment is kept: a removal may come undone, also behind the back of a next life, which has to
+ * begin above all numbers that may come back.
+ */
+async function retireFailed(storage: Storage, number: number): Promise<void> {
+  const before = storage.failedSegment;
+  storage.failedSegment = { number, isEmptied: false };
+  const emptied = await storage.folder.create(segment.fileName('segment', number));
+  if (emptied.ok) {
+    const synced = await emptied.value.sync();
+    void emptied.value.close();
+    storage.failedSegment.isEmptied = synced.ok;
+  }
+  if (before !== null) await storage.folder.remove(segment.fileName('segment', before.number));
+}
+
 async function flushSnapshot(storage: Storage, next: NextSnapshot): Promise<Done> {
   const saved = await saveSnapshotFile(storage, next.snapshot);
   if (!saved.ok) return saved;
@@ -392,14 +413,16 @@
 
 /**
  * Frees the room of a snapshot whose root segment failed. The root may stand on the disk all the same, so
- * the snapshot goes only after the root's removal is kept; else both stay until they are superseded.
+ * the snapshot goes only after it is known to be empty there; else it stays until it is superseded.
  */
 async function discardSnapshot(storage: Storage, number: number): Promise<void> {
-  const names = await storage.folder.list();
-  const root = segment.fileName('segment', storage.lastNumber);
-  if (!names.ok || names.value.includes(root)) return;
-  const synced = await storage.folder.syncFolder();
-  if (synced.ok) await storage.folder.remove(segment.fileName('snapshot', number));
+  const failed = storage.failedSegment;
+  const wasMade = failed !== null && failed.number > number;
+  if (wasMade) {
+    const synced = await storage.folder.syncFolder();
+    if (!failed.isEmptied || !synced.ok) return;
+  }
+  await storage.folder.remove(segment.fileName('snapshot', number));
 }
 
 /**
--- a/test/log.test.ts
+++ b/test/log.test.ts
@@ -77,9 +77,12 @@
 
 function synced(opened: Storage, token: number): Promise<void> {
   return new Promise(function run(done) {
-    opened.on('synced', function kept(announced: number) {
-      if (announced >= token) done();
-    });
+    function kept(announced: number): void {
+      if (announced < token) return;
+      opened.off('synced', kept);
+      done();
+    }
+    opened.on('synced', kept);
   });
 }
 
@@ -429,7 +432,7 @@
   assert.deepEqual(seen, ['A', 'A.', 'A...', 'A.C.', 'A.CC', 'AB', 'AB..', 'ABC.', 'ABCC']);
 });
 
-test('disk: a failed sync loses what it covered, also if a later one succeeds', async function run() {
+test('disk: a failed sync loses what it covered but for luck, also if a later one succeeds', async function run() {
   const seen = await outcomes(async function one(b) {
     const file = await made(b, 'x', 'A');
     await completes(b, b.folder.syncFolder());
@@ -444,7 +447,7 @@
     disk.powerLoss(b.disk);
     return disk.list(b.disk).join('') + text(b, 'x')!.replaceAll('\0', '.');
   });
-  assert.deepEqual(seen, ['x', 'x.']);
+  assert.deepEqual(seen, ['x', 'x.', 'xA', 'xy', 'xy.', 'xyA']);
 });
 
 test('disk: what is under way when the process ends never ends in a later life', async function run() {
@@ -499,7 +502,8 @@
   { minLength: 5, maxLength: 60, size: 'max' },
 );
 const livesSeed = 20;
-const livesRun = 400;
+const livesRun = 1500;
+const mistakenLivesRun = 4000;
 
 function lives(wrap: Wrapper | undefined, numRuns: number) {
   const property = fc.asyncProperty(fc.integer({ min: 1, max: 1e6 }), stepsDrawn, async function holds(seed, steps) {
@@ -584,7 +588,7 @@
 
 for (const [name, wrap] of Object.entries(mistakes))
   test(`planted mistake is caught: ${name}`, async function run() {
-    const result = await lives(wrap, livesRun);
+    const result = await lives(wrap, mistakenLivesRun);
     assert.equal(result.failed, true, 'no run failed');
   });
 
@@ -662,6 +666,30 @@
   assert.equal(disk.list(b.disk).length, 3);
 });
 
+test('attempts that fail again and again leave no heap of files', async function run() {
+  const b = bench(9);
+  const opened = await beginOn(b);
+  await b.clock.runFor(1000);
+  let refusals = 0;
+  opened.on('refused', function count() {
+    refusals++;
+  });
+  disk.failNextSync(b.disk, 1000);
+  storage.write(opened, [entryRecord(1, 2)], 2);
+  await b.clock.runFor(10_000);
+  function tail() {
+    return { promise: promise2, entries: [] };
+  }
+  storage.saveSnapshot(opened, { ...snapshot0, index: 1, term: 2 }, tail, { installed: true });
+  await b.clock.runFor(10_000);
+  assert.ok(refusals >= 60, `${refusals} refusals`);
+  assert.ok(disk.list(b.disk).length <= 4, disk.list(b.disk).join(' '));
+  disk.failNextSync(b.disk, 0);
+  await completes(b, synced(opened, 2));
+  await b.clock.runFor(1000);
+  assert.equal(disk.list(b.disk).length, 3);
+});
+
 test('close flushes what is queued, and ends within a second on a disk that hangs', async function run() {
   const b = bench(8);
   const opened = await beginOn(b);
--- a/test/sim/disk.ts
+++ b/test/sim/disk.ts
@@ -10,7 +10,7 @@
 /** Latencies in milliseconds; each operation takes between half of its figure and one and a half times it. */
 export type DiskOptions = { operationMs: number; syncMs: number };
 
-/** One append. `doomed`: a sync that covered it failed, so that no later sync keeps it. */
+/** One append. `doomed`: a sync that covered it failed; no later sync keeps it, and by luck alone it stays. */
 type Chunk = { bytes: Uint8Array; state: 'pending' | 'doomed' | 'kept' };
 type Inode = { chunks: Chunk[] };
 
@@ -37,6 +37,10 @@
 };
 
 const sectorBytes = 512;
+/** How often a loss of power leaves what a failed sync covered as it leaves what was never synced. */
+const doomedStays = 0.3;
+/** How often it keeps the change of a name that no sync covered. */
+const nameStays = 0.5;
 const defaults: DiskOptions = { operationMs: 0.1, syncMs: 2 };
 
 function create(clock: Clock, random: Random, options: Partial<DiskOptions> = {}): Disk {
@@ -135,16 +139,19 @@
   else disk.keptNames.set(change.name, change.inode);
 }
 
+/** A change that a failed sync covered is over once a later change of its name is kept. */
 function syncNames(disk: Disk): Outcome<void, FileError> {
   if (syncFails(disk)) {
     for (const change of disk.nameChanges) change.state = 'doomed';
     return failed('EIO', 'sync of the folder');
   }
   const lost: NameChange[] = [];
-  for (const change of disk.nameChanges) {
-    if (change.state === 'pending') keepName(disk, change);
-    else lost.push(change);
+  const kept = new Set<string>();
+  for (const change of disk.nameChanges.toReversed()) {
+    if (change.state === 'pending') kept.add(change.name);
+    else if (!kept.has(change.name)) lost.unshift(change);
   }
+  for (const change of disk.nameChanges) if (change.state === 'pending') keepName(disk, change);
   disk.nameChanges = lost;
   return done;
 }
@@ -188,7 +195,7 @@
 }
 
 function createFile(disk: Disk, name: string): Outcome<Inode, FileError> {
-  if (disk.isFull) return failed('ENOSPC', `create ${name}`);
+  if (disk.isFull && !disk.names.has(name)) return failed('ENOSPC', `create ${name}`);
   const inode: Inode = { chunks: [] };
   setName(disk, name, inode);
   return { ok: true, value: inode };
@@ -269,8 +276,9 @@
 
 /** What a loss of power leaves of an unsynced append: all, nothing (a hole), a prefix or some sectors. */
 function drawChunk(disk: Disk, chunk: Chunk): Uint8Array | null {
+  if (chunk.state === 'doomed' && disk.random() >= doomedStays)
+    return disk.random() < 0.5 ? null : new Uint8Array(chunk.bytes.length);
   const draw = disk.random();
-  if (chunk.state === 'doomed') return draw < 0.5 ? null : new Uint8Array(chunk.bytes.length);
   if (draw < 0.3) return chunk.bytes;
   if (draw < 0.55) return null;
   if (draw < 0.7) return zeroSectors(disk, chunk.bytes);
@@ -295,7 +303,10 @@
 /** The machine loses power: what was not synced is drawn, each write and each name by itself. */
 function powerLoss(disk: Disk): void {
   kill(disk);
-  for (const change of disk.nameChanges) if (change.state === 'pending' && disk.random() < 0.5) keepName(disk, change);
+  for (const change of disk.nameChanges) {
+    const stays = change.state === 'pending' ? nameStays : doomedStays;
+    if (disk.random() < stays) keepName(disk, change);
+  }
   disk.nameChanges = [];
   disk.names = new Map(disk.keptNames);
   for (const inode of new Set(disk.names.values())) settleInode(disk, inode);
@@ -309,7 +320,7 @@
   disk.nameChanges = [];
 }
 
-/** A full disk refuses every write, creation and rename; it still removes and syncs. */
+/** A full disk refuses every write, new name and rename; it still empties, removes and syncs. */
 function setFull(disk: Disk, isFull: boolean): void {
   disk.isFull = isFull;
 }
@@ -324,7 +335,10 @@
   disk.hangsUntil = Math.max(disk.hangsUntil, atMs);
 }
 
-/** The next `count` syncs, of files or the folder, fail with EIO and lose what they covered; 0 ends that. */
+/**
+ * The next `count` syncs, of files or the folder, fail with EIO; 0 ends that. What they covered is lost at
+ * a loss of power, or by luck kept, and no later sync changes that.
+ */
 function failNextSync(disk: Disk, count = 1): void {
   disk.failingSyncs = count;
 }
--- a/test/support/log-model.ts
+++ b/test/support/log-model.ts
@@ -54,7 +54,10 @@
   disk: Disk;
   wrap: Wrapper;
   life: Life;
-  /** States from the last one that must have been kept (the first) to the present one (the last). */
+  /**
+   * States from the last one that must have been kept (the first) to the present one (the last). What an
+   * earlier life wrote may come back until something of a later life is announced.
+   */
   states: { token: number; state: LogState }[];
   announced: number;
   token: number;
@@ -67,6 +70,8 @@
 const membership = { voters: [{ id: 'a#1', addr: 'a', control: 'a' }], next: null };
 const firstPromise: VotingPromise = { term: 0, votedFor: null, leader: null };
 const settleLimitMs = 5000;
+/** Waits reach from within one operation to beyond a retry. */
+const waitScalesMs = [0.02, 0.1, 0.5, 4];
 
 function random(seed: number): () => number {
   const source = luck.create(seed);
@@ -146,7 +151,7 @@
   const memberId = `a#${++model.identities}`;
   const snapshot: Snapshot = { index: 0, term: 0, membership, state: [] };
   storage.begin(opening, memberId, snapshot, firstPromise);
-  model.states = [{ token: model.token, state: { memberId, promise: firstPromise, log: [] } }];
+  note(model, { memberId, promise: firstPromise, log: [] });
   model.life = { storage: opening, snapshot, committed: 0 };
 }
 
@@ -167,12 +172,12 @@
 
 function resume(model: Model, opening: Storage, recovered: Recovered): void {
   const state = stateOf(recovered);
-  const last = model.states.findLastIndex(function isIt(noted) {
+  const isKnown = model.states.some(function isIt(noted) {
     return isSame(noted.state, state);
   });
-  assert.ok(last !== -1, `${JSON.stringify(state)} is none of ${JSON.stringify(model.states)}`);
+  assert.ok(isKnown, `${JSON.stringify(state)} is none of ${JSON.stringify(model.states)}`);
   assert.ok(recovered.committed <= state.log.length && recovered.committed >= recovered.snapshot.index);
-  model.states.length = last + 1;
+  note(model, state);
   model.life = { storage: opening, snapshot: recovered.snapshot, committed: recovered.committed };
   storage.resume(opening, recovered);
 }
@@ -307,7 +312,7 @@
     case 'install':
       return install(model, step);
     case 'wait':
-      return model.clock.runFor(((step.size % 10) * (step.place + 1)) / 20);
+      return model.clock.runFor((step.place + 1) * waitScalesMs[step.size % waitScalesMs.length]!);
     case 'settle':
       return settle(model);
     case 'kill':
