--- a/src/dataplane/follow.ts
+++ b/src/dataplane/follow.ts
@@ -167,7 +167,7 @@
 
 async function askOne(site: Site, f: Follower, address: string): Promise<Outcome<NewsAnswer, CallError>> {
   const call = question(site, f);
-  const isStarting = call.revision === 0 && !call.acceptsStale;
+  const isStarting = call.revision === 0;
   const timeoutMs = isStarting ? startingTimeoutMs : holdMs + slackMs;
   const hold = isStarting ? Math.min(holdMs, startingTimeoutMs / 2) : holdMs;
   const options = { timeoutMs, lane: 'control' } as const;
--- /dev/null
+++ b/test/news.test.ts
@@ -0,0 +1,297 @@
+// News to sites: what is not current is not handed out, a site becomes ready on a current answer only and
+// leaves a member that has none, and a new leader or a lonely member has a list of runners at once.
+import { strict as assert } from 'node:assert';
+import { Agent } from 'node:http';
+import { test } from 'node:test';
+import { boards } from '../src/controlplane/board.js';
+import { news } from '../src/controlplane/news.js';
+import { shutdown } from '../src/controlplane/shutdown.js';
+import { follow, type Follower } from '../src/dataplane/follow.js';
+import type { Site } from '../src/dataplane/types.js';
+import { ringLog } from '../src/logging/ring.js';
+import { siteProgram } from '../src/programs/site.js';
+import { settingsWatch } from '../src/programs/watch.js';
+import { tuning } from '../src/protocol/settings/tuning.js';
+import type { Command } from '../src/state/control/reducer.js';
+import type { Configuration, NewsCall, Runner, Settings } from '../src/types.js';
+import { coordinators, virtualTime, type Group, type Node } from './support/coordinators.js';
+
+const contactMs = 3000;
+
+function runner(id: string, draining = false): Runner {
+  return { id, service: 's', addr: `${id}:1`, zone: 'z', slots: 4, draining, parked: false, models: [] };
+}
+
+function configure(revision: number): Command {
+  const target: Configuration = { revision, route_list: [], service_list: [{ label: 's' }] };
+  const change = { kind: 'whole', configuration: target } as const;
+  return { kind: 'configure', base: revision - 1, revision, change, order: `order ${revision}` };
+}
+
+/** Three members with revision 1 and two runners, led by the first. */
+async function led(): Promise<Group> {
+  const group = coordinators.create(5, 3);
+  group.runners = [runner('i-1'), runner('i-2')];
+  coordinators.elect(group, group.nodes[0]!);
+  coordinators.commit(group, configure(1));
+  await virtualTime.advance(group.time, 1000);
+  return group;
+}
+
+function question(over: Partial<NewsCall> = {}): NewsCall {
+  return {
+    site: 'site',
+    life: 'life',
+    revision: 0,
+    board: [0, 0],
+    weights: 0,
+    rules: 0,
+    hold: 600,
+    whole: false,
+    acceptsStale: false,
+    ...over,
+  };
+}
+
+type Started = { site: Site; follower: Follower };
+
+function startSite(group: Group, first = 0, seeds = (): string[] => ['c1', 'c2', 'c3']): Started {
+  const settings = {
+    node_name: 'site',
+    zone_name: 'z',
+    bound_set: { contact_ms: contactMs, retry_window_s: 10, retry_ratio: 0.2, retry_slack: 50 },
+  } as unknown as Settings;
+  const site = siteProgram.create(settings, ringLog.create('site', 'site'), tuning.defaults);
+  const runtime = coordinators.runtimeOf(group, 'site');
+  const follower = follow.create({ life: 'life', runtime, via: new Agent(), seeds }, first);
+  void follow.run(site, follower);
+  return { site, follower };
+}
+
+/** The virtual time until the site is ready, at most `mostMs`. */
+async function readyAfter(group: Group, site: Site, mostMs: number): Promise<number> {
+  const from = group.time.now;
+  while (!siteProgram.isReady(site) && group.time.now - from < mostMs) await virtualTime.advance(group.time, 5);
+  return group.time.now - from;
+}
+
+function loseTouch(node: Node): void {
+  node.isFresh = false;
+}
+
+test('a member out of touch says so at once and hands out nothing, to anyone', async () => {
+  const group = await led();
+  const node = group.nodes[1]!;
+  loseTouch(node);
+  const inService = await virtualTime.timed(group.time, news.call(node.c, question({ revision: 1, board: [1, 1] })));
+  assert.ok(inService.ms <= 1);
+  const starting = await virtualTime.timed(group.time, news.call(node.c, question()));
+  assert.ok(starting.ms <= 101, `${starting.ms} ms`);
+  for (const { value } of [inService, starting]) {
+    assert.equal(value.fresh, false);
+    assert.deepEqual(
+      [value.configuration, value.configurationDelta, value.board, value.boardDelta],
+      [null, null, null, null],
+    );
+    assert.deepEqual([value.weights, value.rules], [null, null]);
+  }
+  const stale = await virtualTime.timed(group.time, news.call(node.c, question({ acceptsStale: true })));
+  assert.deepEqual([stale.value.fresh, stale.value.configuration?.revision], [false, 1]);
+});
+
+test('a member that loses touch ends the waits of its sites, so that they go on', async () => {
+  const group = await led();
+  const node = group.nodes[1]!;
+  const { term, seq } = node.c.board;
+  const waiting = news.call(node.c, question({ revision: 1, rules: 9, board: [term, seq] }));
+  await virtualTime.advance(group.time, 100);
+  loseTouch(node);
+  const r = await virtualTime.timed(group.time, waiting);
+  assert.ok(r.ms <= 30 && !r.value.fresh, `${r.ms} ms`);
+});
+
+test('a follower that hears the leader but has not applied what it has is not up to date', async () => {
+  const group = await led();
+  const late = group.nodes[2]!;
+  late.mayApply = late.applied;
+  coordinators.commit(group, configure(2));
+  await virtualTime.advance(group.time, 450);
+  const r = await virtualTime.timed(group.time, news.call(late.c, question()));
+  assert.deepEqual([r.value.fresh, r.value.configuration], [false, null]);
+  late.mayApply = Infinity;
+  coordinators.commit(group, configure(3));
+  const later = await virtualTime.timed(group.time, news.call(late.c, question()));
+  assert.deepEqual([later.value.fresh, later.value.configuration?.revision], [true, 3]);
+});
+
+test('a follower of a new leader is not up to date before that leader told it how far it is', async () => {
+  const group = await led();
+  const late = group.nodes[2]!;
+  late.mayApply = late.applied;
+  group.cutOff.add('c3');
+  coordinators.commit(group, configure(2));
+  coordinators.elect(group, group.nodes[1]!);
+  late.term = group.nodes[1]!.term;
+  late.isFresh = true;
+  const r = await virtualTime.timed(group.time, news.call(late.c, question()));
+  assert.deepEqual([r.value.fresh, r.value.configuration], [false, null]);
+});
+
+test('a site that starts gets its configuration at once, whichever member it asks first', async () => {
+  for (const first of [0, 1, 2]) {
+    const group = await led();
+    const { site } = startSite(group, first);
+    assert.ok((await readyAfter(group, site, 2000)) <= 20);
+  }
+});
+
+test('a site that starts passes by members that are cut off, silent or behind', async () => {
+  const group = await led();
+  group.cutOff.add('c1');
+  loseTouch(group.nodes[1]!);
+  coordinators.elect(group, group.nodes[2]!);
+  loseTouch(group.nodes[1]!);
+  const { site, follower } = startSite(group, 0);
+  const ms = await readyAfter(group, site, 3000);
+  assert.ok(ms <= 560, `${ms} ms`);
+  assert.ok(group.time.now - follower.freshAt < 100);
+});
+
+test('with stale members only, a site is not ready before contact_ms, and then serves by what it can get', async () => {
+  const group = await led();
+  coordinators.loseLeader(group);
+  const { site, follower } = startSite(group);
+  assert.equal(await readyAfter(group, site, contactMs - 100), contactMs - 100, 'ready too early');
+  assert.equal(site.table, null);
+  const ms = await readyAfter(group, site, 1000);
+  assert.ok(ms < 600, `${ms} ms late`);
+  assert.equal(site.table!.revision, 1);
+  coordinators.elect(group, group.nodes[1]!);
+  coordinators.commit(group, configure(2));
+  await virtualTime.advance(group.time, 1500);
+  assert.equal(site.table!.revision, 2);
+  assert.ok(group.time.now - follower.freshAt < 1000);
+});
+
+test('a site that starts while there is no leader is ready as soon as there is one', async () => {
+  const group = await led();
+  coordinators.loseLeader(group);
+  const { site } = startSite(group);
+  await virtualTime.advance(group.time, 1200);
+  assert.equal(siteProgram.isReady(site), false);
+  coordinators.elect(group, group.nodes[1]!);
+  const ms = await readyAfter(group, site, 2000);
+  assert.ok(ms <= 350, `${ms} ms after the election`);
+});
+
+test('a site in service leaves a member out of touch at once and keeps what it has', async () => {
+  const group = await led();
+  const { site, follower } = startSite(group, 1);
+  await virtualTime.advance(group.time, 500);
+  assert.equal(follower.known[follower.at % 3], 'c2');
+  loseTouch(group.nodes[1]!);
+  coordinators.commit(group, configure(2));
+  await virtualTime.advance(group.time, 60);
+  assert.notEqual(follower.known[follower.at % 3], 'c2');
+  assert.equal(site.table!.revision, 2);
+  coordinators.loseLeader(group);
+  await virtualTime.advance(group.time, 10_000);
+  assert.equal(site.table!.revision, 2);
+  assert.equal(siteProgram.isReady(site), true);
+});
+
+test('while no leader is there sites ask often, but not without measure', async () => {
+  const group = await led();
+  startSite(group, 1);
+  await virtualTime.advance(group.time, 500);
+  coordinators.loseLeader(group);
+  const before = group.questions;
+  await virtualTime.advance(group.time, 2000);
+  const asked = group.questions - before;
+  assert.ok(asked >= 20 && asked <= 90, `${asked} questions in 2 s`);
+});
+
+test('seeds that the settings name later are asked when nobody else answers', async () => {
+  const group = await led();
+  let seeds = ['gone-1', 'gone-2', 'gone-3'];
+  const { site, follower } = startSite(group, 0, () => seeds);
+  settingsWatch.start(
+    coordinators.runtimeOf(group, 'site').clock,
+    () => group.time.now - follower.freshAt < 1500,
+    () => void (seeds = ['c3', 'gone-2', 'gone-3']),
+  );
+  const ms = await readyAfter(group, site, 10_000);
+  assert.ok(ms < 7000, `${ms} ms`);
+});
+
+test('a new leader shows the list that it fetched before, in the moment it wins', async () => {
+  const group = coordinators.create(6, 3);
+  group.runners = [runner('i-1')];
+  await virtualTime.advance(group.time, 900);
+  group.platformAnswers = false;
+  coordinators.elect(group, group.nodes[0]!);
+  assert.deepEqual(group.nodes[0]!.c.board.runners, [runner('i-1')]);
+  await virtualTime.advance(group.time, 10);
+  assert.deepEqual(group.nodes[2]!.c.board.runners, [runner('i-1')]);
+});
+
+test('a list that is too old is not shown by a new leader', async () => {
+  const group = coordinators.create(6, 3);
+  group.runners = [runner('i-1')];
+  await virtualTime.advance(group.time, 900);
+  group.platformAnswers = false;
+  await virtualTime.advance(group.time, 2500);
+  coordinators.elect(group, group.nodes[0]!);
+  assert.equal(group.nodes[0]!.c.board.runners, null);
+  group.platformAnswers = true;
+  await virtualTime.advance(group.time, 800);
+  assert.deepEqual(group.nodes[0]!.c.board.runners, [runner('i-1')]);
+});
+
+test('in steady state only the leader asks the platform', async () => {
+  const group = await led();
+  const before = group.nodes.map((node) => node.polls);
+  await virtualTime.advance(group.time, 7000);
+  const polls = group.nodes.map((node, i) => node.polls - before[i]!);
+  assert.deepEqual(polls.slice(1), [0, 0]);
+  assert.ok(polls[0]! >= 8 && polls[0]! <= 11, `${polls[0]} polls of the leader`);
+});
+
+test('a lonely member hands out its own recent list, which any leader board replaces', async () => {
+  const group = await led();
+  coordinators.loseLeader(group);
+  for (const node of group.nodes) node.c.board = boards.empty();
+  const { site } = startSite(group);
+  await virtualTime.advance(group.time, contactMs + 700);
+  assert.ok(siteProgram.isReady(site));
+  assert.equal(site.board.term, 0);
+  group.runners = [runner('i-1', true), runner('i-2')];
+  await virtualTime.advance(group.time, 1600);
+  assert.equal(site.board.runners!.find((one) => one.id === 'i-1')!.draining, true, 'drains are heard of');
+  coordinators.elect(group, group.nodes[2]!);
+  await virtualTime.advance(group.time, 1000);
+  assert.ok(site.board.term > 0);
+});
+
+test('a provisional board is not handed out once its list is older than half of drain_ms', async () => {
+  const group = await led();
+  coordinators.loseLeader(group);
+  for (const node of group.nodes) node.c.board = boards.empty();
+  group.platformAnswers = false;
+  await virtualTime.advance(group.time, 1600);
+  const r = await virtualTime.timed(group.time, news.call(group.nodes[1]!.c, question({ acceptsStale: true })));
+  assert.equal(r.value.board, null);
+});
+
+test('a member that stops ends the waits of its sites and sends them on', async () => {
+  const group = await led();
+  const { site, follower } = startSite(group, 1);
+  await virtualTime.advance(group.time, 500);
+  assert.equal(follower.known[follower.at % 3], 'c2');
+  await virtualTime.timed(group.time, shutdown.run(group.nodes[1]!.c));
+  await virtualTime.advance(group.time, 20);
+  assert.notEqual(follower.known[follower.at % 3], 'c2');
+  coordinators.commit(group, configure(2));
+  await virtualTime.advance(group.time, 20);
+  assert.equal(site.table!.revision, 2);
+});
--- /dev/null
+++ b/test/orders.test.ts
@@ -0,0 +1,322 @@
+// Orders of the operator: what was taken is known again whatever happened since, exactly one of several
+// on one base is acknowledged, nothing refused comes into force, and there is always an answer in time.
+import { strict as assert } from 'node:assert';
+import { test } from 'node:test';
+import fc from 'fast-check';
+import { operator } from '../src/controlplane/operator.js';
+import { shutdown } from '../src/controlplane/shutdown.js';
+import { judge } from '../src/state/control/judge.js';
+import { orders } from '../src/state/control/orders.js';
+import { control, type ControlState } from '../src/state/control/reducer.js';
+import { configurationChanges } from '../src/state/history/changes.js';
+import type { Configuration, OperatorCall, Route } from '../src/types.js';
+import { coordinators, repacked, virtualTime, type Group } from './support/coordinators.js';
+import { luck } from './support/random.js';
+
+const { order, send } = coordinators;
+
+function route(label: string, ms = 1000): Route {
+  return { label, hostname: 'h', path_prefix: `/${label}/`, variant: 'streaming', deadline_ms: ms, target: 's' };
+}
+
+function configuration(revision: number, routes: Route[] = [route('a')]): Configuration {
+  return { revision, route_list: routes, service_list: [{ label: 's' }] };
+}
+
+function put(match: number, c: Configuration): OperatorCall {
+  return order('PUT', match, c);
+}
+
+function taken(state: ControlState, call: OperatorCall): ControlState {
+  const verdict = judge.order(state, call);
+  assert.ok(verdict.kind === 'propose' && verdict.refusal === null, verdict.kind);
+  const done = control.apply(state, repacked(verdict.command));
+  assert.equal(done.outcome.kind, 'applied');
+  return done.state;
+}
+
+async function answered(group: Group, node: number, call: OperatorCall): Promise<number> {
+  const r = await virtualTime.timed(group.time, send(group.nodes[node]!, call));
+  assert.ok(r.ms < 1000, `answered after ${r.ms} ms`);
+  return r.value.status;
+}
+
+function led(seed = 1): Group {
+  const group = coordinators.create(seed, 3);
+  coordinators.elect(group, group.nodes[0]!);
+  return group;
+}
+
+const drawnItems = fc.uniqueArray(fc.tuple(fc.integer({ min: 0, max: 9 }), fc.integer({ min: 1, max: 2 })), {
+  selector: (one) => one[0],
+  maxLength: 10,
+});
+const drawn = fc.record({
+  routes: drawnItems,
+  services: drawnItems,
+  tenants: fc.option(drawnItems, { nil: undefined }),
+  limit: fc.integer({ min: 1, max: 3 }),
+  extra: fc.option(fc.array(fc.integer(), { maxLength: 3 }), { nil: undefined }),
+});
+
+test('a change by items gives exactly the configuration that was judged, order included', () => {
+  let byItems = 0;
+  fc.assert(
+    fc.property(fc.array(drawn, { minLength: 2, maxLength: 8 }), (list) => {
+      let state: Configuration | null = null;
+      list.forEach((one, i) => {
+        const target = {
+          revision: i + 1,
+          route_list: one.routes.map(([n, ms]) => route(`r${n}`, ms)),
+          service_list: one.services.map(([n, max]) => ({ label: `s${n}`, max_conns: max })),
+          limits: { header_bytes: one.limit },
+          ...(one.tenants && {
+            tenant_list: one.tenants.map(([n, k]) => ({ label: `t${n}`, api_keys: [`${n}${k}`] })),
+          }),
+          ...(one.extra && { extra: one.extra }),
+        } as Configuration;
+        const change = repacked(configurationChanges.between(state, target));
+        if (change.kind === 'items') byItems++;
+        state = configurationChanges.apply(state, change);
+        assert.deepEqual(state, target);
+      });
+    }),
+    { seed: 11, numRuns: 400 },
+  );
+  assert.ok(byItems > 100, `${byItems} changes by items`);
+});
+
+test('one changed route among many makes a small command, a re-ordered list a whole one', () => {
+  const many = Array.from({ length: 1400 }, (_, i) => route(`r${i}`));
+  const first = configuration(1, many);
+  const state = taken(control.empty(), put(0, first));
+  const next = configuration(2, [...many.slice(0, 7), route('r7', 5), ...many.slice(8), route('new')]);
+  const verdict = judge.order(state, put(1, next));
+  assert.ok(verdict.kind === 'propose' && JSON.stringify(verdict.command).length < 1000);
+  assert.deepEqual(control.apply(state, verdict.command).state.configuration, next);
+  const reversed = judge.order(state, put(1, configuration(2, many.toReversed())));
+  assert.ok(reversed.kind === 'propose' && reversed.command.kind === 'configure');
+  assert.equal(reversed.command.change.kind, 'whole');
+});
+
+test('an order is known again after thousands of changes and from a snapshot, and never refused', () => {
+  const n = orders.mostTaken + 300;
+  const sent: OperatorCall[] = [];
+  let state = control.empty();
+  for (let i = 0; i < n; i++) {
+    const call = put(i * 2, configuration(i * 2 + 2, [route('a', i + 1)]));
+    sent.push(call);
+    state = taken(state, call);
+  }
+  for (const at of [state, repacked(state)]) {
+    assert.equal(judge.order(at, sent.at(-1)!).kind, 'taken');
+    sent.forEach((call, i) => {
+      assert.equal(judge.order(at, call).kind, i < 300 ? 'unclear' : 'taken', `order ${i}`);
+    });
+    const never = judge.order(at, put((n - 2) * 2, configuration(n * 2, [route('x')])));
+    assert.ok(never.kind === 'refused' && never.refusal.status === 412);
+  }
+  assert.ok(JSON.stringify(state.orders).length < 160_000);
+});
+
+test('a resent order is acknowledged again at every member, after hundreds of changes and another leader', async () => {
+  const group = led();
+  const first = put(0, configuration(1));
+  assert.equal(await answered(group, 1, first), 200);
+  for (let i = 1; i < 600; i++)
+    coordinators.commit(group, commandOf(group, put(i, configuration(i + 1, [route('a', i)]))));
+  coordinators.elect(group, group.nodes[2]!);
+  for (const node of [0, 1, 2]) assert.equal(await answered(group, node, first), 200);
+});
+
+function commandOf(group: Group, call: OperatorCall): Parameters<typeof coordinators.commit>[1] {
+  const verdict = judge.order(group.nodes[0]!.state, call);
+  assert.ok(verdict.kind === 'propose');
+  return verdict.command;
+}
+
+test('of eight orders on one base, sent to all members at once, exactly one is acknowledged', async () => {
+  for (let seed = 1; seed <= 30; seed++) {
+    const group = led(seed);
+    const l = luck.create(seed);
+    assert.equal(await answered(group, 0, put(0, configuration(1))), 200);
+    const twins = Array.from({ length: 8 }, (_, i) => put(1, configuration(5, [route('a', i + 1)])));
+    const sent = twins.map((call) => send(group.nodes[luck.below(l, 3)]!, call));
+    const r = await virtualTime.timed(group.time, Promise.all(sent));
+    const statuses = r.value.map((one) => one.status);
+    assert.equal(statuses.filter((s) => s === 200).length, 1, statuses.join());
+    assert.equal(statuses.filter((s) => s === 412).length, 7, statuses.join());
+    const won = configuration(5, [route('a', statuses.indexOf(200) + 1)]);
+    assert.deepEqual(group.nodes[0]!.state.configuration, won);
+  }
+});
+
+test('copies of one order under way at once share one proposal and one answer', async () => {
+  const group = led();
+  group.commitMs = 300;
+  const call = put(0, configuration(1));
+  const copies = [0, 1, 2, 0].map((n) => send(group.nodes[n]!, { ...call, id: `copy ${n}` }));
+  const r = await virtualTime.timed(group.time, Promise.all(copies));
+  assert.deepEqual(
+    r.value.map((one) => one.status),
+    [200, 200, 200, 200],
+  );
+  assert.equal(group.commands.length, 1);
+});
+
+test('an order whose answer was lost is unclear in time, and acknowledged when it is sent again', async () => {
+  const group = led();
+  group.mode = 'lost';
+  const call = put(0, configuration(1));
+  assert.equal(await answered(group, 1, call), 503);
+  group.mode = 'commits';
+  await virtualTime.advance(group.time, 3000);
+  assert.equal(await answered(group, 2, call), 200);
+  assert.equal(group.commands.length, 1);
+});
+
+test('a command that the reducer skipped is judged again, not acknowledged', async () => {
+  const group = led();
+  assert.equal(await answered(group, 0, put(0, configuration(1))), 200);
+  group.commitMs = 200;
+  const loser = send(group.nodes[0]!, put(1, configuration(3, [route('a', 3)])));
+  await virtualTime.advance(group.time, 50);
+  coordinators.commit(group, commandOf(group, put(1, configuration(2, [route('a', 2)]))));
+  const r = await virtualTime.timed(group.time, loser);
+  assert.equal(r.value.status, 412);
+  assert.equal(group.nodes[0]!.state.configuration!.revision, 2);
+});
+
+test('what is refused stays refused: a late copy on a base that came into force since is not taken', async () => {
+  const group = led();
+  assert.equal(await answered(group, 0, put(0, configuration(1))), 200);
+  const early = put(2, configuration(3, [route('early')]));
+  assert.equal(await answered(group, 0, early), 412);
+  assert.equal(await answered(group, 0, put(1, configuration(2))), 200);
+  coordinators.elect(group, group.nodes[1]!);
+  assert.equal(await answered(group, 2, early), 412);
+  assert.equal(group.nodes[1]!.state.configuration!.revision, 2);
+  assert.equal(await answered(group, 2, put(2, configuration(3, [route('other')]))), 200);
+});
+
+test('a refusal of what is not in force yet gives way when the base came in before it', () => {
+  const base = taken(control.empty(), put(0, configuration(1)));
+  const early = put(2, configuration(3));
+  const verdict = judge.order(base, early);
+  assert.ok(verdict.kind === 'propose' && verdict.refusal !== null);
+  const later = taken(base, put(1, configuration(2)));
+  const skipped = control.apply(later, verdict.command);
+  assert.deepEqual([skipped.outcome.kind, skipped.state], ['superseded', later]);
+  assert.equal(taken(later, early).configuration!.revision, 3);
+});
+
+test('a leader that is cut off neither refuses nor confirms nor reads, and says so within a second', async () => {
+  const group = led();
+  assert.equal(await answered(group, 0, put(0, configuration(1))), 200);
+  const old = group.nodes[0]!;
+  group.cutOff.add(old.address);
+  coordinators.elect(group, group.nodes[1]!);
+  assert.equal(old.thinksLeader, true);
+  assert.equal(await answered(group, 1, put(1, configuration(2))), 200);
+  old.isFresh = false;
+  assert.equal(await answered(group, 0, put(0, configuration(7))), 503, 'would be 412');
+  assert.equal(await answered(group, 0, put(2, configuration(9))), 503);
+  assert.equal(await answered(group, 0, order('GET', null, '')), 503);
+  assert.equal(group.commands.length, 2);
+});
+
+test('without a majority, or without any leader, every call is answered as unclear within a second', async () => {
+  const group = led();
+  group.hasMajority = false;
+  for (const node of [0, 1]) {
+    assert.equal(await answered(group, node, put(0, configuration(1))), 503);
+    assert.equal(await answered(group, node, put(5, configuration(6))), 503);
+    assert.equal(await answered(group, node, order('GET', null, '')), 503);
+  }
+  coordinators.loseLeader(group);
+  assert.equal(await answered(group, 2, put(0, configuration(1))), 503);
+  assert.equal(group.commands.length, 0);
+});
+
+test('an order that is undecided at one leader is neither refused nor taken twice at the next', async () => {
+  const group = led();
+  assert.equal(await answered(group, 0, put(0, configuration(1))), 200);
+  const call = put(1, configuration(2, [route('b')]));
+  group.mode = 'lost';
+  assert.equal(await answered(group, 0, call), 503);
+  group.mode = 'commits';
+  coordinators.elect(group, group.nodes[1]!);
+  const r = await virtualTime.timed(group.time, Promise.all([0, 1, 2].map((n) => send(group.nodes[n]!, call))));
+  for (const one of r.value) assert.notEqual(one.status, 412);
+  assert.equal(await answered(group, 2, call), 200);
+  assert.equal(group.commands.length, 2);
+});
+
+test('a member that leads no longer sends the order on to the one that does', async () => {
+  const group = led();
+  coordinators.elect(group, group.nodes[2]!);
+  assert.equal(await answered(group, 0, put(0, configuration(1))), 200);
+  assert.equal(await answered(group, 1, order('POST', null, { model_name: 'm', revision: 2 }, '/v1/version-put')), 200);
+  assert.equal(await answered(group, 0, order('POST', null, { model_name: 'm', revision: 1 }, '/v1/version-put')), 200);
+  assert.deepEqual(group.nodes[0]!.state.weights, { m: 2 });
+  assert.equal(await answered(group, 1, order('GET', null, '')), 200);
+});
+
+test('random orders: one acknowledgement a base, acknowledged ones known for good, refused ones never in force', async () => {
+  for (let seed = 1; seed <= 25; seed++) {
+    const group = led(seed);
+    const l = luck.create(seed * 7);
+    const acknowledged = new Map<number, string>();
+    const refused = new Set<string>();
+    const sent: OperatorCall[] = [];
+    for (let step = 0; step < 40; step++) {
+      const now = group.nodes[luck.below(l, 3)]!.state.configuration?.revision ?? 0;
+      const base = luck.next(l) < 0.7 ? now : Math.max(0, now + luck.below(l, 5) - 2);
+      const fresh = put(base, configuration(base + 1 + luck.below(l, 2), [route('a', luck.below(l, 1e6) + 1)]));
+      const call = sent.length > 0 && luck.next(l) < 0.4 ? luck.pick(l, sent) : fresh;
+      sent.push(call);
+      group.mode = luck.pick(l, ['commits', 'commits', 'lost', 'dropped'] as const);
+      if (luck.next(l) < 0.15) coordinators.elect(group, luck.pick(l, group.nodes));
+      const r = await virtualTime.timed(group.time, send(luck.pick(l, group.nodes), call));
+      const digest = orders.digest(call);
+      if (r.value.status === 200) {
+        assert.ok(!refused.has(digest), 'a refused order was acknowledged');
+        assert.equal(acknowledged.get(Number(call.match)) ?? digest, digest, 'two acknowledged on one base');
+        acknowledged.set(Number(call.match), digest);
+      } else if (r.value.status !== 503) {
+        assert.notEqual(acknowledged.get(Number(call.match)), digest, 'an acknowledged order was refused');
+        refused.add(digest);
+      }
+    }
+    for (const [digest] of group.nodes[0]!.state.orders.taken)
+      assert.ok(!refused.has(digest), 'a refused one is in force');
+  }
+});
+
+test('a planned stop answers what is under way, takes nothing new, and then hands over', async () => {
+  const group = led();
+  group.commitMs = 400;
+  const leader = group.nodes[0]!;
+  const call = put(0, configuration(1));
+  const underWay = send(leader, call);
+  const sentOn = send(group.nodes[1]!, { ...call, id: 'sent on' });
+  await virtualTime.advance(group.time, 20);
+  const stopped = shutdown.run(leader.c);
+  await virtualTime.advance(group.time, 20);
+  assert.equal(leader.handedOver, false, 'not before the order is answered');
+  assert.equal(await answered(group, 0, put(0, configuration(4))), 503);
+  assert.equal(await operator.decide(leader.c, put(0, configuration(4))), null);
+  assert.equal((await virtualTime.timed(group.time, underWay)).value.status, 200);
+  assert.equal((await virtualTime.timed(group.time, sentOn)).value.status, 200);
+  await virtualTime.timed(group.time, stopped);
+  assert.equal(leader.handedOver, true);
+});
+
+test('a stop does not wait for an order that can not be decided', async () => {
+  const group = led();
+  group.mode = 'dropped';
+  void send(group.nodes[0]!, put(0, configuration(1)));
+  await virtualTime.advance(group.time, 20);
+  const r = await virtualTime.timed(group.time, shutdown.run(group.nodes[0]!.c));
+  assert.ok(r.ms <= 2000, `${r.ms} ms`);
+});
--- /dev/null
+++ b/test/support/coordinators.ts
@@ -0,0 +1,367 @@
+/**
+ * Several coordinators with the real modules of the control plane, on virtual time and on a stand-in for
+ * the replicated log: one shared list of committed commands, which every member applies as far as it is
+ * let. What the log is asked to do, and who leads, is set by the test.
+ */
+import { Agent } from 'node:http';
+import { Packr } from 'msgpackr';
+import { boards, type BoardCall } from '../../src/controlplane/board.js';
+import type { Core, ProposalResult } from '../../src/controlplane/core.js';
+import { innerPaths } from '../../src/controlplane/inner.js';
+import { news } from '../../src/controlplane/news.js';
+import { operator } from '../../src/controlplane/operator.js';
+import type { Coordinator } from '../../src/controlplane/parts.js';
+import { runners } from '../../src/controlplane/runners.js';
+import { status } from '../../src/controlplane/status.js';
+import { ringLog } from '../../src/logging/ring.js';
+import { coordinatorProgram } from '../../src/programs/coordinator.js';
+import { tuning } from '../../src/protocol/settings/tuning.js';
+import type { Clock, Network, Runtime } from '../../src/runtime.js';
+import { control, type ApplyOutcome, type Command, type ControlState } from '../../src/state/control/reducer.js';
+import { configurationHistory } from '../../src/state/history/configurations.js';
+import type { NewsCall, OperatorAnswer, OperatorCall, Outcome, Runner, Settings } from '../../src/types.js';
+import { luck, type Luck } from './random.js';
+
+const packr = new Packr({ useRecords: false });
+
+/** Through the wire's encoding and back. */
+export function repacked<T>(value: T): T {
+  return packr.unpack(packr.pack(value)) as T;
+}
+
+type Due = { at: number; number: number; run: () => void; isCancelled: boolean };
+export type VirtualTime = { now: number; due: Due[]; number: number };
+
+function schedule(t: VirtualTime, delayMs: number, run: () => void): Due {
+  const due: Due = { at: t.now + Math.max(0, delayMs), number: t.number++, run, isCancelled: false };
+  t.due.push(due);
+  return due;
+}
+
+function clockOf(t: VirtualTime): Clock {
+  return {
+    now: () => t.now,
+    after: (delayMs, run) => {
+      const due = schedule(t, delayMs, run);
+      return { cancel: () => void (due.isCancelled = true) };
+    },
+    every: (intervalMs, run) => {
+      let due = schedule(t, intervalMs, again);
+      function again(): void {
+        due = schedule(t, intervalMs, again);
+        run();
+      }
+      return { cancel: () => void (due.isCancelled = true) };
+    },
+  };
+}
+
+/** Lets all promises that can go on do so. */
+function settled(): Promise<void> {
+  return new Promise((done) => {
+    setImmediate(done);
+  });
+}
+
+/** Runs everything that is due within `ms` of virtual time. */
+async function advance(t: VirtualTime, ms: number): Promise<void> {
+  const end = t.now + ms;
+  for (;;) {
+    await settled();
+    t.due = t.due.filter((one) => !one.isCancelled);
+    t.due.sort((a, b) => a.at - b.at || a.number - b.number);
+    const next = t.due[0];
+    if (!next || next.at > end) break;
+    t.due.shift();
+    t.now = next.at;
+    next.run();
+  }
+  t.now = end;
+}
+
+/** The result of `work` with the virtual time it took. */
+async function timed<T>(t: VirtualTime, work: Promise<T>): Promise<{ value: T; ms: number }> {
+  const from = t.now;
+  const end: { value: T; ms: number }[] = [];
+  void work.then((value) => end.push({ value, ms: t.now - from }));
+  for (let step = 0; step < 20_000 && end.length === 0; step++) await advance(t, 1);
+  if (end.length === 0) throw new Error('nothing came back in 20 s of virtual time');
+  return end[0]!;
+}
+
+export const virtualTime = { clockOf, advance, timed };
+
+/** `lost`: committed, but the proposer does not hear of it. `dropped`: never committed. */
+export type LogMode = 'commits' | 'lost' | 'dropped';
+
+export type Node = {
+  address: string;
+  c: Coordinator;
+  state: ControlState;
+  applied: number;
+  /** Entries applied at most; Infinity unless the test holds the node back. */
+  mayApply: number;
+  term: number;
+  thinksLeader: boolean;
+  knownLeader: string | null;
+  isFresh: boolean;
+  roleListeners: (() => void)[];
+  applyListeners: (() => void)[];
+  handedOver: boolean;
+  polls: number;
+};
+
+export type Group = {
+  time: VirtualTime;
+  luck: Luck;
+  commands: Command[];
+  outcomes: ApplyOutcome[];
+  nodes: Node[];
+  leader: Node | null;
+  hasMajority: boolean;
+  mode: LogMode;
+  commitMs: number;
+  linkMs: number;
+  /** Calls into and out of these addresses are never answered. */
+  cutOff: Set<string>;
+  runners: Runner[];
+  platformAnswers: boolean;
+  /** Questions for news that were sent. */
+  questions: number;
+};
+
+function applyAll(group: Group, node: Node): void {
+  const end = Math.min(group.commands.length, node.mayApply);
+  const before = node.applied;
+  while (node.applied < end) {
+    const done = control.apply(node.state, repacked(group.commands[node.applied]!));
+    node.state = done.state;
+    group.outcomes[node.applied] = done.outcome;
+    node.applied++;
+  }
+  if (node.applied > before) for (const run of node.applyListeners) run();
+}
+
+function applyEverywhere(group: Group): void {
+  for (const node of group.nodes) if (node.isFresh) applyAll(group, node);
+}
+
+function commit(group: Group, command: Command): ProposalResult {
+  group.commands.push(repacked(command));
+  applyEverywhere(group);
+  const outcome = group.outcomes[group.commands.length - 1];
+  return outcome ? { kind: 'applied', outcome } : { kind: 'unknown' };
+}
+
+function propose(group: Group, node: Node, command: Command): Promise<ProposalResult> {
+  if (!node.thinksLeader) return Promise.resolve({ kind: 'not_leader' });
+  const { mode } = group;
+  return new Promise((done) => {
+    schedule(group.time, group.commitMs, () => {
+      if (mode === 'dropped' || !group.hasMajority || group.leader !== node) return;
+      const result = commit(group, command);
+      if (mode === 'commits') done(result);
+    });
+  });
+}
+
+function confirm(group: Group, node: Node, timeoutMs: number): Promise<boolean> {
+  return new Promise((done) => {
+    const isTrue = group.hasMajority && group.leader === node;
+    schedule(group.time, isTrue ? group.linkMs * 2 : timeoutMs, () => {
+      const holds = isTrue && group.leader === node;
+      if (holds) applyAll(group, node);
+      done(holds);
+    });
+  });
+}
+
+function coreOf(group: Group, node: Node): Core {
+  return {
+    state: () => node.state,
+    term: () => node.term,
+    isLeader: () => node.thinksLeader,
+    leaderAddress: () => node.knownLeader,
+    isFresh: () => node.isFresh,
+    mayAct: () => node.thinksLeader,
+    wonAt: () => 0,
+    ownAddress: () => node.address,
+    addresses: () => group.nodes.map((one) => one.address),
+    peers: () =>
+      node.thinksLeader
+        ? group.nodes
+            .filter((one) => one !== node)
+            .map((one) => ({ id: one.address, address: one.address, heardAt: group.time.now }))
+        : [],
+    confirmLeadership: (timeoutMs) => confirm(group, node, timeoutMs),
+    propose: (command) => propose(group, node, command),
+    handOver: () => {
+      node.handedOver = true;
+      return Promise.resolve();
+    },
+    close: () => Promise.resolve(),
+    onApplied: (run) => void node.applyListeners.push(run),
+    onRoleChanged: (run) => void node.roleListeners.push(run),
+    status: () => ({ phase: 'follower', term: node.term, leader: null, roster: [], committed: 0, disk: 'takes' }),
+  };
+}
+
+function serve(node: Node, path: string, body: unknown): unknown {
+  if (path === innerPaths.operator) return operator.decide(node.c, body as OperatorCall);
+  if (path === innerPaths.news) return news.call(node.c, body as NewsCall);
+  if (path === innerPaths.board) return boards.receive(node.c, body as BoardCall);
+  return status.own(node.c);
+}
+
+/** A network in which every call takes the link's delay both ways. */
+function networkOf(group: Group, from: string): Network {
+  return {
+    call: (address, path, body, options) =>
+      new Promise((done) => {
+        if (path === innerPaths.news) group.questions++;
+        const late = schedule(group.time, options.timeoutMs, () => done({ ok: false, error: { kind: 'silent' } }));
+        const node = group.nodes.find((one) => one.address === address);
+        schedule(group.time, group.linkMs, () => {
+          if (!node || group.cutOff.has(address) || group.cutOff.has(from)) return;
+          void Promise.resolve(serve(node, path, repacked(body))).then((value) => {
+            schedule(group.time, group.linkMs, () => {
+              if (group.cutOff.has(address) || group.cutOff.has(from)) return;
+              late.isCancelled = true;
+              done({ ok: true, value: repacked(value) });
+            });
+          });
+        });
+      }),
+  };
+}
+
+/** A runtime in the group's world, for a coordinator or a site. */
+function runtimeOf(group: Group, from: string): Runtime {
+  return { clock: clockOf(group.time), network: networkOf(group, from), random: () => luck.next(group.luck) };
+}
+
+function settingsOf(address: string): Settings {
+  return {
+    node_name: address,
+    bound_set: { contact_ms: 3000, drain_ms: 3000, lease_ms: 500, grace_s: 8 },
+    cloud_api: { address: 'platform', rate_per_s: 40, lag_ms: 100 },
+  } as unknown as Settings;
+}
+
+function listRunners(group: Group, node: Node): Promise<Outcome<Runner[], string>> {
+  node.polls++;
+  return new Promise((done) => {
+    schedule(group.time, 20, () => {
+      done(
+        group.platformAnswers ? { ok: true, value: structuredClone(group.runners) } : { ok: false, error: 'silent' },
+      );
+    });
+  });
+}
+
+function add(group: Group, address: string): Node {
+  const node: Node = {
+    address,
+    c: null as unknown as Coordinator,
+    state: control.empty(),
+    applied: 0,
+    mayApply: Infinity,
+    term: 1,
+    thinksLeader: false,
+    knownLeader: null,
+    isFresh: false,
+    roleListeners: [],
+    applyListeners: [],
+    handedOver: false,
+    polls: 0,
+  };
+  const settings = settingsOf(address);
+  node.c = coordinatorProgram.create(settings, ringLog.create('coordinator', address), tuning.defaults, {
+    core: coreOf(group, node),
+    runtime: runtimeOf(group, address),
+    outside: {
+      listRunners: () => listRunners(group, node),
+      sendOrder: () => Promise.resolve({ ok: false, error: 'silent' }),
+      askReport: () => Promise.resolve({ ok: false, error: 'silent' }),
+    },
+    agent: new Agent(),
+  });
+  group.nodes.push(node);
+  return node;
+}
+
+function startParts(node: Node): void {
+  const { c } = node;
+  c.core.onApplied(() => {
+    const { configuration } = c.core.state();
+    if (configuration) configurationHistory.take(c.configurations, configuration);
+    boards.wake(c);
+  });
+  runners.start(c);
+  boards.start(c);
+  news.start(c);
+}
+
+/** Coordinators `c1` to `c<n>` without a leader. */
+function create(seed: number, n: number): Group {
+  const group: Group = {
+    time: { now: 0, due: [], number: 0 },
+    luck: luck.create(seed),
+    commands: [],
+    outcomes: [],
+    nodes: [],
+    leader: null,
+    hasMajority: true,
+    mode: 'commits',
+    commitMs: 10,
+    linkMs: 2,
+    cutOff: new Set(),
+    runners: [],
+    platformAnswers: true,
+    questions: 0,
+  };
+  for (let i = 1; i <= n; i++) startParts(add(group, `c${i}`));
+  return group;
+}
+
+/** Lets a node win: all that are not cut off hear it. The earlier leader learns of it unless it is cut off. */
+function elect(group: Group, node: Node): void {
+  const before = group.leader;
+  const term = Math.max(...group.nodes.map((one) => one.term)) + 1;
+  group.leader = node;
+  for (const one of group.nodes) {
+    if (group.cutOff.has(one.address)) continue;
+    one.term = term;
+    one.thinksLeader = one === node;
+    one.knownLeader = node.address;
+    one.isFresh = true;
+    applyAll(group, one);
+  }
+  for (const run of node.roleListeners) run();
+  if (before && before !== node && !group.cutOff.has(before.address)) for (const run of before.roleListeners) run();
+}
+
+/** Nobody leads and nobody hears a leader. */
+function loseLeader(group: Group): void {
+  group.leader = null;
+  for (const node of group.nodes) {
+    node.thinksLeader = false;
+    node.knownLeader = null;
+    node.isFresh = false;
+    for (const run of node.roleListeners) run();
+  }
+}
+
+let calls = 0;
+
+/** An order as an operator sends it to a node. */
+function order(method: string, match: number | null, body: unknown, path = '/v1/config'): OperatorCall {
+  const text = JSON.stringify(body);
+  return { id: `call ${++calls}`, method, path, match: match === null ? null : String(match), body: Buffer.from(text) };
+}
+
+function send(node: Node, call: OperatorCall): Promise<OperatorAnswer> {
+  return operator.call(node.c, call);
+}
+
+export const coordinators = { create, elect, loseLeader, commit, runtimeOf, order, send };
