--- a/src/dataplane/follow.ts
+++ b/src/dataplane/follow.ts
@@ -165,7 +165,7 @@
 
 function askOne(site: Site, f: Follower, address: string): Promise<Outcome<NewsReply, CallError>> {
   const call = question(site, f);
-  const isStarting = call.revision === 0 && !call.acceptsStale;
+  const isStarting = call.revision === 0;
   const timeoutMs = isStarting ? startingTimeoutMs : holdMs + slackMs;
   const hold = isStarting ? Math.min(holdMs, startingTimeoutMs / 2) : holdMs;
   return endpoint.call(f.runtime.network, address, newsEndpoint, { ...call, hold }, { timeoutMs });
