--- /dev/null
+++ b/test/sim/scheduler.ts
@@ -0,0 +1,112 @@
+/**
+ * Virtual time for the simulated world. Events wait in a binary heap ordered by time and, at equal
+ * times, by when they were scheduled. After each event everything that its promises set off is run to
+ * the end before the next event begins, so that modules written with `async` run unchanged and alike
+ * every time. A running hash over all events tells whether two runs took the same course.
+ */
+
+/** One event that waits. A cancelled event stays in the heap and is passed over. */
+export type ScheduledEvent = { at: number; sequence: number; label: string; run: (() => void) | null };
+
+/** `now` is in milliseconds; `hash` covers the time and label of each event that ran. */
+export type Scheduler = {
+  now: number;
+  heap: ScheduledEvent[];
+  sequence: number;
+  executed: number;
+  hash: number;
+  afterEvent: (() => void) | null;
+};
+
+const hashPrime = 16777619;
+const hashStart = 2166136261;
+
+function create(): Scheduler {
+  return { now: 0, heap: [], sequence: 0, executed: 0, hash: hashStart, afterEvent: null };
+}
+
+function isBefore(a: ScheduledEvent, b: ScheduledEvent): boolean {
+  return a.at < b.at || (a.at === b.at && a.sequence < b.sequence);
+}
+
+function push(heap: ScheduledEvent[], event: ScheduledEvent): void {
+  let index = heap.length;
+  heap.push(event);
+  while (index > 0) {
+    const parent = (index - 1) >> 1;
+    if (!isBefore(event, heap[parent]!)) break;
+    heap[index] = heap[parent]!;
+    index = parent;
+  }
+  heap[index] = event;
+}
+
+function pop(heap: ScheduledEvent[]): ScheduledEvent | undefined {
+  const first = heap[0];
+  const last = heap.pop();
+  if (first === undefined || last === undefined || heap.length === 0) return first;
+  let index = 0;
+  for (;;) {
+    let child = 2 * index + 1;
+    if (child >= heap.length) break;
+    if (child + 1 < heap.length && isBefore(heap[child + 1]!, heap[child]!)) child++;
+    if (!isBefore(heap[child]!, last)) break;
+    heap[index] = heap[child]!;
+    index = child;
+  }
+  heap[index] = last;
+  return first;
+}
+
+/** Runs `run` after `delayMs`; the result cancels it. */
+function after(scheduler: Scheduler, delayMs: number, label: string, run: () => void): ScheduledEvent {
+  const at = scheduler.now + Math.max(0, delayMs);
+  const event: ScheduledEvent = { at, sequence: scheduler.sequence, label, run };
+  scheduler.sequence++;
+  push(scheduler.heap, event);
+  return event;
+}
+
+function cancel(event: ScheduledEvent): void {
+  event.run = null;
+}
+
+function mix(scheduler: Scheduler, value: number): void {
+  scheduler.hash = Math.imul(scheduler.hash ^ value, hashPrime) >>> 0;
+}
+
+function mixEvent(scheduler: Scheduler, event: ScheduledEvent): void {
+  mix(scheduler, Math.round(event.at * 1000) | 0);
+  for (let i = 0; i < event.label.length; i++) mix(scheduler, event.label.charCodeAt(i));
+}
+
+/** Waits until no promise has anything left to do. The simulated modules do no real input or output. */
+function settle(): Promise<void> {
+  return new Promise(function wait(resolve) {
+    setImmediate(resolve);
+  });
+}
+
+/** Runs all events up to and including `untilMs`; afterwards `now` is `untilMs`. */
+async function runUntil(scheduler: Scheduler, untilMs: number): Promise<void> {
+  await settle();
+  for (;;) {
+    const next = scheduler.heap[0];
+    if (next === undefined || next.at > untilMs) break;
+    pop(scheduler.heap);
+    if (next.run === null) continue;
+    scheduler.now = next.at;
+    scheduler.executed++;
+    mixEvent(scheduler, next);
+    next.run();
+    await settle();
+    scheduler.afterEvent?.();
+  }
+  scheduler.now = Math.max(scheduler.now, untilMs);
+}
+
+function runFor(scheduler: Scheduler, durationMs: number): Promise<void> {
+  return runUntil(scheduler, scheduler.now + durationMs);
+}
+
+export const simulatedTime = { create, after, cancel, mix, settle, runUntil, runFor };
