--- a/test/linearizability.test.ts
+++ b/test/linearizability.test.ts
@@ -83,6 +83,11 @@
     write(patch('p', 1, 4), 2, 3, 'acknowledged'),
     read(4, 'a+p', 4, 5),
   ],
+  'refused before its base is there, and so for good': [
+    write(b, 0, 1, 'refused'),
+    write(a, 2, 3, 'acknowledged'),
+    write(b, 4, 5, 'refused'),
+  ],
   'an invalid order is refused': [write(put('x', 0, 1, false), 0, 1, 'refused'), read(0, noContent, 2, 3)],
 };
 
@@ -107,6 +112,11 @@
     write(a, 4, 5, 'refused'),
   ],
   'refused and then in force': [write(a, 0, 1, 'refused'), read(1, 'a', 2, 3)],
+  'refused before its base is there, then taken': [
+    write(b, 0, 1, 'refused'),
+    write(a, 2, 3, 'acknowledged'),
+    write(b, 4, 5, 'acknowledged'),
+  ],
   'refused on top of the newest': [write(a, 0, 1, 'acknowledged'), write(b, 2, 3, 'refused')],
   'acknowledged and then lost': [write(a, 0, 1, 'acknowledged'), write(b, 2, 3, 'acknowledged'), read(1, 'a', 4, 5)],
   'a value from nowhere': [write(a, 0, 1, 'acknowledged'), read(7, 'z', 2, 3)],
--- /dev/null
+++ b/test/sim/core.ts
@@ -0,0 +1,121 @@
+/** The process of a coordinator in the simulated world: the real modules on a simulated machine. */
+import { Agent } from 'node:http';
+import { access } from '../../src/controlplane/access.js';
+import { boards, type BoardCall } from '../../src/controlplane/board.js';
+import { innerPaths } from '../../src/controlplane/inner.js';
+import { members } from '../../src/controlplane/members.js';
+import { news } from '../../src/controlplane/news.js';
+import { operator } from '../../src/controlplane/operator.js';
+import type { Coordinator, Outside } from '../../src/controlplane/parts.js';
+import { rollout } from '../../src/controlplane/rollout.js';
+import { runners } from '../../src/controlplane/runners.js';
+import { shutdown } from '../../src/controlplane/shutdown.js';
+import { status } from '../../src/controlplane/status.js';
+import { consensusCalls, replica, type Replica } from '../../src/coordination/consensus/driver.js';
+import { tuning } from '../../src/protocol/settings/tuning.js';
+import type { Folder, Runtime } from '../../src/runtime.js';
+import type { Command } from '../../src/state/control/reducer.js';
+import { boardHistory } from '../../src/state/history/boards.js';
+import { configurationHistory } from '../../src/state/history/configurations.js';
+import type { Message } from '../../src/coordination/consensus/types.js';
+import type { NewsCall, OperatorCall, Outcome, Settings } from '../../src/types.js';
+import { silentLog as log } from './log.js';
+import type { Serve } from './network.js';
+import { operatorPath } from './operators.js';
+
+export type CoreOptions = { settings: Settings; runtime: Runtime; folder: Folder; outside: Outside };
+
+/** `terminate` does what the program does on SIGTERM and comes back when the process would end. */
+export type CoreProcess = {
+  replica: Replica;
+  coordinator: Coordinator;
+  serve: Serve;
+  start: () => void;
+  mayAct: (leaseMs: number) => boolean;
+  terminate: () => Promise<void>;
+};
+
+type Handle = (body: never, from: string) => unknown;
+
+const agent = new Agent();
+
+function coordinatorOf(options: CoreOptions, opened: Replica): Coordinator {
+  const { settings, runtime, outside } = options;
+  return {
+    settings,
+    log,
+    replica: opened,
+    runtime,
+    outside,
+    agent,
+    board: boards.empty(),
+    boardHistory: boardHistory.create(),
+    configurations: configurationHistory.create(),
+    sessions: new Map(),
+    peerSessions: new Map(),
+    reply: { number: 0, sentAt: new Map(), heardUpTo: -Infinity },
+    leaderProgress: { term: 0, revision: 0, weightsSeq: 0, rulesSeq: 0 },
+    waiters: new Set(),
+    isStopping: false,
+    tuning: tuning.defaults,
+  };
+}
+
+/** What the process answers at each path. */
+function handlers(c: Coordinator): Record<string, Handle> {
+  let calls = 0;
+  return {
+    [consensusCalls.path]: (body: { messages: Message[] }) => ({ messages: replica.receive(c.replica, body.messages) }),
+    [innerPaths.board]: (body: BoardCall) => boards.receive(c, body),
+    [innerPaths.news]: (body: NewsCall) => news.call(c, body),
+    [innerPaths.status]: () => status.own(c),
+    [innerPaths.operator]: (body: OperatorCall) => operator.decide(c, body),
+    [operatorPath]: (body: OperatorCall) => operator.call(c, { ...body, id: `${c.settings.node_name}/${++calls}` }),
+  };
+}
+
+function startParts(c: Coordinator): void {
+  members.onApplied(c, function applied() {
+    const { configuration } = c.replica.state;
+    if (configuration) configurationHistory.take(c.configurations, configuration);
+    boards.wake(c);
+  });
+  runners.start(c);
+  boards.start(c);
+  news.start(c);
+  rollout.start(c);
+  access.start(c);
+  replica.start(c.replica);
+}
+
+async function open(options: CoreOptions): Promise<Outcome<CoreProcess, string>> {
+  const { settings, runtime, folder } = options;
+  const opened = await replica.open({ settings, log, runtime, folder });
+  if (!opened.ok) return opened;
+  const c = coordinatorOf(options, opened.value);
+  const table = handlers(c);
+  function serve(path: string, body: unknown, from: string): unknown {
+    const handle = table[path];
+    if (handle === undefined) throw new Error(`nothing at ${path}`);
+    return handle(body as never, from);
+  }
+  return {
+    ok: true,
+    value: {
+      replica: opened.value,
+      coordinator: c,
+      serve,
+      start: () => startParts(c),
+      mayAct: (leaseMs) => replica.mayAct(opened.value, leaseMs),
+      terminate: () => shutdown.run(c),
+    },
+  };
+}
+
+/** The revision that a command brings, or null when it is no change of the configuration. */
+function revisionOf(command: unknown): number | null {
+  const one = command as Command;
+  return one.kind === 'configure' ? one.revision : null;
+}
+
+export const coreProcess = { open, revisionOf };
--- a/test/sim/models.ts
+++ b/test/sim/models.ts
@@ -25,7 +25,8 @@
 
 /**
  * The orders that took effect, newest first. Each state exists once, so that states are equal when
- * they are the same object; `id` stands for it in keys.
+ * they are the same object; `id` stands for it in keys. `refused` are the orders that were refused before
+ * their base came into force: they must not take effect later, and may go on being refused.
  */
 export type RegisterState = {
   id: number;
@@ -33,6 +34,7 @@
   content: string;
   orderKey: string | null;
   previous: RegisterState | null;
+  refused: readonly string[];
 };
 
 /** The content before the first configuration. */
@@ -44,35 +46,47 @@
   return false;
 }
 
-/** The successors of states, by the id of the state and the key of the order. */
+/** The successors of states, by the id of the state and what happened to which order. */
 type Successors = Map<string, RegisterState>;
 
-function successor(successors: Successors, state: RegisterState, order: Order): RegisterState | null {
-  if (!order.isValid || order.base !== state.revision || order.revision <= state.revision) return null;
-  const key = `${state.id} ${order.key}`;
+function successor(
+  successors: Successors,
+  state: RegisterState,
+  happened: string,
+  change: Partial<RegisterState>,
+): RegisterState {
+  const key = `${state.id} ${happened}`;
   const known = successors.get(key);
   if (known !== undefined) return known;
-  const content = order.effect(state.content);
-  if (content === null) return null;
-  const next: RegisterState = {
-    id: successors.size + 1,
-    revision: order.revision,
-    content,
-    orderKey: order.key,
-    previous: state,
-  };
+  const next = { ...state, ...change, id: successors.size + 1 };
   successors.set(key, next);
   return next;
 }
 
+/** The state after the order took effect, or null where it can't. */
+function applied(successors: Successors, state: RegisterState, order: Order): RegisterState | null {
+  const { key, base, revision } = order;
+  if (!order.isValid || base !== state.revision || revision <= state.revision) return null;
+  if (state.refused.includes(key)) return null;
+  const content = order.effect(state.content);
+  if (content === null) return null;
+  return successor(successors, state, `took ${key}`, { revision, content, orderKey: key, previous: state });
+}
+
+function refused(successors: Successors, state: RegisterState, order: Order): RegisterState {
+  if (order.base <= state.revision || state.refused.includes(order.key)) return state;
+  const refusedNow = [...state.refused, order.key].sort();
+  return successor(successors, state, `refused ${order.key}`, { refused: refusedNow });
+}
+
 function write(successors: Successors, state: RegisterState, order: Order, answered: Answered): RegisterState | null {
   const taken = wasTaken(state, order);
-  const next = taken ? null : successor(successors, state, order);
+  const next = taken ? null : applied(successors, state, order);
   switch (answered) {
     case 'acknowledged':
       return taken ? state : next;
     case 'refused':
-      return taken || next !== null ? null : state;
+      return taken || next !== null ? null : refused(successors, state, order);
     case 'unknown':
       return next;
   }
@@ -86,7 +100,7 @@
 function configurationRegister(): Model<RegisterState, RegisterAction> {
   const successors: Successors = new Map();
   return {
-    initial: { id: 0, revision: 0, content: noContent, orderKey: null, previous: null },
+    initial: { id: 0, revision: 0, content: noContent, orderKey: null, previous: null, refused: [] },
     keyOf: (state) => String(state.id),
     apply: function apply(state, action) {
       if (action.kind === 'write') return write(successors, state, action.order, action.answered);
--- a/test/sim/scheduler.ts
+++ b/test/sim/scheduler.ts
@@ -87,26 +87,41 @@
   });
 }
 
+/** Runs the next event, if there is one up to `untilMs`. */
+async function runNext(scheduler: Scheduler, untilMs: number): Promise<boolean> {
+  while (scheduler.heap.length > 0 && scheduler.heap[0]!.run === null) pop(scheduler.heap);
+  const next = scheduler.heap[0];
+  if (next === undefined || next.at > untilMs) return false;
+  pop(scheduler.heap);
+  scheduler.now = next.at;
+  scheduler.executed++;
+  mixEvent(scheduler, next);
+  next.run!();
+  await settle();
+  scheduler.afterEvent?.();
+  return true;
+}
+
 /** Runs all events up to and including `untilMs`; afterwards `now` is `untilMs`. */
 async function runUntil(scheduler: Scheduler, untilMs: number): Promise<void> {
   await settle();
-  for (;;) {
-    const next = scheduler.heap[0];
-    if (next === undefined || next.at > untilMs) break;
-    pop(scheduler.heap);
-    if (next.run === null) continue;
-    scheduler.now = next.at;
-    scheduler.executed++;
-    mixEvent(scheduler, next);
-    next.run();
-    await settle();
-    scheduler.afterEvent?.();
-  }
+  while (await runNext(scheduler, untilMs));
   scheduler.now = Math.max(scheduler.now, untilMs);
 }
 
+/** Runs until the condition holds after an event; false if it does not up to `untilMs`. */
+async function runUntilTrue(scheduler: Scheduler, untilMs: number, condition: () => boolean): Promise<boolean> {
+  await settle();
+  while (!condition()) {
+    if (await runNext(scheduler, untilMs)) continue;
+    scheduler.now = Math.max(scheduler.now, untilMs);
+    return condition();
+  }
+  return true;
+}
+
 function runFor(scheduler: Scheduler, durationMs: number): Promise<void> {
   return runUntil(scheduler, scheduler.now + durationMs);
 }
 
-export const simulatedTime = { create, after, cancel, mix, settle, runUntil, runFor };
+export const simulatedTime = { create, after, cancel, mix, settle, runUntil, runUntilTrue, runFor };
