--- a/test/sim/core.ts
+++ b/test/sim/core.ts
@@ -2,8 +2,9 @@
 import { Agent } from 'node:http';
 import { access } from '../../src/controlplane/access.js';
 import { boards, type BoardCall } from '../../src/controlplane/board.js';
+import { core } from '../../src/controlplane/core.js';
 import { innerPaths } from '../../src/controlplane/inner.js';
-import { members } from '../../src/controlplane/members.js';
+
 import { news } from '../../src/controlplane/news.js';
 import { operator } from '../../src/controlplane/operator.js';
 import type { Coordinator, Outside } from '../../src/controlplane/parts.js';
@@ -12,10 +13,10 @@
 import { shutdown } from '../../src/controlplane/shutdown.js';
 import { status } from '../../src/controlplane/status.js';
 import { consensusCalls, replica, type Replica } from '../../src/coordination/consensus/driver.js';
+import { coordinatorProgram } from '../../src/programs/coordinator.js';
 import { tuning } from '../../src/protocol/settings/tuning.js';
 import type { Folder, Runtime } from '../../src/runtime.js';
 import type { Command } from '../../src/state/control/reducer.js';
-import { boardHistory } from '../../src/state/history/boards.js';
 import { configurationHistory } from '../../src/state/history/configurations.js';
 import type { Message } from '../../src/coordination/consensus/types.js';
 import type { NewsCall, OperatorCall, Outcome, Settings } from '../../src/types.js';
@@ -41,31 +42,14 @@
 
 function coordinatorOf(options: CoreOptions, opened: Replica): Coordinator {
   const { settings, runtime, outside } = options;
-  return {
-    settings,
-    log,
-    replica: opened,
-    runtime,
-    outside,
-    agent,
-    board: boards.empty(),
-    boardHistory: boardHistory.create(),
-    configurations: configurationHistory.create(),
-    sessions: new Map(),
-    peerSessions: new Map(),
-    reply: { number: 0, sentAt: new Map(), heardUpTo: -Infinity },
-    leaderProgress: { term: 0, revision: 0, weightsSeq: 0, rulesSeq: 0 },
-    waiters: new Set(),
-    isStopping: false,
-    tuning: tuning.defaults,
-  };
+  return coordinatorProgram.create(settings, log, tuning.defaults, { core: core.of(opened), runtime, outside, agent });
 }
 
 /** What the process answers at each path. */
-function handlers(c: Coordinator): Record<string, Handle> {
+function handlers(c: Coordinator, opened: Replica): Record<string, Handle> {
   let calls = 0;
   return {
-    [consensusCalls.path]: (body: { messages: Message[] }) => ({ messages: replica.receive(c.replica, body.messages) }),
+    [consensusCalls.path]: (body: { messages: Message[] }) => ({ messages: replica.receive(opened, body.messages) }),
     [innerPaths.board]: (body: BoardCall) => boards.receive(c, body),
     [innerPaths.news]: (body: NewsCall) => news.call(c, body),
     [innerPaths.status]: () => status.own(c),
@@ -74,9 +58,9 @@
   };
 }
 
-function startParts(c: Coordinator): void {
-  members.onApplied(c, function applied() {
-    const { configuration } = c.replica.state;
+function startParts(c: Coordinator, opened: Replica): void {
+  c.core.onApplied(function applied() {
+    const { configuration } = c.core.state();
     if (configuration) configurationHistory.take(c.configurations, configuration);
     boards.wake(c);
   });
@@ -85,7 +69,7 @@
   news.start(c);
   rollout.start(c);
   access.start(c);
-  replica.start(c.replica);
+  replica.start(opened);
 }
 
 async function open(options: CoreOptions): Promise<Outcome<CoreProcess, string>> {
@@ -93,7 +77,7 @@
   const opened = await replica.open({ settings, log, runtime, folder });
   if (!opened.ok) return opened;
   const c = coordinatorOf(options, opened.value);
-  const table = handlers(c);
+  const table = handlers(c, opened.value);
   function serve(path: string, body: unknown, from: string): unknown {
     const handle = table[path];
     if (handle === undefined) throw new Error(`nothing at ${path}`);
@@ -105,7 +89,7 @@
       replica: opened.value,
       coordinator: c,
       serve,
-      start: () => startParts(c),
+      start: () => startParts(c, opened.value),
       mayAct: (leaseMs) => replica.mayAct(opened.value, leaseMs),
       terminate: () => shutdown.run(c),
     },
--- a/test/sim/faults.ts
+++ b/test/sim/faults.ts
@@ -280,9 +280,7 @@
       trouble(cluster, state, graceMs + fault.forMs);
       terminate(cluster, core, () => restart(cluster, core, fault.forMs));
       return true;
-    case 'wipe':
-    case 'wipe_and_power_all':
-    case 'replace':
+    default:
       return false;
   }
 }
--- a/test/sim/operators.ts
+++ b/test/sim/operators.ts
@@ -127,7 +127,7 @@
 }
 
 function callOf(method: string, base: number, value: object): OperatorCall {
-  return { method, path: '/v1/config', match: String(base), body: encoder.encode(JSON.stringify(value)) };
+  return { id: '', method, path: '/v1/config', match: String(base), body: encoder.encode(JSON.stringify(value)) };
 }
 
 /** One call to one member, with redirects followed; null without an answer. */
@@ -187,7 +187,13 @@
 async function read(operator: Operator): Promise<boolean> {
   const { histories, scheduler } = operator;
   const invokedAt = scheduler.now;
-  const answer = await send(operator, { method: 'GET', path: '/v1/config', match: null, body: new Uint8Array() });
+  const answer = await send(operator, {
+    id: '',
+    method: 'GET',
+    path: '/v1/config',
+    match: null,
+    body: new Uint8Array(),
+  });
   if (answer === null || (answer.status !== 200 && answer.status !== 404)) {
     histories.unclearAnswers++;
     return false;
@@ -219,7 +225,7 @@
   };
   list.push(operation);
   const body = encoder.encode(JSON.stringify({ model_name: model, revision }));
-  const answer = await send(operator, { method: 'POST', path: '/v1/version-put', match: null, body });
+  const answer = await send(operator, { id: '', method: 'POST', path: '/v1/version-put', match: null, body });
   const answered = answeredOf(answer);
   count(histories, answered);
   if (answered !== 'unknown') {
