--- a/test/sim/cluster.ts
+++ b/test/sim/cluster.ts
@@ -227,7 +227,6 @@
 function startCore(cluster: Cluster, core: CoreMachine): void {
   if (core.machine.status === 'running' || core.isRemoved) return;
   const life = machines.start(core.machine);
-  core.endpoint.serve = null;
   const folder = cluster.wrapFolder(folderOf(core));
   const runtime = runtimeOf(cluster, core.machine, core.endpoint);
   const outside = runnerFleet.outsideOf(cluster.fleet, core.machine);
@@ -251,7 +250,7 @@
     return;
   }
   core.process = result.value;
-  simulatedNetwork.listen(core.endpoint, result.value.serve);
+  simulatedNetwork.listen(core.endpoint, result.value.handlers);
   result.value.start();
 }
 
--- a/test/sim/core.ts
+++ b/test/sim/core.ts
@@ -14,14 +14,13 @@
 import { status } from '../../src/controlplane/status.js';
 import { consensusCalls, replica, type Replica } from '../../src/coordination/consensus/driver.js';
 import { coordinatorProgram } from '../../src/programs/coordinator.js';
+import { endpoint, type Handler } from '../../src/protocol/inner/endpoint.js';
 import { tuning } from '../../src/protocol/settings/tuning.js';
 import type { Folder, Runtime } from '../../src/runtime.js';
 import type { Command } from '../../src/state/control/reducer.js';
 import { configurationHistory } from '../../src/state/history/configurations.js';
-import type { Message } from '../../src/coordination/consensus/types.js';
 import type { NewsCall, OperatorCall, Outcome, Settings } from '../../src/types.js';
 import { silentLog as log } from './log.js';
-import type { Serve } from './network.js';
 import { operatorPath } from './operators.js';
 
 export type CoreOptions = { settings: Settings; runtime: Runtime; folder: Folder; outside: Outside };
@@ -30,14 +29,12 @@
 export type CoreProcess = {
   replica: Replica;
   coordinator: Coordinator;
-  serve: Serve;
+  handlers: Handler[];
   start: () => void;
   mayAct: (leaseMs: number) => boolean;
   terminate: () => Promise<void>;
 };
 
-type Handle = (body: never, from: string) => unknown;
-
 const agent = new Agent();
 
 function coordinatorOf(options: CoreOptions, opened: Replica): Coordinator {
@@ -45,19 +42,31 @@
   return coordinatorProgram.create(settings, log, tuning.defaults, { core: core.of(opened), runtime, outside, agent });
 }
 
-/** What the process answers at each path. */
-function handlers(c: Coordinator, opened: Replica): Record<string, Handle> {
-  let calls = 0;
+/** A handler without a typed endpoint, as yet: whatever comes is handed on as it is. */
+function handler(path: string, handle: (body: never, from: string) => unknown): Handler {
   return {
-    [consensusCalls.path]: (body: { messages: Message[] }) => ({ messages: replica.receive(opened, body.messages) }),
-    [innerPaths.board]: (body: BoardCall) => boards.receive(c, body),
-    [innerPaths.news]: (body: NewsCall) => news.call(c, body),
-    [innerPaths.status]: () => status.own(c),
-    [innerPaths.operator]: (body: OperatorCall) => operator.decide(c, body),
-    [operatorPath]: (body: OperatorCall) => operator.call(c, { ...body, id: `${c.settings.node_name}/${++calls}` }),
+    path,
+    maxBytes: Infinity,
+    bindsToLife: false,
+    receive: async (raw, from) => ({ ok: true, value: await handle(raw as never, from.address) }),
   };
 }
 
+/** What the process answers at each path. */
+function handlers(c: Coordinator, opened: Replica): Handler[] {
+  let calls = 0;
+  return [
+    endpoint.handler(consensusCalls, (batch) => ({ messages: replica.receive(opened, batch.messages) })),
+    handler(innerPaths.board, (body: BoardCall) => boards.receive(c, body)),
+    handler(innerPaths.news, (body: NewsCall) => news.call(c, body)),
+    handler(innerPaths.status, () => status.own(c)),
+    handler(innerPaths.operator, (body: OperatorCall) => operator.decide(c, body)),
+    handler(operatorPath, (body: OperatorCall) =>
+      operator.call(c, { ...body, id: `${c.settings.node_name}/${++calls}` }),
+    ),
+  ];
+}
+
 function startParts(c: Coordinator, opened: Replica): void {
   c.core.onApplied(function applied() {
     const { configuration } = c.core.state();
@@ -77,18 +86,12 @@
   const opened = await replica.open({ settings, log, runtime, folder });
   if (!opened.ok) return opened;
   const c = coordinatorOf(options, opened.value);
-  const table = handlers(c, opened.value);
-  function serve(path: string, body: unknown, from: string): unknown {
-    const handle = table[path];
-    if (handle === undefined) throw new Error(`nothing at ${path}`);
-    return handle(body as never, from);
-  }
   return {
     ok: true,
     value: {
       replica: opened.value,
       coordinator: c,
-      serve,
+      handlers: handlers(c, opened.value),
       start: () => startParts(c, opened.value),
       mayAct: (leaseMs) => replica.mayAct(opened.value, leaseMs),
       terminate: () => shutdown.run(c),
--- a/test/sim/linearizability.ts
+++ b/test/sim/linearizability.ts
@@ -55,6 +55,25 @@
   return { state, linearized: new Set([...candidate.linearized, operation.id]) };
 }
 
+/**
+ * The candidate with all pending operations linearised that are in place and leave the state as it is.
+ * That takes no possibility away: whatever can follow without them can follow with them.
+ */
+function absorb<State, Action>(
+  model: Model<State, Action>,
+  candidate: Candidate<State>,
+  pending: Map<number, Operation<Action>>,
+): Candidate<State> {
+  const linearized = new Set(candidate.linearized);
+  const key = model.keyOf(candidate.state);
+  for (const operation of pending.values()) {
+    if (operation.respondedAt === Infinity || linearized.has(operation.id)) continue;
+    const state = model.apply(candidate.state, operation.action);
+    if (state !== null && model.keyOf(state) === key) linearized.add(operation.id);
+  }
+  return { state: candidate.state, linearized };
+}
+
 /** All candidates in which `target` is linearised and nothing after it; null when there are too many. */
 function respond<State, Action>(
   model: Model<State, Action>,
@@ -64,7 +83,7 @@
 ): Candidate<State>[] | null {
   const seen = new Set<string>();
   const results = new Map<string, Candidate<State>>();
-  const stack = [...candidates];
+  const stack = candidates.map((candidate) => absorb(model, candidate, pending));
   while (stack.length > 0) {
     const candidate = stack.pop()!;
     if (candidate.linearized.has(target.id)) {
@@ -76,8 +95,9 @@
     }
     for (const operation of pending.values()) {
       if (candidate.linearized.has(operation.id)) continue;
-      const next = advance(model, candidate, operation);
-      if (next === null) continue;
+      const advanced = advance(model, candidate, operation);
+      if (advanced === null) continue;
+      const next = absorb(model, advanced, pending);
       const key = keyOf(model, next);
       if (seen.has(key)) continue;
       seen.add(key);
--- a/test/sim/machine.ts
+++ b/test/sim/machine.ts
@@ -53,7 +53,7 @@
   machine.slowMs = 0;
   machine.busyUntil = 0;
   machine.waiting = [];
-  machine.clockOrigin = luck.next(machine.luck) * latestClockOrigin - machine.scheduler.now;
+  machine.clockOrigin = luck.below(machine.luck, latestClockOrigin);
   return machine.life;
 }
 
--- a/test/sim/network.ts
+++ b/test/sim/network.ts
@@ -5,27 +5,32 @@
  * call was carried out; messages that were recorded long ago may reach whoever has the address now.
  */
 import { Packr } from 'msgpackr';
-import type { CallError, CallOptions, Network } from '../../src/runtime.js';
+import { rejectionStatus, type Handler } from '../../src/protocol/inner/endpoint.js';
+import type { CallError, CallOptions, Network, Timer } from '../../src/runtime.js';
+import { identity, type RequestIdentity } from '../../src/transport/inner/identity.js';
+import { lives, type Lives } from '../../src/transport/inner/lives.js';
+import { seenCalls, type Seen } from '../../src/transport/inner/seen.js';
 import type { Outcome } from '../../src/types.js';
 import { luck, type Luck } from '../support/random.js';
 import { links, type Link } from './link.js';
 import { machines, type Machine } from './machine.js';
 import { simulatedTime, type Scheduler } from './scheduler.js';
 
-/** What a process does with a call; `from` is the caller's address. */
-export type Serve = (path: string, body: unknown, from: string) => unknown;
-
-/** A process that can be called. `serve` is null until it listens. */
-export type Endpoint = {
-  address: string;
-  machine: Machine;
+/** What one life of a process knows as a caller and, once it listens, as a server. */
+type Session = {
   life: number;
-  serve: Serve | null;
-  uplink: Link;
-  downlink: Link;
+  /** The life as it is told to others. */
+  lifeText: string;
+  lives: Lives;
+  lastCallId: number;
+  seen: Seen;
+  handlers: Map<string, Handler> | null;
   lastUsed: Map<string, number>;
 };
 
+/** A process that can call and be called. */
+export type Endpoint = { address: string; machine: Machine; session: Session; uplink: Link; downlink: Link };
+
 /** Shares are chances per message. `idleMs` is how long a connection may rest before it is gone. */
 export type Conditions = {
   latencyMs: [number, number];
@@ -38,7 +43,7 @@
   idleMs: number;
 };
 
-type Recorded = { path: string; bytes: Uint8Array; from: string };
+type Recorded = { path: string; bytes: Uint8Array; from: string; identity: string };
 type Held = { from: string; to: string; arrive: () => void };
 type InProgress = { address: string; life: number; broken: (kind: 'reset' | 'silent') => void };
 
@@ -50,20 +55,39 @@
   cuts: Set<string>;
   held: Held[];
   recorded: Map<string, Recorded[]>;
-  answers: Map<string, Uint8Array>;
+  answers: Map<string, Reply>;
   inProgress: Set<InProgress>;
   onCall: ((from: string, to: string, path: string, body: unknown) => void) | null;
-  counters: { calls: number; bytes: number; lost: number; doubled: number; replayed: number; misdirected: number };
+  counters: NetworkCounters;
 };
 
+export type NetworkCounters = {
+  calls: number;
+  bytes: number;
+  lost: number;
+  doubled: number;
+  replayed: number;
+  misdirected: number;
+  /** What the receivers recognised and dropped. */
+  duplicates: number;
+  strangeReplies: number;
+  earlierLives: number;
+};
+
+/** `identity` is that of the reply; empty where there is only an error. */
+type Reply = { outcome: Outcome<Uint8Array, CallError>; identity: string };
+
 type Call = {
   from: Endpoint;
-  fromLife: number;
+  session: Session;
   to: string;
   path: string;
   bytes: Uint8Array;
+  identity: string;
+  own: RequestIdentity;
   options: CallOptions;
   isOver: boolean;
+  progress: () => void;
   finish: (outcome: Outcome<unknown, CallError>) => void;
 };
 
@@ -72,6 +96,8 @@
 const heldShare = 0.3;
 const retransmitShare = 0.5;
 const retransmitMs = 900;
+const bulkCapMs = 60_000;
+const shortestWaitMs = 0.01;
 const mostRecorded = 24;
 const recordShare = 0.1;
 const calm: Conditions = {
@@ -97,7 +123,30 @@
     answers: new Map(),
     inProgress: new Set(),
     onCall: null,
-    counters: { calls: 0, bytes: 0, lost: 0, doubled: 0, replayed: 0, misdirected: 0 },
+    counters: {
+      calls: 0,
+      bytes: 0,
+      lost: 0,
+      doubled: 0,
+      replayed: 0,
+      misdirected: 0,
+      duplicates: 0,
+      strangeReplies: 0,
+      earlierLives: 0,
+    },
+  };
+}
+
+function createSession(machine: Machine): Session {
+  const digits = Array.from({ length: 16 }, () => luck.below(machine.luck, 16).toString(16));
+  return {
+    life: machine.life,
+    lifeText: digits.join(''),
+    lives: lives.create(),
+    lastCallId: 0,
+    seen: seenCalls.create(),
+    handlers: null,
+    lastUsed: new Map(),
   };
 }
 
@@ -106,21 +155,17 @@
   const endpoint: Endpoint = {
     address,
     machine,
-    life: 0,
-    serve: null,
+    session: createSession(machine),
     uplink: links.create(bytesPerMs),
     downlink: links.create(bytesPerMs),
-    lastUsed: new Map(),
   };
   network.endpoints.set(address, endpoint);
   return endpoint;
 }
 
 /** Lets the life of the endpoint's machine that runs now take calls. */
-function listen(endpoint: Endpoint, serve: Serve): void {
-  endpoint.life = endpoint.machine.life;
-  endpoint.serve = serve;
-  endpoint.lastUsed.clear();
+function listen(endpoint: Endpoint, handlers: Handler[]): void {
+  endpoint.session.handlers = new Map(handlers.map((handler) => [handler.path, handler]));
 }
 
 function chance(network: SimulatedNetwork, share: number): boolean {
@@ -201,6 +246,7 @@
   const size = bytes + headBytes;
   network.counters.bytes += size;
   function isAbandoned(): boolean {
+    call.progress();
     return call.isOver;
   }
   links.carry(network.scheduler, from.uplink, stream, size, isAbandoned, function sent() {
@@ -215,89 +261,132 @@
   if (!chance(network, recordShare)) return;
   const list = network.recorded.get(call.to) ?? [];
   const place = list.length < mostRecorded ? list.length : luck.below(network.luck, mostRecorded);
-  list[place] = { path: call.path, bytes: call.bytes, from: call.from.address };
+  list[place] = { path: call.path, bytes: call.bytes, from: call.from.address, identity: call.identity };
   network.recorded.set(call.to, list);
 }
 
 /** The connection rested too long: the request meets nothing, or a reset. */
 function isConnectionGone(network: SimulatedNetwork, call: Call): boolean {
   const key = `${call.to} ${call.options.lane ?? 'control'}`;
-  const last = call.from.lastUsed.get(key);
-  call.from.lastUsed.set(key, network.scheduler.now);
+  const last = call.session.lastUsed.get(key);
+  call.session.lastUsed.set(key, network.scheduler.now);
   return last !== undefined && network.scheduler.now - last > network.conditions.idleMs;
 }
 
 /** Carries a request out at its target and sends the answer back. */
 function serve(network: SimulatedNetwork, call: Call, target: Endpoint): void {
-  const { machine, life } = target;
+  const { machine, session } = target;
   const inProgress: InProgress = {
     address: target.address,
-    life,
+    life: session.life,
     broken: function broken(kind) {
       network.inProgress.delete(inProgress);
-      if (kind === 'silent') return;
-      reply(network, call, target, () => ({ ok: false, error: { kind: 'broken', message: 'reset' } }), 0);
+      if (kind === 'reset') sendReply(network, call, target, failure({ kind: 'broken', message: 'reset' }));
     },
   };
   network.inProgress.add(inProgress);
-  machines.enter(machine, life, function take() {
-    void answerOf(target, call).then(function done(answer) {
-      if (!machines.isAlive(machine, life)) return;
+  machines.enter(machine, session.life, function take() {
+    void replyOf(network, call, target).then(function done(reply) {
       network.inProgress.delete(inProgress);
-      if (!answer.ok) return reply(network, call, target, () => answer, 0);
-      deliver(network, call, target, packr.pack(answer.value));
+      if (reply === null || !machines.isAlive(machine, session.life)) return;
+      deliver(network, call, target, reply);
     });
   });
 }
 
-async function answerOf(target: Endpoint, call: Call): Promise<Outcome<unknown, CallError>> {
-  if (target.serve === null) return { ok: false, error: { kind: 'unreached', message: 'not listening' } };
-  try {
-    return { ok: true, value: await target.serve(call.path, packr.unpack(call.bytes), call.from.address) };
-  } catch (error) {
-    return { ok: false, error: { kind: 'rejected', status: 500, message: String((error as Error).stack) } };
+function failure(error: CallError): Reply {
+  return { outcome: { ok: false, error }, identity: '' };
+}
+
+/** What the process answers, by the rules of the real server; null for a call that it has seen before. */
+async function replyOf(network: SimulatedNetwork, call: Call, target: Endpoint): Promise<Reply | null> {
+  const { session } = target;
+  const request = identity.parseRequest(call.identity);
+  if (request === null) return failure({ kind: 'rejected', status: rejectionStatus.malformed, message: 'identity' });
+  const caller = `${request.callerLife} ${request.lane}`;
+  if (!seenCalls.take(session.seen, caller, request.callId, network.scheduler.now)) {
+    network.counters.duplicates++;
+    return null;
   }
+  const own = identity.formatReply({ ...request, calleeLife: session.lifeText });
+  const outcome = await carryOut(network, call, session, request);
+  return { outcome, identity: own };
 }
 
-/** The answer to a call; now and then the connection yields an earlier answer in its place. */
-function deliver(network: SimulatedNetwork, call: Call, target: Endpoint, bytes: Uint8Array): void {
-  if (chance(network, network.conditions.resetShare)) {
-    reply(network, call, target, () => ({ ok: false, error: { kind: 'broken', message: 'reset' } }), 0);
-    return;
+async function carryOut(
+  network: SimulatedNetwork,
+  call: Call,
+  session: Session,
+  request: RequestIdentity,
+): Promise<Outcome<Uint8Array, CallError>> {
+  const handler = session.handlers?.get(call.path);
+  if (handler === undefined) return rejected(rejectionStatus.unknownPath, 'path: unknown');
+  if (handler.bindsToLife && request.calleeLife !== null && request.calleeLife !== session.lifeText) {
+    network.counters.earlierLives++;
+    return rejected(rejectionStatus.otherLife, 'callee life: this process has restarted since');
   }
+  const from = { address: call.from.address, life: request.callerLife, callId: request.callId };
+  const result = await handler.receive(packr.unpack(call.bytes), from);
+  if (!result.ok) return rejected(result.error.status, result.error.message);
+  return { ok: true, value: packr.pack(result.value) };
+}
+
+function rejected(status: number, message: string): Outcome<never, CallError> {
+  return { ok: false, error: { kind: 'rejected', status, message } };
+}
+
+/** The answer to a call; now and then it is lost, or the connection yields an earlier one in its place. */
+function deliver(network: SimulatedNetwork, call: Call, target: Endpoint, reply: Reply): void {
+  if (chance(network, network.conditions.resetShare))
+    return sendReply(network, call, target, failure({ kind: 'broken', message: 'reset' }));
   const key = `${call.from.address} ${call.path}`;
   const earlier = network.answers.get(key);
-  const isMisdirected = earlier !== undefined && chance(network, network.conditions.misdirectShare);
-  if (isMisdirected) network.counters.misdirected++;
-  const given = isMisdirected ? earlier : bytes;
-  network.answers.set(key, bytes);
-  reply(network, call, target, () => ({ ok: true, value: packr.unpack(given) }), given.length);
+  network.answers.set(key, reply);
+  if (earlier === undefined || !chance(network, network.conditions.misdirectShare))
+    return sendReply(network, call, target, reply);
+  network.counters.misdirected++;
+  sendReply(network, call, target, earlier);
 }
 
-function reply(
-  network: SimulatedNetwork,
-  call: Call,
-  target: Endpoint,
-  outcome: () => Outcome<unknown, CallError>,
-  bytes: number,
-): void {
-  transmit(network, target, call.from, call, bytes, `answer ${target.address}>${call.from.address}`, function arrive() {
-    if (!call.isOver) call.finish(outcome());
+function sendReply(network: SimulatedNetwork, call: Call, target: Endpoint, reply: Reply): void {
+  const bytes = reply.outcome.ok ? reply.outcome.value.length : 0;
+  const label = `answer ${target.address}>${call.from.address}`;
+  transmit(network, target, call.from, call, bytes, label, function arrive() {
+    if (!call.isOver) call.finish(accepted(network, call, reply));
   });
 }
 
+/** Takes a reply as the real caller does: only with the identity of its own call, of a life that still is. */
+function accepted(network: SimulatedNetwork, call: Call, reply: Reply): Outcome<unknown, CallError> {
+  if (reply.identity === '') return reply.outcome;
+  const { own, session } = call;
+  const found = identity.parseReply(reply.identity);
+  if (found === null || found.callId !== own.callId || found.callerLife !== own.callerLife) {
+    network.counters.strangeReplies++;
+    return { ok: false, error: { kind: 'broken', message: 'a reply to another call' } };
+  }
+  if (lives.hear(session.lives, call.to, call.path, found.calleeLife) === 'earlier') {
+    network.counters.earlierLives++;
+    return { ok: false, error: { kind: 'broken', message: 'a reply of an earlier life' } };
+  }
+  return reply.outcome.ok ? { ok: true, value: packr.unpack(reply.outcome.value) } : reply.outcome;
+}
+
 /** A request has crossed the network and meets whoever has the address now. */
 function arriveAt(network: SimulatedNetwork, call: Call): void {
   const target = network.endpoints.get(call.to);
   if (target === undefined || target.machine.status === 'off') return;
-  if (target.machine.status === 'stopped' || target.serve === null || target.life !== target.machine.life) {
-    const message = 'connection refused';
-    reply(network, call, target, () => ({ ok: false, error: { kind: 'unreached', message } }), 0);
+  if (!isListening(target)) {
+    sendReply(network, call, target, failure({ kind: 'unreached', message: 'connection refused' }));
     return;
   }
   serve(network, call, target);
 }
 
+function isListening(target: Endpoint): boolean {
+  return target.session.handlers !== null && machines.isAlive(target.machine, target.session.life);
+}
+
 function send(network: SimulatedNetwork, call: Call): void {
   network.counters.calls++;
   record(network, call);
@@ -314,29 +403,64 @@
   });
 }
 
-/** The network as one life of a process sees it. */
+/** Ends a call after its time; on the bulk lane the time begins anew with each piece that moves. */
+function startDeadline(call: Call, expire: () => void): Timer {
+  const clock = machines.clockOf(call.from.machine, call.session.life);
+  const { timeoutMs, lane } = call.options;
+  const startedAt = clock.now();
+  let movedAt = startedAt;
+  let timer = clock.after(timeoutMs, look);
+  function look(): void {
+    const endsAt = Math.min(movedAt + timeoutMs, startedAt + Math.max(bulkCapMs, timeoutMs));
+    if (endsAt - clock.now() < shortestWaitMs) return expire();
+    timer = clock.after(endsAt - clock.now(), look);
+  }
+  if (lane === 'bulk')
+    call.progress = function progress() {
+      movedAt = clock.now();
+    };
+  return { cancel: () => timer.cancel() };
+}
+
+function nothing(): void {
+  /* nothing to note */
+}
+
+function newCall(endpoint: Endpoint, to: string, path: string, body: unknown, options: CallOptions): Call {
+  const { session } = endpoint;
+  session.lastCallId++;
+  const own: RequestIdentity = {
+    callId: session.lastCallId,
+    callerLife: session.lifeText,
+    calleeLife: lives.expected(session.lives, to, path),
+    lane: options.lane ?? 'control',
+  };
+  const bytes = packr.pack(body);
+  const text = identity.formatRequest(own);
+  const base = { from: endpoint, session, to, path, bytes, identity: text, own, options };
+  return { ...base, isOver: false, progress: nothing, finish: nothing };
+}
+
+/** The network as the life of the endpoint's process that begins now sees it. */
 function networkOf(network: SimulatedNetwork, endpoint: Endpoint): Network {
   const { machine } = endpoint;
-  const life = machine.life;
-  const clock = machines.clockOf(machine, life);
+  const session = createSession(machine);
+  endpoint.session = session;
   function call(to: string, path: string, body: unknown, options: CallOptions): Promise<Outcome<unknown, CallError>> {
     return new Promise(function run(resolve) {
-      const bytes = packr.pack(body);
-      const timer = clock.after(options.timeoutMs, function late() {
+      const made = newCall(endpoint, to, path, body, options);
+      const deadline = startDeadline(made, function late() {
         end({ ok: false, error: { kind: 'silent' } });
       });
       function end(outcome: Outcome<unknown, CallError>): void {
         if (made.isOver) return;
         made.isOver = true;
-        timer.cancel();
+        deadline.cancel();
         resolve(outcome);
       }
-      function finish(outcome: Outcome<unknown, CallError>): void {
-        machines.enter(machine, life, function take() {
-          end(outcome);
-        });
-      }
-      const made: Call = { from: endpoint, fromLife: life, to, path, bytes, options, isOver: false, finish };
+      made.finish = function finish(outcome) {
+        machines.enter(machine, session.life, () => end(outcome));
+      };
       network.onCall?.(endpoint.address, to, path, body);
       send(network, made);
     });
@@ -346,7 +470,7 @@
 
 /** A process ended: a kill resets its connections, a loss of power leaves its callers without a word. */
 function processEnded(network: SimulatedNetwork, endpoint: Endpoint, kind: 'reset' | 'silent'): void {
-  endpoint.serve = null;
+  endpoint.session.handlers = null;
   for (const call of [...network.inProgress]) if (call.address === endpoint.address) call.broken(kind);
 }
 
@@ -363,18 +487,12 @@
       function late() {
         const target = network.endpoints.get(address);
         const from = network.endpoints.get(old.from);
-        if (!target || !from || target.serve === null || !machines.isAlive(target.machine, target.life)) return;
-        const call: Call = {
-          from,
-          fromLife: -1,
-          to: address,
-          path: old.path,
-          bytes: old.bytes,
-          options: { timeoutMs: 0 },
-          isOver: true,
-          finish: () => undefined,
-        };
-        serve(network, call, target);
+        const request = identity.parseRequest(old.identity);
+        if (!target || !from || !request || !isListening(target)) return;
+        const options = { timeoutMs: 0 };
+        const base = { from, session: from.session, to: address, path: old.path, bytes: old.bytes, options };
+        const call = { ...base, identity: old.identity, own: request };
+        serve(network, { ...call, isOver: true, progress: nothing, finish: nothing }, target);
       },
     );
   }
