--- a/test/inner.test.ts
+++ b/test/inner.test.ts
@@ -169,7 +169,7 @@
   { endpoint: statusEndpoint, request: {}, reply: statusReply },
   {
     endpoint: operatorEndpoint,
-    request: { method: 'PUT', path: '/v1/config', match: '3', body: new Uint8Array([1, 2, 3]) },
+    request: { id: 'c-1', method: 'PUT', path: '/v1/config', match: '3', body: new Uint8Array([1, 2, 3]) },
     reply: { status: 200, body: '{}' },
   },
   {
--- a/test/news.test.ts
+++ b/test/news.test.ts
@@ -1,7 +1,6 @@
 // News to sites: what is not current is not handed out, a site becomes ready on a current answer only and
 // leaves a member that has none, and a new leader or a lonely member has a list of runners at once.
 import { strict as assert } from 'node:assert';
-import { Agent } from 'node:http';
 import { test } from 'node:test';
 import { boards } from '../src/controlplane/board.js';
 import { news } from '../src/controlplane/news.js';
@@ -13,7 +12,8 @@
 import { settingsWatch } from '../src/programs/watch.js';
 import { tuning } from '../src/protocol/settings/tuning.js';
 import type { Command } from '../src/state/control/reducer.js';
-import type { Configuration, NewsCall, Runner, Settings } from '../src/types.js';
+import type { NewsRequest } from '../src/protocol/inner/news.js';
+import type { Configuration, Runner, Settings } from '../src/types.js';
 import { coordinators, virtualTime, type Group, type Node } from './support/coordinators.js';
 
 const contactMs = 3000;
@@ -38,7 +38,7 @@
   return group;
 }
 
-function question(over: Partial<NewsCall> = {}): NewsCall {
+function question(over: Partial<NewsRequest> = {}): NewsRequest {
   return {
     site: 'site',
     life: 'life',
@@ -63,7 +63,7 @@
   } as unknown as Settings;
   const site = siteProgram.create(settings, ringLog.create('site', 'site'), tuning.defaults);
   const runtime = coordinators.runtimeOf(group, 'site');
-  const follower = follow.create({ life: 'life', runtime, via: new Agent(), seeds }, first);
+  const follower = follow.create({ life: 'life', runtime, seeds }, first);
   void follow.run(site, follower);
   return { site, follower };
 }
--- a/test/orders.test.ts
+++ b/test/orders.test.ts
@@ -9,7 +9,8 @@
 import { orders } from '../src/state/control/orders.js';
 import { control, type ControlState } from '../src/state/control/reducer.js';
 import { configurationChanges } from '../src/state/history/changes.js';
-import type { Configuration, OperatorCall, Route } from '../src/types.js';
+import type { OperatorRequest } from '../src/protocol/inner/operator.js';
+import type { Configuration, Route } from '../src/types.js';
 import { coordinators, repacked, virtualTime, type Group } from './support/coordinators.js';
 import { luck } from './support/random.js';
 
@@ -23,11 +24,11 @@
   return { revision, route_list: routes, service_list: [{ label: 's' }] };
 }
 
-function put(match: number, c: Configuration): OperatorCall {
+function put(match: number, c: Configuration): OperatorRequest {
   return order('PUT', match, c);
 }
 
-function taken(state: ControlState, call: OperatorCall): ControlState {
+function taken(state: ControlState, call: OperatorRequest): ControlState {
   const verdict = judge.order(state, call);
   assert.ok(verdict.kind === 'propose' && verdict.refusal === null, verdict.kind);
   const done = control.apply(state, repacked(verdict.command));
@@ -35,7 +36,7 @@
   return done.state;
 }
 
-async function answered(group: Group, node: number, call: OperatorCall): Promise<number> {
+async function answered(group: Group, node: number, call: OperatorRequest): Promise<number> {
   const r = await virtualTime.timed(group.time, send(group.nodes[node]!, call));
   assert.ok(r.ms < 1000, `answered after ${r.ms} ms`);
   return r.value.status;
@@ -101,7 +102,7 @@
 
 test('an order is known again after thousands of changes and from a snapshot, and never refused', () => {
   const n = orders.mostTaken + 300;
-  const sent: OperatorCall[] = [];
+  const sent: OperatorRequest[] = [];
   let state = control.empty();
   for (let i = 0; i < n; i++) {
     const call = put(i * 2, configuration(i * 2 + 2, [route('a', i + 1)]));
@@ -129,7 +130,7 @@
   for (const node of [0, 1, 2]) assert.equal(await answered(group, node, first), 200);
 });
 
-function commandOf(group: Group, call: OperatorCall): Parameters<typeof coordinators.commit>[1] {
+function commandOf(group: Group, call: OperatorRequest): Parameters<typeof coordinators.commit>[1] {
   const verdict = judge.order(group.nodes[0]!.state, call);
   assert.ok(verdict.kind === 'propose');
   return verdict.command;
@@ -268,7 +269,7 @@
     const l = luck.create(seed * 7);
     const acknowledged = new Map<number, string>();
     const refused = new Set<string>();
-    const sent: OperatorCall[] = [];
+    const sent: OperatorRequest[] = [];
     for (let step = 0; step < 40; step++) {
       const now = group.nodes[luck.below(l, 3)]!.state.configuration?.revision ?? 0;
       const base = luck.next(l) < 0.7 ? now : Math.max(0, now + luck.below(l, 5) - 2);
--- a/test/sim/core.ts
+++ b/test/sim/core.ts
@@ -1,9 +1,13 @@
 /** The process of a coordinator in the simulated world: the real modules on a simulated machine. */
+import { boardEndpoint } from '../../src/protocol/inner/board.js';
+import { newsEndpoint } from '../../src/protocol/inner/news.js';
+import { operatorEndpoint } from '../../src/protocol/inner/operator.js';
+import { statusEndpoint } from '../../src/protocol/inner/status.js';
 import { Agent } from 'node:http';
 import { access } from '../../src/controlplane/access.js';
-import { boards, type BoardCall } from '../../src/controlplane/board.js';
+import type { BoardRequest } from '../../src/protocol/inner/board.js';
+import { boards } from '../../src/controlplane/board.js';
 import { core } from '../../src/controlplane/core.js';
-import { innerPaths } from '../../src/controlplane/inner.js';
 
 import { news } from '../../src/controlplane/news.js';
 import { operator } from '../../src/controlplane/operator.js';
@@ -19,7 +23,9 @@
 import type { Folder, Runtime } from '../../src/runtime.js';
 import type { Command } from '../../src/state/control/reducer.js';
 import { configurationHistory } from '../../src/state/history/configurations.js';
-import type { NewsCall, OperatorCall, Outcome, Settings } from '../../src/types.js';
+import type { NewsRequest } from '../../src/protocol/inner/news.js';
+import type { OperatorRequest } from '../../src/protocol/inner/operator.js';
+import type { Outcome, Settings } from '../../src/types.js';
 import { silentLog as log } from './log.js';
 import { operatorPath } from './operators.js';
 
@@ -57,11 +63,11 @@
   let calls = 0;
   return [
     endpoint.handler(consensusCalls, (batch) => ({ messages: replica.receive(opened, batch.messages) })),
-    handler(innerPaths.board, (body: BoardCall) => boards.receive(c, body)),
-    handler(innerPaths.news, (body: NewsCall) => news.call(c, body)),
-    handler(innerPaths.status, () => status.own(c)),
-    handler(innerPaths.operator, (body: OperatorCall) => operator.decide(c, body)),
-    handler(operatorPath, (body: OperatorCall) =>
+    handler(boardEndpoint.path, (body: BoardRequest) => boards.receive(c, body)),
+    handler(newsEndpoint.path, (body: NewsRequest) => news.call(c, body)),
+    handler(statusEndpoint.path, () => status.own(c)),
+    handler(operatorEndpoint.path, (body: OperatorRequest) => operator.decide(c, body)),
+    handler(operatorPath, (body: OperatorRequest) =>
       operator.call(c, { ...body, id: `${c.settings.node_name}/${++calls}` }),
     ),
   ];
--- a/test/support/coordinators.ts
+++ b/test/support/coordinators.ts
@@ -3,11 +3,14 @@
  * the replicated log: one shared list of committed commands, which every member applies as far as it is
  * let. What the log is asked to do, and who leads, is set by the test.
  */
+import { boardEndpoint } from '../../src/protocol/inner/board.js';
+import { newsEndpoint } from '../../src/protocol/inner/news.js';
+import { operatorEndpoint } from '../../src/protocol/inner/operator.js';
 import { Agent } from 'node:http';
 import { Packr } from 'msgpackr';
-import { boards, type BoardCall } from '../../src/controlplane/board.js';
+import type { BoardRequest } from '../../src/protocol/inner/board.js';
+import { boards } from '../../src/controlplane/board.js';
 import type { Core, ProposalResult } from '../../src/controlplane/core.js';
-import { innerPaths } from '../../src/controlplane/inner.js';
 import { news } from '../../src/controlplane/news.js';
 import { operator } from '../../src/controlplane/operator.js';
 import type { Coordinator } from '../../src/controlplane/parts.js';
@@ -19,7 +22,9 @@
 import type { Clock, Network, Runtime } from '../../src/runtime.js';
 import { control, type ApplyOutcome, type Command, type ControlState } from '../../src/state/control/reducer.js';
 import { configurationHistory } from '../../src/state/history/configurations.js';
-import type { NewsCall, OperatorAnswer, OperatorCall, Outcome, Runner, Settings } from '../../src/types.js';
+import type { NewsRequest } from '../../src/protocol/inner/news.js';
+import type { OperatorReply, OperatorRequest } from '../../src/protocol/inner/operator.js';
+import type { Outcome, Runner, Settings } from '../../src/types.js';
 import { luck, type Luck } from './random.js';
 
 const packr = new Packr({ useRecords: false });
@@ -202,14 +207,14 @@
     close: () => Promise.resolve(),
     onApplied: (run) => void node.applyListeners.push(run),
     onRoleChanged: (run) => void node.roleListeners.push(run),
-    status: () => ({ phase: 'follower', term: node.term, leader: null, roster: [], committed: 0, disk: 'takes' }),
+    status: () => ({ role: 'follower', term: node.term, leader: null, voters: [], committed: 0, disk: 'takes' }),
   };
 }
 
 function serve(node: Node, path: string, body: unknown): unknown {
-  if (path === innerPaths.operator) return operator.decide(node.c, body as OperatorCall);
-  if (path === innerPaths.news) return news.call(node.c, body as NewsCall);
-  if (path === innerPaths.board) return boards.receive(node.c, body as BoardCall);
+  if (path === operatorEndpoint.path) return operator.decide(node.c, body as OperatorRequest);
+  if (path === newsEndpoint.path) return news.call(node.c, body as NewsRequest);
+  if (path === boardEndpoint.path) return boards.receive(node.c, body as BoardRequest);
   return status.own(node.c);
 }
 
@@ -218,7 +223,7 @@
   return {
     call: (address, path, body, options) =>
       new Promise((done) => {
-        if (path === innerPaths.news) group.questions++;
+        if (path === newsEndpoint.path) group.questions++;
         const late = schedule(group.time, options.timeoutMs, () => done({ ok: false, error: { kind: 'silent' } }));
         const node = group.nodes.find((one) => one.address === address);
         schedule(group.time, group.linkMs, () => {
@@ -355,12 +360,12 @@
 let calls = 0;
 
 /** An order as an operator sends it to a node. */
-function order(method: string, match: number | null, body: unknown, path = '/v1/config'): OperatorCall {
+function order(method: string, match: number | null, body: unknown, path = '/v1/config'): OperatorRequest {
   const text = JSON.stringify(body);
   return { id: `call ${++calls}`, method, path, match: match === null ? null : String(match), body: Buffer.from(text) };
 }
 
-function send(node: Node, call: OperatorCall): Promise<OperatorAnswer> {
+function send(node: Node, call: OperatorRequest): Promise<OperatorReply> {
   return operator.call(node.c, call);
 }
 
