--- a/src/programs/coordinator.ts
+++ b/src/programs/coordinator.ts
@@ -170,4 +170,4 @@
   });
 }
 
-export const coordinatorProgram = { create, startParts, start };
+export const coordinatorProgram = { create, innerHandlers, startParts, start };
--- a/test/sim/cluster.ts
+++ b/test/sim/cluster.ts
@@ -145,7 +145,7 @@
       reuse_after_s: 2,
     },
     cloud_api: { address: '10.9.9.9:80', rate_per_s: 40, lag_ms: 800 },
-  } as Settings;
+  };
 }
 
 /** How many core machines may be lost at once with their disks. */
--- a/test/sim/core.ts
+++ b/test/sim/core.ts
@@ -1,25 +1,18 @@
 /** The process of a coordinator in the simulated world: the real modules on a simulated machine. */
 import { Agent } from 'node:http';
-import { access } from '../../src/controlplane/access.js';
-import { boards, type BoardCall } from '../../src/controlplane/board.js';
 import { core } from '../../src/controlplane/core.js';
-import { innerPaths } from '../../src/controlplane/inner.js';
 
-import { news } from '../../src/controlplane/news.js';
 import { operator } from '../../src/controlplane/operator.js';
 import type { Coordinator, Outside } from '../../src/controlplane/parts.js';
-import { rollout } from '../../src/controlplane/rollout.js';
-import { runners } from '../../src/controlplane/runners.js';
 import { shutdown } from '../../src/controlplane/shutdown.js';
-import { status } from '../../src/controlplane/status.js';
-import { consensusCalls, replica, type Replica } from '../../src/coordination/consensus/driver.js';
+import { replica, type Replica } from '../../src/coordination/consensus/driver.js';
 import { coordinatorProgram } from '../../src/programs/coordinator.js';
-import { endpoint, type Handler } from '../../src/protocol/inner/endpoint.js';
+import type { Handler } from '../../src/protocol/inner/endpoint.js';
 import { tuning } from '../../src/protocol/settings/tuning.js';
 import type { Folder, Runtime } from '../../src/runtime.js';
 import type { Command } from '../../src/state/control/reducer.js';
-import { configurationHistory } from '../../src/state/history/configurations.js';
-import type { NewsCall, OperatorCall, Outcome, Settings } from '../../src/types.js';
+import type { OperatorRequest } from '../../src/protocol/inner/operator.js';
+import type { Outcome, Settings } from '../../src/types.js';
 import { silentLog as log } from './log.js';
 import { operatorPath } from './operators.js';
 
@@ -42,45 +35,20 @@
   return coordinatorProgram.create(settings, log, tuning.defaults, { core: core.of(opened), runtime, outside, agent });
 }
 
-/** A handler without a typed endpoint, as yet: whatever comes is handed on as it is. */
-function handler(path: string, handle: (body: never, from: string) => unknown): Handler {
+/** The door for the operator, which on a real machine is an HTTP server; calls come in as they are. */
+function doorHandler(c: Coordinator): Handler {
+  let calls = 0;
   return {
-    path,
+    path: operatorPath,
     maxBytes: Infinity,
     bindsToLife: false,
-    receive: async (raw, from) => ({ ok: true, value: await handle(raw as never, from.address) }),
+    receive: async function receive(raw) {
+      const id = `${c.settings.node_name}/${++calls}`;
+      return { ok: true, value: await operator.call(c, { ...(raw as OperatorRequest), id }) };
+    },
   };
 }
 
-/** What the process answers at each path. */
-function handlers(c: Coordinator, opened: Replica): Handler[] {
-  let calls = 0;
-  return [
-    endpoint.handler(consensusCalls, (batch) => ({ messages: replica.receive(opened, batch.messages) })),
-    handler(innerPaths.board, (body: BoardCall) => boards.receive(c, body)),
-    handler(innerPaths.news, (body: NewsCall) => news.call(c, body)),
-    handler(innerPaths.status, () => status.own(c)),
-    handler(innerPaths.operator, (body: OperatorCall) => operator.decide(c, body)),
-    handler(operatorPath, (body: OperatorCall) =>
-      operator.call(c, { ...body, id: `${c.settings.node_name}/${++calls}` }),
-    ),
-  ];
-}
-
-function startParts(c: Coordinator, opened: Replica): void {
-  c.core.onApplied(function applied() {
-    const { configuration } = c.core.state();
-    if (configuration) configurationHistory.take(c.configurations, configuration);
-    boards.wake(c);
-  });
-  runners.start(c);
-  boards.start(c);
-  news.start(c);
-  rollout.start(c);
-  access.start(c);
-  replica.start(opened);
-}
-
 async function open(options: CoreOptions): Promise<Outcome<CoreProcess, string>> {
   const { settings, runtime, folder } = options;
   const opened = await replica.open({ settings, log, runtime, folder });
@@ -91,8 +59,11 @@
     value: {
       replica: opened.value,
       coordinator: c,
-      handlers: handlers(c, opened.value),
-      start: () => startParts(c, opened.value),
+      handlers: [...coordinatorProgram.innerHandlers(c, opened.value), doorHandler(c)],
+      start: function start() {
+        coordinatorProgram.startParts(c);
+        replica.start(opened.value);
+      },
       mayAct: (leaseMs) => replica.mayAct(opened.value, leaseMs),
       terminate: () => shutdown.run(c),
     },
--- a/test/sim/operators.ts
+++ b/test/sim/operators.ts
@@ -4,7 +4,7 @@
  * for the checker of linearizability.
  */
 import type { Clock, Network, Random } from '../../src/runtime.js';
-import type { OperatorAnswer, OperatorCall } from '../../src/types.js';
+import type { OperatorReply, OperatorRequest } from '../../src/protocol/inner/operator.js';
 import { linearizability, type Operation } from './linearizability.js';
 import { models, noContent, type Answered, type Order, type RegisterAction, type VersionAction } from './models.js';
 import type { Scheduler } from './scheduler.js';
@@ -26,7 +26,7 @@
 };
 
 /** An order with the call that carries it. */
-export type SentOrder = { order: Order; call: OperatorCall };
+export type SentOrder = { order: Order; call: OperatorRequest };
 
 /** How an operator behaves. `paddingBytes` makes its configurations large. */
 export type Habits = { underWay: number; pauseMs: number; paddingBytes: number; patienceMs: number };
@@ -126,24 +126,24 @@
   return { order: { key, base, revision, isValid: revision > base, effect }, call: callOf('PATCH', base, value) };
 }
 
-function callOf(method: string, base: number, value: object): OperatorCall {
+function callOf(method: string, base: number, value: object): OperatorRequest {
   return { id: '', method, path: '/v1/config', match: String(base), body: encoder.encode(JSON.stringify(value)) };
 }
 
 /** One call to one member, with redirects followed; null without an answer. */
-async function send(operator: Operator, call: OperatorCall): Promise<OperatorAnswer | null> {
+async function send(operator: Operator, call: OperatorRequest): Promise<OperatorReply | null> {
   let address = pick(operator, operator.members());
   for (let hop = 0; hop <= mostRedirects; hop++) {
     const reply = await operator.network.call(address, operatorPath, call, { timeoutMs: callTimeoutMs });
     if (!reply.ok) return null;
-    const answer = reply.value as OperatorAnswer & { location?: string };
+    const answer = reply.value as OperatorReply & { location?: string };
     if (answer.status !== 307 || answer.location === undefined) return answer;
     address = answer.location;
   }
   return null;
 }
 
-function answeredOf(answer: OperatorAnswer | null): Answered {
+function answeredOf(answer: OperatorReply | null): Answered {
   if (answer === null) return 'unknown';
   if (answer.status === 200) return 'acknowledged';
   return refusals.has(answer.status) ? 'refused' : 'unknown';
--- a/test/sim/router.ts
+++ b/test/sim/router.ts
@@ -1,6 +1,5 @@
 /** The session of a router in the simulated world: the real one, with a router's state around it. */
 import { EventEmitter } from 'node:events';
-import { Agent } from 'node:http';
 import { budget } from '../../src/dataplane/budget.js';
 import { follow } from '../../src/dataplane/follow.js';
 import { line } from '../../src/dataplane/line.js';
@@ -23,7 +22,6 @@
 };
 
 const moveTiming = { leaseMs: 4000, mostAtSource: 6, longestQueueMs: 1500 };
-const agent = new Agent();
 
 function nothing(): void {
   /* no client is served here */
@@ -68,7 +66,7 @@
   function seeds(): string[] {
     return settings.seed_addrs.map((address) => replica.innerAddress(address, settings.port_range[0]));
   }
-  const follower = follow.create({ life, runtime, via: agent, seeds }, Math.floor(runtime.random() * 3));
+  const follower = follow.create({ life, runtime, seeds }, Math.floor(runtime.random() * 3));
   void follow.run(site, follower);
   return {
     site,
