--- a/src/dataplane/front.ts
+++ b/src/dataplane/front.ts
@@ -14,16 +14,17 @@
 import { tenant } from './policies/tenant.js';
 import { clientAnswers } from './client-answer.js';
 import { fates } from './fate.js';
+import { startUp } from './start-up.js';
 import type { Policy, RequestContext, Site, Step } from './types.js';
 
 const policies: Policy[] = [limits, route, tenant, access, deliver];
 const mostHeaderBytes = 64 * 1024;
 
-function contextOf(req: IncomingMessage, res: ServerResponse): RequestContext {
+function contextOf(req: IncomingMessage, res: ServerResponse, at: number): RequestContext {
   return {
     req,
     client: clientAnswers.create(res),
-    at: performance.now(),
+    at,
     path: '',
     attemptId: '',
     body: Buffer.alloc(0),
@@ -55,8 +56,10 @@
 }
 
 async function walk(site: Site, req: IncomingMessage, res: ServerResponse): Promise<void> {
-  if (!site.table) return answers.send(res, answers.bounce(503, 500), true);
-  const context = contextOf(req, res);
+  const at = performance.now();
+  if (!site.table) await startUp.configured(site);
+  if (!site.table) return answers.send(res, answers.reject(503, startUp.comeBackMs()), true);
+  const context = contextOf(req, res, at);
   site.open.add(context);
   res.on('close', function over() {
     if (!res.writableFinished) context.isGone = true;
--- a/src/dataplane/policies/access.ts
+++ b/src/dataplane/policies/access.ts
@@ -13,12 +13,12 @@
   const { active, next } = site.rules;
   const { label } = context.tenant;
   if (!rules.isRuled(active, label) && (next === null || !rules.isRuled(next, label))) return { kind: 'next' };
-  if (performance.now() > site.leaveUntil) return { kind: 'answer', answer: answers.bounce(503, againMs) };
+  if (performance.now() > site.leaveUntil) return { kind: 'answer', answer: answers.reject(503, againMs) };
   switch (rules.verdict(active, next, label, context.model)) {
     case 'allowed':
       return { kind: 'next' };
     case 'undecided':
-      return { kind: 'answer', answer: answers.bounce(503, againMs) };
+      return { kind: 'answer', answer: answers.reject(503, againMs) };
     case 'forbidden':
       return { kind: 'answer', answer: answers.plain(403, 'this tenant may not call this model') };
   }
--- a/src/dataplane/policies/deliver.ts
+++ b/src/dataplane/policies/deliver.ts
@@ -41,7 +41,7 @@
     case 'unclear':
       return unclear(context, now);
     case 'promise':
-      return { kind: 'answer', answer: answers.bounce(503, retryAfterMs) };
+      return { kind: 'answer', answer: answers.reject(503, retryAfterMs) };
   }
 }
 
--- a/src/transport/http/answer.ts
+++ b/src/transport/http/answer.ts
@@ -29,7 +29,7 @@
   return { status: 200, headers: { 'Content-Type': 'application/msgpack' }, body };
 }
 
-function bounce(status: 429 | 503, waitMs: number): Answer {
+function reject(status: 429 | 503, waitMs: number): Answer {
   return { status, headers: { 'Retry-After': (Math.max(0, waitMs) / 1000).toFixed(3) }, body: '' };
 }
 
@@ -45,4 +45,4 @@
   return `HTTP/1.1 ${status} ${reason}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`;
 }
 
-export const answers = { plain, json, refusal, packed, bounce, send, raw };
+export const answers = { plain, json, refusal, packed, reject, send, raw };
--- /dev/null
+++ b/test/start-up.test.ts
@@ -0,0 +1,44 @@
+/** What a router without a configuration does with the requests that reach it. */
+import { strict as assert } from 'node:assert';
+import { EventEmitter } from 'node:events';
+import { mock, test } from 'node:test';
+import { startUp } from '../src/dataplane/start-up.js';
+import type { Site } from '../src/dataplane/types.js';
+
+function siteWith(stirred: EventEmitter): Site {
+  return { stirred } as unknown as Site;
+}
+
+test('a request waits for a configuration on its way, and no longer than a moment', async function run() {
+  mock.timers.enable({ apis: ['setTimeout'] });
+  try {
+    const stirred = new EventEmitter();
+    let done = 0;
+    const held = [startUp.configured(siteWith(stirred)), startUp.configured(siteWith(stirred))].map(
+      function count(one) {
+        return one.then(function over() {
+          done++;
+        });
+      },
+    );
+    await Promise.resolve();
+    assert.equal(done, 0);
+    stirred.emit('configuration');
+    await Promise.all(held);
+    assert.equal(done, 2);
+    const late = startUp.configured(siteWith(stirred));
+    mock.timers.tick(60);
+    await late;
+    assert.equal(stirred.listenerCount('configuration'), 0, 'nothing is left behind');
+  } finally {
+    mock.timers.reset();
+  }
+});
+
+test('who is refused comes back past the usual start, spread, and never at once', function run() {
+  for (const upMs of [0, 100, 499, 501, 60_000]) {
+    const [first, last] = [startUp.comeBackMs(upMs, 0), startUp.comeBackMs(upMs, 0.999)];
+    assert.ok(upMs + first >= 500 && first >= 150, `after ${upMs} ms`);
+    assert.ok(last - first > 150 && last - first < 250);
+  }
+});
