--- a/src/coordination/consensus/machine.ts
+++ b/src/coordination/consensus/machine.ts
@@ -122,7 +122,7 @@
     case 'snapshot_reply':
       return replication.onSnapshotReply(s, m, now, effects);
     case 'join':
-      return membership.onJoin(s, m, now);
+      return membership.onJoin(s, m, now, effects);
     case 'leave':
       return membership.onLeave(s, m, now);
   }
--- a/src/coordination/consensus/membership.ts
+++ b/src/coordination/consensus/membership.ts
@@ -19,8 +19,18 @@
 /** A hand-over that found no successor for so long is given up and the leader just steps down. */
 const handOverMs = 1500;
 
-function onJoin(s: ConsensusState, m: Message & { type: 'join' }, now: number): void {
-  if (s.role !== 'leader' || m.member.id !== m.from || quorum.isVoter(s.membership, m.from)) return;
+type Join = Message & { type: 'join' };
+
+/** A newcomer may know no more than followers; they send its request on, once, to the leader they know. */
+function forwardJoin(s: ConsensusState, m: Join, effects: Effects): void {
+  const address = s.leader === null || m.to !== '*' ? null : common.addressOf(s, s.leader);
+  if (address === null) return;
+  effects.push({ type: 'send', address, message: { ...m, to: s.leader! }, lane: 'control' });
+}
+
+function onJoin(s: ConsensusState, m: Join, now: number, effects: Effects): void {
+  if (m.member.id !== m.from || quorum.isVoter(s.membership, m.from)) return;
+  if (s.role !== 'leader') return forwardJoin(s, m, effects);
   const known = s.peers.get(m.from);
   if (known) {
     known.heardAt = now;
