--- a/test/sim/cluster.ts
+++ b/test/sim/cluster.ts
@@ -223,10 +223,20 @@
   });
 }
 
-/** Starts the process of a core machine with what its disk holds. */
+/** The seeds that the platform writes into a settings file: three machines of its list, which lags. */
+function drawSeeds(cluster: Cluster): string[] {
+  const listed = cluster.core.filter((core) => !core.isRemoved).map((core) => core.controlAddress);
+  const drawn: string[] = [];
+  while (drawn.length < seedCount && listed.length > 0)
+    drawn.push(...listed.splice(luck.below(cluster.luck, listed.length), 1));
+  return drawn;
+}
+
+/** Starts the process of a core machine with what its disk holds; its settings file is written anew. */
 function startCore(cluster: Cluster, core: CoreMachine): void {
   if (core.machine.status === 'running' || core.isRemoved) return;
   const life = machines.start(core.machine);
+  if (life > 1) core.settings = { ...core.settings, seed_addrs: drawSeeds(cluster) };
   const folder = cluster.wrapFolder(folderOf(core));
   const runtime = runtimeOf(cluster, core.machine, core.endpoint);
   const outside = runnerFleet.outsideOf(cluster.fleet, core.machine);
@@ -377,6 +387,7 @@
   startRouter,
   endRouter,
   addCore,
+  drawSeeds,
   nextHost,
   running,
   leader,
--- a/test/sim/faults.ts
+++ b/test/sim/faults.ts
@@ -199,13 +199,6 @@
   later(cluster, graceMs, `${core.name} has had its grace`, ended);
 }
 
-function currentSeeds(cluster: Cluster): string[] {
-  return simulatedCluster
-    .running(cluster)
-    .map((core) => core.controlAddress)
-    .slice(-3);
-}
-
 function remove(cluster: Cluster, core: CoreMachine): void {
   simulatedCluster.endCore(cluster, core, 'wipe');
   core.isRemoved = true;
@@ -215,7 +208,7 @@
 function replace(cluster: Cluster, state: FaultState, fault: Fault & { kind: 'replace' }): boolean {
   const core = resolve(cluster, fault.target);
   if (core === null || core.process === null || !mayLoseDisk(cluster, state)) return false;
-  const seeds = currentSeeds(cluster);
+  const seeds = simulatedCluster.drawSeeds(cluster);
   const successor = simulatedCluster.addCore(cluster, simulatedCluster.nextHost(cluster), seeds, false);
   if (!fault.isPlanned) {
     noteDiskLoss(cluster, state, fault.forMs);
