A member is current only with all applied that its leader has committed, and a leader only in its own term

Cause (by reading): a leader just elected has a lease before an entry of its own term is committed, and a follower hears the lease before it has applied the rest; either could hand an old configuration to a router that starts. Change: heartbeats tell how far the leader has committed; no lease is told before its own term's first commit. Both have a test.

--- a/src/coordination/consensus/driver.ts
+++ b/src/coordination/consensus/driver.ts
@@ -13,6 +13,7 @@
 import { storage, type Storage } from '../../state/log/storage.js';
 import type { Entry, Recovery, Snapshot, VotingPromise } from '../../state/log/types.js';
 import type { Member, Outcome, Settings } from '../../types.js';
+import { common } from './common.js';
 import { lease } from './lease.js';
 import { log as machineLog } from './log.js';
 import { consensus, type Start } from './machine.js';
@@ -389,7 +390,7 @@
 /** Whether what this member has applied is known to be current, up to the time of a heartbeat. */
 function isFresh(r: Replica): boolean {
   const now = r.runtime.clock.now();
-  if (isLeader(r)) return now < lease.until(r.machine, now);
+  if (isLeader(r)) return common.hasCommittedInTerm(r.machine) && now < lease.until(r.machine, now);
   return r.machine.leader !== null && now < r.machine.freshUntil;
 }
 
--- a/src/coordination/consensus/follower.ts
+++ b/src/coordination/consensus/follower.ts
@@ -13,8 +13,9 @@
   const body = { type: 'heartbeat_reply' as const, term: Math.max(s.term, m.term), number: m.number };
   if (m.term < s.term) return common.send(s, m.from, body, effects, m.fromAddress);
   common.follow(s, m.from, m.term, now, effects);
-  s.freshUntil = Math.max(s.freshUntil, now + Math.min(m.leaseLeftMs, s.timing.electionMs));
   commit.learn(s, m.committed, log.lastIndex(s), effects);
+  const hasAll = s.applied >= m.current;
+  if (hasAll) s.freshUntil = Math.max(s.freshUntil, now + Math.min(m.leaseLeftMs, s.timing.electionMs));
   common.replyOnceKept(s, s.promiseToken, m.from, m.fromAddress, body, effects);
 }
 
--- a/src/coordination/consensus/messages.ts
+++ b/src/coordination/consensus/messages.ts
@@ -100,7 +100,7 @@
   heartbeat: function check(m) {
     const leaseLeft = m.leaseLeftMs;
     const isLease = typeof leaseLeft === 'number' && Number.isFinite(leaseLeft) && leaseLeft >= 0;
-    return isCount(m.term) && isCount(m.number) && isCount(m.committed) && isLease;
+    return isCount(m.term) && isCount(m.number) && isCount(m.committed) && isCount(m.current) && isLease;
   },
   heartbeat_reply: function check(m) {
     return isCount(m.term) && isCount(m.number);
--- a/src/coordination/consensus/replication.ts
+++ b/src/coordination/consensus/replication.ts
@@ -98,13 +98,14 @@
   s.heartbeatNumber++;
   s.heartbeatSentAt.set(s.heartbeatNumber, now);
   s.heartbeatSentAt.delete(s.heartbeatNumber - heartbeatsRemembered);
-  const leaseLeftMs = Math.max(0, lease.until(s, now) - now);
+  const leaseLeftMs = common.hasCommittedInTerm(s) ? Math.max(0, lease.until(s, now) - now) : 0;
   for (const peer of s.peers.values()) {
     const body = {
       type: 'heartbeat' as const,
       term: s.term,
       number: s.heartbeatNumber,
       committed: Math.min(s.committed, peer.matchIndex),
+      current: s.committed,
       leaseLeftMs: Number.isFinite(leaseLeftMs) ? leaseLeftMs : 0,
     };
     common.send(s, peer.member.id, body, effects, peer.member.addr);
--- a/src/coordination/consensus/types.ts
+++ b/src/coordination/consensus/types.ts
@@ -46,8 +46,12 @@
   /** `releasedBy` names a leader that gave its lease up in favour of this candidate. */
   | { type: 'request_vote'; term: number; lastIndex: number; lastTerm: number; releasedBy: KnownLeader | null }
   | { type: 'vote'; term: number; granted: boolean }
-  /** `leaseLeftMs`: how long the sender's lease still lasted when it sent this. */
-  | { type: 'heartbeat'; term: number; number: number; committed: number; leaseLeftMs: number }
+  /**
+   * `committed` is bounded by what the receiver is known to hold, `current` is how far the sender has
+   * committed. `leaseLeftMs`: how long its lease still lasted when it sent this, 0 before an entry of its
+   * own term is committed.
+   */
+  | { type: 'heartbeat'; term: number; number: number; committed: number; current: number; leaseLeftMs: number }
   | { type: 'heartbeat_reply'; term: number; number: number }
   | { type: 'append'; term: number; previousIndex: number; previousTerm: number; entries: Entry[]; committed: number }
   /** `matchIndex`: up to where the sender durably holds the leader's log; with `rejected`, where to try next. */
--- a/test/consensus-rules.test.ts
+++ b/test/consensus-rules.test.ts
@@ -184,7 +184,7 @@
   const s = machine('a', { leader: { id: 'b#first', term: 3 }, now: 4000 });
   const ask = { type: 'request_vote' as const, term: 9, lastIndex: 9, lastTerm: 8, releasedBy: null };
   assert.deepEqual(hear(s, 'c', ask, 4100), [], 'restarted just now');
-  hear(s, 'b', { type: 'heartbeat', term: 4, number: 1, committed: 0, leaseLeftMs: 0 }, 6000);
+  hear(s, 'b', { type: 'heartbeat', term: 4, number: 1, committed: 0, current: 0, leaseLeftMs: 0 }, 6000);
   assert.deepEqual(hear(s, 'c', ask, 6600), [], 'heard a leader');
   assert.equal(s.term, 4);
   hear(s, 'c', ask, 6000 + timing.electionMs + 1);
@@ -245,10 +245,24 @@
 
 test('a follower is fresh only as long as the lease lasted that its leader had', function run() {
   const s = machine('a');
-  hear(s, 'b', { type: 'heartbeat', term: 4, number: 1, committed: 0, leaseLeftMs: 0 }, 100);
+  hear(s, 'b', { type: 'heartbeat', term: 4, number: 1, committed: 0, current: 0, leaseLeftMs: 0 }, 100);
   assert.ok(s.freshUntil <= 100);
-  hear(s, 'b', { type: 'heartbeat', term: 4, number: 2, committed: 0, leaseLeftMs: 300 }, 200);
+  hear(s, 'b', { type: 'heartbeat', term: 4, number: 2, committed: 0, current: 0, leaseLeftMs: 300 }, 200);
   assert.equal(s.freshUntil, 500);
+  hear(s, 'b', { type: 'heartbeat', term: 4, number: 3, committed: 0, current: 1, leaseLeftMs: 600 }, 300);
+  assert.equal(s.freshUntil, 500, 'what the leader has committed is not applied here yet');
+});
+
+test('a new leader is not current before an entry of its own term is committed', function run() {
+  const s = elected({ entries: [entry(1, 3)] });
+  syncAll(s, 2004);
+  answerHeartbeats(s, ['b'], 2005);
+  assert.ok(lease.until(s, 2006) > 2006, 'it has a lease');
+  const early = sent(consensus.step(s, { type: 'confirm' }, 2006), 'heartbeat');
+  assert.deepEqual([early[0]?.leaseLeftMs, early[0]?.current], [0, 0]);
+  matches(s, 'b', 2, 2007);
+  const late = sent(consensus.step(s, { type: 'confirm' }, 2008), 'heartbeat');
+  assert.ok(late[0]!.leaseLeftMs > 0 && late[0]!.current === 2);
 });
 
 test('a follower drops what the leader does not hold, and nothing that it does', function run() {
@@ -467,7 +481,7 @@
   matches(s, 'b', 1, 2005);
   const b = machine('b', { leader: null });
   hear(b, 'a', { type: 'append', term: 4, previousIndex: 0, previousTerm: 0, entries: s.entries, committed: 1 }, 2006);
-  hear(b, 'a', { type: 'heartbeat', term: 4, number: 1, committed: 1, leaseLeftMs: 500 }, 2006);
+  hear(b, 'a', { type: 'heartbeat', term: 4, number: 1, committed: 1, current: 1, leaseLeftMs: 500 }, 2006);
   syncAll(b, 2007);
   const effects = consensus.step(s, { type: 'retire' }, 2010);
   assert.equal(s.role, 'follower');
@@ -553,6 +567,7 @@
       index: fc.nat(9),
       checksum: fc.nat(),
       number: fc.nat(),
+      current: fc.nat(9),
       granted: fc.anything(),
       leaseLeftMs: fc.oneof(fc.double(), fc.string()),
     },
@@ -585,7 +600,7 @@
   matches(s, 'x', 1, 2005);
   hear(s, 'x', { type: 'heartbeat_reply', term: 4, number: 1 }, 2006);
   hear(s, 'b', { type: 'append_reply', term: 3, rejected: false, previousIndex: 0, matchIndex: 1 }, 2007);
-  hear(s, 'b', { type: 'heartbeat', term: 3, number: 1, committed: 9, leaseLeftMs: 0 }, 2008);
+  hear(s, 'b', { type: 'heartbeat', term: 3, number: 1, committed: 9, current: 9, leaseLeftMs: 0 }, 2008);
   hear(s, 'b', { type: 'vote', term: 3, granted: true }, 2009);
   hear(s, 'x', { type: 'leave' }, 2010);
   hear(s, 'b', { type: 'timeout_now', term: 3 }, 2011);
