No appending to an older segment once a newer one failed

Cause: a root segment whose folder sync failed may stand on the disk; records appended to the older segment after that were hidden by it after a loss of power (run 8214 of seed 1, shrunk). Now the older segment is given up.

--- a/src/state/log/storage.ts
+++ b/src/state/log/storage.ts
@@ -322,12 +322,14 @@
 }
 
 /**
- * Empties a segment that failed, and removes the one that failed before it. The last one stays as long as
+ * Ends appending to any older segment, since one that failed may stand on the disk all the same and would
+ * hide what came after it. Empties the failed one, and removes the one that failed before it. The last one stays as long as
  * no newer segment is kept: a removal may come undone, also behind the back of a next life, which has to
  * begin above all numbers that may come back.
  */
 async function retireFailed(storage: Storage, number: number): Promise<void> {
   const before = storage.failedSegment;
+  giveUpOpen(storage);
   storage.failedSegment = { number, isEmptied: false };
   const emptied = await storage.folder.create(segment.fileName('segment', number));
   if (emptied.ok) {
--- a/test/log.test.ts
+++ b/test/log.test.ts
@@ -893,6 +893,22 @@
   );
 });
 
+test('a segment that follows another member’s is no log', async function run() {
+  const b = bench(5);
+  const first = segment.encodeFrame(1, 0, root([], []));
+  disk.damage(b.disk, 'snapshot-1', snapshotCodec.encode(snapshot0));
+  disk.damage(b.disk, 'segment-1', first);
+  for (const memberId of ['a#first', 'a#other']) {
+    const head = { kind: 'next', memberId, previous: 1, previousBytes: first.length } as const;
+    disk.damage(b.disk, 'segment-2', segment.encodeFrame(2, 0, { head, records: [] }));
+    const isOwn = memberId === 'a#first';
+    assert.equal((await openOn(b)).recovery.kind, isOwn ? 'recovered' : 'lost');
+  }
+  const circle = { kind: 'next', memberId: 'a#first', previous: 2, previousBytes: 10 } as const;
+  disk.damage(b.disk, 'segment-2', segment.encodeFrame(2, 0, { head: circle, records: [] }));
+  assert.equal((await openOn(b)).recovery.kind, 'lost');
+});
+
 test('a folder that refuses to be read is an error, not a loss', async function run() {
   const b = bench(2);
   await beginOn(b);
--- a/test/sim/disk.ts
+++ b/test/sim/disk.ts
@@ -33,7 +33,7 @@
   isFull: boolean;
   slowness: number;
   hangsUntil: number;
-  failingSyncs: number;
+  failingSyncs: { skip: number; count: number };
 };
 
 const sectorBytes = 512;
@@ -56,7 +56,7 @@
     isFull: false,
     slowness: 1,
     hangsUntil: 0,
-    failingSyncs: 0,
+    failingSyncs: { skip: 0, count: 0 },
   };
 }
 
@@ -113,8 +113,13 @@
 }
 
 function syncFails(disk: Disk): boolean {
-  if (disk.failingSyncs === 0) return false;
-  disk.failingSyncs--;
+  const failing = disk.failingSyncs;
+  if (failing.count === 0) return false;
+  if (failing.skip > 0) {
+    failing.skip--;
+    return false;
+  }
+  failing.count--;
   return true;
 }
 
@@ -336,11 +341,11 @@
 }
 
 /**
- * The next `count` syncs, of files or the folder, fail with EIO; 0 ends that. What they covered is lost at
- * a loss of power, or by luck kept, and no later sync changes that.
+ * After `skip` more syncs, of files or the folder, the next `count` fail with EIO; 0 ends that. What they
+ * covered is lost at a loss of power, or by luck kept, and no later sync changes that.
  */
-function failNextSync(disk: Disk, count = 1): void {
-  disk.failingSyncs = count;
+function failNextSync(disk: Disk, count = 1, skip = 0): void {
+  disk.failingSyncs = { skip, count };
 }
 
 /** The names that a process would see now. */
--- a/test/support/log-model.ts
+++ b/test/support/log-model.ts
@@ -28,6 +28,7 @@
   'snapshot',
   'snapshot',
   'install',
+  'install',
   'wait',
   'wait',
   'wait',
@@ -36,6 +37,8 @@
   'powerLoss',
   'powerLoss',
   'failSync',
+  'failSync',
+  'failSync',
   'full',
   'hang',
   'slow',
@@ -58,7 +61,7 @@
    * States from the last one that must have been kept (the first) to the present one (the last). What an
    * earlier life wrote may come back until something of a later life is announced.
    */
-  states: { token: number; state: LogState }[];
+  states: { token: number; state: LogState; committed: number }[];
   announced: number;
   token: number;
   identities: number;
@@ -151,8 +154,8 @@
   const memberId = `a#${++model.identities}`;
   const snapshot: Snapshot = { index: 0, term: 0, membership, state: [] };
   storage.begin(opening, memberId, snapshot, firstPromise);
-  note(model, { memberId, promise: firstPromise, log: [] });
   model.life = { storage: opening, snapshot, committed: 0 };
+  note(model, { memberId, promise: firstPromise, log: [] });
 }
 
 function stateOf(recovered: Recovered): LogState {
@@ -177,8 +180,9 @@
   });
   assert.ok(isKnown, `${JSON.stringify(state)} is none of ${JSON.stringify(model.states)}`);
   assert.ok(recovered.committed <= state.log.length && recovered.committed >= recovered.snapshot.index);
-  note(model, state);
+  assert.ok(recovered.committed >= model.states[0]!.committed, 'a commit that was announced as kept');
   model.life = { storage: opening, snapshot: recovered.snapshot, committed: recovered.committed };
+  note(model, state);
   storage.resume(opening, recovered);
 }
 
@@ -187,7 +191,7 @@
 }
 
 function note(model: Model, state: LogState): void {
-  model.states.push({ token: model.token, state });
+  model.states.push({ token: model.token, state, committed: model.life.committed });
 }
 
 function write(model: Model, records: LogRecord[], state: LogState): void {
@@ -320,7 +324,7 @@
     case 'powerLoss':
       return endLife(model, disk.powerLoss);
     case 'failSync':
-      return disk.failNextSync(model.disk, 1 + (step.size % 2));
+      return disk.failNextSync(model.disk, 1 + (step.size % 3), step.place % 8);
     case 'full':
       return disk.setFull(model.disk, !model.disk.isFull);
     case 'hang':
