--- a/test/orders.test.ts
+++ b/test/orders.test.ts
@@ -164,6 +164,25 @@
   assert.equal(group.commands.length, 1);
 });
 
+test('copies of an order that is undecided wait with it and are not proposed beside it', async () => {
+  const group = led();
+  group.mode = 'dropped';
+  const call = put(0, configuration(1));
+  for (const node of [0, 1, 2]) assert.equal(await answered(group, node, call), 503);
+  await virtualTime.advance(group.time, 5000);
+  assert.equal(group.proposals, 1);
+});
+
+test('a command that is applied twice takes effect once, and both are told so', () => {
+  const call = put(0, configuration(1));
+  const verdict = judge.order(control.empty(), call);
+  assert.ok(verdict.kind === 'propose');
+  const first = control.apply(control.empty(), verdict.command);
+  const second = control.apply(first.state, verdict.command);
+  assert.deepEqual([first.outcome.kind, second.outcome.kind], ['applied', 'repeated']);
+  assert.equal(second.state, first.state);
+});
+
 test('an order whose answer was lost is unclear in time, and acknowledged when it is sent again', async () => {
   const group = led();
   group.mode = 'lost';
--- a/test/support/coordinators.ts
+++ b/test/support/coordinators.ts
@@ -126,6 +126,8 @@
   cutOff: Set<string>;
   runners: Runner[];
   platformAnswers: boolean;
+  /** Commands that were proposed, committed or not. */
+  proposals: number;
   /** Questions for news that were sent. */
   questions: number;
 };
@@ -156,6 +158,7 @@
 function propose(group: Group, node: Node, command: Command): Promise<ProposalResult> {
   if (!node.thinksLeader) return Promise.resolve({ kind: 'not_leader' });
   const { mode } = group;
+  group.proposals++;
   return new Promise((done) => {
     schedule(group.time, group.commitMs, () => {
       if (mode === 'dropped' || !group.hasMajority || group.leader !== node) return;
@@ -318,6 +321,7 @@
     cutOff: new Set(),
     runners: [],
     platformAnswers: true,
+    proposals: 0,
     questions: 0,
   };
   for (let i = 1; i <= n; i++) startParts(add(group, `c${i}`));
