--- a/src/controlplane/board.ts
+++ b/src/controlplane/board.ts
@@ -5,25 +5,17 @@
  */
 import { boardHistory } from '../state/history/boards.js';
 import { control } from '../state/control/reducer.js';
+import type { BoardReply, BoardRequest } from '../protocol/inner/board.js';
 import type { Board } from '../types.js';
 import { freshness } from './freshness.js';
 import { inner } from './inner.js';
-import type { Coordinator, LeaderProgress, Session } from './parts.js';
+import type { Coordinator } from './parts.js';
 import { sessions } from './sessions.js';
 
 /** The leader calls every other member at least this often. */
 const refreshMs = 400;
 const callTimeoutMs = 500;
 
-/**
- * `lastReply` is the number of the last reply that came in, 0 if none: by it the receiver knows up to
- * when the leader has heard it. `board` is null when the receiver has it already.
- */
-export type BoardCall = { board: Board | null; progress: LeaderProgress; lastReply: number };
-
-/** `has` is [term, seq] of the receiver's board. `seenAt` in `sessions` is an age in ms, for clocks are not shared. */
-export type BoardReply = { has: [number, number]; replyNumber: number; revision: number; sessions: Session[] };
-
 type PeerProgress = { has: [number, number]; isBusy: boolean; isDueAgain: boolean };
 
 const progressOfPeers = new WeakMap<Coordinator, Map<string, PeerProgress>>();
@@ -83,7 +75,7 @@
   const lacksBoard = isNewer(c.board, peer.has[0], peer.has[1]);
   if (onlyIfNewer && !lacksBoard) return;
   peer.isBusy = true;
-  const call: BoardCall = {
+  const call: BoardRequest = {
     board: lacksBoard ? c.board : null,
     progress: freshness.progress(c),
     lastReply: c.peerSessions.get(id)?.replyNumber ?? 0,
@@ -106,7 +98,7 @@
   c.peerSessions.set(id, { at, replyNumber: reply.replyNumber, revision: reply.revision, sessions: list });
 }
 
-function noteHeard(c: Coordinator, call: BoardCall): void {
+function noteHeard(c: Coordinator, call: BoardRequest): void {
   const { reply } = c;
   if (call.progress.term >= c.core.term())
     reply.heardUpTo = Math.max(reply.heardUpTo, reply.sentAt.get(call.lastReply) ?? -Infinity);
@@ -114,7 +106,7 @@
 }
 
 /** Takes a call of the leader. */
-function receive(c: Coordinator, call: BoardCall): BoardReply {
+function receive(c: Coordinator, call: BoardRequest): BoardReply {
   freshness.takeProgress(c, call.progress);
   if (call.board && isNewer(call.board, c.board.term, c.board.seq)) {
     c.board = call.board;
--- a/src/controlplane/core.ts
+++ b/src/controlplane/core.ts
@@ -3,8 +3,9 @@
  * place that knows the consensus driver and its machine; tests put a simulated group in its stead.
  */
 import { replica, type ProposalResult, type Replica } from '../coordination/consensus/driver.js';
+import { quorum } from '../coordination/consensus/quorum.js';
 import type { Command, ControlState } from '../state/control/reducer.js';
-import type { StatusAnswer } from '../types.js';
+import type { StatusReply } from '../protocol/inner/status.js';
 
 export type { ProposalResult };
 
@@ -12,7 +13,7 @@
 export type PeerSight = { id: string; address: string; heardAt: number };
 
 /** What the status tells of the group. */
-export type CoreStatus = Pick<StatusAnswer, 'phase' | 'term' | 'leader' | 'roster' | 'committed' | 'disk'>;
+export type CoreStatus = Pick<StatusReply, 'role' | 'term' | 'leader' | 'voters' | 'committed' | 'disk'>;
 
 export type Core = {
   /** The state that results from all applied entries. */
@@ -50,28 +51,28 @@
 
 function peersOf(r: Replica): PeerSight[] {
   return [...r.machine.peers.values()].map(function one(peer) {
-    return { id: peer.id, address: peer.addr, heardAt: peer.heardAt };
+    return { id: peer.member.id, address: peer.member.addr, heardAt: peer.heardAt };
   });
 }
 
 function statusOf(r: Replica, now: number): CoreStatus {
   const m = r.machine;
   return {
-    phase: m.phase,
+    role: m.role,
     term: m.term,
     leader: m.leader,
-    roster: m.roster.map(function one(member) {
+    voters: quorum.members(m.membership).map(function one(member) {
       const peer = m.peers.get(member.id);
-      const isOwn = member.id === m.me;
+      const isOwn = member.id === m.self.id;
       return {
         id: member.id,
         control: member.control,
         heardMs: isOwn ? 0 : peer ? Math.round(now - peer.heardAt) : null,
-        match: isOwn ? m.durable : (peer?.match ?? null),
+        match: isOwn ? m.durable : (peer?.matchIndex ?? null),
       };
     }),
     committed: m.committed,
-    disk: r.store.failing ? 'refuses' : 'takes',
+    disk: r.isDiskRefusing ? 'refuses' : 'takes',
   };
 }
 
@@ -84,16 +85,16 @@
     leaderAddress: () => replica.leaderAddress(r),
     isFresh: () => replica.isFresh(r),
     mayAct: (leaseMs) => replica.mayAct(r, leaseMs),
-    wonAt: () => r.machine.wonAt,
-    ownAddress: () => r.machine.addr,
-    addresses: () => r.machine.roster.map((member) => member.addr),
+    wonAt: () => r.machine.electedAt,
+    ownAddress: () => r.machine.self.addr,
+    addresses: () => quorum.members(r.machine.membership).map((member) => member.addr),
     peers: () => peersOf(r),
     confirmLeadership: (timeoutMs) => replica.confirmLeadership(r, timeoutMs),
     propose: (command) => replica.propose(r, command),
     handOver: (timeoutMs) => replica.handOver(r, timeoutMs),
     close: () => replica.close(r),
-    onApplied: (run) => void r.on('delivered', run),
-    onRoleChanged: (run) => void r.on('phase', run),
+    onApplied: (run) => void r.on('applied', run),
+    onRoleChanged: (run) => void r.on('role', run),
     status: (now) => statusOf(r, now),
   };
 }
--- a/src/controlplane/door.ts
+++ b/src/controlplane/door.ts
@@ -1,7 +1,7 @@
 /** The HTTP door for the operator: reads a request, has it answered, writes the answer. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { answers, type Answer } from '../transport/http/answer.js';
-import { channel } from '../transport/inner/channel.js';
+import { requestBody } from '../transport/http/body.js';
 import { ringLog } from '../logging/ring.js';
 import { operator } from './operator.js';
 import type { Coordinator } from './parts.js';
@@ -26,7 +26,7 @@
     request.resume();
     return answers.send(response, answers.json(200, await status.ask(c)));
   }
-  const body = await channel.body(request, mostBodyBytes);
+  const body = await requestBody.read(request, mostBodyBytes);
   if (body === null) {
     const finding = { place: '(whole)', text: `over ${mostBodyBytes} bytes, or cut short` };
     return answers.send(response, answers.refusal(413, [finding]), true);
--- a/src/controlplane/news.ts
+++ b/src/controlplane/news.ts
@@ -5,9 +5,11 @@
  * coordinator was up to date for a while) is given what there is.
  */
 import { boardHistory } from '../state/history/boards.js';
-import { configurationHistory, type ConfigurationDelta } from '../state/history/configurations.js';
+import type { ConfigurationDelta } from '../protocol/inner/deltas.js';
+import { configurationHistory } from '../state/history/configurations.js';
 import { control } from '../state/control/reducer.js';
-import type { Board, NewsAnswer, NewsCall } from '../types.js';
+import type { NewsReply, NewsRequest } from '../protocol/inner/news.js';
+import type { Board } from '../types.js';
 import { boards } from './board.js';
 import { freshness } from './freshness.js';
 import { runners } from './runners.js';
@@ -26,18 +28,18 @@
 /** How often freshness is looked at; it also changes by mere silence, without any event. */
 const lookMs = 25;
 
-type ConfigurationNews = Pick<NewsAnswer, 'configuration' | 'configurationDelta'>;
-type BoardNews = Pick<NewsAnswer, 'board' | 'boardDelta'>;
+type ConfigurationNews = Pick<NewsReply, 'configuration' | 'configurationDelta'>;
+type BoardNews = Pick<NewsReply, 'board' | 'boardDelta'>;
 
-function mayTell(c: Coordinator, call: NewsCall): boolean {
+function mayTell(c: Coordinator, call: NewsRequest): boolean {
   return freshness.isUpToDate(c) || (call.acceptsStale && !c.isStopping);
 }
 
-function provisional(c: Coordinator, call: NewsCall): Board | null {
+function provisional(c: Coordinator, call: NewsRequest): Board | null {
   return call.board[0] === 0 ? runners.provisionalBoard(c, call.board[1]) : null;
 }
 
-function hasNews(c: Coordinator, call: NewsCall): boolean {
+function hasNews(c: Coordinator, call: NewsRequest): boolean {
   const state = c.core.state();
   const lacksAnyBoard = call.board[0] === 0 && call.board[1] === 0;
   return (
@@ -50,22 +52,22 @@
   );
 }
 
-function isDue(c: Coordinator, call: NewsCall): boolean {
+function isDue(c: Coordinator, call: NewsRequest): boolean {
   if (c.isStopping) return true;
   if (mayTell(c, call)) return hasNews(c, call);
   return call.revision > 0;
 }
 
-function holdMs(c: Coordinator, call: NewsCall): number {
+function holdMs(c: Coordinator, call: NewsRequest): number {
   return Math.min(call.hold, freshness.isUpToDate(c) ? longestHoldMs : startingHoldMs);
 }
 
-function deltaFor(c: Coordinator, call: NewsCall): ConfigurationDelta | null {
+function deltaFor(c: Coordinator, call: NewsRequest): ConfigurationDelta | null {
   if (call.whole || c.configurations.current !== c.core.state().configuration) return null;
   return configurationHistory.since(c.configurations, call.revision);
 }
 
-function configurationNews(c: Coordinator, call: NewsCall): ConfigurationNews {
+function configurationNews(c: Coordinator, call: NewsRequest): ConfigurationNews {
   const { configuration } = c.core.state();
   const isBehind = (configuration?.revision ?? 0) > call.revision || call.whole;
   if (configuration === null || !isBehind) return { configuration: null, configurationDelta: null };
@@ -73,7 +75,7 @@
   return { configuration: configurationDelta ? null : configuration, configurationDelta };
 }
 
-function boardNews(c: Coordinator, call: NewsCall): BoardNews {
+function boardNews(c: Coordinator, call: NewsRequest): BoardNews {
   const [term, seq] = call.board;
   const lacks = boards.isNewer(c.board, term, seq) || (call.whole && c.board.seq > 0);
   if (!lacks) return { board: provisional(c, call), boardDelta: null };
@@ -83,7 +85,7 @@
 
 const nothing = { configuration: null, configurationDelta: null, weights: null, rules: null, board: null };
 
-function answerOf(c: Coordinator, call: NewsCall): NewsAnswer {
+function answerOf(c: Coordinator, call: NewsRequest): NewsReply {
   const state = c.core.state();
   const common = {
     weightsSeq: state.weightsSeq,
@@ -102,7 +104,7 @@
   };
 }
 
-function wait(c: Coordinator, call: NewsCall): Promise<void> {
+function wait(c: Coordinator, call: NewsRequest): Promise<void> {
   return new Promise(function run(done) {
     const waiter: Waiter = {
       isDue: function due() {
@@ -121,7 +123,7 @@
   });
 }
 
-async function call(c: Coordinator, question: NewsCall): Promise<NewsAnswer> {
+async function call(c: Coordinator, question: NewsRequest): Promise<NewsReply> {
   sessions.touch(c, question.site, question.life, question.revision);
   if (!isDue(c, question)) {
     await wait(c, question);
--- a/src/controlplane/operator.ts
+++ b/src/controlplane/operator.ts
@@ -14,7 +14,8 @@
 import { orders } from '../state/control/orders.js';
 import type { ApplyOutcome, Command } from '../state/control/reducer.js';
 import { ringLog } from '../logging/ring.js';
-import type { Finding, OperatorAnswer, OperatorCall } from '../types.js';
+import type { OperatorReply, OperatorRequest } from '../protocol/inner/operator.js';
+import type { Finding } from '../types.js';
 import { inner } from './inner.js';
 import type { Coordinator } from './parts.js';
 
@@ -35,7 +36,7 @@
 
 const retryMs = 40;
 
-type Desk = { mutex: Mutex; underWay: Map<string, Promise<OperatorAnswer>>; calls: number; idle: (() => void)[] };
+type Desk = { mutex: Mutex; underWay: Map<string, Promise<OperatorReply>>; calls: number; idle: (() => void)[] };
 const desks = new WeakMap<Coordinator, Desk>();
 
 const methodsOf: Record<string, string[]> = {
@@ -52,11 +53,11 @@
   return desk;
 }
 
-function answer(status: number, value: unknown): OperatorAnswer {
+function answer(status: number, value: unknown): OperatorReply {
   return { status, body: JSON.stringify(value) };
 }
 
-function refusal(status: number, findings: Finding[]): OperatorAnswer {
+function refusal(status: number, findings: Finding[]): OperatorReply {
   const message = findings
     .map(function line(finding) {
       return `${finding.place}: ${finding.text}`;
@@ -92,13 +93,13 @@
   });
 }
 
-async function read(c: Coordinator): Promise<OperatorAnswer> {
+async function read(c: Coordinator): Promise<OperatorReply> {
   if (!(await c.core.confirmLeadership(confirmWithinMs))) return unclear;
   const { configuration } = c.core.state();
   return configuration ? answer(200, configuration) : answer(404, { message: 'there is no configuration yet' });
 }
 
-async function propose(c: Coordinator, call: OperatorCall, command: Command): Promise<ProposalResult> {
+async function propose(c: Coordinator, call: OperatorRequest, command: Command): Promise<ProposalResult> {
   const result = await within<ProposalResult>(c, proposalWithinMs, c.core.propose(command), {
     kind: 'unknown',
   });
@@ -108,12 +109,12 @@
 }
 
 /** The answer after the command was applied; null when the order has to be judged again. */
-function afterOutcome(verdict: Verdict & { kind: 'propose' }, outcome: ApplyOutcome): OperatorAnswer | null {
+function afterOutcome(verdict: Verdict & { kind: 'propose' }, outcome: ApplyOutcome): OperatorReply | null {
   if (outcome.kind !== 'applied' && outcome.kind !== 'repeated') return null;
   return verdict.refusal ? refusal(verdict.refusal.status, verdict.refusal.findings) : acknowledged;
 }
 
-function settled(verdict: Exclude<Verdict, { kind: 'propose' }>): OperatorAnswer {
+function settled(verdict: Exclude<Verdict, { kind: 'propose' }>): OperatorReply {
   switch (verdict.kind) {
     case 'refused':
       return refusal(verdict.refusal.status, verdict.refusal.findings);
@@ -124,7 +125,7 @@
   }
 }
 
-async function decideOrder(c: Coordinator, call: OperatorCall): Promise<OperatorAnswer> {
+async function decideOrder(c: Coordinator, call: OperatorRequest): Promise<OperatorReply> {
   for (let judgement = 0; judgement < mostJudgements; judgement++) {
     if (!(await c.core.confirmLeadership(confirmWithinMs))) return unclear;
     const verdict = judge.order(c.core.state(), call);
@@ -138,7 +139,7 @@
 }
 
 /** Decides an order; copies of it that come meanwhile share the result. */
-function order(c: Coordinator, call: OperatorCall): Promise<OperatorAnswer> {
+function order(c: Coordinator, call: OperatorRequest): Promise<OperatorReply> {
   const desk = deskOf(c);
   const digest = orders.digest(call);
   const first = desk.underWay.get(digest);
@@ -155,19 +156,19 @@
 }
 
 /** Answers a call here, as the leader; null when this coordinator does not lead or is stopping. */
-async function decide(c: Coordinator, call: OperatorCall): Promise<OperatorAnswer | null> {
+async function decide(c: Coordinator, call: OperatorRequest): Promise<OperatorReply | null> {
   if (c.isStopping || !c.core.isLeader()) return null;
   return within(c, answerWithinMs, call.method === 'GET' ? read(c) : order(c, call), unclear);
 }
 
-async function sendOn(c: Coordinator, call: OperatorCall, ms: number): Promise<OperatorAnswer | null> {
+async function sendOn(c: Coordinator, call: OperatorRequest, ms: number): Promise<OperatorReply | null> {
   const leader = c.core.leaderAddress();
   if (leader === null || leader === c.core.ownAddress()) return null;
   const r = await inner.operator(c, leader, call, ms);
   return r.ok ? r.value : null;
 }
 
-async function decideOrSendOn(c: Coordinator, call: OperatorCall): Promise<OperatorAnswer> {
+async function decideOrSendOn(c: Coordinator, call: OperatorRequest): Promise<OperatorReply> {
   const until = c.runtime.clock.now() + answerWithinMs;
   for (;;) {
     const leftMs = until - c.runtime.clock.now();
@@ -190,7 +191,7 @@
  * Answers a call of the operator within a second: 200, 404 (no configuration yet), 400 or 412 as final
  * refusals, 404 or 405 for what is not served, 503 when its fate is not known and it may be sent again.
  */
-async function call(c: Coordinator, one: OperatorCall): Promise<OperatorAnswer> {
+async function call(c: Coordinator, one: OperatorRequest): Promise<OperatorReply> {
   const methods = methodsOf[one.path];
   if (!methods) return refusal(404, [{ place: 'path', text: `there is no ${one.path}` }]);
   if (!methods.includes(one.method))
--- a/src/controlplane/parts.ts
+++ b/src/controlplane/parts.ts
@@ -6,6 +6,7 @@
  */
 import type { Agent } from 'node:http';
 import type { Log } from '../logging/ring.js';
+import type { LeaderProgress, SessionRow } from '../protocol/inner/board.js';
 import type { Method, OrderResult, Report } from '../protocol/calls/pairs.js';
 import type { Runtime } from '../runtime.js';
 import type { BoardHistory } from '../state/history/boards.js';
@@ -14,7 +15,7 @@
 import type { Board, Outcome, Runner, Settings, Tuning } from '../types.js';
 
 /** A site that asks this coordinator for news; `seenAt` in ms of the steady clock. */
-export type Session = { site: string; life: string; seenAt: number; revision: number };
+export type Session = SessionRow;
 
 /** What another coordinator last told the leader: its reply's number, its revision and its sessions. */
 export type PeerSessions = { at: number; replyNumber: number; revision: number; sessions: Session[] };
@@ -22,9 +23,6 @@
 /** A question for news that waits until `isDue`. */
 export type Waiter = { isDue: () => boolean; answer: () => void };
 
-/** How far the leader's state was when it last said so, and in which of its terms that was. */
-export type LeaderProgress = { term: number; revision: number; weightsSeq: number; rulesSeq: number };
-
 /** An order to a runner to bring a model to a revision of its weights; `fence` is the leader's term. */
 export type RevisionOrder = {
   model: string;
--- a/src/controlplane/status.ts
+++ b/src/controlplane/status.ts
@@ -3,14 +3,14 @@
  * sees it itself, marked as such.
  */
 import { exchange } from '../coordination/exchange/machine.js';
-import type { StatusAnswer } from '../types.js';
+import type { StatusReply } from '../protocol/inner/status.js';
 import { feed } from './feed.js';
 import { inner } from './inner.js';
 import type { Coordinator } from './parts.js';
 
 const timeoutMs = 600;
 
-function own(c: Coordinator): StatusAnswer {
+function own(c: Coordinator): StatusReply {
   const now = c.runtime.clock.now();
   const s = c.core.state();
   const isLeader = c.core.isLeader();
@@ -58,7 +58,7 @@
 }
 
 /** The status as the leader tells it, or this coordinator's own. */
-async function ask(c: Coordinator): Promise<StatusAnswer> {
+async function ask(c: Coordinator): Promise<StatusReply> {
   const leader = c.core.leaderAddress();
   if (leader === null || leader === c.core.ownAddress()) return own(c);
   const told = await inner.status(c, leader, timeoutMs);
--- a/src/dataplane/follow.ts
+++ b/src/dataplane/follow.ts
@@ -6,7 +6,6 @@
  * is current. Where no coordinator has been up to date for `contact_ms`, the site asks for what they have
  * (`acceptsStale`): the fleet must go on serving when the core has lost its majority.
  */
-import type { Agent } from 'node:http';
 import { ringLog } from '../logging/ring.js';
 import type { Outcome } from '../types.js';
 import type { CallError, Runtime } from '../runtime.js';
@@ -14,11 +13,12 @@
 import { configurationHistory } from '../state/history/configurations.js';
 import { routes } from '../state/control/routes.js';
 import { fleet } from '../state/runners/fleet.js';
-import type { Board, Configuration, NewsAnswer, NewsCall } from '../types.js';
+import { endpoint } from '../protocol/inner/endpoint.js';
+import { newsEndpoint, type NewsReply, type NewsRequest } from '../protocol/inner/news.js';
+import type { Board, Configuration } from '../types.js';
 import { line } from './line.js';
 import type { Site } from './types.js';
 
-const newsPath = '/inner/news';
 const holdMs = 600;
 const slackMs = 350;
 
@@ -42,8 +42,6 @@
 export type Follower = {
   life: string;
   runtime: Runtime;
-  /** Kept connections for the exchange of `feed.ts`. */
-  via: Agent;
   /** Inner addresses of the coordinators, asked in turn from `at` on. */
   known: string[];
   /** The inner addresses of the seeds as the settings have them now. */
@@ -57,7 +55,7 @@
   freshAt: number;
 };
 
-type FollowerStart = Pick<Follower, 'life' | 'runtime' | 'via' | 'seeds'>;
+type FollowerStart = Pick<Follower, 'life' | 'runtime' | 'seeds'>;
 
 /** A session that begins with the seed of number `first`. */
 function create(start: FollowerStart, first: number): Follower {
@@ -103,7 +101,7 @@
   site.stirred.emit('configuration');
 }
 
-function takeWeights(site: Site, answer: NewsAnswer, now: number): void {
+function takeWeights(site: Site, answer: NewsReply, now: number): void {
   if (!answer.weights || answer.weightsSeq <= site.weightsSeq) return;
   for (const [model, revision] of Object.entries(answer.weights))
     if ((site.weights[model] ?? 0) < revision) site.weightsAt.set(model, now);
@@ -119,13 +117,13 @@
 }
 
 /** One that is not up to date may know members that left, and may not know the present ones. */
-function takeCoordinators(f: Follower, answer: NewsAnswer): void {
+function takeCoordinators(f: Follower, answer: NewsReply): void {
   if (!answer.fresh) return setCoordinators(f, [...f.known, ...answer.coordinators]);
   f.leader = answer.leader;
   setCoordinators(f, answer.coordinators);
 }
 
-function take(site: Site, f: Follower, answer: NewsAnswer): void {
+function take(site: Site, f: Follower, answer: NewsReply): void {
   f.whole = false;
   const configuration = unfolded(
     answer.configuration,
@@ -150,7 +148,7 @@
   takeCoordinators(f, answer);
 }
 
-function question(site: Site, f: Follower): NewsCall {
+function question(site: Site, f: Follower): NewsRequest {
   const silentMs = f.runtime.clock.now() - f.freshAt;
   return {
     site: site.settings.node_name,
@@ -165,14 +163,12 @@
   };
 }
 
-async function askOne(site: Site, f: Follower, address: string): Promise<Outcome<NewsAnswer, CallError>> {
+function askOne(site: Site, f: Follower, address: string): Promise<Outcome<NewsReply, CallError>> {
   const call = question(site, f);
   const isStarting = call.revision === 0;
   const timeoutMs = isStarting ? startingTimeoutMs : holdMs + slackMs;
   const hold = isStarting ? Math.min(holdMs, startingTimeoutMs / 2) : holdMs;
-  const options = { timeoutMs, lane: 'control' } as const;
-  const r = await f.runtime.network.call(address, newsPath, { ...call, hold }, options);
-  return r.ok ? { ok: true, value: r.value as NewsAnswer } : r;
+  return endpoint.call(f.runtime.network, address, newsEndpoint, { ...call, hold }, { timeoutMs });
 }
 
 /** Asks one coordinator; true when it was up to date and is to be asked again. */
--- a/src/programs/coordinator.ts
+++ b/src/programs/coordinator.ts
@@ -5,15 +5,13 @@
 import type { Server } from 'node:http';
 import { boardHistory } from '../state/history/boards.js';
 import { configurationHistory } from '../state/history/configurations.js';
-import { replica, type Replica } from '../coordination/consensus/driver.js';
-import type { Message } from '../coordination/consensus/types.js';
-import { boards, type BoardCall } from '../controlplane/board.js';
+import { consensusCalls, replica, type Replica } from '../coordination/consensus/driver.js';
+import { boards } from '../controlplane/board.js';
 import { access } from '../controlplane/access.js';
 import { core } from '../controlplane/core.js';
 import { door } from '../controlplane/door.js';
 import { feed } from '../controlplane/feed.js';
 import { freshness } from '../controlplane/freshness.js';
-import { innerPaths } from '../controlplane/inner.js';
 import { kept } from '../controlplane/kept.js';
 import { news } from '../controlplane/news.js';
 import { operator } from '../controlplane/operator.js';
@@ -23,10 +21,18 @@
 import { rollout } from '../controlplane/rollout.js';
 import { shutdown } from '../controlplane/shutdown.js';
 import { status } from '../controlplane/status.js';
-import type { Log } from '../logging/ring.js';
+import { ringLog, type Log } from '../logging/ring.js';
+import { boardEndpoint } from '../protocol/inner/board.js';
+import { endpoint, type Handler } from '../protocol/inner/endpoint.js';
+import { feedEndpoint } from '../protocol/inner/feed.js';
+import { newsEndpoint } from '../protocol/inner/news.js';
+import { operatorEndpoint } from '../protocol/inner/operator.js';
+import { statusEndpoint } from '../protocol/inner/status.js';
+import type { Runtime } from '../runtime.js';
 import { ask } from '../transport/http/ask.js';
-import { channel } from '../transport/inner/channel.js';
-import type { FeedCall, NewsCall, OperatorCall, Settings, Tuning } from '../types.js';
+import { files } from '../transport/files.js';
+import { innerServer, type InnerServer } from '../transport/inner/server.js';
+import type { Settings, Tuning } from '../types.js';
 import { machineRuntime } from './runtime.js';
 import { settingsWatch } from './watch.js';
 
@@ -54,25 +60,49 @@
   };
 }
 
-function listenInside(c: Coordinator, member: Replica): Promise<Server> {
-  return channel.listen(c.settings.ip_addr, c.settings.port_range[0], {
-    [innerPaths.consensus]: function messages(b: { messages: Message[] }) {
-      return replica.receive(member, b.messages);
-    },
-    [innerPaths.board]: function board(b: BoardCall) {
-      return boards.receive(c, b);
-    },
-    [innerPaths.news]: function question(b: NewsCall) {
-      return news.call(c, b);
-    },
-    [innerPaths.feed]: function exchange(b: FeedCall) {
-      return feed.call(c, b);
-    },
-    [innerPaths.status]: function state() {
+/** Reads the disk; one that cannot be read at all is an error at the start. */
+async function openReplica(settings: Settings, log: Log, runtime: Runtime): Promise<Replica> {
+  const path = settings.data_dir!;
+  const prepared = await files.prepare(path);
+  if (!prepared.ok) throw new Error(`the data folder cannot be made: ${prepared.error.message}`);
+  const opened = await replica.open({ settings, log, runtime, folder: prepared.value });
+  if (!opened.ok) throw new Error(`the data folder cannot be read: ${opened.error}`);
+  return opened.value;
+}
+
+/** The calls of the system's own processes, each checked before it is handled. */
+function innerHandlers(c: Coordinator, member: Replica): Handler[] {
+  return [
+    endpoint.handler(consensusCalls, function messages(batch) {
+      return { messages: replica.receive(member, batch.messages) };
+    }),
+    endpoint.handler(boardEndpoint, function board(request) {
+      return boards.receive(c, request);
+    }),
+    endpoint.handler(newsEndpoint, function question(request) {
+      return news.call(c, request);
+    }),
+    endpoint.handler(feedEndpoint, function exchange(request) {
+      return feed.call(c, request);
+    }),
+    endpoint.handler(statusEndpoint, function state() {
       return status.own(c);
+    }),
+    endpoint.handler(operatorEndpoint, function order(request) {
+      return operator.decide(c, request);
+    }),
+  ];
+}
+
+function listenInside(c: Coordinator, member: Replica, life: string): Promise<InnerServer> {
+  const handlers = innerHandlers(c, member);
+  return innerServer.listen(c.settings.ip_addr, c.settings.port_range[0], handlers, {
+    life,
+    onFault: function fault(found) {
+      ringLog.note(c.log, found, 'an inner call was rejected');
     },
-    [innerPaths.operator]: function call(b: OperatorCall) {
-      return operator.decide(c, b);
+    onFailure: function failed(path, error) {
+      ringLog.error(c.log, { path, why: error.stack }, 'a handler failed');
     },
   });
 }
@@ -113,17 +143,18 @@
 
 /** `reread` reads the settings file again, in place. */
 async function start(s: Settings, log: Log, tuning: Tuning, reread: () => void): Promise<void> {
-  const member = replica.create(s, log);
-  const agent = channel.agent();
+  const runtime = machineRuntime.create();
+  const member = await openReplica(s, log, runtime);
+  const agent = ask.agent();
   const c = create(s, log, tuning, {
     core: core.of(member),
-    runtime: machineRuntime.create(agent),
+    runtime,
     outside: outside.create(agent, function platform() {
       return s.cloud_api.address;
     }),
     agent,
   });
-  await listenInside(c, member);
+  await listenInside(c, member, runtime.network.life);
   const server = await listenAtDoor(c);
   startParts(c);
   replica.start(member);
--- a/src/state/control/judge.ts
+++ b/src/state/control/judge.ts
@@ -7,7 +7,8 @@
  * that it builds on while that one is in force; 412 for a base that has been superseded, since
  * revisions only rise. A base that is not in force *yet* is refused by a command, see `refuse`.
  */
-import type { Configuration, Finding, OperatorCall, Outcome } from '../../types.js';
+import type { OperatorRequest } from '../../protocol/inner/operator.js';
+import type { Configuration, Finding, Outcome } from '../../types.js';
 import { configurationCheck } from '../../protocol/configuration/check.js';
 import { patch } from '../../protocol/configuration/patch.js';
 import { configurationChanges } from '../history/changes.js';
@@ -48,7 +49,7 @@
   return m ? Number(m[1]) : null;
 }
 
-function target(state: ControlState, call: OperatorCall, raw: unknown): Outcome<Configuration, Refusal> {
+function target(state: ControlState, call: OperatorRequest, raw: unknown): Outcome<Configuration, Refusal> {
   let next = raw;
   if (call.method === 'PATCH') {
     if (!state.configuration)
@@ -62,7 +63,7 @@
   return { ok: true, value: next as Configuration };
 }
 
-function ofConfiguration(state: ControlState, call: OperatorCall): Verdict {
+function ofConfiguration(state: ControlState, call: OperatorRequest): Verdict {
   const order = orders.digest(call);
   if (orders.isTaken(state.orders, order)) return { kind: 'taken' };
   const body = parsed(call.body);
@@ -92,7 +93,7 @@
   return findings;
 }
 
-function ofWeights(state: ControlState, call: OperatorCall): Verdict {
+function ofWeights(state: ControlState, call: OperatorRequest): Verdict {
   const body = parsed(call.body);
   if (!body.ok) return refused(400, '(whole)', body.error);
   const findings = weightsFindings(body.value);
@@ -102,7 +103,7 @@
   return { kind: 'propose', command: { kind: 'weights', model, revision }, refusal: null };
 }
 
-function order(state: ControlState, call: OperatorCall): Verdict {
+function order(state: ControlState, call: OperatorRequest): Verdict {
   return call.path === '/v1/version-put' ? ofWeights(state, call) : ofConfiguration(state, call);
 }
 
--- a/src/state/control/orders.ts
+++ b/src/state/control/orders.ts
@@ -10,7 +10,7 @@
  * newest one and never forgotten.
  */
 import { createHash } from 'node:crypto';
-import type { OperatorCall } from '../../types.js';
+import type { OperatorRequest } from '../../protocol/inner/operator.js';
 
 /** 16 bytes of SHA-256 in base64url, 22 characters: collisions are out of reach for the orders of any system's life. */
 export type OrderDigest = string;
@@ -38,7 +38,7 @@
   return { taken: [], refused: [], forgottenBase: -1 };
 }
 
-function digest(call: OperatorCall): OrderDigest {
+function digest(call: OperatorRequest): OrderDigest {
   return createHash('sha256')
     .update(`${call.method} ${call.path} ${call.match ?? ''}\n`)
     .update(call.body)
--- a/test/scale/run.ts
+++ b/test/scale/run.ts
@@ -6,17 +6,15 @@
 // in time; ends all that it started. Results go to target/scale.json.
 import { execFileSync } from 'node:child_process';
 import { readFileSync, writeFileSync } from 'node:fs';
-import type { Agent } from 'node:http';
 import type { Socket } from 'node:net';
 import { feeding } from '../../src/dataplane/feed.js';
 import { follow, type Follower } from '../../src/dataplane/follow.js';
-import type { Assigned, Passage, Site } from '../../src/dataplane/types.js';
+import type { Assigned, RequestContext, Site } from '../../src/dataplane/types.js';
 import { ringLog } from '../../src/logging/ring.js';
-import { machineRuntime } from '../../src/programs/runtime.js';
+import { createNetwork, systemClock, type InnerNetwork } from '../../src/transport/runtime.js';
 import { siteProgram } from '../../src/programs/site.js';
 import { tuning } from '../../src/protocol/settings/tuning.js';
 import { identity } from '../../src/state/index/identity.js';
-import { channel } from '../../src/transport/inner/channel.js';
 import type { Settings } from '../../src/types.js';
 import { fleetStandin as fs, model, type Fleet } from '../standins/fleet.js';
 import { luck, type Luck } from '../support/random.js';
@@ -41,21 +39,23 @@
   });
 }
 
-function metered(): { agent: Agent; meter: Meter } {
-  const agent = channel.agent();
-  agent.maxSockets = Infinity;
+function metered(): { network: InnerNetwork; meter: Meter } {
+  const network = createNetwork();
   const meter: Meter = { sockets: new Set(), calls: 0, closedIn: 0, closedOut: 0 };
-  agent.on('free', function over(socket: Socket) {
-    meter.calls++;
-    if (meter.sockets.has(socket)) return;
-    meter.sockets.add(socket);
-    socket.on('close', function closed() {
-      meter.sockets.delete(socket);
-      meter.closedIn += socket.bytesRead;
-      meter.closedOut += socket.bytesWritten;
+  for (const agent of Object.values(network.agents)) {
+    agent.maxSockets = Infinity;
+    agent.on('free', function over(socket: Socket) {
+      meter.calls++;
+      if (meter.sockets.has(socket)) return;
+      meter.sockets.add(socket);
+      socket.on('close', function closed() {
+        meter.sockets.delete(socket);
+        meter.closedIn += socket.bytesRead;
+        meter.closedOut += socket.bytesWritten;
+      });
     });
-  });
-  return { agent, meter };
+  }
+  return { network, meter };
 }
 
 function bytes(m: Meter): { in: number; out: number } {
@@ -67,7 +67,7 @@
   return n;
 }
 
-function hollow(n: number, agent: Agent): Hollow {
+function hollow(n: number, network: InnerNetwork): Hollow {
   const seeds = [1, 2, 3].map(function seedAt(i) {
     return `${fs.ip(net, i)}:${fs.ports.inner}`;
   });
@@ -88,8 +88,7 @@
     f: follow.create(
       {
         life: `life-${n}`,
-        via: agent,
-        runtime: machineRuntime.create(agent),
+        runtime: { clock: systemClock, network, random: Math.random },
         seeds: function current() {
           return seeds;
         },
@@ -112,7 +111,7 @@
   if (isLong) {
     const part = { id: (0x1000 + luck.below(l, 400)).toString(16), tokens: 13_000 };
     h.site.sent(
-      { parts: [part, { id: 'ff', tokens: 2000 }] } as unknown as Passage,
+      { parts: [part, { id: 'ff', tokens: 2000 }] } as unknown as RequestContext,
       { slot, salt: identity.salt({ wall: 'all', model, revision: 1 }) } as unknown as Assigned,
     );
   }
@@ -222,7 +221,7 @@
       });
     });
   }
-  const { agent, meter } = metered();
+  const { network, meter } = metered();
   const hollows: Hollow[] = [];
   const l = luck.create(seed);
   const beat = setInterval(function send() {
@@ -252,7 +251,7 @@
     );
     for (const n of sizes) {
       while (hollows.length < n) {
-        const h = hollow(hollows.length, agent);
+        const h = hollow(hollows.length, network);
         hollows.push(h);
         void follow.run(h.site, h.f);
         void feeding.run(h.site, h.f);
@@ -264,7 +263,7 @@
   } finally {
     clearInterval(beat);
     for (const h of hollows) h.f.stopped = true;
-    agent.destroy();
+    network.close();
     await fs.stop(f);
   }
   const fits = Object.fromEntries(
--- /dev/null
+++ b/test/sim/network.ts
@@ -0,0 +1,512 @@
+/**
+ * The simulated network between the system's own processes. A call is a request and an answer, each of
+ * which takes time by size and distance, may be lost, delayed, doubled, overtaken or cut off; a cut has
+ * a direction. A connection that rested may be gone without notice; an answer may be lost though the
+ * call was carried out; messages that were recorded long ago may reach whoever has the address now.
+ */
+import { Packr } from 'msgpackr';
+import { rejectionStatus, type Handler } from '../../src/protocol/inner/endpoint.js';
+import type { CallError, CallOptions, Network, Timer } from '../../src/runtime.js';
+import { identity, type RequestIdentity } from '../../src/transport/inner/identity.js';
+import { lives, type Lives } from '../../src/transport/inner/lives.js';
+import { seenCalls, type Seen } from '../../src/transport/inner/seen.js';
+import type { Outcome } from '../../src/types.js';
+import { luck, type Luck } from '../support/random.js';
+import { links, type Link } from './link.js';
+import { machines, type Machine } from './machine.js';
+import { simulatedTime, type Scheduler } from './scheduler.js';
+
+/** What one life of a process knows as a caller and, once it listens, as a server. */
+type Session = {
+  life: number;
+  /** The life as it is told to others. */
+  lifeText: string;
+  lives: Lives;
+  lastCallId: number;
+  seen: Seen;
+  handlers: Map<string, Handler> | null;
+  lastUsed: Map<string, number>;
+};
+
+/** A process that can call and be called. */
+export type Endpoint = { address: string; machine: Machine; session: Session; uplink: Link; downlink: Link };
+
+/** Shares are chances per message. `idleMs` is how long a connection may rest before it is gone. */
+export type Conditions = {
+  latencyMs: [number, number];
+  lossShare: number;
+  duplicateShare: number;
+  overtakeShare: number;
+  overtakeMs: number;
+  resetShare: number;
+  misdirectShare: number;
+  idleMs: number;
+};
+
+type Recorded = { path: string; bytes: Uint8Array; from: string; identity: string };
+type Held = { from: string; to: string; arrive: () => void };
+type InProgress = { address: string; life: number; broken: (kind: 'reset' | 'silent') => void };
+
+export type SimulatedNetwork = {
+  scheduler: Scheduler;
+  luck: Luck;
+  endpoints: Map<string, Endpoint>;
+  conditions: Conditions;
+  cuts: Set<string>;
+  held: Held[];
+  recorded: Map<string, Recorded[]>;
+  answers: Map<string, Reply>;
+  inProgress: Set<InProgress>;
+  onCall: ((from: string, to: string, path: string, body: unknown) => void) | null;
+  counters: NetworkCounters;
+};
+
+export type NetworkCounters = {
+  calls: number;
+  bytes: number;
+  lost: number;
+  doubled: number;
+  replayed: number;
+  misdirected: number;
+  /** What the receivers recognised and dropped. */
+  duplicates: number;
+  strangeReplies: number;
+  earlierLives: number;
+};
+
+/** `identity` is that of the reply; empty where there is only an error. */
+type Reply = { outcome: Outcome<Uint8Array, CallError>; identity: string };
+
+type Call = {
+  from: Endpoint;
+  session: Session;
+  to: string;
+  path: string;
+  bytes: Uint8Array;
+  identity: string;
+  own: RequestIdentity;
+  options: CallOptions;
+  isOver: boolean;
+  progress: () => void;
+  finish: (outcome: Outcome<unknown, CallError>) => void;
+};
+
+const packr = new Packr({ useRecords: false });
+const headBytes = 200;
+const heldShare = 0.3;
+const retransmitShare = 0.5;
+const retransmitMs = 900;
+const bulkCapMs = 60_000;
+const shortestWaitMs = 0.01;
+const mostRecorded = 24;
+const recordShare = 0.1;
+const calm: Conditions = {
+  latencyMs: [0.3, 2],
+  lossShare: 0,
+  duplicateShare: 0,
+  overtakeShare: 0,
+  overtakeMs: 0,
+  resetShare: 0,
+  misdirectShare: 0,
+  idleMs: Infinity,
+};
+
+function create(scheduler: Scheduler, seed: number): SimulatedNetwork {
+  return {
+    scheduler,
+    luck: luck.create(seed),
+    endpoints: new Map(),
+    conditions: { ...calm },
+    cuts: new Set(),
+    held: [],
+    recorded: new Map(),
+    answers: new Map(),
+    inProgress: new Set(),
+    onCall: null,
+    counters: {
+      calls: 0,
+      bytes: 0,
+      lost: 0,
+      doubled: 0,
+      replayed: 0,
+      misdirected: 0,
+      duplicates: 0,
+      strangeReplies: 0,
+      earlierLives: 0,
+    },
+  };
+}
+
+function createSession(machine: Machine): Session {
+  const digits = Array.from({ length: 16 }, () => luck.below(machine.luck, 16).toString(16));
+  return {
+    life: machine.life,
+    lifeText: digits.join(''),
+    lives: lives.create(),
+    lastCallId: 0,
+    seen: seenCalls.create(),
+    handlers: null,
+    lastUsed: new Map(),
+  };
+}
+
+/** Puts a machine at an address; whoever had the address before can't be called any more. */
+function attach(network: SimulatedNetwork, address: string, machine: Machine, bytesPerMs = Infinity): Endpoint {
+  const endpoint: Endpoint = {
+    address,
+    machine,
+    session: createSession(machine),
+    uplink: links.create(bytesPerMs),
+    downlink: links.create(bytesPerMs),
+  };
+  network.endpoints.set(address, endpoint);
+  return endpoint;
+}
+
+/** Lets the life of the endpoint's machine that runs now take calls. */
+function listen(endpoint: Endpoint, handlers: Handler[]): void {
+  endpoint.session.handlers = new Map(handlers.map((handler) => [handler.path, handler]));
+}
+
+function chance(network: SimulatedNetwork, share: number): boolean {
+  return share > 0 && luck.next(network.luck) < share;
+}
+
+function between(network: SimulatedNetwork, low: number, high: number): number {
+  return low + luck.next(network.luck) * (high - low);
+}
+
+function cutKey(from: string, to: string): string {
+  return `${from}>${to}`;
+}
+
+/** Cuts the way from one address to another. */
+function cut(network: SimulatedNetwork, from: string, to: string): void {
+  network.cuts.add(cutKey(from, to));
+}
+
+/** Joins what was cut; what its senders still held is sent again and arrives late. */
+function heal(network: SimulatedNetwork, from: string, to: string): void {
+  network.cuts.delete(cutKey(from, to));
+  const due = network.held.filter((held) => held.from === from && held.to === to);
+  network.held = network.held.filter((held) => held.from !== from || held.to !== to);
+  for (const held of due)
+    simulatedTime.after(network.scheduler, between(network, 0, retransmitMs), `late ${from}>${to}`, held.arrive);
+}
+
+function healAll(network: SimulatedNetwork): void {
+  for (const key of [...network.cuts]) {
+    const [from, to] = key.split('>') as [string, string];
+    heal(network, from, to);
+  }
+}
+
+function travelMs(network: SimulatedNetwork): number {
+  const { latencyMs, overtakeShare, overtakeMs, lossShare } = network.conditions;
+  let delay = between(network, latencyMs[0], latencyMs[1]);
+  if (chance(network, overtakeShare)) delay += between(network, 0, overtakeMs);
+  if (chance(network, lossShare)) delay += between(network, retransmitMs / 4, retransmitMs);
+  return delay;
+}
+
+/** Sends what left one link over the distance, with whatever happens to it there. */
+function travel(network: SimulatedNetwork, from: string, to: string, label: string, arrive: () => void): void {
+  const { counters, conditions, scheduler } = network;
+  if (network.cuts.has(cutKey(from, to))) {
+    counters.lost++;
+    if (chance(network, heldShare)) network.held.push({ from, to, arrive });
+    return;
+  }
+  if (chance(network, conditions.lossShare * (1 - retransmitShare))) {
+    counters.lost++;
+    return;
+  }
+  function arriveUnlessCut(): void {
+    if (network.cuts.has(cutKey(from, to))) network.held.push({ from, to, arrive });
+    else arrive();
+  }
+  simulatedTime.after(scheduler, travelMs(network), label, arriveUnlessCut);
+  if (!chance(network, conditions.duplicateShare)) return;
+  counters.doubled++;
+  simulatedTime.after(scheduler, travelMs(network) + between(network, 0, retransmitMs), label, arriveUnlessCut);
+}
+
+/** Uplink, distance and downlink, one after the other. */
+function transmit(
+  network: SimulatedNetwork,
+  from: Endpoint,
+  to: Endpoint | null,
+  call: Call,
+  bytes: number,
+  label: string,
+  arrive: () => void,
+): void {
+  const toAddress = to?.address ?? call.to;
+  const stream = `${from.address}>${toAddress} ${call.options.lane ?? 'control'}`;
+  const size = bytes + headBytes;
+  network.counters.bytes += size;
+  function isAbandoned(): boolean {
+    call.progress();
+    return call.isOver;
+  }
+  links.carry(network.scheduler, from.uplink, stream, size, isAbandoned, function sent() {
+    travel(network, from.address, toAddress, label, function received() {
+      if (to === null) return arrive();
+      links.carry(network.scheduler, to.downlink, stream, size, isAbandoned, arrive);
+    });
+  });
+}
+
+function record(network: SimulatedNetwork, call: Call): void {
+  if (!chance(network, recordShare)) return;
+  const list = network.recorded.get(call.to) ?? [];
+  const place = list.length < mostRecorded ? list.length : luck.below(network.luck, mostRecorded);
+  list[place] = { path: call.path, bytes: call.bytes, from: call.from.address, identity: call.identity };
+  network.recorded.set(call.to, list);
+}
+
+/** The connection rested too long: the request meets nothing, or a reset. */
+function isConnectionGone(network: SimulatedNetwork, call: Call): boolean {
+  const key = `${call.to} ${call.options.lane ?? 'control'}`;
+  const last = call.session.lastUsed.get(key);
+  call.session.lastUsed.set(key, network.scheduler.now);
+  return last !== undefined && network.scheduler.now - last > network.conditions.idleMs;
+}
+
+/** Carries a request out at its target and sends the answer back. */
+function serve(network: SimulatedNetwork, call: Call, target: Endpoint): void {
+  const { machine, session } = target;
+  const inProgress: InProgress = {
+    address: target.address,
+    life: session.life,
+    broken: function broken(kind) {
+      network.inProgress.delete(inProgress);
+      if (kind === 'reset') sendReply(network, call, target, failure({ kind: 'broken', message: 'reset' }));
+    },
+  };
+  network.inProgress.add(inProgress);
+  machines.enter(machine, session.life, function take() {
+    void replyOf(network, call, target).then(function done(reply) {
+      network.inProgress.delete(inProgress);
+      if (reply === null || !machines.isAlive(machine, session.life)) return;
+      deliver(network, call, target, reply);
+    });
+  });
+}
+
+function failure(error: CallError): Reply {
+  return { outcome: { ok: false, error }, identity: '' };
+}
+
+/** What the process answers, by the rules of the real server; null for a call that it has seen before. */
+async function replyOf(network: SimulatedNetwork, call: Call, target: Endpoint): Promise<Reply | null> {
+  const { session } = target;
+  const request = identity.parseRequest(call.identity);
+  if (request === null) return failure({ kind: 'rejected', status: rejectionStatus.malformed, message: 'identity' });
+  const caller = `${request.callerLife} ${request.lane}`;
+  if (!seenCalls.take(session.seen, caller, request.callId, network.scheduler.now)) {
+    network.counters.duplicates++;
+    return null;
+  }
+  const own = identity.formatReply({ ...request, calleeLife: session.lifeText });
+  const outcome = await carryOut(network, call, session, request);
+  return { outcome, identity: own };
+}
+
+async function carryOut(
+  network: SimulatedNetwork,
+  call: Call,
+  session: Session,
+  request: RequestIdentity,
+): Promise<Outcome<Uint8Array, CallError>> {
+  const handler = session.handlers?.get(call.path);
+  if (handler === undefined) return rejected(rejectionStatus.unknownPath, 'path: unknown');
+  if (handler.bindsToLife && request.calleeLife !== null && request.calleeLife !== session.lifeText) {
+    network.counters.earlierLives++;
+    return rejected(rejectionStatus.otherLife, 'callee life: this process has restarted since');
+  }
+  const from = { address: call.from.address, life: request.callerLife, callId: request.callId };
+  const result = await handler.receive(packr.unpack(call.bytes), from);
+  if (!result.ok) return rejected(result.error.status, result.error.message);
+  return { ok: true, value: packr.pack(result.value) };
+}
+
+function rejected(status: number, message: string): Outcome<never, CallError> {
+  return { ok: false, error: { kind: 'rejected', status, message } };
+}
+
+/** The answer to a call; now and then it is lost, or the connection yields an earlier one in its place. */
+function deliver(network: SimulatedNetwork, call: Call, target: Endpoint, reply: Reply): void {
+  if (chance(network, network.conditions.resetShare))
+    return sendReply(network, call, target, failure({ kind: 'broken', message: 'reset' }));
+  const key = `${call.from.address} ${call.path}`;
+  const earlier = network.answers.get(key);
+  network.answers.set(key, reply);
+  if (earlier === undefined || !chance(network, network.conditions.misdirectShare))
+    return sendReply(network, call, target, reply);
+  network.counters.misdirected++;
+  sendReply(network, call, target, earlier);
+}
+
+function sendReply(network: SimulatedNetwork, call: Call, target: Endpoint, reply: Reply): void {
+  const bytes = reply.outcome.ok ? reply.outcome.value.length : 0;
+  const label = `answer ${target.address}>${call.from.address}`;
+  transmit(network, target, call.from, call, bytes, label, function arrive() {
+    if (!call.isOver) call.finish(accepted(network, call, reply));
+  });
+}
+
+/** Takes a reply as the real caller does: only with the identity of its own call, of a life that still is. */
+function accepted(network: SimulatedNetwork, call: Call, reply: Reply): Outcome<unknown, CallError> {
+  if (reply.identity === '') return reply.outcome;
+  const { own, session } = call;
+  const found = identity.parseReply(reply.identity);
+  if (found === null || found.callId !== own.callId || found.callerLife !== own.callerLife) {
+    network.counters.strangeReplies++;
+    return { ok: false, error: { kind: 'broken', message: 'a reply to another call' } };
+  }
+  if (lives.hear(session.lives, call.to, call.path, found.calleeLife) === 'earlier') {
+    network.counters.earlierLives++;
+    return { ok: false, error: { kind: 'broken', message: 'a reply of an earlier life' } };
+  }
+  return reply.outcome.ok ? { ok: true, value: packr.unpack(reply.outcome.value) } : reply.outcome;
+}
+
+/** A request has crossed the network and meets whoever has the address now. */
+function arriveAt(network: SimulatedNetwork, call: Call): void {
+  const target = network.endpoints.get(call.to);
+  if (target === undefined || target.machine.status === 'off') return;
+  if (!isListening(target)) {
+    sendReply(network, call, target, failure({ kind: 'unreached', message: 'connection refused' }));
+    return;
+  }
+  serve(network, call, target);
+}
+
+function isListening(target: Endpoint): boolean {
+  return target.session.handlers !== null && machines.isAlive(target.machine, target.session.life);
+}
+
+function send(network: SimulatedNetwork, call: Call): void {
+  network.counters.calls++;
+  record(network, call);
+  const label = `${call.path} ${call.from.address}>${call.to}`;
+  if (isConnectionGone(network, call)) {
+    simulatedTime.after(network.scheduler, 1, label, function gone() {
+      if (!call.isOver) call.finish({ ok: false, error: { kind: 'broken', message: 'the connection was closed' } });
+    });
+    return;
+  }
+  const target = network.endpoints.get(call.to) ?? null;
+  transmit(network, call.from, target, call, call.bytes.length, label, function arrive() {
+    arriveAt(network, call);
+  });
+}
+
+/** Ends a call after its time; on the bulk lane the time begins anew with each piece that moves. */
+function startDeadline(call: Call, expire: () => void): Timer {
+  const clock = machines.clockOf(call.from.machine, call.session.life);
+  const { timeoutMs, lane } = call.options;
+  const startedAt = clock.now();
+  let movedAt = startedAt;
+  let timer = clock.after(timeoutMs, look);
+  function look(): void {
+    const endsAt = Math.min(movedAt + timeoutMs, startedAt + Math.max(bulkCapMs, timeoutMs));
+    if (endsAt - clock.now() < shortestWaitMs) return expire();
+    timer = clock.after(endsAt - clock.now(), look);
+  }
+  if (lane === 'bulk')
+    call.progress = function progress() {
+      movedAt = clock.now();
+    };
+  return { cancel: () => timer.cancel() };
+}
+
+function nothing(): void {
+  /* nothing to note */
+}
+
+function newCall(endpoint: Endpoint, to: string, path: string, body: unknown, options: CallOptions): Call {
+  const { session } = endpoint;
+  session.lastCallId++;
+  const own: RequestIdentity = {
+    callId: session.lastCallId,
+    callerLife: session.lifeText,
+    calleeLife: lives.expected(session.lives, to, path),
+    lane: options.lane ?? 'control',
+  };
+  const bytes = packr.pack(body);
+  const text = identity.formatRequest(own);
+  const base = { from: endpoint, session, to, path, bytes, identity: text, own, options };
+  return { ...base, isOver: false, progress: nothing, finish: nothing };
+}
+
+/** The network as the life of the endpoint's process that begins now sees it. */
+function networkOf(network: SimulatedNetwork, endpoint: Endpoint): Network {
+  const { machine } = endpoint;
+  const session = createSession(machine);
+  endpoint.session = session;
+  function call(to: string, path: string, body: unknown, options: CallOptions): Promise<Outcome<unknown, CallError>> {
+    return new Promise(function run(resolve) {
+      const made = newCall(endpoint, to, path, body, options);
+      const deadline = startDeadline(made, function late() {
+        end({ ok: false, error: { kind: 'silent' } });
+      });
+      function end(outcome: Outcome<unknown, CallError>): void {
+        if (made.isOver) return;
+        made.isOver = true;
+        deadline.cancel();
+        resolve(outcome);
+      }
+      made.finish = function finish(outcome) {
+        machines.enter(machine, session.life, () => end(outcome));
+      };
+      network.onCall?.(endpoint.address, to, path, body);
+      send(network, made);
+    });
+  }
+  return { call };
+}
+
+/** A process ended: a kill resets its connections, a loss of power leaves its callers without a word. */
+function processEnded(network: SimulatedNetwork, endpoint: Endpoint, kind: 'reset' | 'silent'): void {
+  endpoint.session.handlers = null;
+  for (const call of [...network.inProgress]) if (call.address === endpoint.address) call.broken(kind);
+}
+
+/** Sends messages recorded earlier to whoever is at the address now; their answers go nowhere. */
+function replay(network: SimulatedNetwork, address: string, most: number): void {
+  const list = network.recorded.get(address) ?? [];
+  for (let i = 0; i < most && list.length > 0; i++) {
+    const old = luck.pick(network.luck, list);
+    network.counters.replayed++;
+    simulatedTime.after(
+      network.scheduler,
+      between(network, 0, 200),
+      `replay ${old.path} at ${address}`,
+      function late() {
+        const target = network.endpoints.get(address);
+        const from = network.endpoints.get(old.from);
+        const request = identity.parseRequest(old.identity);
+        if (!target || !from || !request || !isListening(target)) return;
+        const options = { timeoutMs: 0 };
+        const base = { from, session: from.session, to: address, path: old.path, bytes: old.bytes, options };
+        const call = { ...base, identity: old.identity, own: request };
+        serve(network, { ...call, isOver: true, progress: nothing, finish: nothing }, target);
+      },
+    );
+  }
+}
+
+export const simulatedNetwork = {
+  create,
+  attach,
+  listen,
+  cut,
+  heal,
+  healAll,
+  networkOf,
+  processEnded,
+  replay,
+  calm,
+};
--- a/test/state.test.ts
+++ b/test/state.test.ts
@@ -1,18 +1,8 @@
-// State kept and state derived: the log on disk against torn, missing and doubled writes, the judge of
-// operator calls, the index of kept parts, the budget of further legs, routes and the cut of streams.
+/**
+ * State kept and state derived: the judge of operator calls, the index of kept parts, the budget of
+ * further attempts, routes and the cut of streams. The log on disk has `log.test.ts`.
+ */
 import { strict as assert } from 'node:assert';
-import {
-  appendFileSync,
-  mkdtempSync,
-  readdirSync,
-  readFileSync,
-  rmSync,
-  truncateSync,
-  unlinkSync,
-  writeFileSync,
-} from 'node:fs';
-import { tmpdir } from 'node:os';
-import { join } from 'node:path';
 import { test } from 'node:test';
 import fc from 'fast-check';
 import { budget } from '../src/dataplane/budget.js';
@@ -23,177 +13,8 @@
 import { routes } from '../src/state/control/routes.js';
 import { keptIndex } from '../src/state/index/kept.js';
 import { holdings } from '../src/state/index/holdings.js';
-import { recovery } from '../src/state/log/recover.js';
-import { store, type Store } from '../src/state/log/store.js';
-import type { Entry, Snapshot } from '../src/coordination/consensus/types.js';
-import type { Configuration, OperatorCall } from '../src/types.js';
-
-const snapshot0: Snapshot = {
-  index: 0,
-  term: 0,
-  members: [{ id: 'a#first', addr: 'a', control: 'a' }],
-  state: control.empty(),
-};
-
-function entry(index: number, term: number): Entry {
-  return { index, term, data: { kind: 'order', command: index } };
-}
-
-function synced(s: Store, token: number): Promise<void> {
-  return new Promise(function run(done) {
-    s.on('synced', function kept(t: number) {
-      if (t >= token) done();
-    });
-  });
-}
-
-async function filled(dir: string, n: number): Promise<void> {
-  const s = store.create(dir, 'a#first', 1, 0, 0, null);
-  store.keepSnapshot(
-    s,
-    snapshot0,
-    function tail() {
-      return { term: 0, vote: null, entries: [] };
-    },
-    false,
-  );
-  store.write(s, [{ r: 'promise', term: 2, vote: 'a#first' }], 1);
-  for (let i = 1; i <= n; i++) store.write(s, [{ r: 'entry', entry: entry(i, 2) }], i + 1);
-  await synced(s, n + 1);
-  await store.close(s);
-}
-
-async function inFolder(run: (dir: string) => Promise<void>): Promise<void> {
-  const dir = mkdtempSync(join(tmpdir(), 'milletcleat-'));
-  try {
-    await run(dir);
-  } finally {
-    rmSync(dir, { recursive: true });
-  }
-}
-
-function lastSegment(dir: string): string {
-  return join(dir, recovery.numbered(readdirSync(dir), 'segment').at(-1)!.name);
-}
-
-test('what was synced is read back', function run() {
-  return inFolder(async function body(dir) {
-    await filled(dir, 20);
-    const r = recovery.recover(dir);
-    assert.ok(r.k === 'whole');
-    assert.equal(r.found.entries.length, 20);
-    assert.deepEqual([r.found.me, r.found.term, r.found.vote, r.torn.length], ['a#first', 2, 'a#first', 0]);
-  });
-});
-
-test('a torn tail ends the log before it, at whatever byte', function run() {
-  return inFolder(async function body(dir) {
-    await filled(dir, 10);
-    const file = lastSegment(dir);
-    const whole = readFileSync(file);
-    for (let cut = whole.length - 1; cut > whole.length - 150; cut -= 7) {
-      writeFileSync(file, whole);
-      truncateSync(file, cut);
-      const r = recovery.recover(dir);
-      assert.ok(r.k === 'whole' && r.torn.length === 1);
-      assert.ok(r.found.entries.length < 10);
-      r.found.entries.forEach(function each(e, i) {
-        assert.equal(e.index, i + 1);
-      });
-    }
-    const bad = Buffer.from(whole);
-    bad[bad.length - 3]! ^= 0xff;
-    writeFileSync(file, bad);
-    const r = recovery.recover(dir);
-    assert.ok(r.k === 'whole' && r.found.entries.length === 9);
-  });
-});
-
-test('a segment that follows what is not there means the disk lost it', function run() {
-  return inFolder(async function body(dir) {
-    await filled(dir, 10);
-    const s = store.create(dir, 'a#first', 50, 10, 2, 'a#first');
-    store.write(s, [{ r: 'entry', entry: entry(11, 2) }], 1);
-    await synced(s, 1);
-    await store.close(s);
-    const before = recovery.recover(dir);
-    assert.ok(before.k === 'whole' && before.found.entries.length === 11);
-    const middle = recovery.numbered(readdirSync(dir), 'segment').find(function old(f) {
-      return f.no < 50;
-    })!;
-    truncateSync(join(dir, middle.name), 60);
-    assert.equal(recovery.recover(dir).k, 'lost');
-    const bare = recovery.replay(snapshot0, [
-      { name: 's', values: [{ r: 'head', me: 'a#first', after: 3, term: 2, vote: null, reset: false }] },
-    ]);
-    assert.equal(bare.ok, false, 'a head alone says so too');
-    unlinkSync(join(dir, middle.name));
-    assert.equal(recovery.recover(dir).k, 'lost');
-  });
-});
-
-test('a snapshot takes the place of the segments before it and keeps what came since', function run() {
-  return inFolder(async function body(dir) {
-    await filled(dir, 10);
-    const s = store.create(dir, 'a#first', 50, 10, 2, 'a#first');
-    const snapshot: Snapshot = { ...snapshot0, index: 8, term: 2 };
-    store.keepSnapshot(
-      s,
-      snapshot,
-      function tail() {
-        return { term: 2, vote: 'a#first', entries: [entry(9, 2), entry(10, 2)] };
-      },
-      false,
-    );
-    store.write(s, [{ r: 'entry', entry: entry(11, 2) }], 1);
-    await synced(s, 1);
-    await store.close(s);
-    const r = recovery.recover(dir);
-    assert.ok(r.k === 'whole');
-    assert.equal(r.found.snapshot.index, 8);
-    assert.deepEqual(
-      r.found.entries.map(function at(e) {
-        return e.index;
-      }),
-      [9, 10, 11],
-    );
-    assert.equal(recovery.numbered(readdirSync(dir), 'segment').length, 1);
-  });
-});
-
-test('an entry of a later term trims what stood there', function run() {
-  const r = recovery.replay(snapshot0, [
-    {
-      name: 's',
-      values: [
-        { r: 'head', me: 'a#first', after: 0, term: 0, vote: null, reset: false },
-        { r: 'entry', entry: entry(1, 1) },
-        { r: 'entry', entry: entry(2, 1) },
-        { r: 'entry', entry: entry(3, 1) },
-        { r: 'entry', entry: entry(2, 2) },
-      ],
-    },
-  ]);
-  assert.ok(r.ok);
-  assert.deepEqual(
-    r.entries.map(function at(e) {
-      return [e.index, e.term];
-    }),
-    [
-      [1, 1],
-      [2, 2],
-    ],
-  );
-});
-
-test('garbage behind the log is no record', function run() {
-  return inFolder(async function body(dir) {
-    await filled(dir, 3);
-    appendFileSync(lastSegment(dir), Buffer.alloc(300, 7));
-    const r = recovery.recover(dir);
-    assert.ok(r.k === 'whole' && r.found.entries.length === 3 && r.torn.length === 1);
-  });
-});
+import type { OperatorRequest } from '../src/protocol/inner/operator.js';
+import type { Configuration } from '../src/types.js';
 
 const base: Configuration = {
   revision: 4,
@@ -201,7 +22,7 @@
   service_list: [{ label: 's' }],
 };
 
-function put(match: string | null, c: unknown, method = 'PUT'): OperatorCall {
+function put(match: string | null, c: unknown, method = 'PUT'): OperatorRequest {
   return {
     id: 'test',
     method,
@@ -211,13 +32,13 @@
   };
 }
 
-function taken(s: ControlState, call: OperatorCall): ControlState {
+function taken(s: ControlState, call: OperatorRequest): ControlState {
   const v = judge.order(s, call);
   assert.ok(v.kind === 'propose' && v.refusal === null);
   return control.apply(s, v.command).state;
 }
 
-function status(s: ControlState, call: OperatorCall): number {
+function status(s: ControlState, call: OperatorRequest): number {
   const v = judge.order(s, call);
   return v.kind === 'refused' ? v.refusal.status : 200;
 }
@@ -242,7 +63,7 @@
 });
 
 test('weights are named once and never go back', function run() {
-  function name(revision: unknown): OperatorCall {
+  function name(revision: unknown): OperatorRequest {
     return {
       id: 'test',
       method: 'POST',
