--- /dev/null
+++ b/test/answers-random.test.ts
@@ -0,0 +1,123 @@
+/**
+ * Random scripts of what runners do to a request, on each kind of route, through a real router over loopback:
+ * whatever comes, what may run once runs once, a promise is kept, and what the client has whole is one answer
+ * of one runner, or one stream without a piece twice or missing.
+ */
+import { strict as assert } from 'node:assert';
+import { after, before, test } from 'node:test';
+import fc from 'fast-check';
+import { routerStandin as router, type ClientResult, type RouterWorld, type ScriptStep } from './standins/router.js';
+
+/** A step by name: whether the runner works on the request, and the whole body it gives, if it gives one. */
+type Move = { name: string; step: ScriptStep; runs: boolean; body: string | null };
+
+const { steps, events } = router;
+const allEvents = events(1, 4);
+const seed = 7811;
+const numRuns = 400;
+const paths = ['/repeat/x', '/once/x', '/resume/x', '/stream/x'];
+const promises = [408, 421, 429, 503];
+const tries = 3;
+const unsealed = { 'X-Not-Run': '1', 'X-Server-Seal': '' };
+const late = 'HTTP/1.1 200 OK\r\nX-Attempt-Id: earlier\r\nX-Server-Seal: s\r\nContent-Length: 5\r\n\r\nextra';
+let world: RouterWorld;
+let lastId = 0;
+
+/** A stream from behind the event that the runner was given, whole or cut off in the event behind `last`. */
+function streamFrom(last: number, isWhole: boolean): ScriptStep {
+  return function answer(call, socket) {
+    const text = events(Number(call.lastEventId ?? 0) + 1, last);
+    (isWhole ? steps.stream(text) : steps.cutStream(`${text}id: ${last + 1}\nda`))(call, socket);
+  };
+}
+
+function broken(name: string, step: ScriptStep): Move {
+  return { name, step, runs: true, body: null };
+}
+
+const moves: Move[] = [
+  { name: 'stream', step: streamFrom(4, true), runs: true, body: allEvents },
+  { name: 'stream from its start', step: steps.stream(allEvents), runs: true, body: allEvents },
+  { name: 'plain', step: steps.whole('plain body'), runs: true, body: 'plain body' },
+  { name: 'failure', step: steps.whole('failed', '500 Internal Server Error'), runs: true, body: 'failed' },
+  { name: 'busy', step: steps.whole('', '503 Busy', unsealed), runs: false, body: null },
+  { name: 'misdirected', step: steps.whole('', '421 Misdirected', { 'X-Server-Seal': '' }), runs: false, body: null },
+  broken('cut before an event', streamFrom(0, false)),
+  broken('cut behind an event', streamFrom(1, false)),
+  broken('cut behind two events', streamFrom(2, false)),
+  broken('cut with a length', steps.cutWithLength('plain', 10)),
+  broken('cut in chunks', steps.cutInChunks('plain')),
+  broken('busy of another', steps.whole('', '503 Busy', { ...unsealed, 'X-Attempt-Id': 'earlier' })),
+  broken('busy of nobody', steps.whole('', '503 Busy', { ...unsealed, 'X-Attempt-Id': '' })),
+  broken('misdirected of nobody', steps.whole('', '421 Misdirected', { 'X-Attempt-Id': '' })),
+  broken('busy without its mark', steps.whole('', '503 Busy')),
+  broken('unsealed', steps.whole('plain body', '200 OK', { 'X-Server-Seal': '' })),
+  broken('answer of another', steps.bytes(late)),
+  broken('garbage', steps.bytes('these bytes are no answer\r\n\r\n')),
+  broken('reset', steps.reset),
+  {
+    name: 'a second answer behind',
+    step: function twice(call, socket) {
+      socket.write(`${router.head(call, '200 OK', { 'Content-Length': '10' })}plain body${late}`);
+    },
+    runs: true,
+    body: 'plain body',
+  },
+];
+
+before(async function up() {
+  world = await router.create(3, 3);
+});
+
+after(function down() {
+  return router.stop(world);
+});
+
+function checkOnce(taken: Move[]): void {
+  const first = taken.findIndex(function ran(move) {
+    return move.runs;
+  });
+  if (first >= 0) assert.equal(first, taken.length - 1, 'nothing is sent behind an attempt that may have run');
+}
+
+function checkBody(path: string, result: ClientResult, taken: Move[]): void {
+  const isStream = path === '/resume/x' || path === '/stream/x';
+  const last = taken.at(-1)!;
+  if (result.status >= 200 && result.status < 300 && result.isWhole) {
+    assert.equal(result.body, last.body);
+    assert.match(String(result.headers['x-server-seal']), /^seal of runner-/);
+  } else if (result.status === 200) {
+    const isPart = allEvents.startsWith(result.body) || 'plain body'.startsWith(result.body);
+    assert.ok(isPart, 'a part of one answer');
+    if (isStream && result.body.startsWith('id')) assert.match(result.body, /\n\n$/, 'cut behind a whole event');
+  } else if (result.status === 500) assert.equal(result.body, 'failed');
+}
+
+async function play(path: string, script: Move[]): Promise<void> {
+  const id = `random-${++lastId}`;
+  const list = script.map(function step(move) {
+    return move.step;
+  });
+  const result = await router.send(world, path, id, list, { 'X-Model': router.model });
+  const taken = script.slice(0, router.callsOf(world, id).length);
+  assert.ok(router.callsOf(world, id).length <= tries, 'no more runners than the route allows');
+  if (path === '/once/x' || path === '/stream/x') checkOnce(taken);
+  if (promises.includes(result.status))
+    assert.ok(
+      taken.every(function not(move) {
+        return !move.runs;
+      }),
+      `a promise, ${result.status}, although it may have run`,
+    );
+  checkBody(path, result, taken);
+}
+
+test('whatever runners do to a request, what the client gets keeps the rules', async function run() {
+  const script = fc.array(fc.constantFrom(...moves), { minLength: tries, maxLength: tries });
+  await fc.assert(
+    fc.asyncProperty(fc.constantFrom(...paths), script, function each(path, list) {
+      return play(path, list);
+    }),
+    { seed, numRuns },
+  );
+});
