--- a/test/sim/faults.ts
+++ b/test/sim/faults.ts
@@ -389,7 +389,7 @@
     core.disk.hangsUntil = Math.min(core.disk.hangsUntil, cluster.scheduler.now);
     disk.setFull(core.disk, false);
     disk.setSlow(core.disk, 1);
-    core.disk.failingSyncs = 0;
+    core.disk.failingSyncs = { skip: 0, count: 0 };
     if (core.machine.status !== 'running') simulatedCluster.startCore(cluster, core);
   }
   for (const router of cluster.routers) simulatedCluster.startRouter(cluster, router);
