--- a/test/log.test.ts
+++ b/test/log.test.ts
@@ -690,6 +690,111 @@
   assert.equal(disk.list(b.disk).length, 3);
 });
 
+test('a segment that failed and comes back hides nothing of a next life', async function run() {
+  for (let seed = 1; seed <= 300; seed++) {
+    const b = bench(seed);
+    let isFailing = false;
+    const folder: Folder = {
+      ...b.folder,
+      syncFolder() {
+        if (isFailing) disk.failNextSync(b.disk);
+        return b.folder.syncFolder();
+      },
+    };
+    const opened = await completes(b, storage.open(folder, b.clock));
+    assert.ok(opened.ok);
+    storage.begin(opened.value.storage, 'a#first', snapshot0, noPromise);
+    storage.write(opened.value.storage, [entryRecord(1, 1)], 1);
+    await completes(b, synced(opened.value.storage, 1));
+    await b.clock.runFor(100);
+    isFailing = true;
+    disk.failNextSync(b.disk);
+    storage.write(opened.value.storage, [entryRecord(2, 2)], 2);
+    await b.clock.runFor(100 + 250 * (seed % 7));
+    disk.kill(b.disk);
+    disk.failNextSync(b.disk, 0);
+    const next = await openOn(b);
+    assert.ok(next.recovery.kind === 'recovered');
+    storage.resume(next.storage, next.recovery.recovered);
+    storage.write(next.storage, [entryRecord(2, 3)], 1);
+    await completes(b, synced(next.storage, 1));
+    disk.powerLoss(b.disk);
+    const { recovery } = await openOn(b);
+    assert.ok(recovery.kind === 'recovered');
+    assert.deepEqual(recovery.recovered.entries, [entry(1, 1), entry(2, 3)]);
+  }
+});
+
+test('whichever syncs of a snapshot fail, what is announced after it is kept', async function run() {
+  for (let seed = 1; seed <= 3000; seed++) {
+    const b = bench(seed);
+    const opened = await beginOn(b);
+    const entries = [entry(1, 2), entry(2, 2), entry(3, 2)];
+    for (const { index } of entries) storage.write(opened, [entryRecord(index, 2)], index + 1);
+    await completes(b, synced(opened, 4));
+    await b.clock.runFor(100);
+    let announced = 4;
+    opened.on('synced', function note(token: number) {
+      announced = token;
+    });
+    disk.failNextSync(b.disk, 1 + (seed % 4), Math.floor(seed / 4) % 6);
+    function tail() {
+      return { promise: promise2, entries };
+    }
+    storage.saveSnapshot(opened, { ...snapshot0, index: 2, term: 2 }, tail, { installed: false });
+    await b.clock.runFor(100);
+    entries.push(entry(4, 2));
+    storage.write(opened, [entryRecord(4, 2)], 5);
+    await b.clock.runFor(seed % 3 === 0 ? 10 : (seed % 40) * 10);
+    disk.powerLoss(b.disk);
+    const { recovery } = await openOn(b);
+    assert.ok(recovery.kind === 'recovered', `seed ${seed}: ${JSON.stringify(recovery)}`);
+    const last = recovery.recovered.snapshot.index + recovery.recovered.entries.length;
+    assert.ok(last >= announced - 1, `seed ${seed}: ${last} of ${announced - 1}`);
+    assert.equal(recovery.recovered.promise.term, 2);
+  }
+});
+
+/** Schedules on which an earlier form of the storage failed, shrunk; by the name of what was wrong. */
+const foundSchedules: Record<string, { seed: number; steps: string }> = {
+  'appending went on to a segment older than one that had failed': {
+    seed: 279653,
+    steps:
+      'append 0 0, settle 0 0, append 0 0, wait 1 23, append 0 0, powerLoss 0 0, failSync 11 6, kill 0 0, ' +
+      'powerLoss 0 0, powerLoss 0 0, full 0 0, kill 0 0, commit 0 0, snapshot 0 0, wait 70 37, append 0 0, ' +
+      'settle 0 0, append 0 0, append 0 0, append 0 0, append 0 0, append 0 0',
+  },
+  'a name was made while the folder was synced for a sweep': {
+    seed: 46250,
+    steps:
+      'install 0 0, settle 0 0, failSync 0 73, install 0 0, append 0 0, wait 50 17, append 0 0, append 0 0, append 0 0',
+  },
+  'a snapshot went before its failed root was known to be empty': {
+    seed: 186593,
+    steps:
+      'powerLoss 0 0, powerLoss 0 0, kill 0 0, failSync 0 29, install 0 0, wait 34 36, kill 0 0, append 0 0, ' +
+      'append 0 0, append 0 0, append 0 0, append 0 0',
+  },
+  'a root was written with the tail of a newer snapshot': {
+    seed: 1,
+    steps:
+      'append 0 0, commit 0 0, settle 0 0, snapshot 0 0, install 0 0, append 0 0, append 0 0, append 0 0, ' +
+      'wait 1 27, append 0 0',
+  },
+};
+
+function stepsOf(text_: string): Step[] {
+  return text_.split(', ').map(function step(one) {
+    const [kind, size, place] = one.split(' ');
+    return { kind: kind as Step['kind'], size: Number(size), place: Number(place) };
+  });
+}
+
+for (const [name, { seed, steps }] of Object.entries(foundSchedules))
+  test(`found schedule: ${name}`, async function run() {
+    await logModel.runAll(seed, stepsOf(steps));
+  });
+
 test('close flushes what is queued, and ends within a second on a disk that hangs', async function run() {
   const b = bench(8);
   const opened = await beginOn(b);
