A leader counts as up to date once it has settled in its term; sending on is bounded

Cause: a new leader whose term has no committed entry may lack what was committed before it, and told its followers to be complete; a call on the bulk lane may outlast the second that callers wait. The roll-out's tags are kind and tick now.

--- a/src/controlplane/board.ts
+++ b/src/controlplane/board.ts
@@ -77,7 +77,7 @@
   peer.isBusy = true;
   const call: BoardRequest = {
     board: lacksBoard ? c.board : null,
-    progress: freshness.progress(c),
+    progress: freshness.toldProgress(c),
     lastReply: c.peerSessions.get(id)?.replyNumber ?? 0,
   };
   const answer = await inner.board(c, address, call, callTimeoutMs);
@@ -86,7 +86,7 @@
   takeReply(c, id, peer, answer.value);
   if (!peer.isDueAgain) return;
   peer.isDueAgain = false;
-  void tell(c, id, address, true);
+  void tell(c, id, address, false);
 }
 
 function takeReply(c: Coordinator, id: string, peer: PeerProgress, reply: BoardReply): void {
@@ -133,6 +133,9 @@
   c.core.onRoleChanged(function elected() {
     tellAll(c, false);
   });
+  c.core.onApplied(function progressed() {
+    tellAll(c, false);
+  });
   c.runtime.clock.every(refreshMs, function refresh() {
     tellAll(c, false);
   });
--- a/src/controlplane/core.ts
+++ b/src/controlplane/core.ts
@@ -2,6 +2,7 @@
  * What the control plane needs of the group of coordinators that keeps the replicated state. The only
  * place that knows the consensus driver and its machine; tests put a simulated group in its stead.
  */
+import { common } from '../coordination/consensus/common.js';
 import { replica, type ProposalResult, type Replica } from '../coordination/consensus/driver.js';
 import { quorum } from '../coordination/consensus/quorum.js';
 import type { Command, ControlState } from '../state/control/reducer.js';
@@ -22,8 +23,13 @@
   isLeader: () => boolean;
   /** The leader's inner address as far as it is known here. */
   leaderAddress: () => string | null;
-  /** A leader whose lease runs and whose own term has committed, or a follower that hears the leader. */
+  /** A leader whose lease runs, or a follower that hears the leader. */
   isFresh: () => boolean;
+  /**
+   * Whether an entry of this member's own term is committed. Only then does a leader know, and has it
+   * applied, everything that was committed in earlier terms.
+   */
+  hasSettled: () => boolean;
   /** Whether this member leads and no earlier leader can still act, `leaseMs` after its election. */
   mayAct: (leaseMs: number) => boolean;
   /** When this member last won an election, in ms of the steady clock. */
@@ -76,6 +82,10 @@
   };
 }
 
+function hasSettled(r: Replica): boolean {
+  return common.hasCommittedInTerm(r.machine);
+}
+
 /** The group as a replica of it takes part. */
 function of(r: Replica): Core {
   return {
@@ -84,6 +94,7 @@
     isLeader: () => replica.isLeader(r),
     leaderAddress: () => replica.leaderAddress(r),
     isFresh: () => replica.isFresh(r),
+    hasSettled: () => hasSettled(r),
     mayAct: (leaseMs) => replica.mayAct(r, leaseMs),
     wonAt: () => r.machine.electedAt,
     ownAddress: () => r.machine.self.addr,
--- a/src/controlplane/freshness.ts
+++ b/src/controlplane/freshness.ts
@@ -2,8 +2,8 @@
  * Whether this coordinator may tell sites what it has as current. It must be in touch with a majority
  * (the leader while its lease runs, a follower that hears the leader), and a follower must besides have
  * applied what the leader of this term last told it to have applied itself: one that restarted or was
- * cut off hears heartbeats again before it has caught up. The leader tells its progress at once when it
- * is elected and then with every call of the board, so a follower can't lag unnoticed by more than
+ * cut off hears heartbeats again before it has caught up. The leader tells its progress at once whenever
+ * it changes and besides with every call of the board, so a follower can't lag unnoticed by more than
  * their interval (`board.ts`).
  */
 import { control } from '../state/control/reducer.js';
@@ -13,6 +13,11 @@
 /** A coordinator may pass on the leave to honour access rules for this long after the leader heard it. */
 export const witnessMs = 1500;
 
+/** What the leader tells of itself. Until it has settled it may lack what was committed before it: term 0 counts for nobody. */
+function toldProgress(c: Coordinator): LeaderProgress {
+  return c.core.hasSettled() ? progress(c) : { term: 0, revision: 0, weightsSeq: 0, rulesSeq: 0 };
+}
+
 function progress(c: Coordinator): LeaderProgress {
   const state = c.core.state();
   return {
@@ -54,7 +59,7 @@
 
 function isUpToDate(c: Coordinator): boolean {
   if (c.isStopping || !c.core.isFresh()) return false;
-  return c.core.isLeader() || hasCaughtUp(c);
+  return c.core.isLeader() ? c.core.hasSettled() : hasCaughtUp(c);
 }
 
 /**
@@ -66,4 +71,4 @@
   return c.core.isLeader() || c.runtime.clock.now() - c.reply.heardUpTo < witnessMs;
 }
 
-export const freshness = { progress, takeProgress, hasLeader, isUpToDate, hasLeave };
+export const freshness = { toldProgress, takeProgress, hasLeader, isUpToDate, hasLeave };
--- a/src/controlplane/operator.ts
+++ b/src/controlplane/operator.ts
@@ -168,6 +168,14 @@
   return r.ok ? r.value : null;
 }
 
+/**
+ * As `sendOn`, but never longer: a call on the bulk lane goes on as long as its bytes move. An order that is
+ * still on its way to the leader then is decided there, and known when the caller sends it again.
+ */
+function sendOnInTime(c: Coordinator, call: OperatorRequest, ms: number): Promise<OperatorReply | null> {
+  return within<OperatorReply | null>(c, ms, sendOn(c, call, ms), unclear);
+}
+
 async function decideOrSendOn(c: Coordinator, call: OperatorRequest): Promise<OperatorReply> {
   const until = c.runtime.clock.now() + answerWithinMs;
   for (;;) {
@@ -175,7 +183,7 @@
     if (leftMs <= 0) return unclear;
     const here = await within(c, leftMs, decide(c, call), unclear);
     if (here && here.status !== 503) return here;
-    const there = await sendOn(c, call, until - c.runtime.clock.now());
+    const there = await sendOnInTime(c, call, until - c.runtime.clock.now());
     if (there && there.status !== 503) return there;
     await pause(c, retryMs);
   }
--- a/src/controlplane/rollout.ts
+++ b/src/controlplane/rollout.ts
@@ -27,20 +27,20 @@
   );
 }
 
-function feed(c: Coordinator, s: RolloutState, ev: RolloutEvent): void {
-  for (const f of rolloutPlan.step(s, ev, c.runtime.clock.now())) carry(c, s, f);
+function feed(c: Coordinator, s: RolloutState, event: RolloutEvent): void {
+  for (const effect of rolloutPlan.step(s, event, c.runtime.clock.now())) carry(c, s, effect);
 }
 
-function carry(c: Coordinator, s: RolloutState, f: RolloutEffect): void {
-  switch (f.f) {
+function carry(c: Coordinator, s: RolloutState, effect: RolloutEffect): void {
+  switch (effect.kind) {
     case 'park':
-      return runners.park(c, f.id, f.on);
+      return runners.park(c, effect.id, effect.on);
     case 'learn':
-      return runners.learn(c, f.id, f.model, f.revision);
+      return runners.learn(c, effect.id, effect.model, effect.revision);
     case 'order':
-      return void order(c, s, f.job.id, f.job.model, f.job.revision);
+      return void order(c, s, effect.job.id, effect.job.model, effect.job.revision);
     case 'ask':
-      return void report(c, s, f.job.id, f.job.model);
+      return void report(c, s, effect.job.id, effect.job.model);
   }
 }
 
@@ -57,7 +57,7 @@
   };
   const r = await c.outside.sendOrder(addr, fenced, timeoutMs);
   ringLog.note(c.log, { runner: id, revision, result: r.ok ? r.value : r.error }, 'order');
-  feed(c, s, { e: 'ordered', id, result: r.ok ? r.value : null });
+  feed(c, s, { kind: 'ordered', id, result: r.ok ? r.value : null });
 }
 
 async function report(c: Coordinator, s: RolloutState, id: string, model: string): Promise<void> {
@@ -69,7 +69,7 @@
         return m.label === model;
       })
     : undefined;
-  feed(c, s, { e: 'reported', id, revision: at?.revision ?? null, isBusy: r.ok ? r.value.isBusy : false });
+  feed(c, s, { kind: 'reported', id, revision: at?.revision ?? null, isBusy: r.ok ? r.value.isBusy : false });
 }
 
 function start(c: Coordinator): void {
@@ -83,7 +83,7 @@
   });
   c.runtime.clock.every(intervalMs, function plan() {
     if (!c.core.isLeader() && s.jobs.size === 0) return;
-    feed(c, s, { e: 'beat', runners: runners.listed(c), targets: c.core.state().weights, mayAct: mayAct(c) });
+    feed(c, s, { kind: 'tick', runners: runners.listed(c), targets: c.core.state().weights, mayAct: mayAct(c) });
   });
 }
 
--- a/src/coordination/duties/rollout.ts
+++ b/src/coordination/duties/rollout.ts
@@ -1,7 +1,9 @@
-// Brings runners to the weights that were named, as a pure planner: which runner is taken out of use,
-// ordered, asked how far it is and taken into use again, and how many at once. An order without an
-// answer may have been taken, so its runner is asked before it is ordered again. A planner that may
-// not act gives up what it had begun; the next holder of the duty sees the runners as they are.
+/**
+ * Brings runners to the weights that were named, as a pure planner: which runner is taken out of use,
+ * ordered, asked how far it is and taken into use again, and how many at once. An order without an
+ * answer may have been taken, so its runner is asked before it is ordered again. A planner that may
+ * not act gives up what it had begun; the next holder of the duty sees the runners as they are.
+ */
 import type { Runner } from '../../types.js';
 import type { OrderResult } from '../../protocol/calls/pairs.js';
 
@@ -26,14 +28,14 @@
 export type RolloutState = { timing: RolloutTiming; jobs: Map<string, Job>; restUntil: Map<string, number> };
 
 export type RolloutEvent =
-  | { e: 'beat'; runners: Runner[]; targets: Record<string, number>; mayAct: boolean }
-  | { e: 'ordered'; id: string; result: OrderResult | null }
-  | { e: 'reported'; id: string; revision: number | null; isBusy: boolean };
+  | { kind: 'tick'; runners: Runner[]; targets: Record<string, number>; mayAct: boolean }
+  | { kind: 'ordered'; id: string; result: OrderResult | null }
+  | { kind: 'reported'; id: string; revision: number | null; isBusy: boolean };
 export type RolloutEffect =
-  | { f: 'park'; id: string; on: boolean }
-  | { f: 'order'; job: Job }
-  | { f: 'ask'; job: Job }
-  | { f: 'learn'; id: string; model: string; revision: number };
+  | { kind: 'park'; id: string; on: boolean }
+  | { kind: 'order'; job: Job }
+  | { kind: 'ask'; job: Job }
+  | { kind: 'learn'; id: string; model: string; revision: number };
 
 function create(timing: RolloutTiming): RolloutState {
   return { timing, jobs: new Map(), restUntil: new Map() };
@@ -46,7 +48,7 @@
 }
 
 function drop(s: RolloutState, id: string, out: RolloutEffect[]): void {
-  if (s.jobs.delete(id)) out.push({ f: 'park', id, on: false });
+  if (s.jobs.delete(id)) out.push({ kind: 'park', id, on: false });
 }
 
 function rest(s: RolloutState, id: string, now: number, out: RolloutEffect[]): void {
@@ -89,7 +91,7 @@
       const want = behind(r, targets);
       if (!want) continue;
       s.jobs.set(r.id, { id: r.id, ...want, phase: 'parking', since: now, begunAt: now, askedAt: now });
-      out.push({ f: 'park', id: r.id, on: true });
+      out.push({ kind: 'park', id: r.id, on: true });
       under++;
     }
   }
@@ -99,14 +101,14 @@
   if (now - j.begunAt > s.timing.giveUpMs) return rest(s, j.id, now, out);
   if (j.phase === 'parking' && now - j.since >= s.timing.parkMs) {
     enter(j, 'sending', now);
-    out.push({ f: 'order', job: j });
+    out.push({ kind: 'order', job: j });
   } else if (j.phase === 'loading' && now - j.askedAt >= s.timing.askMs) {
     j.askedAt = now;
-    out.push({ f: 'ask', job: j });
+    out.push({ kind: 'ask', job: j });
   }
 }
 
-function onBeat(s: RolloutState, ev: RolloutEvent & { e: 'beat' }, now: number, out: RolloutEffect[]): void {
+function onTick(s: RolloutState, ev: RolloutEvent & { kind: 'tick' }, now: number, out: RolloutEffect[]): void {
   if (!ev.mayAct) {
     for (const id of [...s.jobs.keys()]) drop(s, id, out);
     return;
@@ -131,11 +133,11 @@
 }
 
 function done(s: RolloutState, j: Job, revision: number, out: RolloutEffect[]): void {
-  out.push({ f: 'learn', id: j.id, model: j.model, revision });
+  out.push({ kind: 'learn', id: j.id, model: j.model, revision });
   drop(s, j.id, out);
 }
 
-function onOrdered(s: RolloutState, ev: RolloutEvent & { e: 'ordered' }, now: number, out: RolloutEffect[]): void {
+function onOrdered(s: RolloutState, ev: RolloutEvent & { kind: 'ordered' }, now: number, out: RolloutEffect[]): void {
   const j = s.jobs.get(ev.id);
   if (!j || j.phase !== 'sending') return;
   switch (ev.result) {
@@ -152,20 +154,20 @@
   }
 }
 
-function onReported(s: RolloutState, ev: RolloutEvent & { e: 'reported' }, now: number, out: RolloutEffect[]): void {
+function onReported(s: RolloutState, ev: RolloutEvent & { kind: 'reported' }, now: number, out: RolloutEffect[]): void {
   const j = s.jobs.get(ev.id);
   if (!j || j.phase !== 'loading') return;
   if (ev.revision !== null && ev.revision >= j.revision) return done(s, j, ev.revision, out);
   if (ev.revision !== null && !ev.isBusy && now - j.since >= s.timing.settleMs) {
     enter(j, 'sending', now);
-    out.push({ f: 'order', job: j });
+    out.push({ kind: 'order', job: j });
   }
 }
 
 function step(s: RolloutState, ev: RolloutEvent, now: number): RolloutEffect[] {
   const out: RolloutEffect[] = [];
-  if (ev.e === 'beat') onBeat(s, ev, now, out);
-  else if (ev.e === 'ordered') onOrdered(s, ev, now, out);
+  if (ev.kind === 'tick') onTick(s, ev, now, out);
+  else if (ev.kind === 'ordered') onOrdered(s, ev, now, out);
   else onReported(s, ev, now, out);
   return out;
 }
--- a/src/tools/simulate/fleet.ts
+++ b/src/tools/simulate/fleet.ts
@@ -558,7 +558,7 @@
   const mayAct = sim.leader !== null && sim.c.now - sim.leaderSince >= leaseMs;
   for (const x of rolloutPlan.step(
     sim.rollout,
-    { e: 'beat', runners: list(sim), targets: { [model]: sim.named }, mayAct },
+    { kind: 'tick', runners: list(sim), targets: { [model]: sim.named }, mayAct },
     sim.c.now,
   ))
     carry(sim, x);
@@ -568,16 +568,16 @@
 }
 
 function carry(sim: Sim, x: RolloutEffect): void {
-  if (x.f === 'park') {
+  if (x.kind === 'park') {
     if (x.on) sim.parked.add(x.id);
     else sim.parked.delete(x.id);
     show(sim);
     return;
   }
-  if (x.f === 'learn') return show(sim);
+  if (x.kind === 'learn') return show(sim);
   const r = sim.runners.get(x.job.id);
   if (!r?.up) return;
-  if (x.f === 'order') {
+  if (x.kind === 'order') {
     const until = sim.c.now + sim.f.runner.load_s * 1000;
     const life = r.life;
     r.busyUntil = until;
@@ -587,12 +587,12 @@
       for (const [key, n] of r.kept) told(sim, '-', key, n, r.id);
       simRunner.empty(r);
     });
-    for (const y of rolloutPlan.step(sim.rollout, { e: 'ordered', id: r.id, result: 'begun' }, sim.c.now))
+    for (const y of rolloutPlan.step(sim.rollout, { kind: 'ordered', id: r.id, result: 'begun' }, sim.c.now))
       carry(sim, y);
   } else {
     for (const y of rolloutPlan.step(
       sim.rollout,
-      { e: 'reported', id: r.id, revision: r.revision, isBusy: sim.c.now < r.busyUntil },
+      { kind: 'reported', id: r.id, revision: r.revision, isBusy: sim.c.now < r.busyUntil },
       sim.c.now,
     ))
       carry(sim, y);
--- a/test/news.test.ts
+++ b/test/news.test.ts
@@ -137,6 +137,28 @@
   assert.deepEqual([r.value.fresh, r.value.configuration], [false, null]);
 });
 
+test('a leader that has not settled in its term is not up to date, nor are its followers by its word', async () => {
+  const group = await led();
+  const next = group.nodes[1]!;
+  next.hasSettled = false;
+  for (const node of group.nodes) node.mayApply = node.applied;
+  coordinators.commit(group, configure(2));
+  coordinators.elect(group, next);
+  await virtualTime.advance(group.time, 600);
+  for (const node of group.nodes) {
+    const r = await virtualTime.timed(group.time, news.call(node.c, question()));
+    assert.deepEqual([r.value.fresh, r.value.configuration], [false, null], node.address);
+  }
+  for (const node of group.nodes) node.mayApply = Infinity;
+  next.hasSettled = true;
+  coordinators.commit(group, configure(3));
+  await virtualTime.advance(group.time, 10);
+  for (const node of group.nodes) {
+    const r = await virtualTime.timed(group.time, news.call(node.c, question()));
+    assert.deepEqual([r.value.fresh, r.value.configuration?.revision], [true, 3], node.address);
+  }
+});
+
 test('a site that starts gets its configuration at once, whichever member it asks first', async () => {
   for (const first of [0, 1, 2]) {
     const group = await led();
--- a/test/orders.test.ts
+++ b/test/orders.test.ts
@@ -258,6 +258,18 @@
   assert.equal(group.commands.length, 0);
 });
 
+test('an order that takes long to reach the leader is answered in time, decided there and known again', async () => {
+  const group = led();
+  group.linkMs = 1500;
+  group.bulkMs = 5000;
+  const call = put(0, configuration(1));
+  assert.equal(await answered(group, 1, call), 503);
+  await virtualTime.advance(group.time, 8000);
+  group.linkMs = 2;
+  assert.equal(await answered(group, 2, call), 200);
+  assert.equal(group.commands.length, 1);
+});
+
 test('an order that is undecided at one leader is neither refused nor taken twice at the next', async () => {
   const group = led();
   assert.equal(await answered(group, 0, put(0, configuration(1))), 200);
--- a/test/rollout.test.ts
+++ b/test/rollout.test.ts
@@ -46,8 +46,8 @@
   let mostAtOnce = 0;
   let now = 0;
   function answer(f: RolloutEffect): void {
-    if (f.f === 'learn') learned.set(f.id, f.revision);
-    if (f.f === 'order') {
+    if (f.kind === 'learn') learned.set(f.id, f.revision);
+    if (f.kind === 'order') {
       orders++;
       const r = sims.get(f.job.id)!;
       const lost = lossy && luck.next(l) < 0.3;
@@ -56,17 +56,17 @@
       }
       for (const x of rolloutPlan.step(
         s,
-        { e: 'ordered', id: f.job.id, result: lost ? null : r.revision >= f.job.revision ? 'holds' : 'begun' },
+        { kind: 'ordered', id: f.job.id, result: lost ? null : r.revision >= f.job.revision ? 'holds' : 'begun' },
         now,
       ))
         answer(x);
     }
-    if (f.f === 'ask') {
+    if (f.kind === 'ask') {
       const r = sims.get(f.job.id)!;
       const lost = lossy && luck.next(l) < 0.2;
       for (const x of rolloutPlan.step(
         s,
-        { e: 'reported', id: f.job.id, revision: lost ? null : r.revision, isBusy: r.until > now },
+        { kind: 'reported', id: f.job.id, revision: lost ? null : r.revision, isBusy: r.until > now },
         now,
       ))
         answer(x);
@@ -84,7 +84,8 @@
     const list = [...sims.keys()].map(function one(id) {
       return runner(id, learned.get(id) ?? 1);
     });
-    for (const f of rolloutPlan.step(s, { e: 'beat', runners: list, targets: { m: 2 }, mayAct: true }, now)) answer(f);
+    for (const f of rolloutPlan.step(s, { kind: 'tick', runners: list, targets: { m: 2 }, mayAct: true }, now))
+      answer(f);
     if (
       [...sims.values()].every(function all(r) {
         return r.revision === 2;
@@ -124,10 +125,10 @@
 test('a planner that may not act sends nothing and takes out what it parked', function run() {
   const s = rolloutPlan.create(timing);
   const list = [runner('a', 1), runner('b', 1)];
-  const first = rolloutPlan.step(s, { e: 'beat', runners: list, targets: { m: 2 }, mayAct: true }, 0);
-  assert.deepEqual(first, [{ f: 'park', id: 'a', on: true }]);
-  const then = rolloutPlan.step(s, { e: 'beat', runners: list, targets: { m: 2 }, mayAct: false }, 100);
-  assert.deepEqual(then, [{ f: 'park', id: 'a', on: false }]);
+  const first = rolloutPlan.step(s, { kind: 'tick', runners: list, targets: { m: 2 }, mayAct: true }, 0);
+  assert.deepEqual(first, [{ kind: 'park', id: 'a', on: true }]);
+  const then = rolloutPlan.step(s, { kind: 'tick', runners: list, targets: { m: 2 }, mayAct: false }, 100);
+  assert.deepEqual(then, [{ kind: 'park', id: 'a', on: false }]);
   assert.equal(s.jobs.size, 0);
 });
 
@@ -135,7 +136,7 @@
   const s = rolloutPlan.create(timing);
   const out = rolloutPlan.step(
     s,
-    { e: 'beat', runners: [{ ...runner('a', 1), draining: true }, runner('b', 2)], targets: { m: 2 }, mayAct: true },
+    { kind: 'tick', runners: [{ ...runner('a', 1), draining: true }, runner('b', 2)], targets: { m: 2 }, mayAct: true },
     0,
   );
   assert.deepEqual(out, []);
@@ -144,42 +145,46 @@
 test('a runner that refuses is left alone for a while', function run() {
   const s = rolloutPlan.create(timing);
   const list = [runner('a', 1)];
-  rolloutPlan.step(s, { e: 'beat', runners: list, targets: { m: 2 }, mayAct: true }, 0);
-  rolloutPlan.step(s, { e: 'beat', runners: list, targets: { m: 2 }, mayAct: true }, 60);
-  assert.deepEqual(rolloutPlan.step(s, { e: 'ordered', id: 'a', result: 'fenced' }, 70), [
-    { f: 'park', id: 'a', on: false },
+  rolloutPlan.step(s, { kind: 'tick', runners: list, targets: { m: 2 }, mayAct: true }, 0);
+  rolloutPlan.step(s, { kind: 'tick', runners: list, targets: { m: 2 }, mayAct: true }, 60);
+  assert.deepEqual(rolloutPlan.step(s, { kind: 'ordered', id: 'a', result: 'fenced' }, 70), [
+    { kind: 'park', id: 'a', on: false },
   ]);
-  assert.deepEqual(rolloutPlan.step(s, { e: 'beat', runners: list, targets: { m: 2 }, mayAct: true }, 100), []);
-  assert.equal(rolloutPlan.step(s, { e: 'beat', runners: list, targets: { m: 2 }, mayAct: true }, 500).length, 1);
+  assert.deepEqual(rolloutPlan.step(s, { kind: 'tick', runners: list, targets: { m: 2 }, mayAct: true }, 100), []);
+  assert.equal(rolloutPlan.step(s, { kind: 'tick', runners: list, targets: { m: 2 }, mayAct: true }, 500).length, 1);
 });
 
 test('an order that was lost is sent again, but not while its runner is busy', function run() {
   const s = rolloutPlan.create(timing);
   const list = [runner('a', 1)];
   function beat(now: number): RolloutEffect[] {
-    return rolloutPlan.step(s, { e: 'beat', runners: list, targets: { m: 2 }, mayAct: true }, now);
+    return rolloutPlan.step(s, { kind: 'tick', runners: list, targets: { m: 2 }, mayAct: true }, now);
   }
   beat(0);
-  assert.equal(beat(60)[0]!.f, 'order');
-  rolloutPlan.step(s, { e: 'ordered', id: 'a', result: null }, 100);
-  assert.equal(beat(400)[0]!.f, 'ask');
+  assert.equal(beat(60)[0]!.kind, 'order');
+  rolloutPlan.step(s, { kind: 'ordered', id: 'a', result: null }, 100);
+  assert.equal(beat(400)[0]!.kind, 'ask');
   assert.deepEqual(
-    rolloutPlan.step(s, { e: 'reported', id: 'a', revision: 1, isBusy: false }, 410),
+    rolloutPlan.step(s, { kind: 'reported', id: 'a', revision: 1, isBusy: false }, 410),
     [],
     'its report may be old',
   );
-  assert.deepEqual(rolloutPlan.step(s, { e: 'reported', id: 'a', revision: 1, isBusy: true }, 900), [], 'under way');
+  assert.deepEqual(rolloutPlan.step(s, { kind: 'reported', id: 'a', revision: 1, isBusy: true }, 900), [], 'under way');
   assert.deepEqual(
-    rolloutPlan.step(s, { e: 'reported', id: 'a', revision: null, isBusy: false }, 910),
+    rolloutPlan.step(s, { kind: 'reported', id: 'a', revision: null, isBusy: false }, 910),
     [],
     'no report',
   );
-  assert.equal(rolloutPlan.step(s, { e: 'reported', id: 'a', revision: 1, isBusy: false }, 920)[0]!.f, 'order');
-  assert.deepEqual(rolloutPlan.step(s, { e: 'reported', id: 'a', revision: 2, isBusy: false }, 1000), [], 'not asked');
-  rolloutPlan.step(s, { e: 'ordered', id: 'a', result: 'begun' }, 1010);
+  assert.equal(rolloutPlan.step(s, { kind: 'reported', id: 'a', revision: 1, isBusy: false }, 920)[0]!.kind, 'order');
   assert.deepEqual(
-    rolloutPlan.step(s, { e: 'reported', id: 'a', revision: 2, isBusy: false }, 1400).map(function f(x) {
-      return x.f;
+    rolloutPlan.step(s, { kind: 'reported', id: 'a', revision: 2, isBusy: false }, 1000),
+    [],
+    'not asked',
+  );
+  rolloutPlan.step(s, { kind: 'ordered', id: 'a', result: 'begun' }, 1010);
+  assert.deepEqual(
+    rolloutPlan.step(s, { kind: 'reported', id: 'a', revision: 2, isBusy: false }, 1400).map(function f(x) {
+      return x.kind;
     }),
     ['learn', 'park'],
   );
--- a/test/support/coordinators.ts
+++ b/test/support/coordinators.ts
@@ -110,6 +110,7 @@
   thinksLeader: boolean;
   knownLeader: string | null;
   isFresh: boolean;
+  hasSettled: boolean;
   roleListeners: (() => void)[];
   applyListeners: (() => void)[];
   handedOver: boolean;
@@ -131,6 +132,8 @@
   cutOff: Set<string>;
   runners: Runner[];
   platformAnswers: boolean;
+  /** Calls that are under way go on for so long beyond their time-out, as bulk does while bytes move. */
+  bulkMs: number;
   /** Commands that were proposed, committed or not. */
   proposals: number;
   /** Questions for news that were sent. */
@@ -191,6 +194,7 @@
     isLeader: () => node.thinksLeader,
     leaderAddress: () => node.knownLeader,
     isFresh: () => node.isFresh,
+    hasSettled: () => node.hasSettled,
     mayAct: () => node.thinksLeader,
     wonAt: () => 0,
     ownAddress: () => node.address,
@@ -227,7 +231,9 @@
     call: (address, path, body, options) =>
       new Promise((done) => {
         if (path === newsEndpoint.path) group.questions++;
-        const late = schedule(group.time, options.timeoutMs, () => done({ ok: false, error: { kind: 'silent' } }));
+        const late = schedule(group.time, options.timeoutMs + group.bulkMs, () =>
+          done({ ok: false, error: { kind: 'silent' } }),
+        );
         const node = group.nodes.find((one) => one.address === address);
         schedule(group.time, group.linkMs, () => {
           if (!node || group.cutOff.has(address) || group.cutOff.has(from)) return;
@@ -278,6 +284,7 @@
     thinksLeader: false,
     knownLeader: null,
     isFresh: false,
+    hasSettled: true,
     roleListeners: [],
     applyListeners: [],
     handedOver: false,
@@ -326,6 +333,7 @@
     cutOff: new Set(),
     runners: [],
     platformAnswers: true,
+    bulkMs: 0,
     proposals: 0,
     questions: 0,
   };
