--- a/test/news.test.ts
+++ b/test/news.test.ts
@@ -156,6 +156,7 @@
   for (const node of group.nodes) {
     const r = await virtualTime.timed(group.time, news.call(node.c, question()));
     assert.deepEqual([r.value.fresh, r.value.configuration?.revision], [true, 3], node.address);
+    assert.ok(r.ms <= 2, `${node.address} was told late, after ${r.ms} ms`);
   }
 });
 
