--- a/src/coordination/duties/activation.ts
+++ b/src/coordination/duties/activation.ts
@@ -1,8 +1,10 @@
-// When a change of the access rules may take effect, as a pure decision. The change is ordered first
-// and reaches the sites, which from then on honour neither the old nor the new answer where the two
-// differ; once no site can still be honouring the old one, the activation is ordered, and whoever
-// hears of it honours the new one. A site counts as done when it said that it has the revision, or
-// when it has been unheard for longer than its leave to honour rules without news.
+/**
+ * When a change of the access rules may take effect, as a pure decision. The change is ordered first
+ * and reaches the sites, which from then on honour neither the old nor the new answer where the two
+ * differ; once no site can still be honouring the old one, the activation is ordered, and whoever
+ * hears of it honours the new one. A site counts as done when it said that it has the revision, or
+ * when it has been unheard for longer than its leave to honour rules without news.
+ */
 export type SiteSight = { site: string; revision: number; seenAt: number };
 export type WitnessSight = { id: string; heardAt: number; revision: number; sites: SiteSight[] };
 export type Sight = {
--- a/src/coordination/duties/poller.ts
+++ b/src/coordination/duties/poller.ts
@@ -1,22 +1,19 @@
-// The duty of asking the platform which runners there are. Only the leader polls, so the calls of
-// the whole system stay far below the platform's rate. A list is taken only when all its pages came.
+/**
+ * The duty of asking the platform which runners there are. Only the leader polls, so the calls of
+ * the whole system stay far below the platform's rate. A list is taken only when all its pages came.
+ */
 import type { Agent } from 'node:http';
-import { calls } from '../../protocol/calls/pairs.js';
+import { calls, type CallError, type Page } from '../../protocol/calls/pairs.js';
 import type { Outcome, Runner } from '../../types.js';
 
-const legMs = 1500;
+const pageTimeoutMs = 1500;
 const mostPages = 200;
 
 async function poll(via: Agent, addr: string): Promise<Outcome<Runner[], string>> {
   const all = new Map<string, Runner>();
   let token: string | null = null;
   for (let page = 0; page < mostPages; page++) {
-    const r: Awaited<ReturnType<typeof calls.send<import('../../protocol/calls/pairs.js').Page>>> = await calls.send(
-      via,
-      addr,
-      calls.list(token),
-      legMs,
-    );
+    const r: Outcome<Page, CallError> = await calls.send(via, addr, calls.list(token), pageTimeoutMs);
     if (!r.ok) return { ok: false, error: r.error.t };
     for (const one of r.value.runners) all.set(one.id, one);
     token = r.value.next;
--- a/src/programs/site.ts
+++ b/src/programs/site.ts
@@ -78,8 +78,10 @@
   return !site.leaving && site.table !== null && site.board.runners !== null;
 }
 
-// A runner with requests open that has said nothing to any of them for a while is suspect until it
-// speaks again.
+/**
+ * A runner with requests open that has said nothing to any of them for a while is suspect until it
+ * speaks again.
+ */
 function sweep(site: Site): void {
   const now = performance.now();
   transfers.step(site.transfers, { e: 'beat' }, now);
@@ -119,7 +121,7 @@
     reread,
   );
   void feeding.run(site, f);
-  setInterval(function beat() {
+  setInterval(function look() {
     sweep(site);
   }, sweepMs);
   process.on('SIGTERM', function term() {
@@ -149,8 +151,10 @@
   process.exit(0);
 }
 
-// A kept channel may bring one more request while the last answer leaves, so the end waits until
-// nothing has been open for a while after the idle channels were closed.
+/**
+ * A kept channel may bring one more request while the last answer leaves, so the end waits until
+ * nothing has been open for a while after the idle channels were closed.
+ */
 async function drained(site: Site, server: Server): Promise<void> {
   for (;;) {
     while (site.open.size > 0)
--- a/src/state/control/routes.ts
+++ b/src/state/control/routes.ts
@@ -1,5 +1,7 @@
-// The configuration as the request path reads it: routes by host with the longest prefix first,
-// services, keys and tenants by name. Built once for each revision and never changed after.
+/**
+ * The configuration as the request path reads it: routes by host with the longest prefix first,
+ * services, keys and tenants by name. Built once for each revision and never changed after.
+ */
 import type { Configuration, Limits, Route, Service, Tenant } from '../../types.js';
 
 export type RouteTable = {
@@ -52,7 +54,7 @@
   );
 }
 
-// A request's branch is drawn by its id, so that all sites split alike.
+/** A request's branch is drawn by its id, so that all sites split alike. */
 function branch(r: Route, draw: number): string | null {
   if (!r.branches || r.branches.length === 0) return r.target ?? null;
   let sum = 0;
--- a/src/state/control/rules.ts
+++ b/src/state/control/rules.ts
@@ -1,5 +1,7 @@
-// The access rules in a configuration: which models the tenants under a rule may call. A tenant
-// without `model_rule` is under none and may call all; `*` in a rule stands for every model.
+/**
+ * The access rules in a configuration: which models the tenants under a rule may call. A tenant
+ * without `model_rule` is under none and may call all; `*` in a rule stands for every model.
+ */
 import type { Configuration } from '../../types.js';
 
 export type Rules = Record<string, string[]>;
@@ -29,7 +31,7 @@
   return r[tenant] !== undefined;
 }
 
-// While a change waits to take effect, a call on which the two sets of rules differ is undecided.
+/** While a change waits to take effect, a call on which the two sets of rules differ is undecided. */
 function verdict(now: Rules, next: Rules | null, tenant: string, model: string | null): Verdict {
   const a = allows(now, tenant, model);
   if (next !== null && allows(next, tenant, model) !== a) return 'undecided';
--- a/src/state/history/boards.ts
+++ b/src/state/history/boards.ts
@@ -1,6 +1,8 @@
-// The differences between boards of one term, for sites that have an earlier one: the rows of runners
-// that changed and the names of those that left. A new term, or a board that this coordinator did not
-// have itself, is answered with the board whole.
+/**
+ * The differences between boards of one term, for sites that have an earlier one: the rows of runners
+ * that changed and the names of those that left. A new term, or a board that this coordinator did not
+ * have itself, is answered with the board whole.
+ */
 import type { BoardDelta } from '../../protocol/inner/deltas.js';
 import type { Board, Runner } from '../../types.js';
 import { itemHistory, type ItemHistory } from './items.js';
--- a/src/state/history/configurations.ts
+++ b/src/state/history/configurations.ts
@@ -1,6 +1,8 @@
-// The differences between revisions of the configuration, for sites that have an earlier one. The
-// lists of routes, services and tenants are told by their changed items; the rest is small and told
-// whole. A site that stands before what is remembered is told everything.
+/**
+ * The differences between revisions of the configuration, for sites that have an earlier one. The
+ * lists of routes, services and tenants are told by their changed items; the rest is small and told
+ * whole. A site that stands before what is remembered is told everything.
+ */
 import type { ConfigurationDelta } from '../../protocol/inner/deltas.js';
 import type { Configuration, Route, Service, Tenant } from '../../types.js';
 import { itemHistory, type ItemHistory } from './items.js';
@@ -43,8 +45,10 @@
   if (h.revisions.size > remembered) h.revisions.delete(h.revisions.values().next().value!);
 }
 
-// What a site at a revision lacks; null when it must be told the whole. Only a revision that was in
-// force here is known to be the one the site has.
+/**
+ * What a site at a revision lacks; null when it must be told the whole. Only a revision that was in
+ * force here is known to be the one the site has.
+ */
 function since(h: ConfigurationHistory, revision: number): ConfigurationDelta | null {
   const c = h.current;
   if (!c || !h.revisions.has(revision)) return null;
@@ -58,7 +62,7 @@
   return { from: revision, rest, routes, services, tenants: t === undefined ? null : tenants };
 }
 
-// The configuration that a difference leads to, or null when it does not fit the one that is there.
+/** The configuration that a difference leads to, or null when it does not fit the one that is there. */
 function apply(c: Configuration | null, d: ConfigurationDelta): Configuration | null {
   if (!c || c.revision !== d.from) return null;
   const routes = itemHistory.apply(c.route_list, d.routes, label);
--- a/src/state/history/items.ts
+++ b/src/state/history/items.ts
@@ -1,6 +1,8 @@
-// Remembers, for a list of named items that changes by steps, at which step each item last changed or
-// left, so that whoever stands at an earlier step is told only the difference. Steps only rise. From
-// before the floor nothing is remembered, and the whole list has to be told.
+/**
+ * Remembers, for a list of named items that changes by steps, at which step each item last changed or
+ * left, so that whoever stands at an earlier step is told only the difference. Steps only rise. From
+ * before the floor nothing is remembered, and the whole list has to be told.
+ */
 import type { ItemDelta } from '../../protocol/inner/deltas.js';
 
 export type ItemHistory<T> = {
@@ -16,7 +18,7 @@
   return { floor: 0, at: 0, items: new Map(), gone: new Map() };
 }
 
-// Starts anew with a whole list: what came before is forgotten.
+/** Starts anew with a whole list: what came before is forgotten. */
 function reset<T>(h: ItemHistory<T>, at: number, list: T[], name: (x: T) => string): void {
   h.floor = at;
   h.at = at;
@@ -28,7 +30,7 @@
   );
 }
 
-// Takes the list as it is at a later step.
+/** Takes the list as it is at a later step. */
 function advance<T>(h: ItemHistory<T>, at: number, list: T[], name: (x: T) => string): void {
   const seen = new Set<string>();
   for (const x of list) {
@@ -54,7 +56,7 @@
   }
 }
 
-// What changed since a step, or null when that is not known any more.
+/** What changed since a step, or null when that is not known any more. */
 function since<T>(h: ItemHistory<T>, from: number): ItemDelta<T> | null {
   if (from < h.floor || from > h.at) return null;
   const upserts: T[] = [];
@@ -64,8 +66,10 @@
   return { upserts, removals, count: h.items.size };
 }
 
-// Applies a difference to the list it was made for; null when the outcome is not of the length told,
-// which means that the lists were not the same and the whole one has to be asked for.
+/**
+ * Applies a difference to the list it was made for; null when the outcome is not of the length told,
+ * which means that the lists were not the same and the whole one has to be asked for.
+ */
 function apply<T>(list: T[], d: ItemDelta<T>, name: (x: T) => string): T[] | null {
   const change = new Map(
     d.upserts.map(function pair(x) {
