--- a/src/controlplane/board.ts
+++ b/src/controlplane/board.ts
@@ -6,6 +6,7 @@
 import { boardHistory } from '../state/history/boards.js';
 import { control } from '../state/control/reducer.js';
 import type { BoardReply, BoardRequest } from '../protocol/inner/board.js';
+import { endpoint } from '../protocol/inner/endpoint.js';
 import type { Board } from '../types.js';
 import { freshness } from './freshness.js';
 import { inner } from './inner.js';
@@ -82,13 +83,23 @@
   };
   const answer = await inner.board(c, address, call, callTimeoutMs);
   peer.isBusy = false;
-  if (!answer.ok) return;
+  if (!answer.ok) {
+    if (endpoint.isOtherLife(answer.error)) forgetLife(c, id, peer);
+    return;
+  }
   takeReply(c, id, peer, answer.value);
   if (!peer.isDueAgain) return;
   peer.isDueAgain = false;
   void tell(c, id, address, true);
 }
 
+/** The peer has restarted: what it said of its board and the number of its last reply are of its earlier life. */
+function forgetLife(c: Coordinator, id: string, peer: PeerProgress): void {
+  peer.has = [0, 0];
+  const told = c.peerSessions.get(id);
+  if (told) told.replyNumber = 0;
+}
+
 function takeReply(c: Coordinator, id: string, peer: PeerProgress, reply: BoardReply): void {
   peer.has = reply.has;
   const at = c.runtime.clock.now();
