The status tells what became of the inner calls made and taken, by kind

The counters of the network and of the inner server (dropped replies, duplicates, other lives, malformed messages) were kept but shown nowhere. Seen: build, lint, 297 of 297 tests.

--- a/src/controlplane/parts.ts
+++ b/src/controlplane/parts.ts
@@ -7,6 +7,7 @@
 import type { Agent } from 'node:http';
 import type { Log } from '../logging/ring.js';
 import type { LeaderProgress, SessionRow } from '../protocol/inner/board.js';
+import type { StatusReply } from '../protocol/inner/status.js';
 import type { Method, OrderResult, Report } from '../protocol/calls/pairs.js';
 import type { Runtime } from '../runtime.js';
 import type { BoardHistory } from '../state/history/boards.js';
@@ -56,6 +57,8 @@
   /** This coordinator's replies to the leader: their numbers, when each was sent, and up to when the leader has heard it. */
   reply: { number: number; sentAt: Map<number, number>; heardUpTo: number };
   leaderProgress: LeaderProgress;
+  /** What became of the inner calls made and taken; live. */
+  calls: StatusReply['calls'];
   waiters: Set<Waiter>;
   /** Set on SIGTERM: no new orders are taken and sites are sent to other members. */
   isStopping: boolean;
--- a/src/controlplane/status.ts
+++ b/src/controlplane/status.ts
@@ -30,6 +30,7 @@
     ...c.core.status(now),
     sure: c.core.isFresh(),
     acts: c.core.mayAct(c.settings.bound_set.lease_ms),
+    calls: c.calls,
     configuration: s.configuration?.revision ?? 0,
     weights: s.weights,
     rules: { active: s.rules.active, pending: s.rules.pending },
--- a/src/programs/coordinator.ts
+++ b/src/programs/coordinator.ts
@@ -54,6 +54,7 @@
     peerSessions: new Map(),
     reply: { number: 0, sentAt: new Map(), heardUpTo: -Infinity },
     leaderProgress: { term: 0, revision: 0, weightsSeq: 0, rulesSeq: 0 },
+    calls: { made: {}, taken: {} },
     waiters: new Set(),
     isStopping: false,
     tuning,
@@ -154,7 +155,8 @@
     }),
     agent,
   });
-  await listenInside(c, member, runtime.network.life);
+  const inside = await listenInside(c, member, runtime.network.life);
+  c.calls = { made: runtime.network.counters, taken: inside.counters };
   const server = await listenAtDoor(c);
   startParts(c);
   replica.start(member);
--- a/src/protocol/inner/status.ts
+++ b/src/protocol/inner/status.ts
@@ -16,6 +16,8 @@
   voters: { id: string; control: string; heardMs: number | null; match: number | null }[];
   committed: number;
   disk: 'takes' | 'refuses';
+  /** What became of the inner calls that this process made and took since its start, by kind. */
+  calls: { made: Record<string, number>; taken: Record<string, number> };
   configuration: number;
   weights: Record<string, number>;
   rules: { active: Record<string, string[]>; pending: number };
@@ -48,6 +50,7 @@
   voters: array(type({ id: string(), control: string(), heardMs: nullable(number()), match: nullable(number()) })),
   committed: number(),
   disk: enums(['takes', 'refuses']),
+  calls: type({ made: record(string(), number()), taken: record(string(), number()) }),
   configuration: number(),
   weights: record(string(), number()),
   rules: type({ active: record(string(), array(string())), pending: number() }),
--- a/src/tools/status.ts
+++ b/src/tools/status.ts
@@ -27,6 +27,16 @@
   return rows.length === 0 ? `${title}: none` : `${title}:\n${table([head, ...rows])}`;
 }
 
+function counts(of: Record<string, number>): string {
+  const told = Object.entries(of).filter(function isSet([, count]) {
+    return count > 0;
+  });
+  const parts = told.map(function one([name, count]) {
+    return `${name} ${count}`;
+  });
+  return parts.join(', ') || 'none';
+}
+
 function text(s: StatusReply): string {
   const view =
     s.role === 'leader' ? 'the leader' : `${s.role}, not the leader: sites, health and hot set may be missing`;
@@ -34,6 +44,7 @@
     `told by ${s.node} (${view})`,
     `term ${s.term}, leader ${s.leader ?? 'none'}, ${s.sure ? 'sure of its term' : 'not sure of its term'}, duties ${s.acts ? 'held' : 'not held here'}`,
     `configuration ${s.configuration}, ${s.committed} entries committed, the disk ${s.disk} writes`,
+    `inner calls made: ${counts(s.calls.made)}; taken: ${counts(s.calls.taken)}`,
     `access rules: ${Object.keys(s.rules.active).length} tenants under a rule${s.rules.pending > 0 ? `, revision ${s.rules.pending} waits for its activation` : ''}`,
     `weights named: ${
       Object.entries(s.weights)
--- a/test/inner.test.ts
+++ b/test/inner.test.ts
@@ -139,6 +139,7 @@
   voters: [{ id: 'a', control: '10.0.0.1:80', heardMs: 0, match: 4 }],
   committed: 4,
   disk: 'takes',
+  calls: { made: { calls: 9 }, taken: { requests: 8 } },
   configuration: 5,
   weights: { m: 1 },
   rules: { active: { t: ['k'] }, pending: 0 },
@@ -257,7 +258,7 @@
     for (const path of pathsOf(message)) {
       const parent = path.at(-1);
       if (typeof parent !== 'string' || /^\d+$/.test(parent)) continue;
-      const isMapKey = ['weights', 'active', 'next'].includes(String(path.at(-2)));
+      const isMapKey = ['weights', 'active', 'next', 'made', 'taken'].includes(String(path.at(-2)));
       const isOptional = parent === 'tenant_list' || path.at(-2) === 'command';
       const outcome = check(mutated(message, path, undefined));
       if (isMapKey || isOptional) assert.equal(outcome.ok, true, `${name} without ${path.join('.')}`);
