A request held for a configuration counts as open, and goes nowhere once its client has hung up

Cause: the hang-up was only listened for behind the hold, so it was missed while a request was held.

--- a/src/dataplane/front.ts
+++ b/src/dataplane/front.ts
@@ -55,18 +55,24 @@
   else if (!res.writableEnded) res.destroy();
 }
 
-async function walk(site: Site, req: IncomingMessage, res: ServerResponse): Promise<void> {
-  const at = performance.now();
-  if (!site.table) await startUp.configured(site);
-  if (!site.table) return answers.send(res, answers.reject(503, startUp.comeBackMs()), true);
-  const context = contextOf(req, res, at);
+/** Counts a request as open until its answer has left whole or its connection is gone. */
+function track(site: Site, context: RequestContext): void {
+  const { res } = context.client;
   site.open.add(context);
   res.on('close', function over() {
     if (!res.writableFinished) context.isGone = true;
     site.open.delete(context);
-    if (site.closing) req.socket.destroySoon();
+    if (site.closing) context.req.socket.destroySoon();
     if (site.leaving && site.open.size === 0) site.stirred.emit('idle');
   });
+}
+
+async function walk(site: Site, req: IncomingMessage, res: ServerResponse): Promise<void> {
+  const context = contextOf(req, res, performance.now());
+  track(site, context);
+  if (!site.table) await startUp.configured(site);
+  if (context.isGone) return;
+  if (!site.table) return answers.send(res, answers.reject(503, startUp.comeBackMs()), true);
   for (const policy of policies) {
     const step = await policy.run(site, context);
     if (step.kind === 'next') continue;
--- a/test/standins/router.ts
+++ b/test/standins/router.ts
@@ -315,4 +315,4 @@
 
 const steps = { whole, cutWithLength, cutInChunks, stream, cutStream, bytes, reset, silence };
 
-export const routerStandin = { create, stop, send, callsOf, steps, events, head, model };
+export const routerStandin = { create, stop, send, callsOf, steps, events, head, model, frontPort };
