--- a/src/coordination/consensus/driver.ts
+++ b/src/coordination/consensus/driver.ts
@@ -296,6 +296,7 @@
 }
 
 function compactIfLarge(r: Replica): void {
+  if (storage.isSaving(r.storage)) return;
   const latest = r.machine.snapshot?.data.length ?? 0;
   if (storage.size(r.storage) <= Math.max(compactBytes, latest)) return;
   const { membership } = machineLog.membershipAt(r.machine, r.appliedIndex);
--- a/src/state/log/storage.ts
+++ b/src/state/log/storage.ts
@@ -159,6 +159,14 @@
   schedule(storage);
 }
 
+/**
+ * Whether a snapshot waits or is being written. To ask for another one of the member's own in that time
+ * starts it anew, so under a steady load none would ever be done.
+ */
+function isSaving(storage: Storage): boolean {
+  return storage.snapshot !== null;
+}
+
 /** Bytes of the log behind the snapshot. */
 function size(storage: Storage): number {
   return storage.logBytes;
@@ -492,4 +500,4 @@
   });
 }
 
-export const storage = { open, begin, resume, write, saveSnapshot, close, size };
+export const storage = { open, begin, resume, write, saveSnapshot, isSaving, close, size };
--- a/test/log.test.ts
+++ b/test/log.test.ts
@@ -712,6 +712,32 @@
   assert.equal(disk.list(b.disk).length, 3);
 });
 
+/** The largest log of a member that writes once a millisecond and saves a snapshot as soon as it is large. */
+async function largestLog(mayInterrupt: boolean): Promise<number> {
+  const b = bench(12);
+  const opened = await beginOn(b);
+  disk.setSlow(b.disk, 3);
+  let largest = 0;
+  for (let index = 1; index <= 1500; index++) {
+    storage.write(opened, [entryRecord(index, 2)], index + 1);
+    function tail() {
+      return { promise: promise2, entries: [] };
+    }
+    const isDue = storage.size(opened) > 2000 && (mayInterrupt || !storage.isSaving(opened));
+    if (isDue) storage.saveSnapshot(opened, { ...snapshot0, index, term: 2 }, tail, { installed: false });
+    await b.clock.runFor(1);
+    largest = Math.max(largest, storage.size(opened));
+  }
+  return largest;
+}
+
+test('under a steady load snapshots get done, unless each is replaced by the next', async function run() {
+  const largest = await largestLog(false);
+  assert.ok(largest < 6000, `${largest} bytes`);
+  const interrupted = await largestLog(true);
+  assert.ok(interrupted > 3 * largest, `${interrupted} bytes`);
+});
+
 test('attempts that fail again and again leave no heap of files', async function run() {
   const b = bench(9);
   const opened = await beginOn(b);
