--- a/src/controlplane/outside.ts
+++ b/src/controlplane/outside.ts
@@ -7,7 +7,7 @@
 
 async function send<A>(via: Agent, address: string, call: Call<A>, timeoutMs: number): Promise<Outcome<A, string>> {
   const r = await calls.send(via, address, call, timeoutMs);
-  return r.ok ? r : { ok: false, error: r.error.t };
+  return r.ok ? r : { ok: false, error: r.error.kind };
 }
 
 /** `platform` is the address of the platform's list, asked for at each call, since settings change. */
--- a/src/coordination/duties/poller.ts
+++ b/src/coordination/duties/poller.ts
@@ -17,7 +17,7 @@
       calls.list(token),
       legMs,
     );
-    if (!r.ok) return { ok: false, error: r.error.t };
+    if (!r.ok) return { ok: false, error: r.error.kind };
     for (const one of r.value.runners) all.set(one.id, one);
     token = r.value.next;
     if (token === null) return { ok: true, value: [...all.values()] };
--- a/src/protocol/calls/pairs.ts
+++ b/src/protocol/calls/pairs.ts
@@ -12,7 +12,7 @@
   body?: unknown;
   read: (status: number, body: unknown) => A | null;
 };
-export type CallError = AskError | { t: 'status'; status: number } | { t: 'unreadable' };
+export type CallError = AskError | { kind: 'status'; status: number } | { kind: 'unreadable' };
 
 async function send<A>(via: Agent, addr: string, c: Call<A>, waitMs: number): Promise<Outcome<A, CallError>> {
   const body = c.body === undefined ? undefined : Buffer.from(JSON.stringify(c.body));
@@ -28,7 +28,10 @@
   }
   const got = c.read(r.value.status, value);
   if (got !== null) return { ok: true, value: got };
-  return { ok: false, error: r.value.status === 200 ? { t: 'unreadable' } : { t: 'status', status: r.value.status } };
+  return {
+    ok: false,
+    error: r.value.status === 200 ? { kind: 'unreadable' } : { kind: 'status', status: r.value.status },
+  };
 }
 
 const modelAt = type({ label: string(), revision: number() });
--- a/src/tools/control.ts
+++ b/src/tools/control.ts
@@ -29,11 +29,11 @@
     });
     if (!r.ok) {
       const why =
-        r.error.t === 'silent'
+        r.error.kind === 'silent'
           ? `said nothing for ${waitMs} ms`
           : r.error.sent
-            ? `broke off: ${r.error.why}`
-            : `cannot be reached: ${r.error.why}`;
+            ? `broke off: ${r.error.message}`
+            : `cannot be reached: ${r.error.message}`;
       return { ok: false, error: `${to} ${why}` };
     }
     const next = r.value.headers.location;
--- a/src/transport/http/answer.ts
+++ b/src/transport/http/answer.ts
@@ -1,6 +1,6 @@
 // The one builder of answers: whatever the system itself says to a client, the platform, the
 // operator or another node of its own is made here, with its length and, on a leaving or doubtful
-// channel, the word to close it.
+// connection, the word to close it.
 import type { ServerResponse } from 'node:http';
 import type { Finding } from '../../types.js';
 
--- a/src/transport/http/ask.ts
+++ b/src/transport/http/ask.ts
@@ -1,11 +1,17 @@
-// One request with a bounded wait on a kept channel: the answer whole, or a tagged error. Used for
-// everything the programs ask of each other, of the platform and of the runners' side calls; the
-// requests of clients go their own way.
+/**
+ * One HTTP request with a bounded wait on a kept connection: the answer whole, or a typed error. Used for
+ * the platform, the runners' side calls and the tools; calls between own processes go by
+ * `transport/runtime.ts`, the requests of clients their own way.
+ */
 import { Agent, request, type ClientRequest, type IncomingHttpHeaders } from 'node:http';
 import type { Outcome } from '../../types.js';
 
 export type Reply = { status: number; headers: IncomingHttpHeaders; body: Buffer };
-export type AskError = { t: 'silent' } | { t: 'broken'; why: string; sent: boolean };
+
+/** `sent`: whether the other end may have seen the request. `silent` may have been seen as well. */
+export type AskError = { kind: 'silent' } | { kind: 'broken'; message: string; sent: boolean };
+
+/** `waitMs` bounds the whole exchange, `connectMs` (if given) the time until there is a connection. */
 export type Ask = {
   agent: Agent;
   addr: string;
@@ -17,74 +23,85 @@
   connectMs?: number;
 };
 
+/** Kept connections for calls to runners and the platform, and how many of them to one address. */
+const mostConnections = 64;
+
+/** The parts of `host:port`; a port that is none is NaN. */
 function split(addr: string): { host: string; port: number } {
   const at = addr.lastIndexOf(':');
   return { host: addr.slice(0, at), port: Number(addr.slice(at + 1)) };
 }
 
-function send(a: Ask): Promise<Outcome<Reply, AskError>> {
-  return new Promise(function run(done) {
-    const { host, port } = split(a.addr);
-    const headers: Record<string, string | number> = { ...a.headers };
-    if (a.body) headers['Content-Length'] = a.body.length;
-    let req: ClientRequest;
-    try {
-      req = request({ agent: a.agent, host, port, method: a.method, path: a.path, headers });
-    } catch (err) {
-      // Not a host, port or path: addresses come out of lists and messages.
-      return done({ ok: false, error: { t: 'broken', why: (err as Error).message, sent: false } });
-    }
-    let over = false;
-    let connected = false;
-    function end(o: Outcome<Reply, AskError>): void {
-      if (over) return;
-      over = true;
+/** Node throws at once on what cannot be a host, port or path; addresses come out of lists and messages. */
+function open(ask: Ask): Outcome<ClientRequest, AskError> {
+  const { host, port } = split(ask.addr);
+  const headers: Record<string, string | number> = { ...ask.headers };
+  if (ask.body) headers['Content-Length'] = ask.body.length;
+  try {
+    return {
+      ok: true,
+      value: request({ agent: ask.agent, host, port, method: ask.method, path: ask.path, headers }),
+    };
+  } catch (error) {
+    return { ok: false, error: { kind: 'broken', message: (error as Error).message, sent: false } };
+  }
+}
+
+function send(ask: Ask): Promise<Outcome<Reply, AskError>> {
+  return new Promise(function run(resolve) {
+    const opened = open(ask);
+    if (!opened.ok) return resolve(opened);
+    const sending = opened.value;
+    let isConnected = false;
+    function finish(outcome: Outcome<Reply, AskError>): void {
       clearTimeout(timer);
-      clearTimeout(early);
-      done(o);
+      clearTimeout(connectTimer);
+      resolve(outcome);
+    }
+    function fail(message: string): void {
+      finish({ ok: false, error: { kind: 'broken', message, sent: isConnected } });
     }
     const timer = setTimeout(function late() {
-      end({ ok: false, error: { t: 'silent' } });
-      req.destroy();
-    }, a.waitMs);
-    const early =
-      a.connectMs === undefined
+      finish({ ok: false, error: { kind: 'silent' } });
+      sending.destroy();
+    }, ask.waitMs);
+    const connectTimer =
+      ask.connectMs === undefined
         ? undefined
         : setTimeout(function slow() {
-            if (connected) return;
-            end({ ok: false, error: { t: 'broken', why: 'no channel', sent: false } });
-            req.destroy();
-          }, a.connectMs);
-    req.on('socket', function got(socket) {
-      if (!socket.connecting) connected = true;
+            if (isConnected) return;
+            fail('no connection');
+            sending.destroy();
+          }, ask.connectMs);
+    sending.on('socket', function assigned(socket) {
+      if (!socket.connecting) isConnected = true;
       else
-        socket.once('connect', function up() {
-          connected = true;
+        socket.once('connect', function connected() {
+          isConnected = true;
         });
     });
-    req.on('error', function broke(err) {
-      end({ ok: false, error: { t: 'broken', why: err.message, sent: connected } });
+    sending.on('error', function failed(error) {
+      fail(error.message);
     });
-    req.on('response', function got(res) {
-      const parts: Buffer[] = [];
-      res.on('data', function more(b: Buffer) {
-        parts.push(b);
+    sending.on('response', function responded(reply) {
+      const pieces: Buffer[] = [];
+      reply.on('data', function received(piece: Buffer) {
+        pieces.push(piece);
       });
-      res.on('end', function whole() {
-        if (!res.complete) return;
-        end({ ok: true, value: { status: res.statusCode ?? 0, headers: res.headers, body: Buffer.concat(parts) } });
+      reply.on('end', function ended() {
+        if (!reply.complete) return;
+        const value = { status: reply.statusCode ?? 0, headers: reply.headers, body: Buffer.concat(pieces) };
+        finish({ ok: true, value });
       });
-      res.on('close', function cut() {
-        end({ ok: false, error: { t: 'broken', why: 'answer cut short', sent: true } });
+      reply.on('close', function closed() {
+        if (!reply.complete) fail('the answer was cut short');
       });
     });
-    req.end(a.body);
+    sending.end(ask.body);
   });
 }
 
-/** Kept connections for calls to runners and the platform, and how many of them to one address. */
-const mostConnections = 64;
-
+/** A pool of kept connections. */
 function agent(): Agent {
   return new Agent({ keepAlive: true, maxSockets: mostConnections, scheduling: 'lifo' });
 }
--- a/test/inner.test.ts
+++ b/test/inner.test.ts
@@ -19,6 +19,7 @@
 import { statusEndpoint, type StatusReply } from '../src/protocol/inner/status.js';
 import type { Network } from '../src/runtime.js';
 import type { Entry } from '../src/state/log/types.js';
+import { ask } from '../src/transport/http/ask.js';
 import { exchange } from '../src/transport/inner/exchange.js';
 import { identity, identityHeader } from '../src/transport/inner/identity.js';
 import { lives } from '../src/transport/inner/lives.js';
@@ -615,7 +616,7 @@
   }
 }
 
-function ask(network: Network, address: string, value: unknown): ReturnType<Network['call']> {
+function callEcho(network: Network, address: string, value: unknown): ReturnType<Network['call']> {
   return network.call(address, '/inner/echo', value, { timeoutMs });
 }
 
@@ -623,22 +624,26 @@
   return outcome.ok ? 'ok' : outcome.error.kind;
 }
 
-test('a reply with the id of another call is dropped with its connection', async function otherId() {
-  function serve(request: RawRequest, socket: Socket, no: number): void {
-    send(socket, rawReply(no === 2 ? request.id - 1 : request.id, request.life, lifeA, packr.unpack(request.body)));
-  }
-  await withPeer(serve, async function run(peer, network) {
-    assert.deepEqual(await ask(network, peer.address, 'one'), { ok: true, value: 'one' });
-    assert.deepEqual(await ask(network, peer.address, 'two'), {
-      ok: false,
-      error: { kind: 'broken', message: 'a reply to another call' },
+test(
+  'a reply with the id of another call is dropped with its connection',
+  { timeout: timeoutMs },
+  async function otherId() {
+    function serve(request: RawRequest, socket: Socket, no: number): void {
+      send(socket, rawReply(no === 2 ? request.id - 1 : request.id, request.life, lifeA, packr.unpack(request.body)));
+    }
+    await withPeer(serve, async function run(peer, network) {
+      assert.deepEqual(await callEcho(network, peer.address, 'one'), { ok: true, value: 'one' });
+      assert.deepEqual(await callEcho(network, peer.address, 'two'), {
+        ok: false,
+        error: { kind: 'broken', message: 'a reply to another call' },
+      });
+      if (!peer.sockets[0]!.closed) await once(peer.sockets[0]!, 'close');
+      assert.deepEqual(await callEcho(network, peer.address, 'three'), { ok: true, value: 'three' });
+      assert.equal(peer.sockets.length, 2);
+      assert.equal(network.counters.mismatchedReplies, 1);
     });
-    if (!peer.sockets[0]!.closed) await once(peer.sockets[0]!, 'close');
-    assert.deepEqual(await ask(network, peer.address, 'three'), { ok: true, value: 'three' });
-    assert.equal(peer.sockets.length, 2);
-    assert.equal(network.counters.mismatchedReplies, 1);
-  });
-});
+  },
+);
 
 test('a reply to an earlier life of the caller, or to nobody, is dropped', async function otherCaller() {
   function serve(request: RawRequest, socket: Socket, no: number): void {
@@ -646,8 +651,8 @@
     else send(socket, 'HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n\x01');
   }
   await withPeer(serve, async function run(peer, network) {
-    assert.equal(kindOf(await ask(network, peer.address, 'one')), 'broken');
-    assert.equal(kindOf(await ask(network, peer.address, 'two')), 'broken');
+    assert.equal(kindOf(await callEcho(network, peer.address, 'one')), 'broken');
+    assert.equal(kindOf(await callEcho(network, peer.address, 'two')), 'broken');
     assert.equal(network.counters.mismatchedReplies, 2);
   });
 });
@@ -661,32 +666,36 @@
     late = reply;
   }
   await withPeer(serve, async function run(peer, network) {
-    assert.deepEqual(await ask(network, peer.address, 'one'), { ok: true, value: 'one' });
+    assert.deepEqual(await callEcho(network, peer.address, 'one'), { ok: true, value: 'one' });
     for (const value of ['two', 'three']) {
-      const outcome = await ask(network, peer.address, value);
+      const outcome = await callEcho(network, peer.address, value);
       assert.equal(kindOf(outcome), 'broken', value);
     }
     assert.equal(network.counters.mismatchedReplies, 2);
   });
 });
 
-test('bytes on a resting connection destroy it and reach no later call', async function stray() {
-  let repeat = '';
-  function serve(request: RawRequest, socket: Socket): void {
-    repeat = rawReply(request.id, request.life, lifeA, packr.unpack(request.body));
-    send(socket, repeat);
-  }
-  await withPeer(serve, async function run(peer, network) {
-    assert.deepEqual(await ask(network, peer.address, 'one'), { ok: true, value: 'one' });
-    while (Object.keys(network.agents.control.freeSockets).length === 0) await new Promise(setImmediate);
-    const closed = once(peer.sockets[0]!, 'close');
-    send(peer.sockets[0]!, repeat);
-    await closed;
-    assert.equal(network.counters.strayConnections, 1);
-    assert.deepEqual(await ask(network, peer.address, 'two'), { ok: true, value: 'two' });
-    assert.equal(network.counters.mismatchedReplies, 0);
-  });
-});
+test(
+  'bytes on a resting connection destroy it and reach no later call',
+  { timeout: timeoutMs },
+  async function stray() {
+    let repeat = '';
+    function serve(request: RawRequest, socket: Socket): void {
+      repeat = rawReply(request.id, request.life, lifeA, packr.unpack(request.body));
+      send(socket, repeat);
+    }
+    await withPeer(serve, async function run(peer, network) {
+      assert.deepEqual(await callEcho(network, peer.address, 'one'), { ok: true, value: 'one' });
+      while (Object.keys(network.agents.control.freeSockets).length === 0) await new Promise(setImmediate);
+      const closed = once(peer.sockets[0]!, 'close');
+      send(peer.sockets[0]!, repeat);
+      await closed;
+      assert.equal(network.counters.strayConnections, 1);
+      assert.deepEqual(await callEcho(network, peer.address, 'two'), { ok: true, value: 'two' });
+      assert.equal(network.counters.mismatchedReplies, 0);
+    });
+  },
+);
 
 test('a reply of a life of the callee that was followed by another is dropped', async function earlierLife() {
   const said = [lifeA, lifeB, lifeA, lifeB];
@@ -695,7 +704,7 @@
   }
   await withPeer(serve, async function run(peer, network) {
     const kinds: string[] = [];
-    for (let i = 0; i < said.length; i++) kinds.push(kindOf(await ask(network, peer.address, i)));
+    for (let i = 0; i < said.length; i++) kinds.push(kindOf(await callEcho(network, peer.address, i)));
     assert.deepEqual(kinds, ['ok', 'ok', 'broken', 'ok']);
     assert.equal(network.counters.earlierLifeReplies, 1);
     assert.equal(network.counters.newLives, 1);
@@ -715,7 +724,7 @@
       }
       await withPeer(serve, async function run(peer, network) {
         for (let i = 0; i < steps.length; i++) {
-          const outcome = await ask(network, peer.address, `value ${i}`);
+          const outcome = await callEcho(network, peer.address, `value ${i}`);
           if (outcome.ok) assert.equal(outcome.value, `value ${i}`);
           else assert.equal(outcome.error.kind, 'broken');
         }
@@ -855,7 +864,7 @@
   }
   await withPeer(serve, async function run(peer, network) {
     for (const what of ['reset', 'half', 'cut'])
-      assert.equal(kindOf(await ask(network, peer.address, what)), 'broken', what);
+      assert.equal(kindOf(await callEcho(network, peer.address, what)), 'broken', what);
     const silent = await network.call(peer.address, '/inner/echo', 'nothing', { timeoutMs: 50 });
     assert.equal(kindOf(silent), 'silent');
     network.agents.control.maxSockets = 1;
@@ -865,12 +874,21 @@
     assert.equal(kindOf(await held), 'silent');
     const { address } = peer;
     await peer.close();
-    assert.equal(kindOf(await ask(network, address, 'one')), 'unreached');
+    assert.equal(kindOf(await callEcho(network, address, 'one')), 'unreached');
     for (const nowhere of ['', 'nowhere', `${host}:99999`, `${host}:x`])
-      assert.equal(kindOf(await ask(network, nowhere, 'one')), 'unreached', nowhere);
+      assert.equal(kindOf(await callEcho(network, nowhere, 'one')), 'unreached', nowhere);
   });
 });
 
+test('a request to what is no address ends as an error that was surely not sent', async function noAddress() {
+  const agent = ask.agent();
+  for (const addr of ['', 'nowhere', `${host}:99999`, `${host}:x`]) {
+    const outcome = await ask.send({ agent, addr, method: 'GET', path: '/', waitMs: timeoutMs });
+    assert.equal(!outcome.ok && outcome.error.kind === 'broken' && outcome.error.sent, false, addr);
+    assert.equal(outcome.ok, false, addr);
+  }
+});
+
 // ---- lanes and time-outs ----
 
 test('a bulk call under way does not hold up a control call', async function separateLanes() {
