--- a/src/coordination/duties/poller.ts
+++ b/src/coordination/duties/poller.ts
@@ -14,7 +14,7 @@
   let token: string | null = null;
   for (let page = 0; page < mostPages; page++) {
     const r: Outcome<Page, CallError> = await calls.send(via, addr, calls.list(token), pageTimeoutMs);
-    if (!r.ok) return { ok: false, error: r.error.t };
+    if (!r.ok) return { ok: false, error: r.error.kind };
     for (const one of r.value.runners) all.set(one.id, one);
     token = r.value.next;
     if (token === null) return { ok: true, value: [...all.values()] };
