--- a/test/sim/checks.ts
+++ b/test/sim/checks.ts
@@ -90,6 +90,32 @@
   checkLeaderHoldsAll(checks, machine, now);
 }
 
+/** A leader commits by counting only what is of its own term, and what stands before it. */
+function checkCommitRule(checks: Checks, machine: ConsensusState, before: Progress, now: number): void {
+  const hasLed = machine.role === 'leader' && before.role === 'leader' && before.term === machine.term;
+  if (!hasLed || log.termAt(machine, machine.committed) === machine.term) return;
+  fail(
+    checks,
+    now,
+    `leader ${machine.self.id} of term ${machine.term} committed an entry of an earlier term by counting`,
+  );
+}
+
+/** What a leader counts on: each peer holds what it is counted for, and changes of members come one by one. */
+function peers(checks: Checks, leader: ConsensusState, all: ConsensusState[], now: number): void {
+  for (const peer of leader.peers.values()) {
+    const machine = all.find((one) => one.self.id === peer.member.id);
+    if (machine === undefined || machine.term !== leader.term) continue;
+    if (peer.matchIndex > log.lastIndex(machine))
+      fail(checks, now, `${machine.self.id} lacks entry ${peer.matchIndex}, which its leader counts on`);
+  }
+  if (leader.membershipIndex < checks.committed.length) return;
+  let changes = 0;
+  for (let index = checks.committed.length; index <= log.lastIndex(leader); index++)
+    if (log.entryAt(leader, index)?.data.kind === 'membership') changes++;
+  if (changes > 1) fail(checks, now, `${leader.self.id} has ${changes} changes of members under way at once`);
+}
+
 /** Looks at one member; cheap when nothing changed. */
 function member(checks: Checks, machine: ConsensusState, now: number): void {
   const before = checks.progress.get(machine);
@@ -97,6 +123,7 @@
   if (machine.committed < from) fail(checks, now, `the commit index of ${machine.self.id} fell`);
   if (before !== undefined && machine.term < before.term) fail(checks, now, `the term of ${machine.self.id} fell`);
   for (let index = from + 1; index <= machine.committed; index++) checkEntry(checks, machine, index, now);
+  if (before !== undefined && machine.committed > before.committed) checkCommitRule(checks, machine, before, now);
   const hasChangedRole = before?.role !== machine.role || before.term !== machine.term;
   if (hasChangedRole && machine.role === 'leader') checkLeader(checks, machine, now);
   checks.progress.set(machine, { committed: machine.committed, role: machine.role, term: machine.term });
@@ -113,4 +140,4 @@
   checks.holder = { id, term, heldAt: now };
 }
 
-export const checks = { create, fail, member, mayAct };
+export const checks = { create, fail, member, peers, mayAct };
--- a/test/sim/cluster.ts
+++ b/test/sim/cluster.ts
@@ -5,10 +5,13 @@
  */
 import type { Folder, Runtime } from '../../src/runtime.js';
 import type { Outcome, Settings } from '../../src/types.js';
+import { consensusCalls } from '../../src/coordination/consensus/driver.js';
+import type { Message } from '../../src/coordination/consensus/types.js';
 import { luck, type Luck } from '../support/random.js';
 import { checks, type Checks } from './checks.js';
 import { coreProcess, type CoreProcess } from './core.js';
 import { disk, type Disk } from './disk.js';
+import { keptState } from './kept.js';
 import { links } from './link.js';
 import { silentLog } from './log.js';
 import { machines, type Machine } from './machine.js';
@@ -67,12 +70,16 @@
   wrapFolder: (folder: Folder) => Folder;
   wrapRuntime: (runtime: Runtime) => Runtime;
   afterEvent: ((cluster: Cluster) => void) | null;
+  /** What members said in this event and is still to be compared with their disks. */
+  unchecked: { core: CoreMachine; messages: Message[] }[];
+  sentCount: number;
 };
 
 const innerPort = 7000;
 const controlPort = 8080;
 const seedCount = 3;
 const restartFailedMs = 500;
+const smallDiskBytes = 2048;
 export const leaseMs = 3000;
 export const catchUpMs = 4000;
 
@@ -94,10 +101,16 @@
     wrapFolder: (folder) => folder,
     wrapRuntime: (runtime) => runtime,
     afterEvent: null,
+    unchecked: [],
+    sentCount: 0,
   };
   scheduler.afterEvent = function afterEvent() {
     checkAll(cluster);
     cluster.afterEvent?.(cluster);
+    return cluster.unchecked.length > 0 ? checkKept(cluster) : null;
+  };
+  cluster.network.onSent = function sent(from, path, body) {
+    if (path === consensusCalls.path) noteSent(cluster, from, (body as { messages: Message[] }).messages);
   };
   const hosts = Array.from({ length: options.coreCount }, () => nextHost(cluster));
   const seeds = hosts.slice(0, seedCount).map((host) => `${host}:${controlPort}`);
@@ -356,16 +369,37 @@
 
 function checkAll(cluster: Cluster): void {
   const { now } = cluster.scheduler;
+  const all = running(cluster).map((core) => core.process!.replica.machine);
   for (const core of cluster.core) {
     if (core.process === null || machines.isFrozen(core.machine)) continue;
     const { machine } = core.process.replica;
     checks.member(cluster.checks, machine, now);
+    if (machine.role === 'leader') checks.peers(cluster.checks, machine, all, now);
     if (machine.role === 'leader' && core.process.mayAct(leaseMs))
       checks.mayAct(cluster.checks, machine.self.id, machine.term, leaseMs, now);
   }
   for (const router of cluster.routers) checkRouter(cluster, router, now);
 }
 
+/** Large disks are read for a share of the messages only, for the time it takes. */
+function noteSent(cluster: Cluster, address: string, messages: Message[]): void {
+  const core = cluster.core.find((one) => one.address === address);
+  if (core === undefined || core.process === null) return;
+  cluster.sentCount++;
+  const isVote = messages.some((message) => message.type === 'vote' || message.type === 'request_vote');
+  const every = Math.ceil(keptState.keptSize(core.disk) / smallDiskBytes);
+  if (isVote || cluster.sentCount % Math.max(1, every) === 0) cluster.unchecked.push({ core, messages });
+}
+
+async function checkKept(cluster: Cluster): Promise<void> {
+  const list = cluster.unchecked;
+  cluster.unchecked = [];
+  for (const { core, messages } of list) {
+    const text = await keptState.check(core.disk, messages, cluster.checks.leaders);
+    if (text !== null) checks.fail(cluster.checks, cluster.scheduler.now, text);
+  }
+}
+
 function checkRouter(cluster: Cluster, router: RouterMachine, now: number): void {
   if (router.process === null) return;
   const revision = router.process.revision();
--- a/test/sim/network.ts
+++ b/test/sim/network.ts
@@ -57,7 +57,8 @@
   recorded: Map<string, Recorded[]>;
   answers: Map<string, Reply>;
   inProgress: Set<InProgress>;
-  onCall: ((from: string, to: string, path: string, body: unknown) => void) | null;
+  /** Told of each request as it is sent, and of each reply. */
+  onSent: ((from: string, path: string, body: unknown) => void) | null;
   counters: NetworkCounters;
 };
 
@@ -122,7 +123,7 @@
     recorded: new Map(),
     answers: new Map(),
     inProgress: new Set(),
-    onCall: null,
+    onSent: null,
     counters: {
       calls: 0,
       bytes: 0,
@@ -328,6 +329,7 @@
   const from = { address: call.from.address, life: request.callerLife, callId: request.callId };
   const result = await handler.receive(packr.unpack(call.bytes), from);
   if (!result.ok) return rejected(result.error.status, result.error.message);
+  network.onSent?.(call.to, call.path, result.value);
   return { ok: true, value: packr.pack(result.value) };
 }
 
@@ -461,7 +463,7 @@
       made.finish = function finish(outcome) {
         machines.enter(machine, session.life, () => end(outcome));
       };
-      network.onCall?.(endpoint.address, to, path, body);
+      network.onSent?.(endpoint.address, path, body);
       send(network, made);
     });
   }
--- a/test/sim/schedule.ts
+++ b/test/sim/schedule.ts
@@ -69,6 +69,7 @@
     overtakeShare: fc.double({ min: 0, max: 0.5, noNaN: true }),
     overtakeMs: fc.integer({ min: 5, max: 900 }),
     resetShare: fc.double({ min: 0, max: 0.2, noNaN: true }),
+    misdirectShare: fc.double({ min: 0, max: 0.2, noNaN: true }),
     idleMs: fc.integer({ min: 20, max: 2000 }),
     latencyMs: fc.constantFrom<[number, number]>([0.3, 2], [10, 40], [60, 120]),
   },
--- a/test/sim/scheduler.ts
+++ b/test/sim/scheduler.ts
@@ -15,7 +15,8 @@
   sequence: number;
   executed: number;
   hash: number;
-  afterEvent: (() => void) | null;
+  /** Runs after each event and what it set off; the next event waits for what it returns. */
+  afterEvent: (() => Promise<void> | null) | null;
 };
 
 const hashPrime = 16777619;
@@ -98,7 +99,8 @@
   mixEvent(scheduler, next);
   next.run!();
   await settle();
-  scheduler.afterEvent?.();
+  const checking = scheduler.afterEvent?.() ?? null;
+  if (checking !== null) await checking;
   return true;
 }
 
