--- a/src/transport/inner/identity.ts
+++ b/src/transport/inner/identity.ts
@@ -48,4 +48,9 @@
   return parts && { callId: Number(parts[1]), callerLife: parts[2]!, calleeLife: parts[3]! };
 }
 
-export const identity = { createLife, formatRequest, formatReply, parseRequest, parseReply };
+/** Whether a reply is the one to this call, wherever and whenever it came. */
+function isReplyTo(reply: ReplyIdentity | null, call: RequestIdentity): reply is ReplyIdentity {
+  return reply !== null && reply.callId === call.callId && reply.callerLife === call.callerLife;
+}
+
+export const identity = { createLife, formatRequest, formatReply, parseRequest, parseReply, isReplyTo };
--- a/src/transport/runtime.ts
+++ b/src/transport/runtime.ts
@@ -71,7 +71,7 @@
 /** Why the reply with this header is not the one to `call`, or null. Learns the callee's life. */
 function refusalOf(state: State, address: string, path: string, call: RequestIdentity, header: unknown): string | null {
   const reply = identity.parseReply(header);
-  if (!reply || reply.callId !== call.callId || reply.callerLife !== call.callerLife) {
+  if (!identity.isReplyTo(reply, call)) {
     state.counters.mismatchedReplies++;
     return 'a reply to another call';
   }
--- /dev/null
+++ b/test/mistakes.test.ts
@@ -0,0 +1,294 @@
+/**
+ * The simulated world proved: ten known mistakes are put in, one at a time, and each must be seen by its
+ * checks. The schedule that shows a mistake must pass without it. Mistakes are put in from outside, by
+ * replacing a function of a module for the time of a run or by wrapping what a process gets; there are no
+ * hooks for them in the code.
+ */
+import { strict as assert } from 'node:assert';
+import { test } from 'node:test';
+import { commit } from '../src/coordination/consensus/commit.js';
+import { common } from '../src/coordination/consensus/common.js';
+import { replica } from '../src/coordination/consensus/driver.js';
+import { lease } from '../src/coordination/consensus/lease.js';
+import { log } from '../src/coordination/consensus/log.js';
+import { membership } from '../src/coordination/consensus/membership.js';
+import { quorum } from '../src/coordination/consensus/quorum.js';
+import { snapshots } from '../src/coordination/consensus/snapshots.js';
+import type { Message } from '../src/coordination/consensus/types.js';
+import type { Runtime } from '../src/runtime.js';
+import { orders } from '../src/state/control/orders.js';
+import type { ControlState } from '../src/state/control/reducer.js';
+import { snapshotCodec } from '../src/state/log/codec.js';
+import { identity, type ReplyIdentity } from '../src/transport/inner/identity.js';
+import { simulatedCluster, type Cluster } from './sim/cluster.js';
+import type { Fault } from './sim/faults.js';
+import { schedules, type Schedule, type Step } from './sim/schedule.js';
+
+/** `inject` replaces functions; `prepare` changes the world of one run. */
+type Mistake = {
+  name: string;
+  seeds: number;
+  schedule: (seed: number) => Schedule;
+  /** Also in place in the run that must pass. */
+  circumstances?: (cluster: Cluster) => void;
+  inject?: () => Replacement[];
+  prepare?: (cluster: Cluster) => void;
+  seenAs: RegExp;
+};
+
+type Replacement = { undo: () => void };
+
+/** Replaces one function of a module. */
+function replace<Module extends object, Name extends keyof Module>(
+  module: Module,
+  name: Name,
+  mutated: Module[Name],
+): Replacement {
+  const original = module[name];
+  module[name] = mutated;
+  return {
+    undo: function undo() {
+      module[name] = original;
+    },
+  };
+}
+
+type Shape = { coreCount?: number; paddingBytes?: number; runnerCount?: number };
+
+function scheduleOf(seed: number, steps: Step[], shape: Shape = {}): Schedule {
+  const { coreCount = 3, paddingBytes = 0, runnerCount = 0 } = shape;
+  const habits = { underWay: 4, pauseMs: 80, paddingBytes, patienceMs: 4000 };
+  const options = { seed, coreCount, routerCount: 1, operatorCount: 2, runnerCount, habits, megabits: Infinity };
+  return { options, steps };
+}
+
+function repeated(times: number, waitMs: number, fault: Fault): Step[] {
+  return Array.from({ length: times }, (): Step => ({ waitMs, moment: 'now', fault }));
+}
+
+/** The leader does not tell the others how far it has committed, for most of the time; it need not. */
+function hideCommits(cluster: Cluster, runtime: Runtime): Runtime {
+  const hiddenMs = 1500;
+  const periodMs = 2000;
+  return {
+    ...runtime,
+    network: {
+      call: function call(address, path, body, options) {
+        const { messages } = body as { messages?: Message[] };
+        if (messages === undefined || cluster.scheduler.now % periodMs > hiddenMs)
+          return runtime.network.call(address, path, body, options);
+        const hidden = messages.map(function hide(message) {
+          return message.type === 'heartbeat' || message.type === 'append' ? { ...message, committed: 0 } : message;
+        });
+        return runtime.network.call(address, path, { messages: hidden }, options);
+      },
+    },
+  };
+}
+
+/** Whenever a leader has a new snapshot it sends it to everybody, also where nobody needs it. */
+function sendNeedlessSnapshots(cluster: Cluster): void {
+  let sentIndex = 0;
+  cluster.wrapRuntime = (runtime) => hideCommits(cluster, runtime);
+  cluster.afterEvent = function afterEvent() {
+    const machine = simulatedCluster.leader(cluster)?.process?.replica.machine;
+    const snapshot = machine?.snapshot;
+    if (!machine || !snapshot || snapshot.index <= sentIndex) return;
+    sentIndex = snapshot.index;
+    for (const peer of machine.peers.values()) {
+      peer.transfer = { snapshot, offset: 0 };
+      peer.inFlight = null;
+    }
+  };
+}
+
+const noSync = { ok: true, value: undefined } as const;
+const constantFence = 7;
+const largeConfiguration = 300_000;
+
+const mistakes: Mistake[] = [
+  {
+    name: 'no folder sync',
+    seeds: 3,
+    schedule: (seed) => scheduleOf(seed, repeated(3, 500, { kind: 'power_all', forMs: 300 })),
+    prepare: function prepare(cluster) {
+      cluster.wrapFolder = (folder) => ({ ...folder, syncFolder: () => Promise.resolve(noSync) });
+    },
+    seenAs: /its disk does not hold|lacks committed|not at rest/,
+  },
+  {
+    name: 'vote before sync',
+    seeds: 3,
+    schedule: (seed) => scheduleOf(seed, repeated(2, 500, { kind: 'power', target: 'leader', forMs: 300 })),
+    inject: function inject() {
+      const original = common.replyOnceKept;
+      return [
+        replace(common, 'replyOnceKept', function mutated(s, token, to, address, body, effects) {
+          if (body.type === 'vote' && to !== s.self.id) common.send(s, to, body, effects, address);
+          else original(s, token, to, address, body, effects);
+        }),
+      ];
+    },
+    seenAs: /sent a vote while its disk does not hold its vote|was won by/,
+  },
+  {
+    name: 'stale leader reads',
+    seeds: 5,
+    schedule: (seed) =>
+      scheduleOf(
+        seed,
+        repeated(1, 500, { kind: 'cut', target: 'leader', forMs: 3000, direction: 'both', reaches: 'core' }),
+      ),
+    inject: () => [
+      replace(replica, 'confirmLeadership', (r) => Promise.resolve(replica.isLeader(r))),
+      replace(lease, 'contactAt', (_, now) => now),
+    ],
+    seenAs: /read of .* can't be explained|refused .* can't be explained/,
+  },
+  {
+    name: 'a snapshot that erases a tail',
+    seeds: 10,
+    schedule: (seed) =>
+      scheduleOf(seed, repeated(6, 900, { kind: 'replay', target: 'follower', count: 1 }), {
+        paddingBytes: largeConfiguration,
+      }),
+    circumstances: sendNeedlessSnapshots,
+    inject: function inject() {
+      const original = snapshots.onChunk;
+      return [
+        replace(snapshots, 'onChunk', function mutated(s, m, now, effects) {
+          const baseBefore = s.base.index;
+          original(s, m, now, effects);
+          if (s.base.index === baseBefore) return;
+          s.entries = [];
+          log.refreshMembership(s);
+        }),
+      ];
+    },
+    seenAs: /lacks|differs|while its disk does not hold/,
+  },
+  {
+    name: 'an empty voter',
+    seeds: 5,
+    schedule: (seed) => scheduleOf(seed, repeated(2, 1500, { kind: 'wipe', target: 'follower', forMs: 200 })),
+    prepare: function prepare(cluster) {
+      cluster.afterEvent = function afterEvent() {
+        for (const core of cluster.core) core.settings.is_first_start = true;
+      };
+    },
+    seenAs: /lacks/,
+  },
+  {
+    name: 'two changes of members at once',
+    seeds: 3,
+    schedule: (seed) =>
+      scheduleOf(seed, [
+        { waitMs: 0, moment: 'now', fault: { kind: 'network', forMs: 8000, conditions: { latencyMs: [60, 120] } } },
+        ...repeated(1, 1500, { kind: 'replace', target: 'follower', isPlanned: false, forMs: 100 }),
+        ...repeated(1, 4000, { kind: 'replay', target: 'follower', count: 1 }),
+      ]),
+    inject: function inject() {
+      const original = membership.manage;
+      return [
+        replace(membership, 'manage', function mutated(s, now, effects) {
+          const index = s.membershipIndex;
+          s.membershipIndex = 0;
+          original(s, now, effects);
+          if (s.membershipIndex === 0) s.membershipIndex = index;
+        }),
+      ];
+    },
+    seenAs: /changes of members under way at once|differs|was won by/,
+  },
+  {
+    name: 'commit of an older term by counting',
+    seeds: 10,
+    schedule: (seed) =>
+      scheduleOf(
+        seed,
+        repeated(4, 800, { kind: 'kill', target: 'leader', forMs: 200 }).map((step) => ({
+          ...step,
+          moment: 'order_under_way',
+        })),
+      ),
+    inject: function inject() {
+      return [
+        replace(commit, 'advance', function mutated(s, effects) {
+          const held = quorum.reached(s.membership, (id) =>
+            id === s.self.id ? s.durable : (s.peers.get(id)?.matchIndex ?? 0),
+          );
+          if (held <= s.committed) return false;
+          s.committed = held;
+          commit.applyCommitted(s, effects);
+          return true;
+        }),
+      ];
+    },
+    seenAs: /committed an entry of an earlier term by counting|differs|lacks committed/,
+  },
+  {
+    name: 'a fence reused',
+    seeds: 5,
+    schedule: (seed) =>
+      scheduleOf(seed, repeated(4, 6000, { kind: 'kill', target: 'leader', forMs: 1500 }), { runnerCount: 2 }),
+    prepare: function prepare(cluster) {
+      cluster.wrapOutside = (outside) => ({
+        ...outside,
+        sendOrder: (address, order, timeoutMs) =>
+          outside.sendOrder(address, { ...order, fence: constantFence }, timeoutMs),
+      });
+    },
+    seenAs: /fence 7 was used by/,
+  },
+  {
+    name: 'order memory lost with the snapshot',
+    seeds: 5,
+    schedule: (seed) =>
+      scheduleOf(seed, repeated(5, 1500, { kind: 'kill_all', forMs: 100 }), { paddingBytes: largeConfiguration }),
+    inject: function inject() {
+      const original = snapshotCodec.encode;
+      return [
+        replace(snapshotCodec, 'encode', function mutated(value) {
+          return original({ ...value, state: { ...(value.state as ControlState), orders: orders.empty() } });
+        }),
+      ];
+    },
+    seenAs: /refused .* can't be explained|has another state/,
+  },
+  {
+    name: 'an answer matched by position',
+    seeds: 5,
+    schedule: (seed) =>
+      scheduleOf(seed, repeated(2, 200, { kind: 'network', forMs: 3000, conditions: { misdirectShare: 0.2 } })),
+    inject: () => [replace(identity, 'isReplyTo', (reply): reply is ReplyIdentity => reply !== null)],
+    seenAs: /can't be explained|not at rest/,
+  },
+];
+
+/** Runs a schedule with or without the mistake; its violation, or null. */
+async function violationOf(mistake: Mistake, seed: number, isInjected: boolean): Promise<string | null> {
+  const replacements = isInjected ? (mistake.inject?.() ?? []) : [];
+  try {
+    function prepare(cluster: Cluster): void {
+      mistake.circumstances?.(cluster);
+      if (isInjected) mistake.prepare?.(cluster);
+    }
+    const result = await schedules.run(mistake.schedule(seed), prepare, true);
+    return result.violation?.text ?? null;
+  } finally {
+    for (const replacement of replacements.reverse()) replacement.undo();
+  }
+}
+
+for (const mistake of mistakes)
+  test(`the world sees: ${mistake.name}`, async function sees(t) {
+    for (let seed = 1; seed <= mistake.seeds; seed++) {
+      const seen = await violationOf(mistake, seed, true);
+      if (seen === null) continue;
+      t.diagnostic(`seed ${seed}: ${seen}`);
+      assert.match(seen, mistake.seenAs);
+      assert.equal(await violationOf(mistake, seed, false), null, 'without the mistake nothing is seen');
+      return;
+    }
+    assert.fail(`not seen in ${mistake.seeds} schedules`);
+  });
--- a/test/sim/cluster.ts
+++ b/test/sim/cluster.ts
@@ -3,6 +3,7 @@
  * simulated network, routers that run the real session, operators, runners and the platform's list. What
  * is done to the machines stands in `faults.ts`, what must hold in `checks.ts`.
  */
+import type { Outside } from '../../src/controlplane/parts.js';
 import type { Folder, Runtime } from '../../src/runtime.js';
 import type { Outcome, Settings } from '../../src/types.js';
 import { consensusCalls } from '../../src/coordination/consensus/driver.js';
@@ -69,6 +70,7 @@
   /** Folders and networks of new processes pass through these, so that tests can put mistakes in. */
   wrapFolder: (folder: Folder) => Folder;
   wrapRuntime: (runtime: Runtime) => Runtime;
+  wrapOutside: (outside: Outside) => Outside;
   afterEvent: ((cluster: Cluster) => void) | null;
   /** What members said in this event and is still to be compared with their disks. */
   unchecked: { core: CoreMachine; messages: Message[] }[];
@@ -100,6 +102,7 @@
     nextHost: 1,
     wrapFolder: (folder) => folder,
     wrapRuntime: (runtime) => runtime,
+    wrapOutside: (outside) => outside,
     afterEvent: null,
     unchecked: [],
     sentCount: 0,
@@ -252,7 +255,7 @@
   if (life > 1) core.settings = { ...core.settings, seed_addrs: drawSeeds(cluster) };
   const folder = cluster.wrapFolder(folderOf(core));
   const runtime = runtimeOf(cluster, core.machine, core.endpoint);
-  const outside = runnerFleet.outsideOf(cluster.fleet, core.machine);
+  const outside = cluster.wrapOutside(runnerFleet.outsideOf(cluster.fleet, core.machine));
   void coreProcess.open({ settings: core.settings, runtime, folder, outside }).then(
     function opened(result) {
       if (machines.isAlive(core.machine, life)) coreOpened(cluster, core, result);
--- a/test/sim/network.ts
+++ b/test/sim/network.ts
@@ -363,7 +363,7 @@
   if (reply.identity === '') return reply.outcome;
   const { own, session } = call;
   const found = identity.parseReply(reply.identity);
-  if (found === null || found.callId !== own.callId || found.callerLife !== own.callerLife) {
+  if (!identity.isReplyTo(found, own)) {
     network.counters.strangeReplies++;
     return { ok: false, error: { kind: 'broken', message: 'a reply to another call' } };
   }
--- a/test/sim/schedule.ts
+++ b/test/sim/schedule.ts
@@ -259,8 +259,11 @@
   await within(cluster, settleBoundMs, () => unrest(cluster));
 }
 
-/** Plays a schedule to its end, or to the first violation. */
-async function run(schedule: Schedule, prepare?: (cluster: Cluster) => void): Promise<RunResult> {
+/**
+ * Plays a schedule to its end, or to the first violation. `prepare` may change the world before it starts; a
+ * short run ends once the world is at rest.
+ */
+async function run(schedule: Schedule, prepare?: (cluster: Cluster) => void, isShort = false): Promise<RunResult> {
   const cluster = simulatedCluster.create(schedule.options);
   const state = faults.createState();
   prepare?.(cluster);
@@ -272,7 +275,7 @@
   const calmAt = cluster.scheduler.now;
   if (cluster.checks.violation === null) await comeToRest(cluster);
   const settledMs = cluster.scheduler.now - calmAt;
-  if (cluster.checks.violation === null) await everyMemberCanLeave(cluster);
+  if (cluster.checks.violation === null && !isShort) await everyMemberCanLeave(cluster);
   checkHistories(cluster);
   return resultOf(cluster, state, settledMs);
 }
