--- a/src/coordination/consensus/driver.ts
+++ b/src/coordination/consensus/driver.ts
@@ -135,6 +135,9 @@
     snapshot: store(begun.snapshot),
     entries: begun.entries,
     committed: begun.committed,
+    canDecode: function canDecode(data) {
+      return snapshotCodec.decode(data).ok;
+    },
     now: runtime.clock.now(),
   };
   const { state: machine, effects } = consensus.create(start);
--- a/src/coordination/consensus/machine.ts
+++ b/src/coordination/consensus/machine.ts
@@ -35,6 +35,7 @@
   entries: Entry[];
   /** Up to where the disk knows the log to be committed. */
   committed: number;
+  canDecode: (data: Uint8Array) => boolean;
   now: number;
 };
 
@@ -80,6 +81,7 @@
     handOverSince: null,
     snapshot,
     incoming: null,
+    canDecode: start.canDecode,
   };
   log.refreshMembership(s);
   s.committed = Math.max(snapshot.index, Math.min(start.committed, log.lastIndex(s)));
--- a/src/coordination/consensus/snapshots.ts
+++ b/src/coordination/consensus/snapshots.ts
@@ -101,7 +101,7 @@
   if (incoming.received < m.total) return reply(s, m, incoming.received, 0, effects);
   s.incoming = null;
   const data = Buffer.concat(incoming.chunks);
-  if (crc32(data) !== m.checksum) return reply(s, m, 0, 0, effects);
+  if (crc32(data) !== m.checksum || !s.canDecode(data)) return reply(s, m, 0, 0, effects);
   install(s, { index: m.index, term: m.snapshotTerm, membership: m.membership, data, checksum: m.checksum }, effects);
   common.writePromise(s, now, effects);
   s.pendingEntries.push({ token: s.written, lastIndex: log.lastIndex(s) });
--- a/src/coordination/consensus/types.ts
+++ b/src/coordination/consensus/types.ts
@@ -173,6 +173,8 @@
 
   snapshot: StoredSnapshot | null;
   incoming: IncomingSnapshot | null;
+  /** Whether the bytes of a snapshot can be decoded here; one that can't be is not installed. */
+  canDecode: (data: Uint8Array) => boolean;
 };
 
 export type ConsensusEvent =
--- a/src/tools/simulate/core.ts
+++ b/src/tools/simulate/core.ts
@@ -33,6 +33,7 @@
       snapshot: { index: 0, term: 0, membership: { voters, next: null }, data: new Uint8Array(), checksum: 0 },
       entries: [],
       committed: 0,
+      canDecode: anything,
       now: clock.now,
     });
     core.nodes.push({ addr: self.addr, up: true, machine: state });
@@ -42,6 +43,11 @@
   return core;
 }
 
+/** No snapshots are taken in the simulator. */
+function anything(): boolean {
+  return true;
+}
+
 function tick(core: SimCore, addr: string): void {
   step(core, addr, { type: 'tick' });
   core.clock.after(tickMs, function again() {
@@ -100,6 +106,7 @@
       snapshot: was.snapshot!,
       entries: was.entries,
       committed: was.committed,
+      canDecode: anything,
       now: core.clock.now,
     });
     node.machine = state;
--- a/test/consensus-rules.test.ts
+++ b/test/consensus-rules.test.ts
@@ -46,9 +46,18 @@
   entries?: Entry[];
   committed?: number;
   snapshot?: StoredSnapshot;
+  canDecode?: () => boolean;
   now?: number;
 };
 
+function always(): boolean {
+  return true;
+}
+
+function never(): boolean {
+  return false;
+}
+
 function machine(name: string, options: Options = {}): ConsensusState {
   const promise: VotingPromise = {
     term: options.term ?? 3,
@@ -64,6 +73,7 @@
     snapshot: options.snapshot ?? snapshotAt(0, 0),
     entries: options.entries ?? [],
     committed: options.committed ?? 0,
+    canDecode: options.canDecode ?? always,
     now: options.now ?? 0,
   });
   assert.ok(
@@ -140,6 +150,7 @@
     snapshot: snapshotAt(0, 0),
     entries: [entry(1, 2)],
     committed: 1,
+    canDecode: always,
     now: 0,
   });
   assert.deepEqual([state.durable, state.applied], [0, 1]);
@@ -340,6 +351,9 @@
   const spoilt = { ...snapshotAt(9, 4), checksum: 1 };
   const [reply] = sent(hear(s, 'b', chunkOf(spoilt), 130), 'snapshot_reply');
   assert.deepEqual([reply?.received, s.base.index], [0, 7]);
+  const other = machine('a', { canDecode: never });
+  const [unread] = sent(hear(other, 'b', chunkOf(snapshot), 130), 'snapshot_reply');
+  assert.deepEqual([unread?.received, other.base.index, other.committed], [0, 0, 0], 'what cannot be read');
 });
 
 test('a late or doubled rejection moves nobody back behind what is known to match', function run() {
--- a/test/sim/world.ts
+++ b/test/sim/world.ts
@@ -136,6 +136,10 @@
   n.applied = snapshot.index;
 }
 
+function canDecode(): boolean {
+  return true;
+}
+
 function boot(w: World, n: Node): void {
   n.up = true;
   n.life++;
@@ -146,7 +150,18 @@
   load(n, snapshot);
   const self = { id, addr: n.addr, control: n.addr };
   const seed = luck.below(w.l, 1e9);
-  const start = { self, timing, seed, targetVoters: w.target, promise, snapshot, entries, committed, now: w.now };
+  const start = {
+    self,
+    timing,
+    seed,
+    targetVoters: w.target,
+    promise,
+    snapshot,
+    entries,
+    committed,
+    canDecode,
+    now: w.now,
+  };
   const made = consensus.create(start);
   n.machine = made.state;
   for (const effect of made.effects) carry(w, n, effect);
