--- a/test/log.test.ts
+++ b/test/log.test.ts
@@ -1090,6 +1090,19 @@
   assert.equal((await openOn(b)).recovery.kind, 'lost');
 });
 
+test('of a segment that another follows only what had been kept counts', async function run() {
+  const b = bench(5);
+  const first = segment.encodeFrame(1, 0, root([entry(1, 1)], []));
+  const stale = segment.encodeFrame(1, first.length, { head: null, records: [entryRecord(2, 1), entryRecord(3, 1)] });
+  const head = { kind: 'next', memberId: 'a#first', previous: 1, previousBytes: first.length } as const;
+  disk.damage(b.disk, 'snapshot-1', snapshotCodec.encode(snapshot0));
+  disk.damage(b.disk, 'segment-1', Buffer.concat([first, stale]));
+  disk.damage(b.disk, 'segment-2', segment.encodeFrame(2, 0, { head, records: [] }));
+  const { recovery } = await openOn(b);
+  assert.ok(recovery.kind === 'recovered');
+  assert.deepEqual(recovery.recovered.entries, [entry(1, 1)]);
+});
+
 test('a folder that refuses to be read is an error, not a loss', async function run() {
   const b = bench(2);
   await beginOn(b);
