--- a/test/inner.test.ts
+++ b/test/inner.test.ts
@@ -316,6 +316,11 @@
   }
 });
 
+test('fields that a message only inherits do not count', function inherited() {
+  assert.equal(newsEndpoint.checkRequest(Object.create(newsRequest)).ok, false);
+  assert.equal(feedEndpoint.checkRequest(Object.create(feedRequest)).ok, false);
+});
+
 test('too many messages in one consensus batch are refused', function batch() {
   const outcome = consensusCalls.checkRequest({ messages: new Array(100_000).fill(consensusMessages[1]) });
   assert.deepEqual(outcome, { ok: false, error: { place: 'messages', text: 'over 256 items' } });
