--- a/test/explore/run.ts
+++ b/test/explore/run.ts
@@ -11,7 +11,15 @@
 
 type Job = { first: number; step: number; last: number; shrinkMs: number };
 type Report =
-  | { kind: 'played'; seed: number; simulatedMs: number; events: number; acknowledged: number; settledMs: number }
+  | {
+      kind: 'played';
+      seed: number;
+      simulatedMs: number;
+      events: number;
+      acknowledged: number;
+      settledMs: number;
+      met: [string, number][];
+    }
   | { kind: 'failed'; seed: number; text: string; schedule: string };
 
 const defaultShrinkMs = 60_000;
@@ -39,8 +47,8 @@
 }
 
 function played(seed: number, result: RunResult): Report {
-  const { simulatedMs, events, acknowledged, settledMs } = result;
-  return { kind: 'played', seed, simulatedMs, events, acknowledged, settledMs };
+  const { simulatedMs, events, acknowledged, settledMs, struck, moments } = result;
+  return { kind: 'played', seed, simulatedMs, events, acknowledged, settledMs, met: [...struck, ...moments] };
 }
 
 async function work(job: Job, report: (report: Report) => void): Promise<void> {
@@ -82,8 +90,10 @@
     totals.simulatedMs += one.simulatedMs;
     totals.events += one.events;
     totals.acknowledged += one.acknowledged;
+    for (const [name, count] of one.met) met.set(name, (met.get(name) ?? 0) + count);
     totals.longestSettleMs = Math.max(totals.longestSettleMs, one.settledMs);
   }
+  const met = new Map<string, number>();
   const begun = Date.now();
   const list = Array.from({ length: jobs }, (_, i): Job => {
     return { first: first + i, step: jobs, last: first + seeds - 1, shrinkMs };
@@ -95,6 +105,8 @@
       `simulated in ${((Date.now() - begun) / 1000).toFixed(0)} s, ${events} events, ${acknowledged} orders ` +
       `acknowledged, at rest after at most ${longestSettleMs.toFixed(0)} ms`,
   );
+  const metTexts = [...met].sort((a, b) => b[1] - a[1]).map(([name, count]) => `${name} ${count}`);
+  console.log(`faults that struck and moments that were met: ${metTexts.join(', ')}`);
   const smallest = failures.sort((a, b) => a.schedule.length - b.schedule.length)[0];
   if (smallest) console.log(`smallest failing schedule, of seed ${smallest.seed}:\n${smallest.schedule}`);
   process.exitCode = failures.length > 0 ? 1 : 0;
--- a/test/sim/cluster.ts
+++ b/test/sim/cluster.ts
@@ -53,6 +53,9 @@
   settings: Settings;
   process: RouterProcess | null;
   shownRevision: number;
+  startedAt: number;
+  /** The newest revision that had been acknowledged a second before its process started. */
+  acknowledgedBefore: number;
 };
 
 export type Cluster = {
@@ -84,6 +87,9 @@
 const smallDiskBytes = 2048;
 export const leaseMs = 3000;
 export const catchUpMs = 4000;
+const contactMs = 3000;
+/** What a member in touch hands out may lag by so much. */
+const newsLagMs = 1000;
 
 function create(options: ClusterOptions): Cluster {
   const scheduler = simulatedTime.create();
@@ -145,7 +151,7 @@
     beat_ms: 100,
     tolerance: { machine_losses: tolerated(cluster) },
     bound_set: {
-      contact_ms: 3000,
+      contact_ms: contactMs,
       ack_ms: 4000,
       catch_up_s: catchUpMs / 1000,
       drain_ms: 3000,
@@ -300,13 +306,24 @@
   const machine = machines.create(cluster.scheduler, name, nextSeed(cluster));
   const endpoint = simulatedNetwork.attach(cluster.network, `${host}:${innerPort}`, machine);
   const settings = settingsOf(cluster, name, host, seeds, false);
-  cluster.routers.push({ name, machine, endpoint, settings, process: null, shownRevision: 0 });
+  cluster.routers.push({
+    name,
+    machine,
+    endpoint,
+    settings,
+    process: null,
+    shownRevision: 0,
+    startedAt: 0,
+    acknowledgedBefore: 0,
+  });
 }
 
 function startRouter(cluster: Cluster, router: RouterMachine): void {
   if (router.machine.status === 'running') return;
   machines.start(router.machine);
   router.shownRevision = 0;
+  router.startedAt = cluster.scheduler.now;
+  router.acknowledgedBefore = operators.acknowledgedBy(cluster.histories, cluster.scheduler.now - newsLagMs);
   const runtime = runtimeOf(cluster, router.machine, router.endpoint);
   router.process = routerProcess.start(router.settings, runtime, silentLog);
 }
@@ -407,6 +424,10 @@
   if (router.process === null) return;
   const revision = router.process.revision();
   if (revision === router.shownRevision) return;
+  const isFirst = router.shownRevision === 0;
+  const mayBeStale = now - router.startedAt >= contactMs;
+  if (isFirst && !mayBeStale && revision < router.acknowledgedBefore)
+    checks.fail(cluster.checks, now, `${router.name} began with ${revision}, older than ${router.acknowledgedBefore}`);
   if (revision < router.shownRevision)
     checks.fail(cluster.checks, now, `${router.name} went back from ${router.shownRevision} to ${revision}`);
   router.shownRevision = revision;
--- a/test/sim/faults.ts
+++ b/test/sim/faults.ts
@@ -32,6 +32,8 @@
   | { kind: 'replay'; target: Target; count: number }
   | { kind: 'replace'; target: Target; isPlanned: boolean; forMs: number }
   | { kind: 'terminate'; target: Target; forMs: number }
+  /** Every machine is replaced as planned, one after the other. */
+  | { kind: 'turnover'; everyMs: number }
   | { kind: 'restart_router'; number: number }
   | { kind: 'platform_silent'; forMs: number };
 
@@ -54,6 +56,8 @@
   diskLosses: DiskLoss[];
   troubleUntil: number;
   struck: Map<string, number>;
+  /** How often each moment was met. */
+  moments: Map<string, number>;
   skipped: number;
   acknowledgedBefore: number;
   electionsBefore: number;
@@ -65,7 +69,15 @@
 const replacementLeadMs = 1500;
 
 function createState(): FaultState {
-  return { diskLosses: [], troubleUntil: 0, struck: new Map(), skipped: 0, acknowledgedBefore: 0, electionsBefore: 0 };
+  return {
+    diskLosses: [],
+    troubleUntil: 0,
+    struck: new Map(),
+    moments: new Map(),
+    skipped: 0,
+    acknowledgedBefore: 0,
+    electionsBefore: 0,
+  };
 }
 
 function standing(cluster: Cluster): CoreMachine[] {
@@ -227,6 +239,15 @@
   return true;
 }
 
+function turnover(cluster: Cluster, state: FaultState, everyMs: number): void {
+  standing(cluster).forEach(function schedule(core, place) {
+    later(cluster, place * everyMs, `${core.name} is to be replaced`, function replaceOne() {
+      const target = standing(cluster).indexOf(core);
+      if (target >= 0) replace(cluster, state, { kind: 'replace', target, isPlanned: true, forMs: 0 });
+    });
+  });
+}
+
 function strikeTarget(cluster: Cluster, state: FaultState, fault: Fault & { target: Target }): boolean {
   const core = resolve(cluster, fault.target);
   if (core === null || core.machine.status !== 'running') return false;
@@ -305,6 +326,9 @@
       return true;
     case 'replace':
       return replace(cluster, state, fault);
+    case 'turnover':
+      turnover(cluster, state, fault.everyMs);
+      return true;
     case 'network':
       trouble(cluster, state, fault.forMs);
       changeNetwork(cluster, fault.conditions, fault.forMs);
@@ -373,9 +397,11 @@
 async function awaitMoment(cluster: Cluster, state: FaultState, moment: Moment): Promise<void> {
   state.acknowledgedBefore = cluster.histories.acknowledgedCount;
   state.electionsBefore = cluster.checks.elections;
-  if (isMoment(cluster, state, moment)) return;
   const until = cluster.scheduler.now + momentPatienceMs;
-  await simulatedTime.runUntilTrue(cluster.scheduler, until, () => isMoment(cluster, state, moment));
+  const isMet =
+    isMoment(cluster, state, moment) ||
+    (await simulatedTime.runUntilTrue(cluster.scheduler, until, () => isMoment(cluster, state, moment)));
+  if (isMet) state.moments.set(moment, (state.moments.get(moment) ?? 0) + 1);
 }
 
 /** Ends all troubles that still last, but not the downtime of machines. */
--- a/test/sim/operators.ts
+++ b/test/sim/operators.ts
@@ -18,7 +18,8 @@
   configuration: Operation<RegisterAction>[];
   versions: Map<string, Operation<VersionAction>[]>;
   orders: Map<string, SentOrder>;
-  acknowledgedRevision: number;
+  /** When which revision was acknowledged, in the order of time. */
+  acknowledgements: { atMs: number; revision: number }[];
   acknowledgedCount: number;
   refusedOrders: Set<string>;
   clearAnswers: number;
@@ -60,7 +61,7 @@
     configuration: [],
     versions: new Map(),
     orders: new Map(),
-    acknowledgedRevision: 0,
+    acknowledgements: [],
     acknowledgedCount: 0,
     refusedOrders: new Set(),
     clearAnswers: 0,
@@ -105,13 +106,21 @@
   return [{ label: 'padding', api_keys: keys }];
 }
 
+/** Now and then a tenant with an access rule, which then changes from order to order. */
+function ruledTenant(operator: Operator): object[] {
+  const draw = operator.random();
+  if (draw < 0.6) return [];
+  const label = draw < 0.8 ? modelNames[0]! : modelNames[1]!;
+  return [{ label: 'ruled', api_keys: ['key-of-ruled'], model_rule: [label] }];
+}
+
 function newPut(operator: Operator, key: string, base: number, revision: number, isValid: boolean): SentOrder {
   const label = `r-${key}`;
   const value = {
     revision,
     route_list: [isValid ? routeOf(label) : { ...routeOf(label), target: 'unknown' }],
     service_list: [{ label: serviceLabel }],
-    tenant_list: padding(key, operator.habits.paddingBytes),
+    tenant_list: [...ruledTenant(operator), ...padding(key, operator.habits.paddingBytes)],
   };
   const order: Order = { key, base, revision, isValid: isValid && revision > base, effect: () => label };
   return { order, call: callOf('PUT', base, value) };
@@ -179,7 +188,7 @@
 function acknowledged(operator: Operator, order: Order): void {
   const { histories } = operator;
   histories.acknowledgedCount++;
-  histories.acknowledgedRevision = Math.max(histories.acknowledgedRevision, order.revision);
+  histories.acknowledgements.push({ atMs: operator.scheduler.now, revision: order.revision });
   operator.knownRevision = Math.max(operator.knownRevision, order.revision);
 }
 
@@ -317,6 +326,12 @@
   return false;
 }
 
+/** The newest revision that was acknowledged up to a time. */
+function acknowledgedBy(histories: Histories, atMs: number): number {
+  const due = histories.acknowledgements.filter((one) => one.atMs <= atMs);
+  return Math.max(0, ...due.map((one) => one.revision));
+}
+
 /** What the checker finds in all histories; null when nothing. */
 function violation(histories: Histories): string | null {
   const found = linearizability.check(models.configurationRegister(), histories.configuration);
@@ -345,5 +360,6 @@
   persist,
   read,
   violation,
+  acknowledgedBy,
   contentOf,
 };
--- a/test/sim/schedule.ts
+++ b/test/sim/schedule.ts
@@ -3,10 +3,12 @@
  * one, lets the world come to rest and then asks for what must hold once it is calm.
  */
 import fc from 'fast-check';
+import type { ControlState } from '../../src/state/control/reducer.js';
 import { checks } from './checks.js';
 import { simulatedCluster, type Cluster, type ClusterOptions, type CoreMachine } from './cluster.js';
 import { faults, type Fault, type FaultState, type Moment, type Target } from './faults.js';
 import { operators, type Operator } from './operators.js';
+import { runnerFleet } from './runners.js';
 import { simulatedTime } from './scheduler.js';
 
 /** After `waitMs` the fault strikes at the next occasion of `moment`. */
@@ -21,6 +23,7 @@
   simulatedMs: number;
   events: number;
   struck: Map<string, number>;
+  moments: Map<string, number>;
   acknowledged: number;
   unclear: number;
   elections: number;
@@ -30,6 +33,7 @@
 
 /** Once calm, a new order is in force and read back, and all members and routers have it, within this. */
 export const settleBoundMs = 15_000;
+const ruledModel = 'model-a';
 const beforeFaultsMs = 5000;
 const afterFaultsMs = 1500;
 const checkEveryMs = 100;
@@ -40,7 +44,11 @@
   { weight: 1, arbitrary: fc.constant<Target>('learner') },
   { weight: 2, arbitrary: fc.integer({ min: 0, max: 6 }) },
 );
-const durations = fc.oneof(fc.integer({ min: 50, max: 1200 }), fc.integer({ min: 1000, max: 6000 }));
+const durations = fc.oneof(
+  { weight: 4, arbitrary: fc.integer({ min: 50, max: 1200 }) },
+  { weight: 4, arbitrary: fc.integer({ min: 1000, max: 6000 }) },
+  { weight: 1, arbitrary: fc.integer({ min: 6000, max: 22_000 }) },
+);
 const moments = fc.oneof(
   { weight: 5, arbitrary: fc.constant<Moment>('now') },
   {
@@ -134,6 +142,7 @@
   },
   { weight: 3, arbitrary: fc.record({ kind: kind('terminate'), target: targets, forMs: durations }) },
   { weight: 1, arbitrary: fc.record({ kind: kind('restart_router'), number: fc.integer({ min: 0, max: 3 }) }) },
+  { weight: 1, arbitrary: fc.record({ kind: kind('turnover'), everyMs: fc.integer({ min: 14_000, max: 18_000 }) }) },
   { weight: 1, arbitrary: fc.record({ kind: kind('platform_silent'), forMs: durations }) },
 ];
 
@@ -210,7 +219,20 @@
   for (const router of cluster.routers)
     if (router.process !== null && router.process.revision() !== revision)
       return `${router.name} has an older revision`;
-  return null;
+  return dutiesLeft(cluster, state);
+}
+
+/** What the leader still has to bring about: versions at the runners, access rules in effect, news of both. */
+function dutiesLeft(cluster: Cluster, state: ControlState): string | null {
+  if (state.rules.pending !== 0) return `the access rules of ${state.rules.pending} are not in effect`;
+  for (const router of cluster.routers) {
+    if (router.process === null) continue;
+    if (router.process.site.weightsSeq !== state.weightsSeq) return `${router.name} has older weight versions`;
+    if (router.process.site.rules.seq !== state.rules.seq) return `${router.name} has older access rules`;
+    if (!router.process.isReady()) return `${router.name} is not ready`;
+  }
+  const isDone = runnerFleet.haveAll(cluster.fleet, ruledModel, state.weights[ruledModel] ?? 0);
+  return isDone ? null : 'runners have older weights';
 }
 
 /** Runs until `isDone`; a violation where that takes longer than the bound. */
@@ -294,6 +316,7 @@
     simulatedMs: scheduler.now,
     events: scheduler.executed,
     struck: state.struck,
+    moments: state.moments,
     acknowledged: histories.acknowledgedCount,
     unclear: histories.unclearAnswers,
     elections: cluster.checks.elections,
