--- a/test/sim/schedule.ts
+++ b/test/sim/schedule.ts
@@ -3,10 +3,12 @@
  * one, lets the world come to rest and then asks for what must hold once it is calm.
  */
 import fc from 'fast-check';
+import type { ControlState } from '../../src/state/control/reducer.js';
 import { checks } from './checks.js';
 import { simulatedCluster, type Cluster, type ClusterOptions, type CoreMachine } from './cluster.js';
 import { faults, type Fault, type FaultState, type Moment, type Target } from './faults.js';
 import { operators, type Operator } from './operators.js';
+import { runnerFleet } from './runners.js';
 import { simulatedTime } from './scheduler.js';
 
 /** After `waitMs` the fault strikes at the next occasion of `moment`. */
@@ -21,6 +23,7 @@
   simulatedMs: number;
   events: number;
   struck: Map<string, number>;
+  moments: Map<string, number>;
   acknowledged: number;
   unclear: number;
   elections: number;
@@ -29,7 +32,8 @@
 };
 
 /** Once calm, a new order is in force and read back, and all members and routers have it, within this. */
-export const settleBoundMs = 15_000;
+export const settleBoundMs = 12_000;
+const ruledModel = 'model-a';
 const beforeFaultsMs = 5000;
 const afterFaultsMs = 1500;
 const checkEveryMs = 100;
@@ -40,7 +44,11 @@
   { weight: 1, arbitrary: fc.constant<Target>('learner') },
   { weight: 2, arbitrary: fc.integer({ min: 0, max: 6 }) },
 );
-const durations = fc.oneof(fc.integer({ min: 50, max: 1200 }), fc.integer({ min: 1000, max: 6000 }));
+const durations = fc.oneof(
+  { weight: 4, arbitrary: fc.integer({ min: 50, max: 1200 }) },
+  { weight: 4, arbitrary: fc.integer({ min: 1000, max: 6000 }) },
+  { weight: 1, arbitrary: fc.integer({ min: 6000, max: 22_000 }) },
+);
 const moments = fc.oneof(
   { weight: 5, arbitrary: fc.constant<Moment>('now') },
   {
@@ -62,14 +70,19 @@
   return fc.constant(name);
 }
 
+/** Shares in steps of a hundredth. */
+function shares(mostPercent: number): fc.Arbitrary<number> {
+  return fc.integer({ min: 0, max: mostPercent }).map((percent) => percent / 100);
+}
+
 const conditions = fc.record(
   {
-    lossShare: fc.double({ min: 0, max: 0.25, noNaN: true }),
-    duplicateShare: fc.double({ min: 0, max: 0.3, noNaN: true }),
-    overtakeShare: fc.double({ min: 0, max: 0.5, noNaN: true }),
+    lossShare: shares(25),
+    duplicateShare: shares(30),
+    overtakeShare: shares(50),
     overtakeMs: fc.integer({ min: 5, max: 900 }),
-    resetShare: fc.double({ min: 0, max: 0.2, noNaN: true }),
-    misdirectShare: fc.double({ min: 0, max: 0.2, noNaN: true }),
+    resetShare: shares(20),
+    misdirectShare: shares(20),
     idleMs: fc.integer({ min: 20, max: 2000 }),
     latencyMs: fc.constantFrom<[number, number]>([0.3, 2], [10, 40], [60, 120]),
   },
@@ -134,26 +147,56 @@
   },
   { weight: 3, arbitrary: fc.record({ kind: kind('terminate'), target: targets, forMs: durations }) },
   { weight: 1, arbitrary: fc.record({ kind: kind('restart_router'), number: fc.integer({ min: 0, max: 3 }) }) },
+  { weight: 1, arbitrary: fc.record({ kind: kind('turnover'), everyMs: fc.integer({ min: 14_000, max: 18_000 }) }) },
   { weight: 1, arbitrary: fc.record({ kind: kind('platform_silent'), forMs: durations }) },
 ];
 
-const steps = fc.record<Step>({
-  waitMs: fc.oneof(fc.integer({ min: 0, max: 400 }), fc.integer({ min: 0, max: 4000 })),
-  moment: moments,
-  fault: fc.oneof(...faultKinds),
+const waits = fc.oneof(fc.integer({ min: 0, max: 400 }), fc.integer({ min: 0, max: 4000 }));
+const anyFault = fc.oneof(...faultKinds);
+const oneStep = fc.record<Step>({ waitMs: waits, moment: moments, fault: anyFault }).map((step) => [step]);
+
+/** A fault, and a second one at a moment that the first brings about. */
+function atWorst(first: fc.Arbitrary<Fault>, worst: Moment[]): fc.Arbitrary<Step[]> {
+  return fc
+    .record({ waitMs: waits, first, moment: fc.constantFrom(...worst), second: anyFault })
+    .map(({ waitMs, first: fault, moment, second }): Step[] => [
+      { waitMs, moment: 'now', fault },
+      { waitMs: 0, moment, fault: second },
+    ]);
+}
+
+const leaderEnds: fc.Arbitrary<Fault> = fc.record({
+  kind: fc.constantFrom('kill' as const, 'power' as const),
+  target: fc.constant<Target>('leader'),
+  forMs: durations,
 });
+const leaderLeaves: fc.Arbitrary<Fault> = fc.record({
+  kind: kind('terminate'),
+  target: fc.constant<Target>('leader'),
+  forMs: durations,
+});
+const memberIsNew: fc.Arbitrary<Fault> = fc.oneof(
+  fc.record({ kind: kind('wipe'), target: targets, forMs: fc.integer({ min: 50, max: 400 }) }),
+  fc.record({ kind: kind('replace'), target: targets, isPlanned: fc.boolean(), forMs: fc.constant(100) }),
+);
+const stepGroups = fc.oneof(
+  { weight: 4, arbitrary: oneStep },
+  { weight: 1, arbitrary: atWorst(leaderEnds, ['after_election', 'before_first_commit']) },
+  { weight: 1, arbitrary: atWorst(leaderLeaves, ['handing_over', 'before_first_commit']) },
+  { weight: 2, arbitrary: atWorst(memberIsNew, ['learner_fed', 'snapshot_under_way', 'joint_membership']) },
+);
 
 const habits = fc.record({
   underWay: fc.integer({ min: 1, max: 8 }),
   pauseMs: fc.integer({ min: 60, max: 400 }),
   paddingBytes: fc.oneof(
-    { weight: 3, arbitrary: fc.constant(0) },
-    { weight: 1, arbitrary: fc.integer({ min: 10_000, max: 400_000 }) },
+    { weight: 2, arbitrary: fc.constant(0) },
+    { weight: 1, arbitrary: fc.integer({ min: 150_000, max: 400_000 }) },
   ),
   patienceMs: fc.integer({ min: 500, max: 8000 }),
 });
 
-/** All schedules of up to eight faults. */
+/** All schedules, of up to eighteen faults. */
 const arbitrary: fc.Arbitrary<Schedule> = fc.record({
   options: fc.record({
     seed: fc.integer({ min: 1, max: 2 ** 31 - 1 }),
@@ -164,7 +207,7 @@
     habits,
     megabits: fc.constantFrom(Infinity, Infinity, 120),
   }),
-  steps: fc.array(steps, { minLength: 1, maxLength: 8 }),
+  steps: fc.array(stepGroups, { minLength: 2, maxLength: 9, size: 'max' }).map((groups) => groups.flat()),
 });
 
 function createOperator(cluster: Cluster): Operator {
@@ -210,7 +253,20 @@
   for (const router of cluster.routers)
     if (router.process !== null && router.process.revision() !== revision)
       return `${router.name} has an older revision`;
-  return null;
+  return dutiesLeft(cluster, state);
+}
+
+/** What the leader still has to bring about: versions at the runners, access rules in effect, news of both. */
+function dutiesLeft(cluster: Cluster, state: ControlState): string | null {
+  if (state.rules.pending !== 0) return `the access rules of ${state.rules.pending} are not in effect`;
+  for (const router of cluster.routers) {
+    if (router.process === null) continue;
+    if (router.process.site.weightsSeq !== state.weightsSeq) return `${router.name} has older weight versions`;
+    if (router.process.site.rules.seq !== state.rules.seq) return `${router.name} has older access rules`;
+    if (!router.process.isReady()) return `${router.name} is not ready`;
+  }
+  const isDone = runnerFleet.haveAll(cluster.fleet, ruledModel, state.weights[ruledModel] ?? 0);
+  return isDone ? null : 'runners have older weights';
 }
 
 /** Runs until `isDone`; a violation where that takes longer than the bound. */
@@ -294,6 +350,7 @@
     simulatedMs: scheduler.now,
     events: scheduler.executed,
     struck: state.struck,
+    moments: state.moments,
     acknowledged: histories.acknowledgedCount,
     unclear: histories.unclearAnswers,
     elections: cluster.checks.elections,
@@ -304,7 +361,7 @@
 
 /** The schedule that a number stands for. */
 function ofSeed(seed: number): Schedule {
-  return fc.sample(arbitrary, { seed, numRuns: 1 })[0]!;
+  return fc.sample(arbitrary, { seed, numRuns: 1, unbiased: true })[0]!;
 }
 
 /** A schedule on one line, as it can be kept in a test. */
