--- a/src/coordination/consensus/driver.ts
+++ b/src/coordination/consensus/driver.ts
@@ -33,8 +33,11 @@
   leavingMs: 2000,
 };
 const tickMs = 50;
-/** The log behind the snapshot grows to this size, or that of the snapshot, before a new one is taken. */
-const compactBytes = 4 * 1024 * 1024;
+/**
+ * The log behind the snapshot grows to this size, or that of the snapshot, before a new one is taken. A member
+ * without its disk is fed a snapshot and at most that much behind it, and what was written meanwhile.
+ */
+const compactBytes = 1024 * 1024;
 /** How long a stopping follower waits to be exchanged for a learner that stands by. */
 const exchangeMs = 400;
 
@@ -295,7 +298,9 @@
   };
 }
 
+/** While a snapshot waits for the disk no other one is taken, so that it is not superseded again and again. */
 function compactIfLarge(r: Replica): void {
+  if (r.storage.snapshot !== null) return;
   const latest = r.machine.snapshot?.data.length ?? 0;
   if (storage.size(r.storage) <= Math.max(compactBytes, latest)) return;
   const { membership } = machineLog.membershipAt(r.machine, r.appliedIndex);
--- a/src/coordination/consensus/outbox.ts
+++ b/src/coordination/consensus/outbox.ts
@@ -17,7 +17,8 @@
 
 const calls = consensusEndpoint.create<Message>(messages.fault);
 
-type Queue = { address: string; lane: Lane; waiting: Message[]; open: number };
+/** `underWay`: the bulk messages of the calls that are open. */
+type Queue = { address: string; lane: Lane; waiting: Message[]; open: number; underWay: Message[] };
 
 export type Outbox = {
   runtime: Runtime;
@@ -34,14 +35,31 @@
   const key = `${lane} ${address}`;
   const known = o.queues.get(key);
   if (known) return known;
-  const made: Queue = { address, lane, waiting: [], open: 0 };
+  const made: Queue = { address, lane, waiting: [], open: 0, underWay: [] };
   o.queues.set(key, made);
   return made;
 }
 
+/**
+ * Whether a message begins where another one does. A slow link makes the machine repeat what is still on its
+ * way; the copy would only take room from the original, whose call ends by itself when nothing moves.
+ */
+function isCopy(message: Message, other: Message): boolean {
+  if (message.to !== other.to) return false;
+  if (message.type === 'append' && other.type === 'append')
+    return message.term === other.term && message.previousIndex === other.previousIndex;
+  if (message.type === 'snapshot_chunk' && other.type === 'snapshot_chunk')
+    return message.term === other.term && message.index === other.index && message.offset === other.offset;
+  return false;
+}
+
 /** Sends a message, together with what else comes up for the same address in this turn. */
 function post(o: Outbox, address: string, message: Message, lane: Lane): void {
   const queue = queueOf(o, address, lane);
+  const isUnderWay = queue.underWay.some(function same(other) {
+    return isCopy(message, other);
+  });
+  if (isUnderWay) return;
   queue.waiting.push(message);
   if (queue.waiting.length > 1) return;
   o.runtime.clock.after(0, function later() {
@@ -53,9 +71,13 @@
   const list = queue.waiting.splice(0).slice(-maxConsensusMessages);
   if (list.length === 0 || queue.open >= mostOpen[queue.lane]) return;
   queue.open++;
+  if (queue.lane === 'bulk') queue.underWay.push(...list);
   const options = { timeoutMs: timeoutMs[queue.lane], lane: queue.lane };
   const reply = await endpoint.call(o.runtime.network, queue.address, calls, { messages: list }, options);
   queue.open--;
+  queue.underWay = queue.underWay.filter(function other(message) {
+    return !list.includes(message);
+  });
   if (queue.open === 0 && queue.waiting.length === 0) o.queues.delete(`${queue.lane} ${queue.address}`);
   if (reply.ok && reply.value.messages.length > 0) o.onReplies(reply.value.messages);
 }
--- a/src/coordination/consensus/replication.ts
+++ b/src/coordination/consensus/replication.ts
@@ -68,10 +68,31 @@
   return now - peer.inFlight.sentAt < patienceMs;
 }
 
-/** Sends a peer what it lacks next, unless something is on its way to it. */
+/** Whether the latest snapshot is shorter, by more than a batch, than the entries that a peer lacks up to it. */
+function isSnapshotShorter(s: ConsensusState, peer: Peer): boolean {
+  if (s.snapshot === null || peer.isProbing) return false;
+  const most = s.snapshot.data.length + batchBytes;
+  let bytes = 0;
+  for (let index = peer.nextIndex; index <= s.snapshot.index; index++) {
+    bytes += log.sizeOf(log.entryAt(s, index)!);
+    if (bytes > most) return true;
+  }
+  return false;
+}
+
+/** A snapshot of which a silent peer holds nothing is let go; it will be offered the latest one. */
+function restTransfer(peer: Peer): void {
+  if (peer.transfer?.offset === 0) peer.transfer = null;
+}
+
+/**
+ * Sends a peer what it lacks next, unless something is on its way to it. A silent peer gets heartbeats only:
+ * its link may be shared with a successor at the same address. Its first answer sets the feeding off again.
+ */
 function feed(s: ConsensusState, peer: Peer, now: number, effects: Effects): void {
   if (isWaiting(s, peer, now)) return;
-  if (peer.transfer !== null || peer.nextIndex <= s.base.index) {
+  if (now - peer.heardAt > s.timing.electionMs) return restTransfer(peer);
+  if (peer.transfer !== null || peer.nextIndex <= s.base.index || isSnapshotShorter(s, peer)) {
     const bytes = snapshots.sendChunk(s, peer, effects);
     peer.inFlight = { sentAt: now, bytes };
     return;
--- a/src/coordination/consensus/snapshots.ts
+++ b/src/coordination/consensus/snapshots.ts
@@ -13,8 +13,6 @@
 
 /** Entries behind a snapshot's index that stay in memory for peers that lag a little, in bytes. */
 const marginBytes = 1024 * 1024;
-/** The same for peers that are being fed, so that they are not overtaken by snapshot after snapshot. */
-const mostMarginBytes = 8 * 1024 * 1024;
 
 /** The driver's snapshot of the applied state at `index`; most of the log before it is forgotten. */
 function compact(s: ConsensusState, index: number, data: Uint8Array): StoredSnapshot | null {
@@ -23,18 +21,21 @@
   if (!isNewer || index > s.applied || term === null) return null;
   const { membership } = log.membershipAt(s, index);
   s.snapshot = { index, term, membership, data, checksum: crc32(data) };
-  moveBase(s, retainedFrom(s, index));
+  moveBase(s, retainedFrom(s, index, data.length));
   return s.snapshot;
 }
 
-/** The index behind which entries stay in memory. */
-function retainedFrom(s: ConsensusState, index: number): number {
+/**
+ * The index behind which entries stay in memory. For peers that are being fed as many more stay as the
+ * snapshot has bytes; a peer that lacks more than that is served sooner by the snapshot.
+ */
+function retainedFrom(s: ConsensusState, index: number, snapshotBytes: number): number {
   const wanted = Math.min(index, ...[...s.peers.values()].map(neededFrom));
   let bytes = 0;
   let from = index;
   while (from > s.base.index) {
     bytes += log.sizeOf(log.entryAt(s, from)!);
-    const most = from > wanted ? mostMarginBytes : marginBytes;
+    const most = from > wanted ? snapshotBytes + marginBytes : marginBytes;
     if (bytes > most) break;
     from--;
   }
--- a/test/consensus-rules.test.ts
+++ b/test/consensus-rules.test.ts
@@ -388,7 +388,7 @@
       return m.to === 'b#first';
     });
     assert.equal(toB.length, isLate ? 1 : 0, `at ${now}`);
-    answerHeartbeats(s, ['c'], now);
+    answerHeartbeats(s, ['b', 'c'], now);
   }
   assert.ok(
     resent.some(function again(m) {
@@ -398,6 +398,32 @@
   );
 });
 
+test('a silent peer gets heartbeats only, and what it lacks with its first answer', function run() {
+  const large = Array.from({ length: 20 }, function make(_, i) {
+    return entry(i + 1, 3, 100 * 1024);
+  });
+  const s = elected({ entries: large });
+  syncAll(s, 2004);
+  hear(s, 'b', { type: 'append_reply', term: 4, rejected: true, previousIndex: 20, matchIndex: 0 }, 2005);
+  matches(s, 'b', 0, 2006);
+  const beats: Message[] = [];
+  for (let now = 2050; now < 8000; now += 50) {
+    const effects = consensus.step(s, { type: 'tick' }, now);
+    const toB = effects.flatMap(function addressed(effect) {
+      return effect.type === 'send' && effect.message.to === 'b#first' ? [effect.message] : [];
+    });
+    if (now > 2006 + timing.electionMs) {
+      for (const message of toB) assert.equal(message.type, 'heartbeat', `at ${now}`);
+      beats.push(...toB);
+    }
+    answerHeartbeats(s, ['c'], now);
+  }
+  assert.ok(beats.length > 20);
+  const number = s.heartbeatNumber;
+  const fed = hear(s, 'b', { type: 'heartbeat_reply', term: 4, number }, 8001);
+  assert.equal(sent(fed, 'append')[0]?.entries.length, 2);
+});
+
 function answerHeartbeats(s: ConsensusState, names: string[], now: number): void {
   const number = s.heartbeatNumber;
   for (const name of names) hear(s, name, { type: 'heartbeat_reply', term: s.term, number }, now);
@@ -521,7 +547,8 @@
   assert.equal(s.role, 'follower');
 });
 
-test('entries that a peer being fed still needs are kept when a snapshot is taken', function run() {
+/** A leader with 30 entries of 200 KiB, of which peer c holds the first 4. */
+function leaderWithLaggingPeer(): ConsensusState {
   const large = Array.from({ length: 30 }, function make(_, i) {
     return entry(i + 1, 3, 200 * 1024);
   });
@@ -531,13 +558,33 @@
   hear(s, 'c', { type: 'append_reply', term: 4, rejected: true, previousIndex: 30, matchIndex: 4 }, 2006);
   matches(s, 'c', 4, 2006);
   assert.equal(s.applied, 31);
-  consensus.step(s, { type: 'compact', index: 31, data: Buffer.from('x') }, 2010);
+  return s;
+}
+
+test('entries that a peer being fed still needs are kept when a snapshot is taken', function run() {
+  const s = leaderWithLaggingPeer();
+  consensus.step(s, { type: 'compact', index: 31, data: Buffer.alloc(6 * 1024 * 1024) }, 2010);
   assert.equal(s.snapshot?.index, 31);
   assert.equal(s.base.index, 4, 'c goes on with entries');
+  const fed = matches(s, 'c', 5, 2020);
+  assert.equal(sent(fed, 'append')[0]?.previousIndex, 5);
+  assert.equal(s.peers.get('c#first')?.transfer ?? null, null);
   consensus.step(s, { type: 'tick' }, 5000);
   assert.equal(s.peers.get('c#first')?.transfer ?? null, null);
 });
 
+test('a peer that lacks more than the snapshot has bytes is fed the snapshot, and the entries go', function run() {
+  const s = leaderWithLaggingPeer();
+  consensus.step(s, { type: 'compact', index: 31, data: Buffer.alloc(200 * 1024) }, 2010);
+  const retained = s.entries.reduce(function sum(bytes, one) {
+    return bytes + (one.data.kind === 'command' ? one.data.size : 0);
+  }, 0);
+  assert.ok(retained <= 1024 * 1024 + 200 * 1024, `${retained} bytes stay`);
+  const fed = matches(s, 'c', 5, 2020);
+  assert.equal(sent(fed, 'append').length, 0);
+  assert.equal(sent(fed, 'snapshot_chunk')[0]?.index, 31);
+});
+
 const fuzzed = fc.oneof(
   fc.record(
     {
