--- a/test/consensus-rules.test.ts
+++ b/test/consensus-rules.test.ts
@@ -585,6 +585,15 @@
   assert.equal(sent(fed, 'snapshot_chunk')[0]?.index, 31);
 });
 
+test('a peer is fed the snapshot where that is shorter, though all entries that it lacks are still held', function run() {
+  const s = leaderWithLaggingPeer();
+  consensus.step(s, { type: 'compact', index: 31, data: Buffer.alloc(4.5 * 1024 * 1024) }, 2010);
+  assert.equal(s.base.index, 4);
+  const fed = matches(s, 'c', 5, 2020);
+  assert.equal(sent(fed, 'append').length, 0);
+  assert.equal(sent(fed, 'snapshot_chunk')[0]?.offset, 0);
+});
+
 const fuzzed = fc.oneof(
   fc.record(
     {
