--- a/test/sim/faults.ts
+++ b/test/sim/faults.ts
@@ -55,6 +55,7 @@
 export type FaultState = {
   diskLosses: DiskLoss[];
   troubleUntil: number;
+  turnoverUntil: number;
   struck: Map<string, number>;
   /** How often each moment was met. */
   moments: Map<string, number>;
@@ -72,6 +73,7 @@
   return {
     diskLosses: [],
     troubleUntil: 0,
+    turnoverUntil: 0,
     struck: new Map(),
     moments: new Map(),
     skipped: 0,
@@ -240,6 +242,7 @@
 }
 
 function turnover(cluster: Cluster, state: FaultState, everyMs: number): void {
+  state.turnoverUntil = cluster.scheduler.now + standing(cluster).length * everyMs;
   standing(cluster).forEach(function schedule(core, place) {
     later(cluster, place * everyMs, `${core.name} is to be replaced`, function replaceOne() {
       const target = standing(cluster).indexOf(core);
--- a/test/sim/schedule.ts
+++ b/test/sim/schedule.ts
@@ -221,7 +221,10 @@
     if (cluster.checks.violation !== null) return;
     faults.strike(cluster, state, step.fault);
   }
-  await advance(cluster, afterFaultsMs);
+  await advance(
+    cluster,
+    Math.max(0, Math.max(state.troubleUntil, state.turnoverUntil) - cluster.scheduler.now) + afterFaultsMs,
+  );
 }
 
 /** Lets time pass, but stops at the first violation. */
--- a/test/world.test.ts
+++ b/test/world.test.ts
@@ -4,7 +4,7 @@
  */
 import { strict as assert } from 'node:assert';
 import { test } from 'node:test';
-import type { Fault } from './sim/faults.js';
+import type { Fault, Target } from './sim/faults.js';
 import { schedules, type Schedule, type Step } from './sim/schedule.js';
 
 const firstSeed = 1;
@@ -43,11 +43,19 @@
   return { waitMs, moment: 'now', fault };
 }
 
+function cutOff(target: Target, forMs: number): Fault {
+  return { kind: 'cut', target, forMs, direction: 'both', reaches: 'core' };
+}
+
+function fullDisk(target: Target, forMs: number): Fault {
+  return { kind: 'disk', target, forMs, trouble: 'full' };
+}
+
 /** Schedules that showed a fault once, and what it was; and one for each of the five points. */
 const named: Record<string, Schedule> = {
   'a new machine whose seeds do not name the leader (its join was not sent on)': scheduleOf(
     [now(0, { kind: 'replace', target: 'leader', isPlanned: true, forMs: 1000 })],
-    { coreCount: 5, seed: 1 },
+    { coreCount: 5, seed: 9 },
   ),
   'two machines lost of five, and a wiped one back among followers': scheduleOf(
     [now(2200, { kind: 'wipe', target: 'follower', forMs: 244 })],
@@ -55,16 +63,27 @@
   ),
   'an old heartbeat answered in a later term (the answer named its number)': scheduleOf(
     [
-      now(600, { kind: 'cut', target: 'leader', forMs: 5226, direction: 'in', reaches: 'all' }),
-      now(11, { kind: 'cut', target: 'leader', forMs: 4597, direction: 'both', reaches: 'core' }),
-      now(3600, { kind: 'disk', target: 'leader', forMs: 5874, trouble: 'full' }),
-      now(486, { kind: 'power', target: 4, forMs: 4201 }),
-      now(35, { kind: 'network', forMs: 4192, conditions: { latencyMs: [10, 40], overtakeMs: 68 } }),
+      { waitMs: 251, moment: 'joint_membership', fault: { kind: 'replay', target: 'leader', count: 4 } },
+      now(376, { kind: 'cut', target: 'leader', forMs: 5226, direction: 'in', reaches: 'all' }),
+      { waitMs: 11, moment: 'joint_membership', fault: cutOff('leader', 4597) },
+      { waitMs: 1148, moment: 'handing_over', fault: fullDisk('leader', 5874) },
+      { waitMs: 299, moment: 'order_under_way', fault: fullDisk('learner', 546) },
+      { waitMs: 187, moment: 'joint_membership', fault: { kind: 'power', target: 4, forMs: 4201 } },
+      {
+        waitMs: 35,
+        moment: 'order_under_way',
+        fault: { kind: 'network', forMs: 4192, conditions: { overtakeMs: 68, latencyMs: [10, 40] } },
+      },
     ],
-    { seed: 1501554940 },
+    {
+      seed: 1501554940,
+      runnerCount: 0,
+      habits: { underWay: 3, pauseMs: 392, paddingBytes: 0, patienceMs: 509 },
+      megabits: Infinity,
+    },
   ),
   'the leader cut off for twenty seconds, then all lose power': scheduleOf([
-    now(500, { kind: 'cut', target: 'leader', forMs: 20_000, direction: 'both', reaches: 'core' }),
+    now(500, cutOff('leader', 20_000)),
     now(18_000, { kind: 'power_all', forMs: 1500 }),
   ]),
   'many orders at once over a network that loses, doubles and mixes up answers': scheduleOf(
