The exchange keeps to its part of the leader's link; a router that is put off stays where it is

After a loss of power each new leader was asked by 238 routers for everything, answered 14 to 19 MB in its first second over a link of 120 Mbit/s, lost touch with its majority and gave way, again and again. Change: what the exchange sends is bounded in bytes a second; a router whose turn has not come by the end of its hold is told nothing. Tests: test/feed.test.ts, one of them without the budget.

--- a/src/controlplane/feed.ts
+++ b/src/controlplane/feed.ts
@@ -2,51 +2,72 @@
  * Drives the exchange between sites and the leader: a site tells its load, what it sent where, what
  * it met and its counts; it is told the load of the others, who is unhealthy, what is kept where, and
  * the hot set. All of it is advisory: a site without it chooses by what it knows itself.
+ *
+ * After an election every site lacks everything at once. What goes out is therefore bounded in bytes per
+ * second; a site whose turn has not come by the end of its hold is told nothing and stays where it is.
  */
 import { exchange, type Exchange } from '../coordination/exchange/machine.js';
 import type { Bench } from '../coordination/health/jury.js';
 import type { FeedReply, FeedRequest } from '../protocol/inner/feed.js';
+import { pacing, type Budget } from './pacing.js';
 import type { Coordinator } from './parts.js';
 import { sessions } from './sessions.js';
 
 const trackMs = 100;
 
+/** The part of the link that the exchange may take, and the link's width where the settings tell none. */
+const linkShare = 0.3;
+const usualLinkMbps = 100;
+
 type Waiter = { call: FeedRequest; answer: () => void };
-export type FeedState = Exchange & { waiters: Set<Waiter> };
+export type FeedState = Exchange & { waiters: Set<Waiter>; budget: Budget };
 
 const states = new WeakMap<Coordinator, FeedState>();
 
+function budgetOf(c: Coordinator): Budget {
+  return pacing.create(c.settings.limits?.link_mbps ?? usualLinkMbps, linkShare, c.runtime.clock.now());
+}
+
 function state(c: Coordinator): FeedState {
   let s = states.get(c);
   const term = c.core.term();
   if (!s || s.term !== term) {
     for (const w of s?.waiters ?? []) w.answer();
-    s = { ...exchange.create(term, c.tuning, sessions.count(c)), waiters: new Set() };
+    s = { ...exchange.create(term, c.tuning, sessions.count(c)), waiters: new Set(), budget: budgetOf(c) };
     states.set(c, s);
   }
   return s;
 }
 
 /** Answers all who wait for what is there now; run once an interval, so that each site is answered at most once in it. */
-function wake(s: FeedState): void {
+function wake(s: FeedState, now: number): void {
   for (const w of [...s.waiters]) {
+    if (!pacing.hasRoom(s.budget, now)) return;
     if (!exchange.due(s, w.call)) continue;
     s.waiters.delete(w);
     w.answer();
   }
 }
 
+function paid(s: FeedState, f: FeedRequest, known: boolean): FeedReply {
+  const reply = exchange.answerOf(s, f, known);
+  pacing.spend(s.budget, exchange.sizeOf(reply));
+  return reply;
+}
+
 function call(c: Coordinator, f: FeedRequest): Promise<FeedReply> | FeedReply | null {
   if (!c.core.isLeader()) return null;
   const s = state(c);
   const known = exchange.take(s, f, c.runtime.clock.now());
-  if (f.hold === 0 || f.since[0] !== s.term) return exchange.answerOf(s, f, known);
+  const lacksAll = f.since[0] !== s.term;
+  if (f.hold === 0 || (lacksAll && pacing.hasRoom(s.budget, c.runtime.clock.now()))) return paid(s, f, known);
   return new Promise(function run(done) {
     const w: Waiter = {
       call: f,
       answer: function answer() {
         timer.cancel();
-        done(exchange.answerOf(s, f, known));
+        const mayTell = pacing.hasRoom(s.budget, c.runtime.clock.now());
+        done(mayTell ? paid(s, f, known) : exchange.deferred(s, f, known));
       },
     };
     const timer = c.runtime.clock.after(f.hold, function over() {
@@ -90,7 +111,7 @@
   const s = states.get(c);
   if (s && c.core.isLeader() && s.term === c.core.term()) {
     exchange.beat(s, benchOf(c, s), c.runtime.clock.now());
-    wake(s);
+    wake(s, c.runtime.clock.now());
   }
   c.runtime.clock.after(s?.beatMs ?? trackMs, function next() {
     turn(c);
--- a/src/coordination/exchange/machine.ts
+++ b/src/coordination/exchange/machine.ts
@@ -111,6 +111,37 @@
   };
 }
 
+/** What a site is answered whose turn has not come: its report was taken, and it stays where it is. */
+function deferred(s: Exchange, call: FeedRequest, known: boolean): FeedReply {
+  const { total, gather, era } = s.tracker;
+  return {
+    term: call.since[0],
+    at: call.since[1],
+    whole: false,
+    changes: [],
+    loads: null,
+    beatMs: s.beatMs,
+    verdicts: null,
+    taken: call.report?.seq ?? 0,
+    known,
+    tracking: { k: s.k, total, gather, era, hotSeq: s.hotSeq, hot: null },
+  };
+}
+
+/** Bytes of an answer, near enough for a budget: what its rows take on the wire, and the rest. */
+const rowBytes = { change: 60, load: 32, hot: 48, verdict: 32 };
+const emptyReplyBytes = 350;
+
+function sizeOf(reply: FeedReply): number {
+  return (
+    emptyReplyBytes +
+    reply.changes.length * rowBytes.change +
+    (reply.loads?.rows.length ?? 0) * rowBytes.load +
+    (reply.tracking.hot?.upserts.length ?? 0) * rowBytes.hot +
+    (reply.verdicts?.rows.length ?? 0) * rowBytes.verdict
+  );
+}
+
 function take(s: Exchange, call: FeedRequest, now: number): boolean {
   sums.report(s.sums, call.site, call.life, call.loadNo, call.load, call.unhealthy, now);
   jury.hear(s.jury, call.site, call.outcomes, now);
@@ -168,4 +199,4 @@
   return n;
 }
 
-export const exchange = { create, beatOf, due, answerOf, take, beat, track, unhealthyAt };
+export const exchange = { create, beatOf, due, answerOf, deferred, sizeOf, take, beat, track, unhealthyAt };
--- a/src/dataplane/feed.ts
+++ b/src/dataplane/feed.ts
@@ -104,7 +104,8 @@
 function take(site: Site, x: Exchange, a: FeedReply, held: boolean): void {
   const now = performance.now();
   x.heardAt = now;
-  site.hintsUntil = now + hintsMs;
+  // A site that was put off is told no loads: what it knows grows older.
+  if (a.loads) site.hintsUntil = now + hintsMs;
   siteTracker.answered(x.tracker, a.taken, a.known);
   siteTracker.told(x.tracker, a.tracking);
   site.hot.total = a.tracking.total;
--- a/src/protocol/settings/check.ts
+++ b/src/protocol/settings/check.ts
@@ -49,6 +49,8 @@
     version_ms: atLeastZero,
     reuse_after_s: atLeastZero,
   }),
+  tolerance: optional(type({ machine_losses: min(integer(), 0) })),
+  limits: optional(type({ link_mbps: optional(min(number(), 0, { exclusive: true })) })),
   cloud_api: type({ address: addr, rate_per_s: min(number(), 0, { exclusive: true }), lag_ms: atLeastZero }),
 });
 
--- a/src/types.ts
+++ b/src/types.ts
@@ -36,6 +36,7 @@
   data_dir?: string | null;
   beat_ms: number;
   tolerance?: { machine_losses: number };
+  limits?: { link_mbps?: number };
   bound_set: Bounds;
   cloud_api: { address: string; rate_per_s: number; lag_ms: number };
 };
--- /dev/null
+++ b/test/feed.test.ts
@@ -0,0 +1,137 @@
+/**
+ * The exchange after an election, on virtual time: every router lacks everything at once, and what goes out
+ * stays within its part of the link, yet all are told soon; nobody takes being put off for an answer.
+ */
+import { strict as assert } from 'node:assert';
+import { test } from 'node:test';
+import { Packr } from 'msgpackr';
+import { feed } from '../src/controlplane/feed.js';
+import { pacing } from '../src/controlplane/pacing.js';
+import type { Coordinator } from '../src/controlplane/parts.js';
+import { exchange } from '../src/coordination/exchange/machine.js';
+import type { FeedReply, FeedRequest } from '../src/protocol/inner/feed.js';
+import { feedEndpoint } from '../src/protocol/inner/feed.js';
+import { tuning } from '../src/protocol/settings/tuning.js';
+import { keptIndex } from '../src/state/index/kept.js';
+import { virtualTime, type VirtualTime } from './support/coordinators.js';
+
+const packr = new Packr({ useRecords: false });
+const megabits = 120;
+const bytesPerSecond = megabits * 125_000;
+const holdMs = 500;
+
+type Leader = { c: Coordinator; time: VirtualTime };
+
+function leader(): Leader {
+  const time: VirtualTime = { now: 1000, due: [], number: 0 };
+  const c = {
+    settings: { limits: { link_mbps: megabits } },
+    tuning: tuning.defaults,
+    runtime: { clock: virtualTime.clockOf(time) },
+    core: { isLeader: () => true, term: () => 4, state: () => ({ weights: {} }) },
+    board: { runners: [] },
+    sessions: new Map(),
+    peerSessions: new Map(),
+  } as unknown as Coordinator;
+  const state = feed.state(c);
+  for (let place = 0; place < 40; place++) {
+    const held = Array.from({ length: 40 }, function part(_, i): [string, string, number, string] {
+      return ['all/model/1', `part-${place}-${i}`, 2000, 'model'];
+    });
+    keptIndex.list(state.index, `runner-${place}`, { epoch: 1, next: 1, held }, time.now);
+  }
+  feed.start(c);
+  return { c, time };
+}
+
+function request(site: string, since: [number, number]): FeedRequest {
+  return {
+    site,
+    life: site,
+    since,
+    hotSeq: 0,
+    hold: holdMs,
+    load: [],
+    loadNo: 1,
+    loadSeen: 0,
+    unhealthy: [],
+    outcomes: [],
+    verdictSeq: 0,
+    held: [],
+    report: null,
+  };
+}
+
+type Told = { at: number; bytes: number };
+type Routers = { told: Told[]; deferred: number; complete: number; lastAt: number };
+
+/** `count` routers that lack everything ask until they have it. */
+function ask(l: Leader, count: number): Routers {
+  const routers: Routers = { told: [], deferred: 0, complete: 0, lastAt: 0 };
+  async function one(name: string): Promise<void> {
+    let since: [number, number] = [-1, 0];
+    while (since[0] !== 4) {
+      const reply = (await feed.call(l.c, request(name, since))) as FeedReply;
+      assert.ok(feedEndpoint.checkReply(reply).ok, 'the reply passes the check of its endpoint');
+      routers.told.push({ at: l.time.now, bytes: packr.pack(reply).length });
+      if (reply.term !== 4) routers.deferred++;
+      since = [reply.term, reply.at];
+    }
+    routers.complete++;
+    routers.lastAt = l.time.now;
+  }
+  for (let i = 0; i < count; i++) void one(`router-${i}`);
+  return routers;
+}
+
+function mostWithin(told: Told[], windowMs: number): number {
+  return Math.max(
+    ...told.map(function from(first) {
+      return told
+        .filter((one) => one.at >= first.at && one.at < first.at + windowMs)
+        .reduce((sum, one) => sum + one.bytes, 0);
+    }),
+  );
+}
+
+test('after an election the exchange keeps to its part of the link, and all routers are told', async function run() {
+  const l = leader();
+  const routers = ask(l, 240);
+  await virtualTime.advance(l.time, 12_000);
+  assert.equal(routers.complete, 240);
+  assert.ok(routers.deferred > 0, 'some were put off');
+  const most = mostWithin(routers.told, 1000);
+  assert.ok(most < bytesPerSecond * 0.5, `${most} bytes within a second`);
+  assert.ok(routers.lastAt - 1000 < 8000, `the last was told after ${routers.lastAt - 1000} ms`);
+});
+
+test('seen to fail: without the budget all is sent at once', async function run() {
+  const { hasRoom } = pacing;
+  pacing.hasRoom = function always() {
+    return true;
+  };
+  try {
+    const l = leader();
+    const routers = ask(l, 240);
+    await virtualTime.advance(l.time, 3000);
+    assert.ok(mostWithin(routers.told, 1000) > bytesPerSecond * 0.9);
+  } finally {
+    pacing.hasRoom = hasRoom;
+  }
+});
+
+test('the estimate of an answer is near its size on the wire', async function run() {
+  const l = leader();
+  const reply = (await feed.call(l.c, request('router', [-1, 0]))) as FeedReply;
+  const bytes = packr.pack(reply).length;
+  const estimate = exchange.sizeOf(reply);
+  assert.ok(estimate > bytes * 0.7 && estimate < bytes * 1.6, `${estimate} for ${bytes}`);
+});
+
+test('a budget fills to its reserve only, and recovers from what was sent', function run() {
+  const budget = pacing.create(8, 0.5, 0);
+  assert.equal(budget.bytesPerMs, 500);
+  assert.ok(pacing.hasRoom(budget, 10_000));
+  pacing.spend(budget, 500 * 250 + 500 * 40);
+  assert.ok(!pacing.hasRoom(budget, 10_000) && !pacing.hasRoom(budget, 10_040) && pacing.hasRoom(budget, 10_041));
+});
