--- a/examples/days/run.sh
+++ b/examples/days/run.sh
@@ -2,10 +2,11 @@
 # Plays all days of this folder that belong to one site, and prints one line per day: its name, the
 # status of the run, seconds of wall clock, worth, share served, and the rules broken, if any.
 # Usage, in the repository: examples/days/run.sh BENCH SITE.toml [JOBS [NAME-PATTERN]]
-# The full reports go to target/days/. Ends with status 1 if a day did not play or broke a rule.
+# The full reports go to target/days/. Ends with status 1 if a day did not play or broke a rule, with 2 if
+# there is nothing to play.
 set -u
 if [ $# -lt 2 ]; then
-  sed -n '2,6s/^# //p' "$0" >&2
+  sed -n '2,7s/^# //p' "$0" >&2
   exit 2
 fi
 bench=$1 site=$2 jobs=${3:-2} pattern=${4:-}
@@ -39,7 +40,11 @@
   echo "$line"
 }
 
-set -- $(cd "$days" && ls ./*"$pattern"*"-$kind.toml" 2>/dev/null | sed 's|^\./||; s|\.toml$||')
+set -- $(cd "$days" && ls ./*"-$kind.toml" | sed 's|^\./||; s|\.toml$||' | grep -e "$pattern")
+if [ $# -eq 0 ]; then
+  echo "no day of $kind has $pattern in its name" >&2
+  exit 2
+fi
 running=0
 for name in "$@"; do
   play "$name" &
