--- a/test/sim/operators.ts
+++ b/test/sim/operators.ts
@@ -49,6 +49,8 @@
 };
 
 const callTimeoutMs = 1000;
+/** Stands for the revision of what can't be a configuration. */
+const notARevision = -1;
 const mostRedirects = 2;
 const refusals = new Set([400, 409, 412, 413, 422]);
 const modelNames = ['model-a', 'model-b'];
@@ -75,7 +77,8 @@
 
 /** What a read shows of a configuration, as the model has it: the labels of its routes. */
 function contentOf(configuration: unknown): string {
-  const { route_list: routes } = configuration as { route_list: { label: string }[] };
+  const { route_list: routes } = configuration as { route_list?: { label: string }[] };
+  if (routes === undefined) return 'no configuration at all';
   return routes
     .map((route) => route.label)
     .sort()
@@ -208,8 +211,8 @@
     return false;
   }
   histories.clearAnswers++;
-  const found = answer.status === 200 ? (JSON.parse(answer.body) as { revision: number }) : null;
-  const revision = found?.revision ?? 0;
+  const found = answer.status === 200 ? (JSON.parse(answer.body) as { revision?: number }) : null;
+  const revision = found === null ? 0 : (found.revision ?? notARevision);
   const content = found === null ? noContent : contentOf(found);
   histories.configuration.push({
     id: histories.nextId++,
