--- a/test/consensus-rules.test.ts
+++ b/test/consensus-rules.test.ts
@@ -8,6 +8,7 @@
 import { test } from 'node:test';
 import fc from 'fast-check';
 import { common } from '../src/coordination/consensus/common.js';
+import { timing } from '../src/coordination/consensus/driver.js';
 import { lease } from '../src/coordination/consensus/lease.js';
 import { log } from '../src/coordination/consensus/log.js';
 import { consensus } from '../src/coordination/consensus/machine.js';
@@ -23,7 +24,6 @@
 } from '../src/coordination/consensus/types.js';
 import type { Entry, KnownLeader, Membership, VotingPromise } from '../src/state/log/types.js';
 import type { Member } from '../src/types.js';
-import { timing } from './sim/world.js';
 
 function member(name: string): Member {
   return { id: `${name}#first`, addr: name, control: name };
--- a/test/sim/world.ts
+++ b/test/sim/world.ts
@@ -5,6 +5,7 @@
  */
 import { strict as assert } from 'node:assert';
 import { crc32 } from 'node:zlib';
+import { timing } from '../../src/coordination/consensus/driver.js';
 import { consensus } from '../../src/coordination/consensus/machine.js';
 import { lease } from '../../src/coordination/consensus/lease.js';
 import { log } from '../../src/coordination/consensus/log.js';
@@ -15,22 +16,11 @@
   ConsensusState,
   Message,
   StoredSnapshot,
-  Timing,
 } from '../../src/coordination/consensus/types.js';
 import type { Entry, LogRecord, Membership, VotingPromise } from '../../src/state/log/types.js';
 import type { Member } from '../../src/types.js';
 import { luck, type Luck } from '../support/random.js';
 
-export const timing: Timing = {
-  heartbeatMs: 150,
-  electionMs: 700,
-  electionSpreadMs: 500,
-  quickElectionMs: 100,
-  resendMs: 400,
-  unreachableMs: 1500,
-  stalledDiskMs: 700,
-  leavingMs: 2000,
-};
 export const leaseMs = 3000;
 
 type Kept = { id: string; promise: VotingPromise; snapshot: StoredSnapshot; entries: Entry[]; committed: number };
