--- a/src/coordination/consensus/election.ts
+++ b/src/coordination/consensus/election.ts
@@ -96,8 +96,13 @@
   }
 }
 
+/**
+ * Votes are given also by members that are no voters as far as they know: the candidate counts by its own
+ * membership, whose entry may not have reached this member yet (thesis 4.1). One that lost its disk has
+ * a new id, which no membership counts before it was fed.
+ */
 function onPreVote(s: ConsensusState, m: Message & { type: 'pre_vote' }, now: number, effects: Effects): void {
-  const granted = common.isVoter(s) && m.term > s.term && !isHolding(s, now) && isUpToDate(s, m.lastIndex, m.lastTerm);
+  const granted = m.term > s.term && !isHolding(s, now) && isUpToDate(s, m.lastIndex, m.lastTerm);
   const body = { type: 'pre_vote_reply' as const, term: granted ? m.term : s.term, granted };
   common.send(s, m.from, body, effects, m.fromAddress);
 }
@@ -123,7 +128,6 @@
     common.send(s, m.from, { type: 'vote', term: s.term, granted: false }, effects, m.fromAddress);
     return;
   }
-  if (!common.isVoter(s)) return;
   if (m.releasedBy !== null) onReleased(s, m.releasedBy, now);
   if (isHolding(s, now)) return;
   const granted = isUpToDate(s, m.lastIndex, m.lastTerm);
--- a/test/world.test.ts
+++ b/test/world.test.ts
@@ -82,6 +82,32 @@
       megabits: Infinity,
     },
   ),
+  'a learner that has not heard yet that it votes (it refused its vote, and nobody could win)': scheduleOf(
+    [
+      now(329, { kind: 'terminate', target: 'leader', forMs: 3013 }),
+      { waitMs: 0, moment: 'before_first_commit', fault: { kind: 'slow', target: 'learner', forMs: 210, eventMs: 10 } },
+      now(1234, { kind: 'replace', target: 'follower', isPlanned: false, forMs: 100 }),
+      { waitMs: 0, moment: 'joint_membership', fault: cutOff('follower', 356) },
+      now(55, { kind: 'power', target: 'leader', forMs: 8848 }),
+      { waitMs: 0, moment: 'before_first_commit', fault: { kind: 'kill', target: 'follower', forMs: 1761 } },
+      {
+        waitMs: 104,
+        moment: 'after_acknowledgement',
+        fault: { kind: 'replace', target: 4, isPlanned: true, forMs: 4267 },
+      },
+      now(178, { kind: 'wipe', target: 6, forMs: 191 }),
+      { waitMs: 0, moment: 'snapshot_under_way', fault: { kind: 'power_all', forMs: 703 } },
+      now(616, { kind: 'kill', target: 'leader', forMs: 1150 }),
+    ],
+    {
+      seed: 1498475592,
+      routerCount: 1,
+      operatorCount: 1,
+      runnerCount: 0,
+      habits: { underWay: 5, pauseMs: 114, paddingBytes: 0, patienceMs: 7811 },
+      megabits: Infinity,
+    },
+  ),
   'the leader cut off for twenty seconds, then all lose power': scheduleOf([
     now(500, cutOff('leader', 20_000)),
     now(18_000, { kind: 'power_all', forMs: 1500 }),
