Endpoint selection: the peers' backlog counts as done as far as the state sync lags

Cause: with 195 routers a report of the peers' load is 0.1 to 0.6 s old when it is used, and the prefill that it tells of takes 0.06 to 0.3 s. So a runner looked busy long after it was free, and prompts left the runner that had cached their prefix. Change: what a runner has had time for since the report is taken off the peers' backlog and transfer queue, at most for one and a half intervals of the sync, since a longer stall would have been told. Ruled out: dropping the peers' backlog altogether, which would hide a runner that makes no progress.

--- a/src/dataplane/endpoint-selection/endpoint-cost.ts
+++ b/src/dataplane/endpoint-selection/endpoint-cost.ts
@@ -9,7 +9,7 @@
  * days played with several changes at once speak for the value.
  */
 import { hash } from '../../state/rendezvous-hash.js';
-import type { RunnerEndpoint } from '../../state/runners/endpoint.js';
+import { runnerEndpoint, type RunnerEndpoint } from '../../state/runners/endpoint.js';
 import { endpointEligibility } from './endpoint-eligibility.js';
 import type { SelectionInputs } from './selection-inputs.js';
 
@@ -83,6 +83,11 @@
   return endpoint.load.reservedTokens + endpoint.peerLoad.reservedTokens;
 }
 
+/** Tokens that the runner has yet to prefill for requests of this router and its peers. */
+function backlogTokens({ prefillTokensPerMs, now }: SelectionInputs, endpoint: RunnerEndpoint): number {
+  return endpoint.load.prefillTokens + runnerEndpoint.peerPrefillTokens(endpoint, prefillTokensPerMs, now);
+}
+
 function runningTerm(endpoint: RunnerEndpoint): number {
   return activeRequests(endpoint) * runningRequestCost;
 }
@@ -129,8 +134,7 @@
  * `ownTransfer` are what this request adds itself: the tokens it has prefilled there, and its transfer in tokens.
  */
 function of(inputs: SelectionInputs, endpoint: RunnerEndpoint, ownPrefill: number, ownTransfer: number): number {
-  let cost =
-    ownPrefill + ownTransfer + endpoint.load.prefillTokens + endpoint.peerLoad.prefillTokens + runningTerm(endpoint);
+  let cost = ownPrefill + ownTransfer + backlogTokens(inputs, endpoint) + runningTerm(endpoint);
   cost += queueTerm(endpoint);
   cost += zoneTerm(inputs, endpoint);
   cost += connectionTerm(inputs, endpoint);
@@ -142,4 +146,4 @@
   return cost;
 }
 
-export const endpointCost = { of };
+export const endpointCost = { of, backlogTokens };
--- a/src/dataplane/endpoint-selection/endpoint-selection.ts
+++ b/src/dataplane/endpoint-selection/endpoint-selection.ts
@@ -56,10 +56,11 @@
 
 function assignmentTo(
   endpoint: RunnerEndpoint,
-  { demand }: SelectionInputs,
+  inputs: SelectionInputs,
   { weightsRevision, cacheNamespace, source }: CacheBenefit,
   { prefillTokens, transferTokens }: OwnWork,
 ): EndpointAssignment {
+  const { demand } = inputs;
   return {
     endpoint,
     weightsRevision,
@@ -67,7 +68,7 @@
     prefillTokens: prefillTokens + transferTokens,
     claimedTokens: demand.reservedTokens,
     isLongPrompt: demand.isLongPrompt,
-    prefillBacklogTokens: prefillTokens + endpoint.load.prefillTokens + endpoint.peerLoad.prefillTokens,
+    prefillBacklogTokens: prefillTokens + endpointCost.backlogTokens(inputs, endpoint),
     fetchFrom: source?.addr ?? null,
     source,
     transferId: null,
--- a/src/dataplane/endpoint-selection/transfer-source.ts
+++ b/src/dataplane/endpoint-selection/transfer-source.ts
@@ -8,7 +8,7 @@
 import { storeLocation } from '../../state/prefix-cache/cache-location.js';
 import { cachedPrefixes } from '../../state/prefix-cache/cached-prefixes.js';
 import { prefixIdentity } from '../../state/prefix-cache/prefix-identity.js';
-import type { RunnerEndpoint } from '../../state/runners/endpoint.js';
+import { runnerEndpoint, type RunnerEndpoint } from '../../state/runners/endpoint.js';
 import type { TransferSource } from '../endpoint-assignment.js';
 import type { RequestContext } from '../request-context.js';
 import { routers, type Router } from '../router.js';
@@ -85,7 +85,8 @@
   const locations = cachedPrefixes.locationsOf(router.prefixCache.locations, need.cacheNamespace, transferBlock.id);
   if (!locations) return null;
   const queuedMs =
-    transfers.usageAt(router.transfers.machine, endpoint.index).queuedMs + endpoint.peerLoad.transferQueueMs;
+    transfers.usageAt(router.transfers.machine, endpoint.index).queuedMs +
+    runnerEndpoint.peerTransferQueueMs(endpoint, inputs.now);
   let bestSource: TransferSource | null = null;
   let mostSavedMs = 0;
   for (const [location, entry] of locations) {
--- a/src/dataplane/prefix-transfers.ts
+++ b/src/dataplane/prefix-transfers.ts
@@ -5,6 +5,7 @@
  */
 import { transfers, type LocationLoad } from '../coordination/transfer/transfers.js';
 import { storeLocation, type CacheLocation } from '../state/prefix-cache/cache-location.js';
+import { runnerEndpoint } from '../state/runners/endpoint.js';
 import type { EndpointAssignment, TransferSource } from './endpoint-assignment.js';
 import type { Router } from './router.js';
 
@@ -15,12 +16,17 @@
 }
 
 /** The load at both ends of a transfer: this router's own transfers and, as far as it is known, the others'. */
-function loadOf(router: Router, { endpoint }: EndpointAssignment, { location }: TransferSource): LocationLoad {
+function loadOf(
+  router: Router,
+  { endpoint }: EndpointAssignment,
+  { location }: TransferSource,
+  now: number,
+): LocationLoad {
   const source = transfers.usageAt(router.transfers.machine, location);
   const destination = transfers.usageAt(router.transfers.machine, endpoint.index);
   return {
     leasesAtSource: source.sourceLeases + peerLeases(router, location),
-    queuedMsAtDestination: destination.queuedMs + endpoint.peerLoad.transferQueueMs,
+    queuedMsAtDestination: destination.queuedMs + runnerEndpoint.peerTransferQueueMs(endpoint, now),
   };
 }
 
@@ -41,7 +47,7 @@
       tokens,
       durationMs,
       hint: { isConfirmed: true, generation },
-      load: loadOf(router, assignment, source),
+      load: loadOf(router, assignment, source, now),
     },
     now,
   );
--- a/src/dataplane/sync-response.ts
+++ b/src/dataplane/sync-response.ts
@@ -28,9 +28,18 @@
 /** For how long after an answer the index is trusted as a hint for transfers. */
 const hintValidityMs = 3000;
 
+/** On average a report waits for this share of the leader's interval before it is published. */
+const publicationDelayShare = 0.5;
+/** A change at a peer is known here after this many intervals at the latest, unless a message is lost. */
+const maxLagIntervals = 1.5;
+
 /** Gives each endpoint, and the store, the load that the peers have there. */
-function installPeerLoad(router: Router, view: PeerLoadView): void {
-  for (const endpoint of router.endpointPool.byId.values()) endpoint.peerLoad = peerLoadView.loadOf(view, endpoint.id);
+function installPeerLoad(router: Router, { peerLoad: view, syncIntervalMs }: SyncedState): void {
+  for (const endpoint of router.endpointPool.byId.values()) {
+    endpoint.peerLoad = peerLoadView.loadOf(view, endpoint.id);
+    endpoint.peerLoadAsOf = peerLoadView.receivedAtOf(view, endpoint.id) - syncIntervalMs * publicationDelayShare;
+    endpoint.peerLoadMaxLagMs = syncIntervalMs * maxLagIntervals;
+  }
   router.transfers.peerStoreLeases = peerLoadView.loadOf(view, storeName).transferLeases;
 }
 
@@ -100,8 +109,8 @@
     router.prefixCache.hintsValidUntil = now + hintValidityMs;
     const { revision, isFull, includedReport, rows } = response.peerLoad;
     const totals = stateSyncCodec.decodeLoads(rows);
-    peerLoadView.applyUpdate(synced.peerLoad, { revision, isFull, includedReport, totals });
-    installPeerLoad(router, synced.peerLoad);
+    peerLoadView.applyUpdate(synced.peerLoad, { revision, isFull, includedReport, totals }, now);
+    installPeerLoad(router, synced);
   }
   installEjections(router, synced, response.ejections);
   if (hasIndex) installIndex(router, synced, response, now);
@@ -112,7 +121,7 @@
   peerLoadView.clear(synced.peerLoad);
   synced.ejectionsRevision = -1;
   endpointPool.applyEjections(router.endpointPool, [], router.settings.node_name);
-  installPeerLoad(router, synced.peerLoad);
+  installPeerLoad(router, synced);
 }
 
 export const syncResponse = { install, expire };
--- a/src/state/runners/endpoint.ts
+++ b/src/state/runners/endpoint.ts
@@ -75,8 +75,12 @@
     modelRevisions: Map<string, number>;
     health: EndpointHealth;
     load: RequestLoad;
-    /** The load of all other routers together. */
+    /** The load of all other routers together, as it was at `peerLoadAsOf`. */
     peerLoad: EndpointLoad;
+    /** Infinity where the peers' load is always current. */
+    peerLoadAsOf: number;
+    /** How far, in ms, what is known of the peers may lag behind: a change older than this would have been told. */
+    peerLoadMaxLagMs: number;
     connections: EndpointConnections;
     outlier: EndpointOutlier;
   };
@@ -104,6 +108,8 @@
     health: { state: 'healthy', retryAt: 0, consecutiveFailures: 0, lastByteAt: performance.now() },
     load: { activeRequests: 0, prefillTokens: 0, reservedTokens: 0 },
     peerLoad: endpointLoad.zero(),
+    peerLoadAsOf: Infinity,
+    peerLoadMaxLagMs: 0,
     connections: { agent: new RunnerAgent(defaultConnectionLimit), limit: defaultConnectionLimit },
     outlier: { status: 'admitted', probeNumber: 0, sentProbeNumber: 0, successes: 0, failures: 0 },
   };
@@ -161,6 +167,26 @@
   outlier.sentProbeNumber = outlier.probeNumber;
 }
 
+/** What is left of work that was reported earlier and is done at a steady rate, `perMs`; never below zero. */
+function remaining(amount: number, endpoint: RunnerEndpoint, perMs: number, now: number): number {
+  const elapsedMs = Math.min(Math.max(0, now - endpoint.peerLoadAsOf), endpoint.peerLoadMaxLagMs);
+  return Math.max(0, amount - elapsedMs * perMs);
+}
+
+/**
+ * Tokens that the runner has yet to prefill for the peers at `now`. In a large fleet a report is older than the prefill
+ * takes that it tells of, so what the runner has had time for since then (`tokensPerMs`) counts as done; but no more
+ * than the lag of the state sync explains, so that a runner which makes no progress keeps its backlog.
+ */
+function peerPrefillTokens(endpoint: RunnerEndpoint, tokensPerMs: number, now: number): number {
+  return remaining(endpoint.peerLoad.prefillTokens, endpoint, tokensPerMs, now);
+}
+
+/** Milliseconds of the peers' transfers that are still queued to the runner at `now`. */
+function peerTransferQueueMs(endpoint: RunnerEndpoint, now: number): number {
+  return remaining(endpoint.peerLoad.transferQueueMs, endpoint, 1, now);
+}
+
 export const runnerEndpoint = {
   create,
   recordRevision,
@@ -170,4 +196,6 @@
   isUsable,
   recordOutcome,
   markProbeSent,
+  peerPrefillTokens,
+  peerTransferQueueMs,
 };
--- a/test/dataplane.test.ts
+++ b/test/dataplane.test.ts
@@ -144,6 +144,26 @@
   assert.ok(other);
 });
 
+test('what the peers reported counts as done as far as the lag of the state sync explains, and no further', () => {
+  const router = routerWith(['a', 'b'].map((id) => runner(id)));
+  const home = endpointOf(router, 'a');
+  cachedPrefixes.recordConfirmed(router.prefixCache.locations, 'all/m/1', 'aa', home.index, 12_000);
+  Object.assign(home.peerLoad, { prefillTokens: 15_000, transferQueueMs: 100 });
+  Object.assign(home, { peerLoadAsOf: 1000, peerLoadMaxLagMs: 400 });
+  const left = (now: number) => [
+    runnerEndpoint.peerPrefillTokens(home, 60, now),
+    runnerEndpoint.peerTransferQueueMs(home, now),
+  ];
+  assert.deepEqual(left(900), [15_000, 100], 'a clock that is a little behind');
+  assert.deepEqual(left(1050), [12_000, 50]);
+  assert.deepEqual(left(1300), [0, 0]);
+  assert.equal(endpointSelection.select(router, requestTo(router, 12_000), 1000)!.endpoint.id, 'b');
+  assert.equal(endpointSelection.select(router, requestTo(router, 12_000), 1300)!.endpoint.id, 'a');
+  home.peerLoad.prefillTokens = 60_000;
+  assert.deepEqual(left(1400), left(9000), 'a runner that makes no progress keeps its backlog');
+  assert.equal(endpointSelection.select(router, requestTo(router, 12_000), 9000)!.endpoint.id, 'b');
+});
+
 test('short prompts avoid runners with long ones', () => {
   const router = routerWith(['a', 'b'].map((id) => runner(id)));
   endpointOf(router, 'a').peerLoad.reservedTokens = 40_000;
--- a/test/load-aggregate.test.ts
+++ b/test/load-aggregate.test.ts
@@ -14,10 +14,8 @@
 
 function ask(aggregate: LoadAggregate, view: PeerLoadView, site: string, incarnation = site): void {
   const delta: LoadDelta = loadAggregate.deltaSince(aggregate, view.revision);
-  peerLoadView.applyUpdate(view, {
-    ...delta,
-    includedReport: loadAggregate.publishedReportNumber(aggregate, site, incarnation),
-  });
+  const includedReport = loadAggregate.publishedReportNumber(aggregate, site, incarnation);
+  peerLoadView.applyUpdate(view, { ...delta, includedReport }, 0);
 }
 
 function report(
@@ -159,3 +157,11 @@
   assert.ok(at10 <= 50 * runners.length);
   assert.ok(at80 <= 50 * runners.length && at80 <= at20 * 1.1, `${at10} ${at20} ${at80}`);
 });
+
+test('a total keeps the time at which it came, and is not made younger by answers that do not name it', () => {
+  const view = peerLoadView.create();
+  const totals = stateSyncCodec.decodeLoads([['a', 1, 2000, 0, 0, 0]]);
+  peerLoadView.applyUpdate(view, { revision: 2, isFull: true, includedReport: 0, totals }, 100);
+  peerLoadView.applyUpdate(view, { revision: 3, isFull: false, includedReport: 0, totals: new Map() }, 400);
+  assert.deepEqual([peerLoadView.receivedAtOf(view, 'a'), peerLoadView.receivedAtOf(view, 'b')], [100, -Infinity]);
+});
--- a/test/scale.test.ts
+++ b/test/scale.test.ts
@@ -54,10 +54,11 @@
 
 function install(site: SimSite, response: SyncResponse): void {
   if (response.peerLoad)
-    peerLoadView.applyUpdate(site.view, {
-      ...response.peerLoad,
-      totals: stateSyncCodec.decodeLoads(response.peerLoad.rows),
-    });
+    peerLoadView.applyUpdate(
+      site.view,
+      { ...response.peerLoad, totals: stateSyncCodec.decodeLoads(response.peerLoad.rows) },
+      0,
+    );
   site.indexVersion = [response.term, response.indexPosition];
   if (response.tracking.hotSet) site.hotSetRevision = response.tracking.hotSetRevision;
   if (response.ejections) site.ejectionsRevision = response.ejections.revision;
