Endpoint selection: long prompts get the same share of the runners in each zone

Cause: the runners for long prompts were drawn by a hash over the whole service. Change: the draw is made within each zone.

--- a/src/dataplane/endpoint-selection/selection-inputs.ts
+++ b/src/dataplane/endpoint-selection/selection-inputs.ts
@@ -31,10 +31,34 @@
   now: number;
 };
 
-/** The endpoints that long prompts are confined to while these have capacity: the same at every router, by a hash. */
+/** An endpoint with its place in the order of its zone, from 0 (first) to 1 (last). */
+type RankedEndpoint = { endpoint: RunnerEndpoint; zoneRank: number; draw: number };
+
+/** The endpoints with their places in their zones, each zone ordered by a hash. */
+function rankInZones(endpoints: RunnerEndpoint[]): RankedEndpoint[] {
+  const zones = new Map<string, RankedEndpoint[]>();
+  for (const endpoint of endpoints) {
+    const ranked = { endpoint, zoneRank: 0, draw: hash.toUnitInterval(endpoint.id) };
+    const sameZone = zones.get(endpoint.zone);
+    if (sameZone) sameZone.push(ranked);
+    else zones.set(endpoint.zone, [ranked]);
+  }
+  for (const zone of zones.values()) {
+    zone.sort((a, b) => a.draw - b.draw);
+    for (const [place, ranked] of zone.entries()) ranked.zoneRank = (place + 0.5) / zone.length;
+  }
+  return [...zones.values()].flat();
+}
+
+/**
+ * The endpoints that long prompts are confined to while these have capacity: the same at every router, by a hash, and
+ * about the same share in each zone. Routers keep to their own zone, so a zone whose endpoints were nearly all for
+ * one kind of prompt would overload the few that are left for the other.
+ */
 function endpointsForLongPrompts(endpoints: RunnerEndpoint[]): Set<RunnerEndpoint> {
-  const order = [...endpoints].sort((a, b) => hash.toUnitInterval(a.id) - hash.toUnitInterval(b.id));
-  return new Set(order.slice(0, Math.ceil(endpoints.length * longPromptEndpointShare)));
+  const order = rankInZones(endpoints).sort((a, b) => a.zoneRank - b.zoneRank || a.draw - b.draw);
+  const count = Math.ceil(endpoints.length * longPromptEndpointShare);
+  return new Set(order.slice(0, count).map(({ endpoint }) => endpoint));
 }
 
 /** The first shared block that is worth a transfer, unless transfers are off or the leader's hints are too old. */
