Silence: an attempt is given up after two latency targets without a byte, not one

Cause: a router of a large fleet has about one request at a runner, so while the runner prefills another router's long prompt it is silent to this one. Requests cancelled twice ended with 502. Change: two targets. Nothing is lost by the wait: after one target the answer of a further attempt misses it too. Ruled out: the runners' health (none was in trouble), the retry budget (it was kept).

--- a/src/dataplane/response-head.ts
+++ b/src/dataplane/response-head.ts
@@ -7,7 +7,7 @@
 import type { RequestContext } from './request-context.js';
 
 /**
- * `endpoint_silent`: for the length of a latency target the runner has sent no byte of any answer, or, if it is
+ * `endpoint_silent`: for the length of two latency targets the runner has sent no byte of any answer, or, if it is
  * ejected, none to this request.
  */
 export type AwaitedResponse =
@@ -16,6 +16,12 @@
 /** How often silence is checked, and the shortest time that counts as such, in ms. */
 const silenceCheckMs = 50;
 const minSilenceMs = 250;
+/**
+ * Silence is counted in latency targets of the request. One would be too few: a router of a large fleet has few
+ * requests at any runner, so a runner that prefills a long prompt of another router looks silent to it. Nothing is won
+ * by another attempt at that moment either, since its answer would miss the target as well.
+ */
+const silenceInTargets = 2;
 
 function lastHeardAt(assignment: EndpointAssignment, sentAt: number): number {
   return assignment.endpoint.outlier.status === 'admitted'
@@ -25,7 +31,8 @@
 
 /** With less than another latency target left, no other attempt could be in time, so the wait goes on. */
 function isSilent(context: RequestContext, assignment: EndpointAssignment, sentAt: number, now: number): boolean {
-  if (now - lastHeardAt(assignment, sentAt) < Math.max(minSilenceMs, context.latencyTargetMs)) return false;
+  const silenceMs = Math.max(minSilenceMs, context.latencyTargetMs * silenceInTargets);
+  if (now - lastHeardAt(assignment, sentAt) < silenceMs) return false;
   return context.deadlineAt - now > context.latencyTargetMs;
 }
 
