--- a/src/dataplane/response-head.ts
+++ b/src/dataplane/response-head.ts
@@ -29,7 +29,10 @@
     : sentAt;
 }
 
-/** With less than another latency target left, no other attempt could be in time, so the wait goes on. */
+/**
+ * Whether the wait at `now` for an attempt sent at `sentAt` (ms on the process's own clock) is to be given up. With less
+ * than another latency target left, no other attempt could be in time, so the wait goes on.
+ */
 function isSilent(context: RequestContext, assignment: EndpointAssignment, sentAt: number, now: number): boolean {
   const silenceMs = Math.max(minSilenceMs, context.latencyTargetMs * silenceInTargets);
   if (now - lastHeardAt(assignment, sentAt) < silenceMs) return false;
@@ -63,4 +66,4 @@
   });
 }
 
-export const responseHead = { wait };
+export const responseHead = { wait, isSilent };
--- a/test/dataplane.test.ts
+++ b/test/dataplane.test.ts
@@ -8,6 +8,8 @@
 import { transfers } from '../src/coordination/transfer/transfers.js';
 import { transferCost } from '../src/coordination/transfer/transfer-cost.js';
 import { executionStatus } from '../src/dataplane/execution-status.js';
+import type { EndpointAssignment } from '../src/dataplane/endpoint-assignment.js';
+import { responseHead } from '../src/dataplane/response-head.js';
 import { prefixTransfers } from '../src/dataplane/prefix-transfers.js';
 import { admissionQueue } from '../src/dataplane/admission-queue.js';
 import { endpointSelection } from '../src/dataplane/endpoint-selection/endpoint-selection.js';
@@ -164,6 +166,22 @@
   assert.equal(endpointSelection.select(router, requestTo(router, 12_000), 9000)!.endpoint.id, 'b');
 });
 
+test('a runner counts as silent after two latency targets without a byte, or since the attempt if it is ejected', () => {
+  const router = routerWith([runner('a')]);
+  const endpoint = endpointOf(router, 'a');
+  const context = { ...requestTo(router, 200), latencyTargetMs: 300, deadlineAt: 10_000 } as RequestContext;
+  const assignment = { endpoint } as EndpointAssignment;
+  const isSilent = (sentAt: number, now: number) => responseHead.isSilent(context, assignment, sentAt, now);
+  endpoint.health.lastByteAt = 1000;
+  assert.deepEqual([isSilent(900, 1350), isSilent(900, 1599), isSilent(900, 1600)], [false, false, true]);
+  assert.deepEqual([isSilent(1200, 1799), isSilent(1200, 1800)], [false, true], 'not before it was asked');
+  endpoint.health.lastByteAt = 1700;
+  assert.equal(isSilent(1000, 1800), false, 'it answers others');
+  endpoint.outlier.status = 'ejected';
+  assert.equal(isSilent(1000, 1800), true, 'a probe needs an answer of its own');
+  assert.equal(isSilent(9000, 9800), false, 'another attempt would come too late');
+});
+
 test('short prompts avoid runners with long ones', () => {
   const router = routerWith(['a', 'b'].map((id) => runner(id)));
   endpointOf(router, 'a').peerLoad.reservedTokens = 40_000;
