--- a/test/sim/cluster.ts
+++ b/test/sim/cluster.ts
@@ -329,10 +329,10 @@
   router.process = routerProcess.start(router.settings, runtime, silentLog);
 }
 
-function endRouter(cluster: Cluster, router: RouterMachine): void {
+function endRouter(cluster: Cluster, router: RouterMachine, how: 'reset' | 'silent' = 'reset'): void {
   if (router.machine.status !== 'running') return;
-  simulatedNetwork.processEnded(cluster.network, router.endpoint, 'reset');
-  machines.stop(router.machine, 'stopped');
+  simulatedNetwork.processEnded(cluster.network, router.endpoint, how);
+  machines.stop(router.machine, how === 'reset' ? 'stopped' : 'off');
   router.process = null;
 }
 
--- a/test/sim/faults.ts
+++ b/test/sim/faults.ts
@@ -22,6 +22,8 @@
   | { kind: 'power_some'; forMs: number }
   | { kind: 'wipe'; target: Target; forMs: number }
   | { kind: 'wipe_and_power_all'; target: Target; forMs: number }
+  /** The members with these numbers lose their disks; all other machines, routers among them, lose power. */
+  | { kind: 'wipe_set_and_power_all'; members: number[]; forMs: number }
   | { kind: 'freeze'; target: Target; forMs: number }
   | { kind: 'slow'; target: Target; forMs: number; eventMs: number }
   | { kind: 'cut'; target: Target; forMs: number; direction: 'both' | 'in' | 'out'; reaches: 'core' | 'all' }
@@ -310,6 +312,27 @@
     if (luck.next(cluster.luck) < share) end(cluster, core, how, forMs + luck.next(cluster.luck) * 300);
 }
 
+/** Routers have no disk: for them a loss of power is a restart of which the others hear nothing. */
+function powerRouters(cluster: Cluster, forMs: number): void {
+  for (const router of cluster.routers) {
+    simulatedCluster.endRouter(cluster, router, 'silent');
+    later(cluster, forMs, `${router.name} starts`, () => simulatedCluster.startRouter(cluster, router));
+  }
+}
+
+/** Strikes only where the tolerance allows all of the losses. */
+function wipeSetAndPowerAll(
+  cluster: Cluster,
+  state: FaultState,
+  { members, forMs }: Fault & { kind: 'wipe_set_and_power_all' },
+): boolean {
+  if (members.length > simulatedCluster.tolerated(cluster)) return false;
+  for (const member of members) if (!wipe(cluster, state, member, forMs)) return false;
+  all(cluster, state, 'power', forMs, 1);
+  powerRouters(cluster, forMs);
+  return true;
+}
+
 function strikeUncounted(cluster: Cluster, state: FaultState, fault: Fault): boolean {
   switch (fault.kind) {
     case 'kill_all':
@@ -329,6 +352,8 @@
       if (!wipe(cluster, state, fault.target, fault.forMs)) return false;
       all(cluster, state, 'power', fault.forMs, 1);
       return true;
+    case 'wipe_set_and_power_all':
+      return wipeSetAndPowerAll(cluster, state, fault);
     case 'replace':
       return replace(cluster, state, fault);
     case 'turnover':
