--- a/test/state-sync.test.ts
+++ b/test/state-sync.test.ts
@@ -14,6 +14,8 @@
 import { stateSyncMethod } from '../src/protocol/rpc/state-sync.js';
 import type { CachedBlock } from '../src/protocol/calls/runner-calls.js';
 import { tuning } from '../src/protocol/settings/tuning.js';
+import { stateSync } from '../src/coordination/state-sync/state-sync.js';
+import { stateSyncCodec } from '../src/protocol/rpc/state-sync-codec.js';
 import { prefixCacheIndex } from '../src/state/prefix-cache/prefix-cache-index.js';
 import { virtualTime, type VirtualTime } from './support/coordinators.js';
 
@@ -147,3 +149,14 @@
       tokenBucket.hasTokens(budget, 10_041),
   );
 });
+
+test('a new leader tells routers what runners have kept, though no router has named a block to it yet', () => {
+  const sync = stateSync.create(1, tuning.defaults, 2);
+  const blocks: CachedBlock[] = [{ cacheNamespace: 'all/model/1', blockId: 'kept', tokens: 2000, model: 'model' }];
+  prefixCacheIndex.applyFullList(sync.prefixIndex, 'runner', { epoch: 1, nextToken: 1, blocks }, 0);
+  const response = syncResponses.responseTo(sync, request('router', [0, 0]), true);
+  assert.ok(response.isFullIndex);
+  assert.deepEqual(stateSyncCodec.decodeIndexChanges(response.indexChanges), [
+    { kind: 'block_reported', location: 'runner', cacheNamespace: 'all/model/1', blockId: 'kept', tokens: 2000 },
+  ]);
+});
