After reading: the peers' lag with less state, one sum of the transfers queued to a runner

Behaviour stays. SelectionInputs held a rate that follows from its cost model, under the name of the rate that the router measures. The milliseconds queued to a runner were summed in two places; prefixTransfers.queuedMsAt serves both. That the peers' load is current was said twice, by a time of Infinity and by a lag of 0; the simulator's line for it did nothing.

--- a/src/dataplane/endpoint-selection/endpoint-cost.ts
+++ b/src/dataplane/endpoint-selection/endpoint-cost.ts
@@ -84,8 +84,9 @@
 }
 
 /** Tokens that the runner has yet to prefill for requests of this router and its peers. */
-function backlogTokens({ prefillTokensPerMs, now }: SelectionInputs, endpoint: RunnerEndpoint): number {
-  return endpoint.load.prefillTokens + runnerEndpoint.peerPrefillTokens(endpoint, prefillTokensPerMs, now);
+function backlogTokens({ costModel, now }: SelectionInputs, endpoint: RunnerEndpoint): number {
+  const tokensPerMs = 1 / costModel.prefillMsPerToken;
+  return endpoint.load.prefillTokens + runnerEndpoint.peerPrefillTokens(endpoint, tokensPerMs, now);
 }
 
 function runningTerm(endpoint: RunnerEndpoint): number {
--- a/src/dataplane/endpoint-selection/selection-inputs.ts
+++ b/src/dataplane/endpoint-selection/selection-inputs.ts
@@ -23,8 +23,6 @@
   /** The block whose cache locations may be sources of a transfer; null if nothing may be fetched. */
   transferBlock: PrefixBlock | null;
   costModel: TransferCostModel;
-  /** How many tokens a runner prefills in a ms, by the cost model. */
-  prefillTokensPerMs: number;
   /** Tokens that the KV cache of a runner of the service holds; Infinity if the configuration does not say. */
   cacheCapacityTokens: number;
   /** When the selection is made, in ms on the process's own clock. */
@@ -72,15 +70,13 @@
 function create(router: Router, context: RequestContext, endpoints: RunnerEndpoint[], now: number): SelectionInputs {
   const demand = promptDemand.of(context);
   const engine = context.service.engine_kind;
-  const costModel = transferCost.forLink(router.transfers.costModel, engine?.token_bytes, engine?.link_mbps);
   return {
     router,
     context,
     demand,
     longPromptEndpoints: demand.isLongPrompt ? endpointsForLongPrompts(endpoints) : null,
     transferBlock: transferBlock(router, context, now),
-    costModel,
-    prefillTokensPerMs: 1 / costModel.prefillMsPerToken,
+    costModel: transferCost.forLink(router.transfers.costModel, engine?.token_bytes, engine?.link_mbps),
     cacheCapacityTokens: engine?.kv_capacity ?? Infinity,
     now,
   };
--- a/src/dataplane/endpoint-selection/transfer-source.ts
+++ b/src/dataplane/endpoint-selection/transfer-source.ts
@@ -8,8 +8,9 @@
 import { storeLocation } from '../../state/prefix-cache/cache-location.js';
 import { cachedPrefixes } from '../../state/prefix-cache/cached-prefixes.js';
 import { prefixIdentity } from '../../state/prefix-cache/prefix-identity.js';
-import { runnerEndpoint, type RunnerEndpoint } from '../../state/runners/endpoint.js';
+import type { RunnerEndpoint } from '../../state/runners/endpoint.js';
 import type { TransferSource } from '../endpoint-assignment.js';
+import { prefixTransfers } from '../prefix-transfers.js';
 import type { RequestContext } from '../request-context.js';
 import { routers, type Router } from '../router.js';
 import type { SelectionInputs } from './selection-inputs.js';
@@ -84,9 +85,7 @@
   if (!transferBlock) return null;
   const locations = cachedPrefixes.locationsOf(router.prefixCache.locations, need.cacheNamespace, transferBlock.id);
   if (!locations) return null;
-  const queuedMs =
-    transfers.usageAt(router.transfers.machine, endpoint.index).queuedMs +
-    runnerEndpoint.peerTransferQueueMs(endpoint, inputs.now);
+  const queuedMs = prefixTransfers.queuedMsAt(router, endpoint, inputs.now);
   let bestSource: TransferSource | null = null;
   let mostSavedMs = 0;
   for (const [location, entry] of locations) {
--- a/src/dataplane/prefix-transfers.ts
+++ b/src/dataplane/prefix-transfers.ts
@@ -5,7 +5,7 @@
  */
 import { transfers, type LocationLoad } from '../coordination/transfer/transfers.js';
 import { storeLocation, type CacheLocation } from '../state/prefix-cache/cache-location.js';
-import { runnerEndpoint } from '../state/runners/endpoint.js';
+import { runnerEndpoint, type RunnerEndpoint } from '../state/runners/endpoint.js';
 import type { EndpointAssignment, TransferSource } from './endpoint-assignment.js';
 import type { Router } from './router.js';
 
@@ -15,6 +15,12 @@
   return router.endpointPool.endpoints[source]?.peerLoad.transferLeases ?? 0;
 }
 
+/** Milliseconds of transfers queued to the endpoint at `now`: this router's own and, as far as it is known, the others'. */
+function queuedMsAt(router: Router, endpoint: RunnerEndpoint, now: number): number {
+  const { queuedMs } = transfers.usageAt(router.transfers.machine, endpoint.index);
+  return queuedMs + runnerEndpoint.peerTransferQueueMs(endpoint, now);
+}
+
 /** The load at both ends of a transfer: this router's own transfers and, as far as it is known, the others'. */
 function loadOf(
   router: Router,
@@ -23,10 +29,9 @@
   now: number,
 ): LocationLoad {
   const source = transfers.usageAt(router.transfers.machine, location);
-  const destination = transfers.usageAt(router.transfers.machine, endpoint.index);
   return {
     leasesAtSource: source.sourceLeases + peerLeases(router, location),
-    queuedMsAtDestination: destination.queuedMs + runnerEndpoint.peerTransferQueueMs(endpoint, now),
+    queuedMsAtDestination: queuedMsAt(router, endpoint, now),
   };
 }
 
@@ -67,4 +72,4 @@
   assignment.transferId = null;
 }
 
-export const prefixTransfers = { start, markSent, markEnded };
+export const prefixTransfers = { queuedMsAt, start, markSent, markEnded };
--- a/src/state/runners/endpoint.ts
+++ b/src/state/runners/endpoint.ts
@@ -77,9 +77,11 @@
     load: RequestLoad;
     /** The load of all other routers together, as it was at `peerLoadAsOf`. */
     peerLoad: EndpointLoad;
-    /** Infinity where the peers' load is always current. */
     peerLoadAsOf: number;
-    /** How far, in ms, what is known of the peers may lag behind: a change older than this would have been told. */
+    /**
+     * How far, in ms, what is known of the peers may lag behind: a change older than this would have been told. 0 where
+     * their load is always current.
+     */
     peerLoadMaxLagMs: number;
     connections: EndpointConnections;
     outlier: EndpointOutlier;
@@ -108,7 +110,7 @@
     health: { state: 'healthy', retryAt: 0, consecutiveFailures: 0, lastByteAt: performance.now() },
     load: { activeRequests: 0, prefillTokens: 0, reservedTokens: 0 },
     peerLoad: endpointLoad.zero(),
-    peerLoadAsOf: Infinity,
+    peerLoadAsOf: 0,
     peerLoadMaxLagMs: 0,
     connections: { agent: new RunnerAgent(defaultConnectionLimit), limit: defaultConnectionLimit },
     outlier: { status: 'admitted', probeNumber: 0, sentProbeNumber: 0, successes: 0, failures: 0 },
--- a/src/tools/simulate/state-sync.ts
+++ b/src/tools/simulate/state-sync.ts
@@ -52,7 +52,6 @@
 function syncPeerLoad(simulation: Simulation, router: SimulatedRouter): void {
   for (const endpoint of router.state.endpointPool.byId.values()) {
     const { peerLoad } = endpoint;
-    endpoint.peerLoadAsOf = simulation.clock.now;
     peerLoad.activeRequests = 0;
     peerLoad.prefillTokens = 0;
     peerLoad.reservedTokens = 0;
