--- a/src/controlplane/services.ts
+++ b/src/controlplane/services.ts
@@ -30,8 +30,8 @@
   ];
 }
 
-/** Starts all services; those of the leader do nothing while this coordinator does not lead. */
-function start(coordinator: Coordinator): void {
+/** Starts what brings the configuration and the runners to the routers. */
+function startDistribution(coordinator: Coordinator): void {
   coordinator.group.onApplied(() => {
     const { configuration } = coordinator.group.state();
     if (configuration) configurationHistory.record(coordinator.configurations, configuration);
@@ -40,10 +40,15 @@
   runnerDiscovery.start(coordinator);
   endpointsReplication.start(coordinator);
   watchServer.start(coordinator);
+}
+
+/** Starts all services; those of the leader do nothing while this coordinator does not lead. */
+function start(coordinator: Coordinator): void {
+  startDistribution(coordinator);
   rollout.start(coordinator);
   stateSyncServer.start(coordinator);
   accessActivation.start(coordinator);
   prefixCachePoller.start(coordinator);
 }
 
-export const services = { rpcHandlers, start };
+export const services = { rpcHandlers, startDistribution, start };
--- a/test/history.test.ts
+++ b/test/history.test.ts
@@ -9,18 +9,8 @@
 import type { ConfigurationUpdate } from '../src/protocol/rpc/updates.js';
 import { configurationHistory } from '../src/state/history/configuration-history.js';
 import { itemHistory } from '../src/state/history/item-history.js';
-import type { EndpointsSnapshot, Configuration, Route, Runner } from '../src/types.js';
-
-function route(label: string, deadlineMs: number): Route {
-  return {
-    label,
-    hostname: 'h',
-    path_prefix: `/${label}/`,
-    variant: 'streaming',
-    deadline_ms: deadlineMs,
-    target: 's',
-  };
-}
+import type { EndpointsSnapshot, Configuration, Runner } from '../src/types.js';
+import { route } from './support/routes.js';
 
 function sorted(configuration: Configuration): unknown {
   function byLabel(a: { label: string }, b: { label: string }): number {
--- a/test/orders.test.ts
+++ b/test/orders.test.ts
@@ -15,21 +15,11 @@
 import type { OperatorRequest } from '../src/protocol/rpc/operator.js';
 import type { Configuration, Route } from '../src/types.js';
 import { coordinators, repacked, storedAndRead, virtualTime, type Group } from './support/coordinators.js';
+import { route } from './support/routes.js';
 import { luck } from './support/random.js';
 
 const { order, send } = coordinators;
 
-function route(label: string, deadlineMs = 1000): Route {
-  return {
-    label,
-    hostname: 'h',
-    path_prefix: `/${label}/`,
-    variant: 'streaming',
-    deadline_ms: deadlineMs,
-    target: 's',
-  };
-}
-
 function configuration(revision: number, routes: Route[] = [route('a')]): Configuration {
   return { revision, route_list: routes, service_list: [{ label: 's' }] };
 }
--- a/test/support/coordinators.ts
+++ b/test/support/coordinators.ts
@@ -12,19 +12,17 @@
 import type { RunnerListError } from '../../src/coordination/singletons/runner-listing.js';
 import type { PublishEndpointsRequest } from '../../src/protocol/rpc/endpoints.js';
 import { endpointsReplication } from '../../src/controlplane/endpoints-replication.js';
-import { pendingWatches } from '../../src/controlplane/pending-watches.js';
 import type { ReplicaGroup, ProposalResult } from '../../src/controlplane/replica-group.js';
 import { watchServer } from '../../src/controlplane/watch-server.js';
 import { operator } from '../../src/controlplane/operator.js';
 import { coordinatorContext, type Coordinator } from '../../src/controlplane/coordinator-context.js';
-import { runnerDiscovery } from '../../src/controlplane/runner-discovery.js';
+import { services } from '../../src/controlplane/services.js';
 import { status } from '../../src/controlplane/status.js';
 import { ringLog } from '../../src/logging/ring.js';
 import { tuning } from '../../src/protocol/settings/tuning.js';
 import type { Clock, Network, Runtime } from '../../src/runtime.js';
 import { controlState, type ApplyOutcome, type Command, type ControlState } from '../../src/state/control/reducer.js';
 import { storedFormat } from '../../src/state/control/stored-format.js';
-import { configurationHistory } from '../../src/state/history/configuration-history.js';
 import type { WatchRequest } from '../../src/protocol/rpc/watch.js';
 import type { OperatorReply, OperatorRequest } from '../../src/protocol/rpc/operator.js';
 import type { Result, Runner, Settings } from '../../src/types.js';
@@ -311,18 +309,6 @@
   return node;
 }
 
-function startParts(node: Node): void {
-  const { coordinator } = node;
-  coordinator.group.onApplied(() => {
-    const { configuration } = coordinator.group.state();
-    if (configuration) configurationHistory.record(coordinator.configurations, configuration);
-    pendingWatches.respondToDue(coordinator.pendingWatches);
-  });
-  runnerDiscovery.start(coordinator);
-  endpointsReplication.start(coordinator);
-  watchServer.start(coordinator);
-}
-
 /** Coordinators `c1` to `c<n>` without a leader. */
 function create(seed: number, nodeCount: number): Group {
   const group: Group = {
@@ -343,7 +329,7 @@
     proposals: 0,
     questions: 0,
   };
-  for (let number = 1; number <= nodeCount; number++) startParts(add(group, `c${number}`));
+  for (let number = 1; number <= nodeCount; number++) services.startDistribution(add(group, `c${number}`).coordinator);
   return group;
 }
 
