--- a/src/coordination/state-sync/state-sync.ts
+++ b/src/coordination/state-sync/state-sync.ts
@@ -7,7 +7,7 @@
 import { outlierDetector, type DetectionScope, type OutlierDetector } from '../health/outlier-detector.js';
 import { coordinatorTracker, type CoordinatorTracker } from '../tracking/coordinator-tracker.js';
 import { loadAggregate, type LoadAggregate, type LoadDelta } from '../../state/load/load-aggregate.js';
-import { prefixIdentity, type BlockKey } from '../../state/prefix-cache/prefix-identity.js';
+import { prefixIdentity } from '../../state/prefix-cache/prefix-identity.js';
 import { prefixCacheIndex, type PrefixCacheIndex } from '../../state/prefix-cache/prefix-cache-index.js';
 import type { SyncRequest } from '../../protocol/rpc/state-sync.js';
 import { stateSyncCodec, type LoadRow } from '../../protocol/rpc/state-sync-codec.js';
@@ -88,7 +88,6 @@
     prefixCacheIndex.announceExpected(sync.prefixIndex, sent);
   if (!request.countReport) return true;
   const countReport = stateSyncCodec.decodeCountReport(request.countReport);
-  for (const { prefix } of countReport.counts) prefixCacheIndex.markShared(sync.prefixIndex, prefix);
   return coordinatorTracker.applyReport(sync.tracker, incarnation, router, countReport, sync.routerCount).isKnown;
 }
 
@@ -104,9 +103,7 @@
   sync.intervalMs = intervalMsFor(view.routerCount);
   prefixCacheIndex.markSilentLocations(sync.prefixIndex, now);
   coordinatorTracker.tick(sync.tracker, view.incarnations, now);
-  const isRetired = (key: BlockKey): boolean => prefixIdentity.isRetiredBlock(key, view.weights);
-  coordinatorTracker.removeRetired(sync.tracker, isRetired);
-  prefixCacheIndex.removeRetired(sync.prefixIndex, isRetired);
+  coordinatorTracker.removeRetired(sync.tracker, (prefix) => prefixIdentity.isRetiredBlock(prefix, view.weights));
   if (hotSets.isDue(sync.hotSet, now)) hotSets.publish(sync.hotSet, sync.tracker, now);
 }
 
--- a/src/state/prefix-cache/prefix-cache-index.ts
+++ b/src/state/prefix-cache/prefix-cache-index.ts
@@ -1,12 +1,8 @@
 /**
  * The leader's index of cached prefix blocks, as a pure state machine after PAPER-16 (`docs/design.md`): built from the
  * cache events of each runner and of the store, emptied for a location that has restarted, repaired from its full list
- * after a gap. Changes are numbered from 1 on, so that routers can ask for what has changed since.
- *
- * Only *shared* blocks have changes: those that a router has named as a part of a prompt that other prompts may have in
- * common. Most blocks that a runner reports are a single request's own and never looked up again; they are kept here,
- * since a block may turn out to be shared, but no router is told of them. Locations are named as in
- * `cache-location.ts`; `now` and all times are in ms of the leader's clock.
+ * after a gap. Changes of blocks worth transferring are numbered from 1 on, so that routers can ask for what has
+ * changed since. Locations are named as in `cache-location.ts`; `now` and all times are in ms of the leader's clock.
  */
 import type { CachedBlock, PrefixCacheEvents, PrefixCacheListing } from '../../protocol/calls/runner-calls.js';
 import type { PrefixCacheChange, SentPrefix } from '../../protocol/rpc/state-sync-records.js';
@@ -32,9 +28,6 @@
   /** Blocks of fewer tokens are not worth a transfer and left out. */
   minTokens: number;
   locations: Map<string, LocationState>;
-  /** Blocks that routers were told of, the one that was named longest ago first; at most `maxSharedBlocks`. */
-  sharedBlocks: Set<BlockKey>;
-  maxSharedBlocks: number;
   /** The latest changes, at most `maxChanges`; the oldest of them has the number `firstChangeNo`. */
   changes: PrefixCacheChange[];
   firstChangeNo: number;
@@ -46,25 +39,9 @@
 /** A location that has not reported for so long is silent. */
 const silenceTimeoutMs = 3500;
 
-/** Shared blocks of which routers are told at most; as many as a router keeps (`dataplane/router.ts`). */
-const defaultMaxSharedBlocks = 20_000;
-
 /** An index without locations. */
-function create(
-  minTokens: number,
-  maxChanges: number,
-  maxSharedBlocks: number = defaultMaxSharedBlocks,
-): PrefixCacheIndex {
-  return {
-    minTokens,
-    locations: new Map(),
-    sharedBlocks: new Set(),
-    maxSharedBlocks,
-    changes: [],
-    firstChangeNo: 1,
-    maxChanges,
-    rejectedCount: 0,
-  };
+function create(minTokens: number, maxChanges: number): PrefixCacheIndex {
+  return { minTokens, locations: new Map(), changes: [], firstChangeNo: 1, maxChanges, rejectedCount: 0 };
 }
 
 /** What is known of a location; nothing yet for one that is asked for the first time. */
@@ -94,41 +71,6 @@
   index.firstChangeNo += excess;
 }
 
-/** What routers are to believe of a block that a location has reported. */
-function heldBlock(state: LocationState, key: BlockKey, tokens: number): PrefixCacheChange {
-  const { cacheNamespace, blockId } = prefixIdentity.parseBlockKey(key);
-  const kind = state.isSilent ? 'block_expected' : 'block_reported';
-  return { kind, location: state.name, cacheNamespace, blockId, tokens };
-}
-
-/** Routers are told no more of a block: what they know of it is withdrawn. */
-function unshare(index: PrefixCacheIndex, key: BlockKey): void {
-  index.sharedBlocks.delete(key);
-  const { cacheNamespace, blockId } = prefixIdentity.parseBlockKey(key);
-  for (const { name: location, blocks } of index.locations.values())
-    if (blocks.has(key)) appendChange(index, { kind: 'block_removed', location, cacheNamespace, blockId });
-}
-
-/**
- * A router has named a block as one that prompts share. At the first time all locations that hold it are published;
- * beyond `maxSharedBlocks` the block that was named longest ago is withdrawn.
- */
-function markShared(index: PrefixCacheIndex, key: BlockKey): void {
-  const isNew = !index.sharedBlocks.delete(key);
-  index.sharedBlocks.add(key);
-  if (!isNew) return;
-  for (const state of index.locations.values()) {
-    const tokens = state.blocks.get(key);
-    if (tokens !== undefined) appendChange(index, heldBlock(state, key, tokens));
-  }
-  if (index.sharedBlocks.size > index.maxSharedBlocks) unshare(index, index.sharedBlocks.values().next().value!);
-}
-
-/** Shared blocks that no request asks for any more are withdrawn. */
-function removeRetired(index: PrefixCacheIndex, isRetired: (key: BlockKey) => boolean): void {
-  for (const key of index.sharedBlocks) if (isRetired(key)) unshare(index, key);
-}
-
 /** Records that a location holds so many tokens of a block; below `minTokens` it counts as holding none. */
 function setBlockTokens(
   index: PrefixCacheIndex,
@@ -143,10 +85,10 @@
   if (tokens >= index.minTokens) {
     if (previousTokens === tokens) return;
     state.blocks.set(key, tokens);
-    if (index.sharedBlocks.has(key)) appendChange(index, heldBlock(state, key, tokens));
+    appendChange(index, { kind: 'block_reported', location, cacheNamespace, blockId, tokens });
   } else if (previousTokens > 0) {
     state.blocks.delete(key);
-    if (index.sharedBlocks.has(key)) appendChange(index, { kind: 'block_removed', location, cacheNamespace, blockId });
+    appendChange(index, { kind: 'block_removed', location, cacheNamespace, blockId });
   }
 }
 
@@ -175,8 +117,10 @@
   state.lastReportAtMs = now;
   if (!state.isSilent) return;
   state.isSilent = false;
-  for (const [key, tokens] of state.blocks)
-    if (index.sharedBlocks.has(key)) appendChange(index, heldBlock(state, key, tokens));
+  for (const [key, tokens] of state.blocks) {
+    const { cacheNamespace, blockId } = prefixIdentity.parseBlockKey(key);
+    appendChange(index, { kind: 'block_reported', location: state.name, cacheNamespace, blockId, tokens });
+  }
 }
 
 /** Marks locations as silent that have not reported for long; to be called every few hundred ms. */
@@ -238,7 +182,6 @@
   const { location, cacheNamespace, blockId, tokens } = sent;
   if (tokens < index.minTokens) return;
   const key = prefixIdentity.blockKey(cacheNamespace, blockId);
-  markShared(index, key);
   if (index.locations.get(location)?.blocks.has(key)) return;
   appendChange(index, { kind: 'block_expected', location, cacheNamespace, blockId, tokens });
 }
@@ -254,20 +197,22 @@
   return index.firstChangeNo + index.changes.length - 1;
 }
 
-/** All shared blocks as changes that lead to the present state from an empty one; those of silent locations as expected. */
+/** All blocks as changes that lead to the present state from an empty one; those of silent locations as expected. */
 function currentBlocks(index: PrefixCacheIndex): PrefixCacheChange[] {
   const blocks: PrefixCacheChange[] = [];
-  for (const state of index.locations.values())
-    for (const [key, tokens] of state.blocks)
-      if (index.sharedBlocks.has(key)) blocks.push(heldBlock(state, key, tokens));
+  for (const [location, state] of index.locations) {
+    const kind = state.isSilent ? 'block_expected' : 'block_reported';
+    for (const [key, tokens] of state.blocks) {
+      const { cacheNamespace, blockId } = prefixIdentity.parseBlockKey(key);
+      blocks.push({ kind, location, cacheNamespace, blockId, tokens });
+    }
+  }
   return blocks;
 }
 
 export const prefixCacheIndex = {
   create,
   markSilentLocations,
-  markShared,
-  removeRetired,
   announceExpected,
   applyEvents,
   applyFullList,
