--- a/review/runner.mjs
+++ b/review/runner.mjs
@@ -7,7 +7,22 @@
 const readMsPerThousand = 16;
 const eventGapMs = 20;
 
-export function createRunner({ id, host, port, service, zone, model, slots = 24 }) {
+/**
+ * `isUnframed`: its answers have no length and end with their connection. `onHalfEvent`, if given, is called with the
+ * attempt when half of the event `halfEvent` has been written; the rest comes once what it returns has resolved.
+ */
+export function createRunner({
+  id,
+  host,
+  port,
+  service,
+  zone,
+  model,
+  slots = 24,
+  isUnframed = false,
+  halfEvent = null,
+  onHalfEvent = null,
+}) {
   const runner = {
     id,
     service,
@@ -31,6 +46,9 @@
     /** By address: the other runners, from which parts are fetched. */
     others: new Map(),
     eventCount: 6,
+    isUnframed,
+    halfEvent,
+    onHalfEvent,
   };
   runner.server = createServer((request, response) => {
     handle(runner, request, response).catch(() => response.destroy());
@@ -170,7 +188,9 @@
   runner.ran.push(entry);
   try {
     entry.used = await readPrompt(runner, salt, headers, { attempt, tenant: entry.tenant });
+    if (runner.isUnframed) response.removeHeader('Transfer-Encoding');
     response.writeHead(200, {
+      ...(runner.isUnframed ? { Connection: 'close' } : {}),
       'Content-Type': 'text/event-stream',
       'X-Attempt-Id': attempt,
       'X-Server-Seal': `seal.${runner.id}.${attempt}`,
@@ -178,7 +198,13 @@
     });
     for (let event = Number(headers['last-event-id'] ?? 0) + 1; event <= runner.eventCount; event++) {
       if (response.destroyed) return;
-      response.write(`id: ${event}\ndata: piece ${event}\n\n`);
+      const text = `id: ${event}\ndata: piece ${event}\n\n`;
+      const half = event === runner.halfEvent && runner.onHalfEvent ? text.length / 2 : 0;
+      if (half > 0) {
+        response.write(text.slice(0, half));
+        await runner.onHalfEvent(attempt);
+      }
+      response.write(text.slice(half));
       await sleep(eventGapMs);
     }
     response.end();
