--- a/review/fleet.mjs
+++ b/review/fleet.mjs
@@ -133,7 +133,14 @@
  * Starts `coordinators` and `routers` of the programs. `list()` gives the platform's list of runners. Hosts are
  * 127.`net`.0.x: 1 to 9 coordinators, 11 to 40 routers, 99 the platform; runners may take 50 to 98.
  */
-export async function startFleet({ coordinators = 3, routers = 2, list, zone = 'nasr-hall', limits = bounds }) {
+export async function startFleet({
+  coordinators = 3,
+  routers = 2,
+  losses = 1,
+  list,
+  zone = 'nasr-hall',
+  limits = bounds,
+}) {
   const net = 100 + Math.floor(Math.random() * 100);
   const ip = (host) => `127.${net}.0.${host}`;
   const hosts = [1, 2, 3, 4, 5].map(ip).concat([11, 12, 13, 14].map(ip), [50, 51, 52, 53, 60, 99].map(ip));
@@ -173,7 +180,7 @@
     limits: { cpu_fraction: 0.675, core_count: 1, memory_mb: 350, max_fds: 4100, link_mbps: 1000, disk_mb: 0 },
     data_dir: machine.role === 'router' ? null : machine.data,
     beat_ms: 1200,
-    tolerance: { machine_losses: 1, zones: 0, region_losses: 0 },
+    tolerance: { machine_losses: losses, zones: 0, region_losses: 0 },
     bound_set: limits,
     cloud_api: { address: `${ip(99)}:${ports.platform}`, rate_per_s: 47, duty_list: [], lag_ms: 800 },
   });
