--- a/review/fleet.mjs
+++ b/review/fleet.mjs
@@ -109,13 +109,13 @@
 }
 
 /** Asks again until the answer is as wanted; throws after `timeoutMs`. */
-export async function until(what, ask, isAsWanted, timeoutMs = 30_000) {
+export async function until(what, ask, isAsWanted, timeoutMs = 30_000, pauseMs = 50) {
   const endAt = performance.now() + timeoutMs;
   for (;;) {
     const value = await ask();
     if (isAsWanted(value)) return value;
     if (performance.now() > endAt) throw new Error(`never came: ${what}; last ${JSON.stringify(value)}`);
-    await sleep(50);
+    await sleep(pauseMs);
   }
 }
 
@@ -131,12 +131,13 @@
 
 /**
  * Starts `coordinators` and `routers` of the programs. `list()` gives the platform's list of runners. Hosts are
- * 127.`net`.0.x: 1 to 9 coordinators, 11 to 40 routers, 99 the platform; runners may take 50 to 98.
+ * 127.`net`.0.x: 1 to 9 coordinators (those that are no seeds start `lateMs` after the others), 11 to 40 routers, 99 the platform; runners may take 50 to 98.
  */
 export async function startFleet({
   coordinators = 3,
   routers = 2,
   losses = 1,
+  lateMs = 0,
   list,
   zone = 'nasr-hall',
   limits = bounds,
@@ -214,7 +215,10 @@
   fleet.front = (router) => `${ip(10 + router)}:${ports.front}`;
   fleet.routers = machines.filter(({ role }) => role === 'router');
   fleet.coordinators = machines.filter(({ role }) => role === 'coordinator');
-  for (const machine of machines) fleet.boot(machine, true);
+  const isLate = ({ name }) => lateMs > 0 && /^core-[4-9]$/.test(name);
+  for (const machine of machines) if (!isLate(machine)) fleet.boot(machine, true);
+  if (lateMs > 0) await sleep(lateMs);
+  for (const machine of machines) if (isLate(machine)) fleet.boot(machine, true);
   return fleet;
 }
 
