Router: an answer without a length is complete only if its connection ended in order

Cause: the relay trusted `complete` of Node's response. For a body delimited by the end of its connection Node ends the message however the connection ended. Measured order on a reset: `error` of the request, `end` with complete=true and socket.readableEnded=false, `close`; on an orderly end readableEnded=true.

Ruled out: that nothing told of the reset (the request's `error` does, before `end`). It is not used: completeness is to be shown by a positive sign, and other ends without a FIN raise no such error.

Change: transport/http/response-completion.ts decides it, for the relay and for the two HTTP clients that read replies whole. Event `response_incomplete` logs each answer that did not come complete.

--- a/src/dataplane/attempt-response.ts
+++ b/src/dataplane/attempt-response.ts
@@ -6,6 +6,7 @@
 import { ringLog } from '../logging/ring.js';
 import { headerNames, httpHeaders } from '../protocol/calls/headers.js';
 import { runnerEndpoint } from '../state/runners/endpoint.js';
+import { responseCompletion } from '../transport/http/response-completion.js';
 import { attemptScope, type AttemptScope } from './attempt-scope.js';
 import type { EndpointAssignment } from './endpoint-assignment.js';
 import { executionStatus, type AttemptOutcome } from './execution-status.js';
@@ -119,16 +120,23 @@
 }
 
 async function relayAnswer(
-  { router, context, assignment }: AttemptScope,
+  scope: AttemptScope,
   { response, request }: OpenResponse,
   isEventStream: boolean,
   sentAt: number,
 ): Promise<AttemptOutcome> {
-  const runnerResponse = { response, request, isEventStream };
+  const { router, context, assignment } = scope;
+  const framing = responseCompletion.framingOf(response, request.method);
+  const runnerResponse = { response, request, framing, isEventStream };
   const outcome = await relay.forward(router, context, assignment, runnerResponse, () => {
     endpointReservation.recordPrefilled(router, assignment, performance.now() - sentAt);
   });
-  return recordRelayOutcome(assignment, response.statusCode ?? 0, outcome);
+  const status = response.statusCode ?? 0;
+  if (outcome !== 'complete') {
+    const fields = { ...attemptScope.logFields(scope), status, outcome, framing };
+    ringLog.note(router.log, 'response_incomplete', fields);
+  }
+  return recordRelayOutcome(assignment, status, outcome);
 }
 
 /** Handles the response to an attempt that was sent at `sentAt`; `opened` is read to its end or destroyed. */
--- a/src/dataplane/relay.ts
+++ b/src/dataplane/relay.ts
@@ -1,6 +1,7 @@
 /** Relays a runner's answer to the client until it ends, and returns how it ended. */
 import type { ServerResponse } from 'node:http';
 import { runnerEndpoint } from '../state/runners/endpoint.js';
+import { responseCompletion } from '../transport/http/response-completion.js';
 import type { EndpointAssignment } from './endpoint-assignment.js';
 import type { RequestContext } from './request-context.js';
 import { responseForwarders, type ResponseForwarder, type RunnerResponse } from './response-forwarder.js';
@@ -71,7 +72,8 @@
 
   #onEnd(): void {
     if (this.#isOver) return;
-    if (!this.#runnerResponse.response.complete) return this.#end('upstream_aborted');
+    const { response, framing } = this.#runnerResponse;
+    if (!responseCompletion.isComplete(response, framing)) return this.#end('upstream_aborted');
     this.#forwarder.finish();
     this.#end('complete');
   }
--- a/src/dataplane/response-forwarder.ts
+++ b/src/dataplane/response-forwarder.ts
@@ -8,13 +8,19 @@
 import { eventStreamParser, type ServerSentEvent } from '../protocol/stream/event-stream-parser.js';
 import { streamResumption, type StreamResumption } from '../protocol/stream/stream-resumption.js';
 import { runnerEndpoint } from '../state/runners/endpoint.js';
+import type { ResponseFraming } from '../transport/http/response-completion.js';
 import { clientResponse } from './client-response.js';
 import type { EndpointAssignment } from './endpoint-assignment.js';
 import type { RequestContext } from './request-context.js';
 import { routers, type Router } from './router.js';
 
-/** An answer under way: its head and its request, and whether it is forwarded event by event. */
-export type RunnerResponse = { response: IncomingMessage; request: ClientRequest; isEventStream: boolean };
+/** An answer under way: its head and its request, how its end is told, and whether it is forwarded event by event. */
+export type RunnerResponse = {
+  response: IncomingMessage;
+  request: ClientRequest;
+  framing: ResponseFraming;
+  isEventStream: boolean;
+};
 
 /** Takes the body as it is received. `accept` is false when the bytes can't be part of the answer; `finish` ends it. */
 export type ResponseForwarder = { accept: (bytes: Buffer) => boolean; finish: () => void };
--- a/src/logging/events.ts
+++ b/src/logging/events.ts
@@ -145,6 +145,15 @@
     status: number | undefined;
     reason: string;
   };
+  /**
+   * An answer began and did not come complete. `framing`: how its end would have been told, `until_close` for one
+   * without a length. On call: many of one runner, look at that runner; of all of them, at the network.
+   */
+  response_incomplete: AttemptFields & {
+    status: number;
+    outcome: 'upstream_aborted' | 'client_disconnected' | 'deadline_exceeded';
+    framing: 'delimited' | 'until_close';
+  };
   /** A 5xx of the runner that is kept from the client, since another attempt is allowed. */
   runner_failed: AttemptFields & { status: number | undefined };
 };
--- a/src/transport/http/client.ts
+++ b/src/transport/http/client.ts
@@ -5,6 +5,7 @@
  */
 import { Agent, request, type ClientRequest, type IncomingHttpHeaders, type IncomingMessage } from 'node:http';
 import type { Result } from '../../types.js';
+import { responseCompletion } from './response-completion.js';
 
 /** A reply that came complete, whatever its status. */
 export type HttpReply = { status: number; headers: IncomingHttpHeaders; body: Buffer };
@@ -85,15 +86,14 @@
 
   #read(reply: IncomingMessage): void {
     const chunks: Buffer[] = [];
+    const framing = responseCompletion.framingOf(reply, this.#request.method);
     reply.on('data', (chunk: Buffer) => chunks.push(chunk));
     reply.on('end', () => {
-      if (!reply.complete) return;
+      if (!responseCompletion.isComplete(reply, framing)) return;
       const value = { status: reply.statusCode ?? 0, headers: reply.headers, body: Buffer.concat(chunks) };
       this.#finish({ ok: true, value });
     });
-    reply.on('close', () => {
-      if (!reply.complete) this.#finish(lost('the reply was cut short', this.#isConnected));
-    });
+    reply.on('close', () => this.#finish(lost('the reply was cut short', this.#isConnected)));
   }
 
   #onConnectTimeout(): void {
--- a/src/transport/rpc/http-exchange.ts
+++ b/src/transport/rpc/http-exchange.ts
@@ -5,6 +5,7 @@
 import { request, type Agent, type ClientRequest, type IncomingMessage } from 'node:http';
 import type { RpcError } from '../../runtime/rpc-errors.js';
 import type { Result } from '../../types.js';
+import { responseCompletion } from '../http/response-completion.js';
 import { progressDeadline, type ProgressDeadline } from './progress-deadline.js';
 
 /** A complete response, whatever its status. */
@@ -37,6 +38,9 @@
   fail: (message: string) => void;
 };
 
+/** Each call between processes is a `POST`. */
+const method = 'POST';
+
 /** Larger bodies are written in chunks of this size, each of which counts as progress once it is out. */
 const chunkBytes = 64 * 1024;
 
@@ -73,7 +77,7 @@
       agent: options.agent,
       host: options.host,
       port: options.port,
-      method: 'POST',
+      method,
       path: options.path,
       headers: { ...options.headers, 'Content-Length': options.body.length },
     });
@@ -86,7 +90,9 @@
 /** Collects the body of a response; one that is cut short or too long fails the exchange. */
 function readResponse(response: IncomingMessage, maxBytes: number, completion: Completion): void {
   const chunks: Buffer[] = [];
+  const framing = responseCompletion.framingOf(response, method);
   let receivedBytes = 0;
+  let isComplete = false;
   response.on('data', (chunk: Buffer) => {
     completion.deadline.progress();
     receivedBytes += chunk.length;
@@ -94,13 +100,14 @@
     chunks.push(chunk);
   });
   response.on('end', () => {
-    if (response.complete) completion.succeed({ status: response.statusCode ?? 0, body: Buffer.concat(chunks) });
+    isComplete = responseCompletion.isComplete(response, framing);
+    if (isComplete) completion.succeed({ status: response.statusCode ?? 0, body: Buffer.concat(chunks) });
   });
   response.on('error', (error) => {
     completion.fail(error.message);
   });
   response.on('close', () => {
-    if (!response.complete) completion.fail('the response was cut short');
+    if (!isComplete) completion.fail('the response was cut short');
   });
 }
 
--- a/test/standins/router.ts
+++ b/test/standins/router.ts
@@ -47,6 +47,8 @@
 const model = 'm';
 const runnerPort = 7000;
 const frontPort = 7001;
+/** A reset drops what the receiver has not read: so long it gets to read it, in ms. */
+const resetDelayMs = 50;
 const headEnd = '\r\n\r\n';
 const deadlineMs = 10_000;
 
@@ -302,6 +304,21 @@
   return cutInChunks(text, eventHead);
 }
 
+/** A body without a length, delimited by the end of its connection, which is orderly. */
+function unframed(body: string, fields: Record<string, string> = {}, status = '200 OK'): ScriptStep {
+  return (call, socket) => {
+    socket.end(head(call, status, fields) + body);
+  };
+}
+
+/** A body without a length whose connection is reset once the router has had time to read these bytes. */
+function resetUnframed(part: string, fields: Record<string, string> = {}, status = '200 OK'): ScriptStep {
+  return (call, socket) => {
+    socket.write(head(call, status, fields) + part);
+    setTimeout(() => socket.resetAndDestroy(), resetDelayMs);
+  };
+}
+
 /** Bytes as they are, with `{id}` replaced by the attempt id. */
 function bytes(text: string): ScriptStep {
   return (call, socket) => {
@@ -317,6 +334,17 @@
   /* no answer */
 }
 
-const steps = { whole, cutWithLength, cutInChunks, stream, cutStream, bytes, reset, silence };
+const steps = {
+  whole,
+  cutWithLength,
+  cutInChunks,
+  stream,
+  cutStream,
+  unframed,
+  resetUnframed,
+  bytes,
+  reset,
+  silence,
+};
 
 export const routerStandin = { create, stop, send, callsOf, steps, events, head, model, frontPort };
