Configuration: one definition of a valid value for those who accept it and those who are told

Cause: protocol/configuration bounds no text, the watch response was checked with bounds of its own (1,024 characters, 100,000 items, safe integers). One value beyond them made the whole response malformed, and the router asked the next coordinator for the same, without end.

Ruled out: loss on the way to the log (a read gives the key back); the size of the message.

Change: routers check by the very shape by which coordinators accept; texts and lists in messages between own processes have no bounds of their own, messages as a whole keep theirs. The same bounds also cut off access rules, weights, runners and the state sync's namespaces. A revision beyond 2^53 - 1 and a number that is not finite are findings now: both were accepted and could not be told.

--- a/src/protocol/configuration/check.ts
+++ b/src/protocol/configuration/check.ts
@@ -4,7 +4,7 @@
  */
 import type { Branch, Configuration, Finding, Route, Service, Tenant } from '../../types.js';
 import { findings } from '../findings.js';
-import { configurationShape } from './shape.js';
+import { configurationShapes } from './shape.js';
 
 function duplicateLabels(list: { label: string }[], path: string): Finding[] {
   const seen = new Set<string>();
@@ -77,7 +77,7 @@
  * where all types fit.
  */
 function check(raw: unknown): Finding[] {
-  const found = findings.fromStruct(raw, configurationShape);
+  const found = findings.fromStruct(raw, configurationShapes.configuration);
   if (found.length > 0) return found;
   const { service_list: services, route_list: routes, tenant_list: tenants = [] } = raw as Configuration;
   const serviceByLabel = new Map(services.map((service) => [service.label, service] as const));
--- a/src/protocol/configuration/shape.ts
+++ b/src/protocol/configuration/shape.ts
@@ -1,9 +1,23 @@
-/** The fields of a configuration and their types, as the users' pages give them; unknown fields are allowed. */
-import { array, boolean, enums, integer, min, nonempty, number, optional, string, type } from 'superstruct';
+/**
+ * The fields of a configuration and their types, as the users' pages give them; unknown fields are allowed. This is the
+ * one definition: coordinators accept a configuration by it, and routers check what they are told by it
+ * (`protocol/rpc/shared-validators.ts`), so that whatever was accepted can be told.
+ */
+import { array, boolean, define, enums, min, nonempty, optional, string, type } from 'superstruct';
 
-const atLeastZero = min(number(), 0);
+/** JSON has numbers that JavaScript reads as infinite (`1e999`). */
+const finite = define<number>('finite number', (value) => Number.isFinite(value) || 'Expected a finite number');
+const atLeastZero = min(finite, 0);
 const name = nonempty(string());
 
+/** Larger integers have no exact value here, so that two of them could be taken for one. */
+const revision = define<number>(
+  'revision',
+  (value) =>
+    (Number.isSafeInteger(value) && (value as number) >= 1) ||
+    `Expected an integer from 1 to ${Number.MAX_SAFE_INTEGER}`,
+);
+
 const route = type({
   label: name,
   hostname: name,
@@ -11,7 +25,7 @@
   variant: enums(['idempotent', 'non_idempotent', 'streaming']),
   deadline_ms: atLeastZero,
   target_ms: optional(atLeastZero),
-  rank: optional(number()),
+  rank: optional(finite),
   target: optional(string()),
   branches: optional(array(type({ target: string(), share: atLeastZero }))),
   tries: optional(atLeastZero),
@@ -52,16 +66,18 @@
 const tenant = type({
   label: name,
   api_keys: array(name),
-  rank: optional(number()),
+  rank: optional(finite),
   isolated: optional(boolean()),
   model_rule: optional(array(name)),
 });
 
 /** The shape alone; what must hold between fields is in `check.ts`. */
-export const configurationShape = type({
-  revision: min(integer(), 1),
+const configuration = type({
+  revision,
   route_list: array(route),
   service_list: array(service),
   limits: optional(limits),
   tenant_list: optional(array(tenant)),
 });
+
+export const configurationShapes = { revision, route, service, tenant, configuration };
--- a/src/protocol/findings.ts
+++ b/src/protocol/findings.ts
@@ -40,6 +40,13 @@
   return found;
 }
 
+/** The first finding of `fromStruct` with an empty path for the value itself, as validators of messages give it; or null. */
+function firstFromStruct<T, S>(raw: unknown, shape: Struct<T, S>): Finding | null {
+  const [found] = fromStruct(raw, shape);
+  if (!found) return null;
+  return found.path === wholeDocument ? { path: '', text: found.text } : found;
+}
+
 /** One line a finding, `path: text`. */
 function format(list: Finding[]): string {
   return list.map(({ path, text }) => `${path}: ${text}`).join('\n');
@@ -56,4 +63,4 @@
   return list.map(({ path, text }) => ({ place: path, text }));
 }
 
-export const findings = { fromStruct, format, toJson };
+export const findings = { fromStruct, firstFromStruct, format, toJson };
--- a/src/protocol/rpc/shared-validators.ts
+++ b/src/protocol/rpc/shared-validators.ts
@@ -1,6 +1,6 @@
 /**
- * Validators of the shared types that travel inside messages. Items of a configuration were validated in full when it
- * was accepted (`protocol/configuration`); here only what the receiver reads without looking.
+ * Validators of the shared types that travel inside messages. Those of a configuration and its items are the very ones by
+ * which it was accepted (`protocol/configuration/shape.ts`).
  */
 import type {
   EndpointsSnapshot,
@@ -13,39 +13,15 @@
   Service,
   Tenant,
 } from '../../types.js';
+import { configurationShapes } from '../configuration/shape.js';
 import { validators, type Validator } from './validation.js';
 
-const variants = ['idempotent', 'non_idempotent', 'streaming'];
-
-const variant: Validator<Route['variant']> = (value) =>
-  variants.includes(value as string) ? null : { path: '', text: `expected one of ${variants.join(', ')}` };
-
-/** The fields of a route that every receiver reads. */
-type RouteCore = Pick<Route, 'label' | 'hostname' | 'path_prefix' | 'variant' | 'deadline_ms'>;
-
-const route = validators.object<RouteCore>({
-  label: validators.name,
-  hostname: validators.name,
-  path_prefix: validators.name,
-  variant,
-  deadline_ms: validators.finite,
-}) as Validator<Route>;
-
-const service = validators.object<Pick<Service, 'label'>>({ label: validators.name }) as Validator<Service>;
-
-const tenant = validators.object<Pick<Tenant, 'label' | 'api_keys'>>({
-  label: validators.name,
-  api_keys: validators.list(validators.name),
-}) as Validator<Tenant>;
-
-const configuration = validators.object<
-  Pick<Configuration, 'revision' | 'route_list' | 'service_list' | 'tenant_list'>
->({
-  revision: validators.count,
-  route_list: validators.list(route),
-  service_list: validators.list(service),
-  tenant_list: validators.optional(validators.list(tenant)),
-}) as Validator<Configuration>;
+const { struct } = validators;
+const route: Validator<Route> = struct(configurationShapes.route);
+const service: Validator<Service> = struct(configurationShapes.service);
+const tenant: Validator<Tenant> = struct(configurationShapes.tenant);
+const configuration: Validator<Configuration> = struct(configurationShapes.configuration);
+const revision: Validator<number> = struct(configurationShapes.revision);
 
 const modelRevision = validators.object<ModelRevision>({ label: validators.name, revision: validators.finite });
 
@@ -80,6 +56,7 @@
 
 /** Validators by the type that they check. */
 export const sharedValidators = {
+  revision,
   route,
   service,
   tenant,
--- a/src/protocol/rpc/updates.ts
+++ b/src/protocol/rpc/updates.ts
@@ -35,7 +35,7 @@
 /** Checks a `ConfigurationUpdate`. */
 const configurationUpdate = validators.object<ConfigurationUpdate>({
   fromRevision: validators.count,
-  rest: validators.object<{ revision: number }>({ revision: validators.count }),
+  rest: validators.object<{ revision: number }>({ revision: sharedValidators.revision }),
   routes: listUpdate(sharedValidators.route),
   services: listUpdate(sharedValidators.service),
   tenants: validators.nullable(listUpdate(sharedValidators.tenant)),
--- a/src/protocol/rpc/validation.ts
+++ b/src/protocol/rpc/validation.ts
@@ -2,16 +2,17 @@
  * Cheap validators of decoded messages, for those that are frequent: each checks the value in place, copies nothing and
  * builds the path of a fault only when there is one. Unknown fields are ignored. Messages that are rare are checked by
  * superstruct instead (`rpc.checkWithStruct`).
+ *
+ * Texts and lists have no bounds of their own: what is sent comes from configurations, requests and the platform, whose
+ * pages set none, and each message as a whole is bounded where it is read.
  */
+import type { Struct } from 'superstruct';
 import type { Finding } from '../../types.js';
+import { findings } from '../findings.js';
 
 /** Null for a good value, otherwise the first fault with its path below the value. */
 export type Validator<T> = ((value: unknown) => Finding | null) & { readonly accepts?: T };
 
-/** Default bounds: items of a list, and UTF-16 units of a text. */
-const maxListLength = 100_000;
-const maxTextLength = 1024;
-
 function findingHere(text: string): Finding {
   return { path: '', text };
 }
@@ -53,8 +54,8 @@
   };
 }
 
-/** An array of at most `maxLength` such items. */
-function list<T>(item: Validator<T>, maxLength = maxListLength): Validator<T[]> {
+/** An array of such items, at most `maxLength` if that is given. */
+function list<T>(item: Validator<T>, maxLength = Infinity): Validator<T[]> {
   return (value) => {
     if (!Array.isArray(value)) return findingHere('expected a list');
     if (value.length > maxLength) return findingHere(`over ${maxLength} items`);
@@ -88,12 +89,9 @@
   return (value) => (value === undefined ? null : present(value));
 }
 
-/** A string of at most `maxLength` UTF-16 units. */
-function text(maxLength = maxTextLength): Validator<string> {
-  return (value) => {
-    if (typeof value !== 'string') return findingHere('expected a string');
-    return value.length <= maxLength ? null : findingHere(`over ${maxLength} characters`);
-  };
+/** A value of the shape, which stands elsewhere as the one definition of its type. */
+function struct<T, S>(shape: Struct<T, S>): Validator<T> {
+  return (value) => findings.firstFromStruct(value, shape);
 }
 
 /** A number from `min` to `max`, both included. */
@@ -104,7 +102,7 @@
       : findingHere(`expected a number from ${min} to ${max}`);
 }
 
-const name = text();
+const name: Validator<string> = (value) => (typeof value === 'string' ? null : findingHere('expected a string'));
 
 const boolean: Validator<boolean> = (value) =>
   typeof value === 'boolean' ? null : findingHere('expected true or false');
@@ -126,7 +124,7 @@
   record,
   nullable,
   optional,
-  text,
+  struct,
   range,
   name,
   boolean,
