Prefix cache: the shared domain is renewed when one of its tenants becomes isolated

Cause: the namespace of all tenants that are not isolated is one text for ever. Leaving it changes where a tenant caches next, but not who finds what it cached before.

Ruled out: the store and transfers (same namespace only); lagging routers (three seconds, and read back). The way out of isolation is sound: a tenant's own domain holds only what it made itself.

The shared domain's name carries the revision that renewed it, and is told with the configuration. A tenant removed and added again under its label is covered by the former members in the state.

--- a/src/controlplane/watch-server.ts
+++ b/src/controlplane/watch-server.ts
@@ -102,6 +102,7 @@
   const state = coordinator.group.state();
   const common = {
     weightsSeq: state.weightsSeq,
+    sharedDomainSince: state.cacheIsolation.sharedSince,
     leaderAddress: coordinator.group.leaderAddress(),
     coordinatorAddresses: coordinator.group.memberAddresses(),
     isUpToDate: freshness.isUpToDate(coordinator),
--- a/src/dataplane/config-updates.ts
+++ b/src/dataplane/config-updates.ts
@@ -22,9 +22,9 @@
   return state ? { kind: 'state', state } : { kind: 'unfit' };
 }
 
-function applyConfiguration(router: Router, configuration: Configuration): void {
+function applyConfiguration(router: Router, configuration: Configuration, sharedSince: number): void {
   if (configuration.revision <= (router.configuration?.document.revision ?? 0)) return;
-  const table = routeTable.build(configuration);
+  const table = routeTable.build(configuration, sharedSince);
   router.configuration = { document: configuration, routeTable: table };
   endpointPool.limitConnections(router.endpointPool, table, router.endpointsSnapshot.routerCount);
   router.events.emit('configuration');
@@ -55,7 +55,7 @@
   const configuration = resolve(response.configuration, response.configurationUpdate, (update) =>
     configurationHistory.apply(router.configuration?.document ?? null, update),
   );
-  if (configuration.kind === 'state') applyConfiguration(router, configuration.state);
+  if (configuration.kind === 'state') applyConfiguration(router, configuration.state, response.sharedDomainSince);
   const { accessRules } = response;
   if (accessRules && accessRules.seq > router.accessRules.state.seq) router.accessRules.state = accessRules;
   applyWeights(router, response, now);
--- a/src/protocol/rpc/watch.ts
+++ b/src/protocol/rpc/watch.ts
@@ -33,6 +33,8 @@
 export type WatchResponse = {
   configuration: Configuration | null;
   configurationUpdate: ConfigurationUpdate | null;
+  /** The revision that renewed the shared cache domain last; it belongs to the configuration that is sent. */
+  sharedDomainSince: number;
   weights: Record<string, number> | null;
   weightsSeq: number;
   accessRules: AccessRulesState | null;
@@ -62,6 +64,7 @@
 const response = validators.object<WatchResponse>({
   configuration: validators.nullable(sharedValidators.configuration),
   configurationUpdate: validators.nullable(updateValidators.configurationUpdate),
+  sharedDomainSince: validators.count,
   weights: validators.nullable(validators.record(validators.finite)),
   weightsSeq: validators.count,
   accessRules: validators.nullable(sharedValidators.accessRulesState),
--- a/src/state/control/order-validation.ts
+++ b/src/state/control/order-validation.ts
@@ -13,6 +13,7 @@
 import { configurationCheck } from '../../protocol/configuration/check.js';
 import { configurationPatch } from '../../protocol/configuration/patch.js';
 import { configurationChange } from '../history/configuration-change.js';
+import { cacheIsolation } from './cache-isolation.js';
 import { orderMemory } from './order-memory.js';
 import { controlState, type Command, type ControlState } from './reducer.js';
 
@@ -95,6 +96,8 @@
   if (revision <= currentRevision) return rejected(400, 'revision', `must be above ${currentRevision}`);
   const change = configurationChange.diff(state.configuration, next.value);
   const command: Command = { kind: 'configure', baseRevision, revision, change, orderDigest: digest };
+  if (cacheIsolation.needsRenewal(state.cacheIsolation, state.configuration, next.value))
+    command.renewsSharedDomain = true;
   return { kind: 'propose', command, rejection: null };
 }
 
--- a/src/state/control/reducer.ts
+++ b/src/state/control/reducer.ts
@@ -11,9 +11,11 @@
 import { configurationChange, type ConfigurationChange } from '../history/configuration-change.js';
 import { orderMemory, type OrderDigest, type OrderMemory } from './order-memory.js';
 import { accessRules, type AccessRules } from './access-rules.js';
+import { cacheIsolation, type CacheIsolation } from './cache-isolation.js';
 
 /**
- * `configure` builds on `baseRevision` (0 for none) and is skipped when another one is in force.
+ * `configure` builds on `baseRevision` (0 for none) and is skipped when another one is in force; `renewsSharedDomain` is
+ * explained in `cache-isolation.ts`.
  * `reject_order` makes the rejection of an order permanent whose base is not in force yet, so that a copy of
  * it that is still in flight can't be accepted later. `name_weights` names a version of a model's weights.
  * `activate_access_rules` puts the pending access rules of a revision into effect.
@@ -27,6 +29,7 @@
       revision: number;
       change: ConfigurationChange;
       orderDigest: OrderDigest;
+      renewsSharedDomain?: boolean;
     }
   | { kind: 'reject_order'; baseRevision: number; orderDigest: OrderDigest }
   | { kind: 'name_weights'; model: string; revision: number }
@@ -51,6 +54,7 @@
   weights: Record<string, number>;
   weightsSeq: number;
   accessRules: AccessRulesState;
+  cacheIsolation: CacheIsolation;
 };
 
 /** The state after a command, and what the command did. */
@@ -69,6 +73,7 @@
     weights: {},
     weightsSeq: 0,
     accessRules: { seq: 0, activeRules: {}, pendingRules: null, pendingRevision: 0 },
+    cacheIsolation: cacheIsolation.initial(),
   };
 }
 
@@ -105,6 +110,12 @@
   const next: ControlState = {
     ...state,
     accessRules: nextAccessRules(state, configuration),
+    cacheIsolation: cacheIsolation.afterConfiguration(
+      state.cacheIsolation,
+      state.configuration,
+      configuration,
+      command.renewsSharedDomain === true,
+    ),
     configuration,
     orderMemory: orderMemory.recordAccepted(state.orderMemory, {
       digest: command.orderDigest,
--- a/src/state/control/route-table.ts
+++ b/src/state/control/route-table.ts
@@ -3,6 +3,7 @@
  * services, keys and tenants by name. Built once for each revision and never changed after.
  */
 import type { Configuration, Limits, Route, Service, Tenant } from '../../types.js';
+import { cacheIsolation } from './cache-isolation.js';
 
 export type RouteTable = {
   revision: number;
@@ -15,6 +16,8 @@
   /** Whether the configuration lists tenants at all; without a list no key is asked for. */
   hasTenants: boolean;
   limits: Limits;
+  /** The cache domain of all requests whose tenant is not isolated. */
+  sharedDomain: string;
   /** The services that are stores of cached prefixes. */
   stores: Service[];
 };
@@ -39,14 +42,15 @@
   return keys;
 }
 
-/** The route table of a configuration. */
-function build(configuration: Configuration): RouteTable {
+/** The route table of a configuration; `sharedSince`: the revision that renewed the shared cache domain last. */
+function build(configuration: Configuration, sharedSince = 0): RouteTable {
   return {
     revision: configuration.revision,
     hosts: routesByHost(configuration.route_list),
     keys: tenantsByKey(configuration.tenant_list ?? []),
     hasTenants: configuration.tenant_list !== undefined,
     limits: configuration.limits ?? {},
+    sharedDomain: cacheIsolation.sharedDomain(sharedSince),
     services: new Map(configuration.service_list.map((service) => [service.label, service] as const)),
     stores: configuration.service_list.filter((service) => service.kv_store_addr !== undefined),
   };
--- a/src/state/control/stored-format.ts
+++ b/src/state/control/stored-format.ts
@@ -11,6 +11,7 @@
 import type { Configuration } from '../../types.js';
 import type { ConfigurationChange, ListChange } from '../history/configuration-change.js';
 import type { AccessRules } from './access-rules.js';
+import { cacheIsolation, type CacheIsolation } from './cache-isolation.js';
 import type { OrderDigest, OrderMemory } from './order-memory.js';
 import type { Command, ControlState } from './reducer.js';
 
@@ -22,9 +23,12 @@
   | { kind: 'whole'; configuration: Configuration }
   | { kind: 'items'; rest: Record<string, unknown>; lists: Record<string, StoredListChange> };
 
-/** `order` is the digest of the operator's order, `base` the revision that it builds on. */
+/**
+ * `order` is the digest of the operator's order, `base` the revision that it builds on. `renews`, since 0.6.0: only where
+ * the shared cache domain is renewed.
+ */
 export type StoredCommand =
-  | { kind: 'configure'; base: number; revision: number; change: StoredChange; order: OrderDigest }
+  | { kind: 'configure'; base: number; revision: number; change: StoredChange; order: OrderDigest; renews?: true }
   | { kind: 'refuse'; base: number; order: OrderDigest }
   | { kind: 'weights'; model: string; revision: number }
   | { kind: 'activate'; revision: number };
@@ -35,13 +39,20 @@
 /** `next`: the pending rules; `pending`: the revision that brought them, 0 for none. */
 export type StoredAccessRules = { seq: number; active: AccessRules; next: AccessRules | null; pending: number };
 
-/** The control state; `weights` and `weightsSeq` have the same names in memory. */
+/** `since`: the revision that renewed the shared cache domain; `former`: the labels of its former members. */
+export type StoredIsolation = { since: number; former: string[] };
+
+/**
+ * The control state; `weights` and `weightsSeq` have the same names in memory. `isolation`, since 0.6.0, is left out where
+ * there is nothing to say.
+ */
 export type StoredState = {
   configuration: Configuration | null;
   orders: StoredOrderMemory;
   weights: Record<string, number>;
   weightsSeq: number;
   rules: StoredAccessRules;
+  isolation?: StoredIsolation;
 };
 
 function mapValues<From, To>(table: Record<string, From>, convert: (value: From) => To): Record<string, To> {
@@ -71,8 +82,15 @@
 function encodeCommand(command: Command): StoredCommand {
   switch (command.kind) {
     case 'configure': {
-      const { baseRevision, revision, change, orderDigest } = command;
-      return { kind: 'configure', base: baseRevision, revision, change: encodeChange(change), order: orderDigest };
+      const { baseRevision, revision, change, orderDigest, renewsSharedDomain } = command;
+      return {
+        kind: 'configure',
+        base: baseRevision,
+        revision,
+        change: encodeChange(change),
+        order: orderDigest,
+        ...(renewsSharedDomain === true && { renews: true as const }),
+      };
     }
     case 'reject_order':
       return { kind: 'refuse', base: command.baseRevision, order: command.orderDigest };
@@ -89,8 +107,15 @@
   const stored = value as StoredCommand;
   switch (stored.kind) {
     case 'configure': {
-      const { base, revision, change, order } = stored;
-      return { kind: 'configure', baseRevision: base, revision, change: decodeChange(change), orderDigest: order };
+      const { base, revision, change, order, renews } = stored;
+      return {
+        kind: 'configure',
+        baseRevision: base,
+        revision,
+        change: decodeChange(change),
+        orderDigest: order,
+        ...(renews === true && { renewsSharedDomain: true }),
+      };
     }
     case 'refuse':
       return { kind: 'reject_order', baseRevision: stored.base, orderDigest: stored.order };
@@ -119,8 +144,18 @@
   };
 }
 
+function encodeIsolation({ sharedSince, formerMembers }: CacheIsolation): { isolation?: StoredIsolation } {
+  if (sharedSince === 0 && formerMembers.length === 0) return {};
+  return { isolation: { since: sharedSince, former: formerMembers } };
+}
+
+function decodeIsolation(stored: StoredIsolation | undefined): CacheIsolation {
+  return stored ? { sharedSince: stored.since, formerMembers: stored.former } : cacheIsolation.initial();
+}
+
 /** The control state as a snapshot holds it. */
-function encodeState({ configuration, orderMemory, weights, weightsSeq, accessRules }: ControlState): StoredState {
+function encodeState(state: ControlState): StoredState {
+  const { configuration, orderMemory, weights, weightsSeq, accessRules } = state;
   return {
     configuration,
     orders: encodeOrderMemory(orderMemory),
@@ -132,12 +167,13 @@
       next: accessRules.pendingRules,
       pending: accessRules.pendingRevision,
     },
+    ...encodeIsolation(state.cacheIsolation),
   };
 }
 
 /** The control state in a snapshot that `encodeState` wrote, here or in version 0.3.0. */
 function decodeState(value: unknown): ControlState {
-  const { configuration, orders, weights, weightsSeq, rules } = value as StoredState;
+  const { configuration, orders, weights, weightsSeq, rules, isolation } = value as StoredState;
   return {
     configuration,
     orderMemory: decodeOrderMemory(orders),
@@ -149,6 +185,7 @@
       pendingRules: rules.next,
       pendingRevision: rules.pending,
     },
+    cacheIsolation: decodeIsolation(isolation),
   };
 }
 
--- a/test/configuration-delivery.test.ts
+++ b/test/configuration-delivery.test.ts
@@ -37,6 +37,7 @@
   return {
     configuration: null,
     configurationUpdate: null,
+    sharedDomainSince: 0,
     weights: null,
     weightsSeq: 0,
     accessRules: null,
--- a/test/support/rpc-samples.ts
+++ b/test/support/rpc-samples.ts
@@ -64,6 +64,7 @@
     services: { upserts: [], removals: [], count: 1 },
     tenants: { upserts: [{ label: 't', api_keys: ['k'] }], removals: [], count: 1 },
   },
+  sharedDomainSince: 3,
   weights: { m: 2 },
   weightsSeq: 2,
   accessRules: { seq: 1, activeRules: { t: ['k'] }, pendingRules: { t: ['l'] }, pendingRevision: 2 },
