Router: a stream without a length that ends inside an event was broken off, not completed

Cause: a killed process ends its connections in order. For a body without a length that is the end of the message, and the forwarder passed on what was left in the parser as if it ended the stream.

Change: without a length a stream is whole only if it has events and ends behind one; a continuation of another runner's stream must end behind an event whatever its framing (found by the random test, once it drew these forms: "no event" bytes were appended to another runner's events and ended as complete). CR ends a line.

--- a/src/dataplane/relay.ts
+++ b/src/dataplane/relay.ts
@@ -9,7 +9,7 @@
 
 /**
  * - `complete`: the client has been sent all of it.
- * - `upstream_aborted`: the runner's connection ended before the answer did, or what came is no part of it.
+ * - `upstream_aborted`: the runner's connection ended before the answer did, or what came is no part of it or not all.
  * - `client_disconnected`: the client's connection ended first.
  * - `deadline_exceeded`: the client's deadline, and a short grace, passed first.
  */
@@ -73,9 +73,8 @@
   #onEnd(): void {
     if (this.#isOver) return;
     const { response, framing } = this.#runnerResponse;
-    if (!responseCompletion.isComplete(response, framing)) return this.#end('upstream_aborted');
-    this.#forwarder.finish();
-    this.#end('complete');
+    const isWhole = responseCompletion.isComplete(response, framing) && this.#forwarder.finish();
+    this.#end(isWhole ? 'complete' : 'upstream_aborted');
   }
 
   #end(outcome: RelayOutcome): void {
--- a/src/dataplane/response-forwarder.ts
+++ b/src/dataplane/response-forwarder.ts
@@ -5,7 +5,11 @@
  */
 import type { ClientRequest, IncomingMessage } from 'node:http';
 import { httpHeaders } from '../protocol/calls/headers.js';
-import { eventStreamParser, type ServerSentEvent } from '../protocol/stream/event-stream-parser.js';
+import {
+  eventStreamParser,
+  type EventStreamParser,
+  type ServerSentEvent,
+} from '../protocol/stream/event-stream-parser.js';
 import { streamResumption, type StreamResumption } from '../protocol/stream/stream-resumption.js';
 import { runnerEndpoint } from '../state/runners/endpoint.js';
 import type { ResponseFraming } from '../transport/http/response-completion.js';
@@ -22,8 +26,14 @@
   isEventStream: boolean;
 };
 
-/** Takes the body as it is received. `accept` is false when the bytes can't be part of the answer; `finish` ends it. */
-export type ResponseForwarder = { accept: (bytes: Buffer) => boolean; finish: () => void };
+/**
+ * Takes the body as it is received. `accept` is false when the bytes can't be part of the answer. `finish` ends the answer
+ * once its message has ended; it is false, and nothing is ended, when what came can't be the whole answer.
+ */
+export type ResponseForwarder = { accept: (bytes: Buffer) => boolean; finish: () => boolean };
+
+/** How far one runner's stream has come. */
+type StreamProgress = { parser: EventStreamParser; resumption: StreamResumption | null; hasEvents: boolean };
 
 /** The most bytes of one answer that are buffered until it is complete. */
 const maxBufferedBytes = 32 * 1024;
@@ -47,15 +57,30 @@
   return progress === 'events' && lastEventId !== null ? streamResumption.create(lastEventId) : null;
 }
 
+/**
+ * A stream without a length that ends inside an event, or before its first one, was broken off, since a runner that
+ * crashes ends its connection in order. Bytes that are no event can't continue what another runner sent.
+ */
+function isWholeStream(progress: StreamProgress, framing: ResponseFraming): boolean {
+  const endsInsideEvent = progress.parser.pending.length > 0;
+  if (framing === 'until_close') return progress.hasEvents && !endsInsideEvent;
+  return progress.resumption === null || !endsInsideEvent;
+}
+
 function forEvents(
   router: Router,
   context: RequestContext,
   assignment: EndpointAssignment,
-  upstream: IncomingMessage,
+  { response: upstream, framing }: RunnerResponse,
 ): ResponseForwarder {
-  const parser = eventStreamParser.create();
-  const resumption = resumptionOf(context);
+  const progress: StreamProgress = {
+    parser: eventStreamParser.create(),
+    resumption: resumptionOf(context),
+    hasEvents: false,
+  };
+  const { parser, resumption } = progress;
   function forward(event: ServerSentEvent): boolean {
+    progress.hasEvents = true;
     recordWeightsVersion(context, assignment, event);
     const decision = resumption ? streamResumption.accept(resumption, event) : 'forward';
     if (decision === 'forward')
@@ -65,9 +90,11 @@
   return {
     accept: (bytes) => eventStreamParser.push(parser, bytes).every(forward) && parser.pending.length <= maxEventBytes,
     finish: () => {
+      if (!isWholeStream(progress, framing)) return false;
       if (parser.pending.length > 0)
         clientResponse.sendBytes(context.response, upstream, routers.isShuttingDown(router), parser.pending);
       clientResponse.end(context.response, upstream, routers.isShuttingDown(router));
+      return true;
     },
   };
 }
@@ -80,6 +107,7 @@
     },
     finish: () => {
       clientResponse.end(context.response, upstream, routers.isShuttingDown(router));
+      return true;
     },
   };
 }
@@ -102,7 +130,7 @@
     },
     finish: () => {
       flush();
-      direct.finish();
+      return direct.finish();
     },
   };
 }
@@ -116,9 +144,10 @@
   router: Router,
   context: RequestContext,
   assignment: EndpointAssignment,
-  { response, isEventStream }: RunnerResponse,
+  runnerResponse: RunnerResponse,
 ): ResponseForwarder {
-  if (isEventStream) return forEvents(router, context, assignment, response);
+  const { response, isEventStream } = runnerResponse;
+  if (isEventStream) return forEvents(router, context, assignment, runnerResponse);
   if (context.isIdempotent && !exceedsBuffer(response)) return buffering(router, context, response);
   return forBytes(router, context, response);
 }
--- a/src/protocol/stream/event-stream-parser.ts
+++ b/src/protocol/stream/event-stream-parser.ts
@@ -22,9 +22,10 @@
   return { pending: emptyBuffer, lastEventId: null };
 }
 
-/** Where the event that begins at `from` ends, or -1. */
+/** Where the event that begins at `from` ends, or -1. Lines end with LF, CR LF or CR. */
 function findEventEnd(bytes: Buffer, from: number): number {
   for (let i = from; i < bytes.length; i++) {
+    if (bytes[i] === carriageReturn && bytes[i + 1] === carriageReturn) return i + 2;
     if (bytes[i] !== lineFeed) continue;
     if (bytes[i + 1] === lineFeed) return i + 2;
     if (bytes[i + 1] === carriageReturn && bytes[i + 2] === lineFeed) return i + 3;
--- a/test/response-handling-random.test.ts
+++ b/test/response-handling-random.test.ts
@@ -5,14 +5,25 @@
  */
 import { strict as assert } from 'node:assert';
 import { after, before, test } from 'node:test';
+import type { Socket } from 'node:net';
 import fc from 'fast-check';
-import { routerStandin as router, type ClientResult, type RouterWorld, type ScriptStep } from './standins/router.js';
+import {
+  routerStandin as router,
+  type ClientResult,
+  type RouterWorld,
+  type Call,
+  type ScriptStep,
+} from './standins/router.js';
 
-/** A step by name: whether the runner executes the request, and the complete body that it sends, if any. */
-type Move = { name: string; step: ScriptStep; runs: boolean; body: string | null };
+/**
+ * A step by name: whether the runner executes the request, and the complete body that it sends, if any; `plainBody`: where
+ * that is another one on a route without streams.
+ */
+type Move = { name: string; step: ScriptStep; runs: boolean; body: string | null; plainBody?: string };
 
 const { steps, events } = router;
 const allEvents = events(1, 4);
+const eventFields = { 'Content-Type': 'text/event-stream' };
 const largeBody = 'x'.repeat(50_000);
 const seed = 7811;
 const numRuns = 400;
@@ -32,6 +43,19 @@
   };
 }
 
+/** The events behind the one that the runner was given, without a length. */
+function unframedFrom(last: number, send: typeof steps.unframed): ScriptStep {
+  return (call, socket) => {
+    send(events(Number(call.lastEventId ?? 0) + 1, last), eventFields)(call, socket);
+  };
+}
+
+/** A stream that a crash of the runner ends in order inside its third event. */
+function unframedInsideEvent(call: Call, socket: Socket): void {
+  const text = events(Number(call.lastEventId ?? 0) + 1, 2);
+  steps.unframed(`${text}id: 3\nda`, eventFields)(call, socket);
+}
+
 function broken(name: string, step: ScriptStep): Move {
   return { name, step, runs: true, body: null };
 }
@@ -68,6 +92,21 @@
   },
 ];
 
+/** Responses without a length: whole ones, such whose connection is reset, and such as a crash leaves. */
+const unframedMoves: Move[] = [
+  { name: 'unframed stream', step: unframedFrom(4, steps.unframed), runs: true, body: allEvents },
+  { name: 'unframed plain', step: steps.unframed('plain body'), runs: true, body: 'plain body' },
+  { name: 'unframed large', step: steps.unframed(largeBody), runs: true, body: largeBody },
+  // On a route without streams these are whole: nothing but the orderly end tells the end of a plain body.
+  { ...broken('unframed, ends inside an event', unframedInsideEvent), plainBody: `${events(1, 2)}id: 3\nda` },
+  { ...broken('unframed, ends before its first event', steps.unframed('', eventFields)), plainBody: '' },
+  broken('unframed, reset in the head', steps.resetUnframed('')),
+  broken('unframed, reset behind an event', unframedFrom(1, steps.resetUnframed)),
+  broken('unframed, reset behind the last event', unframedFrom(4, steps.resetUnframed)),
+  broken('unframed, reset in plain text', steps.resetUnframed('plain')),
+  broken('unframed, reset in a large body', steps.resetUnframed(largeBody.slice(0, 40_000))),
+];
+
 before(async () => {
   world = await router.create(3, 3);
 });
@@ -83,7 +122,7 @@
   const isStream = path === '/resume/x' || path === '/stream/x';
   const last = attempts.at(-1)!;
   if (result.status >= 200 && result.status < 300 && result.isWhole) {
-    assert.equal(result.body, last.body);
+    assert.equal(result.body, isStream ? last.body : (last.plainBody ?? last.body));
     assert.match(String(result.headers['x-server-seal']), /^seal of runner-/);
   } else if (result.status === 200) {
     const isPart = [allEvents, 'plain body', largeBody].some((body) => body.startsWith(result.body));
@@ -107,10 +146,16 @@
   checkBody(path, result, attempts);
 }
 
-test('whatever runners do to a request, the response to the client keeps the rules', async () => {
-  const script = fc.array(fc.constantFrom(...moves), { minLength: tries, maxLength: tries });
+async function playRandomly(drawn: Move[]): Promise<void> {
+  const script = fc.array(fc.constantFrom(...drawn), { minLength: tries, maxLength: tries });
   await fc.assert(
     fc.asyncProperty(fc.constantFrom(...paths), script, (path, list) => play(path, list)),
     { seed, numRuns },
   );
-});
+}
+
+test('whatever runners do to a request, the response to the client keeps the rules', () => playRandomly(moves));
+
+// Guards against MIXED and ORDER of review cases 1 and 5.
+test('the response keeps the rules where responses of runners have no length', () =>
+  playRandomly([...unframedMoves, ...unframedMoves, ...moves]));
--- a/test/unframed-responses.test.ts
+++ b/test/unframed-responses.test.ts
@@ -42,6 +42,19 @@
   }
 });
 
+test('events are told apart by each line end that the format allows', async () => {
+  for (const lineEnd of ['\n', '\r\n', '\r']) {
+    const [body, half] = [events(1, 4), `${events(1, 2)}id: 3\nda`].map((text) => text.replaceAll('\n', lineEnd));
+    const whole = await router.send(world, '/stream/x', nextId(), [steps.unframed(body!, eventFields)]);
+    assert.deepEqual([whole.body, whole.isWhole], [body, true], JSON.stringify(lineEnd));
+    const cut = await router.send(world, '/resume/x', nextId(), [
+      steps.unframed(half!, eventFields),
+      steps.unframed(events(3, 4).replaceAll('\n', lineEnd), eventFields),
+    ]);
+    assert.deepEqual([cut.body, cut.isWhole], [body, true], JSON.stringify(lineEnd));
+  }
+});
+
 // Guards against MIXED of review case 1: a response without a length that is reset was forwarded as a complete one.
 test('a response without a length that is reset is never forwarded as complete', async () => {
   for (const [path, part, fields] of [
@@ -73,6 +86,58 @@
   assert.deepEqual([result.body, result.isWhole, second!.lastEventId], [events(1, 4), true, '2']);
 });
 
+// Guards against ORDER of review case 5: a crash inside an event of such a stream was forwarded as its end.
+test('a stream without a length that ends inside an event is not complete, and is resumed where it may be', async () => {
+  const half = `${events(1, 3)}id: 4\ndata`;
+  const once = nextId();
+  const broken = await router.send(world, '/stream/x', once, [
+    steps.unframed(half, eventFields),
+    steps.whole('second run'),
+  ]);
+  assert.ok(isIncomplete(broken), broken.body);
+  assert.equal(broken.body, events(1, 3), 'nothing but complete events');
+  assert.equal(router.callsOf(world, once).length, 1);
+  const again = nextId();
+  const resumed = await router.send(world, '/resume/x', again, [
+    steps.unframed(half, eventFields),
+    steps.unframed(events(4, 6), eventFields),
+  ]);
+  const [, second] = router.callsOf(world, again);
+  assert.deepEqual([resumed.body, resumed.isWhole, second!.lastEventId], [events(1, 6), true, '3']);
+});
+
+test('a stream without a length that ends before its first event is not complete', async () => {
+  const once = nextId();
+  const ended = await router.send(world, '/stream/x', once, [
+    steps.unframed('', eventFields),
+    steps.whole('second run'),
+  ]);
+  assert.deepEqual([ended.status, router.callsOf(world, once).length], [502, 1]);
+  const again = nextId();
+  const resumed = await router.send(world, '/resume/x', again, [
+    steps.cutStream(events(1, 2)),
+    steps.unframed('', eventFields),
+    steps.stream(events(3, 4)),
+  ]);
+  assert.deepEqual([resumed.body, resumed.isWhole], [events(1, 4), true]);
+});
+
+test('bytes that are no event never end a stream that another runner began', async () => {
+  for (const rest of [steps.stream('no event'), steps.unframed('no event', eventFields)]) {
+    const id = nextId();
+    const result = await router.send(world, '/resume/x', id, [steps.cutStream(events(1, 2)), rest, steps.reset]);
+    assert.ok(isIncomplete(result), result.body);
+    assert.equal(result.body, events(1, 2));
+  }
+});
+
+test('a stream in chunks whose last event lacks its blank line is forwarded as it is', async () => {
+  const id = nextId();
+  const body = `${events(1, 2)}id: 3\ndata: piece 3\n`;
+  const result = await router.send(world, '/stream/x', id, [steps.stream(body)]);
+  assert.deepEqual([result.body, result.isWhole], [body, true]);
+});
+
 test("a runner's failure without a length that is reset is not forwarded as complete", async () => {
   const id = nextId();
   const failure = steps.resetUnframed('half', {}, '500 Internal Server Error');
