Operator: no order ends a coordinator, and what can't be kept as it was sent is refused

Cause: superstruct makes the sentences of findings while they are read, outside the try of findings.ts, and throws on values that can't be printed; the decision rejected; withTimeout made that an unhandled rejection.

A patch looks at own fields only.

--- a/src/controlplane/operator-replies.ts
+++ b/src/controlplane/operator-replies.ts
@@ -22,6 +22,9 @@
   message: 'this order builds on a revision of long ago; whether it was accepted is not known',
 });
 
+/** Deciding the order failed here; whether it is in force is shown by a read. */
+const failed = json(500, { message: 'the order could not be decided, see the log of the leader' });
+
 /** This coordinator accepts no more calls; another one may answer. */
 const shuttingDown = json(503, { message: 'this coordinator is stopping; send the call to another' });
 /** The order is committed and in force. */
@@ -41,6 +44,7 @@
   rejection,
   indeterminate,
   baseTooOld,
+  failed,
   shuttingDown,
   accepted,
   alreadyAccepted,
--- a/src/controlplane/operator.ts
+++ b/src/controlplane/operator.ts
@@ -17,6 +17,9 @@
 /** Between two attempts to find a leader that decides. */
 const retryDelayMs = 40;
 
+/** So much of `If-Match` is forwarded; a revision has far fewer digits. */
+const maxIfMatchLength = 1024;
+
 const methodsByPath: Record<string, string[]> = {
   [operatorPaths.configuration]: ['GET', 'PUT', 'PATCH'],
   [operatorPaths.weights]: ['POST'],
@@ -83,6 +86,8 @@
   if (!methods) return operatorReplies.rejection(404, [{ path: 'path', text: `there is no ${path}` }]);
   if (!methods.includes(method))
     return operatorReplies.rejection(405, [{ path: 'method', text: `${path} takes ${methods.join(', ')}` }]);
+  if (request.ifMatch !== null && request.ifMatch.length > maxIfMatchLength)
+    return operatorReplies.rejection(400, [{ path: 'If-Match', text: `over ${maxIfMatchLength} characters` }]);
   if (coordinator.isStopping) return operatorReplies.shuttingDown;
   return coordinator.orderAdmission.trackCall(() => decideOrForward(coordinator, request));
 }
--- a/src/controlplane/order-decision.ts
+++ b/src/controlplane/order-decision.ts
@@ -11,7 +11,7 @@
 import type { OperatorReply, OperatorRequest } from '../protocol/rpc/operator.js';
 import { ringLog } from '../logging/ring.js';
 import { timing } from '../runtime/timing.js';
-import { orderMemory } from '../state/control/order-memory.js';
+import { orderMemory, type OrderDigest } from '../state/control/order-memory.js';
 import { orderValidation, type OrderDecision } from '../state/control/order-validation.js';
 import type { ApplyOutcome, Command } from '../state/control/reducer.js';
 import type { Coordinator } from './coordinator-context.js';
@@ -79,8 +79,25 @@
   return operatorReplies.indeterminate;
 }
 
+/** An order that fails in a way nobody foresaw has an answer too, and leaves this process and the later orders as they are. */
+async function decideSafely(
+  coordinator: Coordinator,
+  digest: OrderDigest,
+  request: OperatorRequest,
+): Promise<OperatorReply> {
+  try {
+    return await decideOrder(coordinator, request);
+  } catch (error) {
+    const { method, path, body } = request;
+    const fields = { order: digest, method, path, bytes: body.length, stack: (error as Error).stack };
+    ringLog.error(coordinator.log, 'order_failed', fields);
+    return operatorReplies.failed;
+  }
+}
+
 function decideOnce(coordinator: Coordinator, request: OperatorRequest): Promise<OperatorReply> {
-  return coordinator.orderAdmission.decideOnce(orderMemory.digest(request), () => decideOrder(coordinator, request));
+  const digest = orderMemory.digest(request);
+  return coordinator.orderAdmission.decideOnce(digest, () => decideSafely(coordinator, digest, request));
 }
 
 /**
--- a/src/logging/events.ts
+++ b/src/logging/events.ts
@@ -82,6 +82,8 @@
 type CoordinatorErrors = {
   /** Answering an operator threw; the call got a 500. On call: report the stack. */
   operator_call_failed: { stack: string | undefined };
+  /** Deciding an order threw; it got a 500. `order`: its digest. On call: report the stack, and keep the order's body. */
+  order_failed: { order: string; method: string; path: string; bytes: number; stack: string | undefined };
 };
 
 /** What became of a proposed command; `unknown` and `not_leader` as far as this member can tell. */
--- a/src/protocol/configuration/check.ts
+++ b/src/protocol/configuration/check.ts
@@ -4,6 +4,7 @@
  */
 import type { Branch, Configuration, Finding, Route, Service, Tenant } from '../../types.js';
 import { findings } from '../findings.js';
+import { jsonDocument } from '../json-document.js';
 import { configurationShapes } from './shape.js';
 
 function duplicateLabels(list: { label: string }[], path: string): Finding[] {
@@ -77,6 +78,8 @@
  * where all types fit.
  */
 function check(raw: unknown): Finding[] {
+  const unfit = jsonDocument.check(raw);
+  if (unfit.length > 0) return unfit;
   const found = findings.fromStruct(raw, configurationShapes.configuration);
   if (found.length > 0) return found;
   const { service_list: services, route_list: routes, tenant_list: tenants = [] } = raw as Configuration;
--- a/src/protocol/configuration/patch.ts
+++ b/src/protocol/configuration/patch.ts
@@ -25,11 +25,16 @@
   return Array.isArray(list) && list.every((item) => isObject(item) && typeof item.label === 'string');
 }
 
+/** The field of this name that the object has itself: `toString` is none of `{}`. */
+function ownField(object: JsonObject, key: string): unknown {
+  return Object.hasOwn(object, key) ? object[key] : undefined;
+}
+
 function applyRemovals(next: JsonObject, removals: unknown): Finding[] {
   if (!isObject(removals)) return [{ path: 'removals', text: 'expected a table of lists' }];
   const found: Finding[] = [];
   for (const [key, labels] of Object.entries(removals)) {
-    const list = next[key];
+    const list = ownField(next, key);
     if (!Array.isArray(labels) || labels.some((label) => typeof label !== 'string'))
       found.push({ path: `removals.${key}`, text: 'expected a list of labels' });
     else if (isItemList(list)) next[key] = list.filter((item) => !labels.includes(item.label));
@@ -42,8 +47,9 @@
   if (!isObject(upserts)) return [{ path: 'upserts', text: 'expected a table of lists' }];
   const found: Finding[] = [];
   for (const [key, items] of Object.entries(upserts)) {
-    const list = next[key] ?? [];
-    if (isObject(items) && (next[key] === undefined || isObject(next[key]))) next[key] = { ...next[key], ...items };
+    const known = ownField(next, key);
+    const list = known ?? [];
+    if (isObject(items) && (known === undefined || isObject(known))) next[key] = { ...known, ...items };
     else if (!isItemList(items)) found.push({ path: `upserts.${key}`, text: 'expected a list of items with a label' });
     else if (!isItemList(list)) found.push({ path: `upserts.${key}`, text: 'is not a list of items' });
     else next[key] = mergeByLabel(list, items);
--- a/src/protocol/findings.ts
+++ b/src/protocol/findings.ts
@@ -14,32 +14,59 @@
 /** Superstruct repeats the path at the beginning of its messages. */
 const pathInMessage = /^At path: \S+ -- /;
 
-/**
- * Superstruct puts wrong values into its sentences and throws on one that can't be turned into text, such as
- * an object with a field named `toString`.
- */
-function tryValidate<T, S>(raw: unknown, shape: Struct<T, S>): ReturnType<typeof validate<T, S>> | null {
-  try {
-    return validate(raw, shape);
-  } catch {
-    return null;
-  }
+/** A message holds the wrong value; of a long one its beginning says enough. */
+const maxTextLength = 300;
+
+function printAsObject(): string {
+  return '[object]';
 }
 
-/** What is wrong with a value by the shape that it should have, at most `maxFindings`; empty for a valid one. */
-function fromStruct<T, S>(raw: unknown, shape: Struct<T, S>): Finding[] {
-  const result = tryValidate(raw, shape);
-  if (!result) return [{ path: wholeDocument, text: 'holds a value that cannot be shown' }];
-  const [error] = result;
+/** A copy of which every object can be turned into text, whatever its fields are called. */
+function printable(value: unknown): unknown {
+  if (typeof value !== 'object' || value === null) return value;
+  if (Array.isArray(value)) return value.map(printable);
+  if (Object.getPrototypeOf(value) !== Object.prototype) return value;
+  const copy: object = Object.fromEntries(
+    Object.entries(value).map(([key, field]) => [key, printable(field)] as const),
+  );
+  Object.defineProperty(copy, Symbol.toPrimitive, { value: printAsObject });
+  return copy;
+}
+
+function collect<T, S>(raw: unknown, shape: Struct<T, S>): Finding[] {
+  const [error] = validate(raw, shape);
   if (!error) return [];
   const found: Finding[] = [];
   for (const { path, message } of error.failures()) {
     if (found.length >= maxFindings) break;
-    found.push({ path: path.join('.') || wholeDocument, text: message.replace(pathInMessage, '') });
+    const text = message.replace(pathInMessage, '').slice(0, maxTextLength);
+    found.push({ path: path.join('.') || wholeDocument, text });
   }
   return found;
 }
 
+/**
+ * What is wrong with a value by the shape that it should have, at most `maxFindings`; empty for a valid one. Superstruct
+ * puts wrong values into its sentences, one after another as the findings are read, and throws on one that can't be turned
+ * into text, such as an object with a field named `toString`.
+ */
+function fromStruct<T, S>(raw: unknown, shape: Struct<T, S>): Finding[] {
+  try {
+    return collect(raw, shape);
+  } catch {
+    return collectPrintable(raw, shape);
+  }
+}
+
+/** As `collect`; a value that can't be copied either, such as one that is nested too deep, is one finding. */
+function collectPrintable<T, S>(raw: unknown, shape: Struct<T, S>): Finding[] {
+  try {
+    return collect(printable(raw), shape);
+  } catch {
+    return [{ path: wholeDocument, text: 'holds a value that cannot be shown' }];
+  }
+}
+
 /** The first finding of `fromStruct` with an empty path for the value itself, as validators of messages give it; or null. */
 function firstFromStruct<T, S>(raw: unknown, shape: Struct<T, S>): Finding | null {
   const [found] = fromStruct(raw, shape);
--- a/src/runtime/timing.ts
+++ b/src/runtime/timing.ts
@@ -10,17 +10,14 @@
 
 /**
  * The result of `work`, or `fallback` when it takes longer than `timeoutMs`. The work is not aborted: it
- * goes on, and its late result is dropped. `work` must report its errors in its value, never reject.
+ * goes on, and its late result is dropped. Rejects if `work` does so in time.
  */
 function withTimeout<T>(clock: Clock, timeoutMs: number, work: Promise<T>, fallback: T): Promise<T> {
-  return new Promise((resolve) => {
+  return new Promise((resolve, reject) => {
     const timer = clock.after(timeoutMs, () => {
       resolve(fallback);
     });
-    void work.then((value) => {
-      timer.cancel();
-      resolve(value);
-    });
+    work.finally(() => timer.cancel()).then(resolve, reject);
   });
 }
 
--- a/src/state/control/order-validation.ts
+++ b/src/state/control/order-validation.ts
@@ -9,6 +9,7 @@
  */
 import { operatorPaths } from '../../protocol/operator-paths.js';
 import type { OperatorRequest } from '../../protocol/rpc/operator.js';
+import { jsonDocument } from '../../protocol/json-document.js';
 import type { Configuration, Finding, Result } from '../../types.js';
 import { configurationCheck } from '../../protocol/configuration/check.js';
 import { configurationPatch } from '../../protocol/configuration/patch.js';
@@ -39,12 +40,19 @@
   return { kind: 'rejected', rejection: rejection(status, path, text) };
 }
 
+/** Refuses bytes that are no UTF-8, which would otherwise be read as other text. */
+const utf8 = new TextDecoder('utf-8', { fatal: true, ignoreBOM: true });
+
+/** The JSON document in the body, if it can be kept as it was sent. */
 function parseBody({ body }: OperatorRequest): Result<unknown, Rejection> {
+  let value: unknown;
   try {
-    return { ok: true, value: JSON.parse(Buffer.from(body.buffer, body.byteOffset, body.byteLength).toString('utf8')) };
+    value = JSON.parse(utf8.decode(body));
   } catch (err) {
     return { ok: false, error: rejection(400, '(whole)', (err as Error).message) };
   }
+  const findings = jsonDocument.check(value);
+  return findings.length > 0 ? { ok: false, error: { status: 400, findings } } : { ok: true, value };
 }
 
 /** The base revision in `If-Match`, quoted or not; null when there is none. */
