Watch: a part that a router can't read no longer keeps it from the others

Change: the router checks the response by its parts. An unreadable one is left out and logged with its path (`update_unreadable`), the rest is in effect; the next request asks for the full state, after the usual back-off over the coordinators. Access rules are not confirmed meanwhile.

Test: watch.test.ts, a configuration that passed no check stands in the log; runners and weights go on to the router, and the next readable configuration too.

--- a/src/dataplane/config-watcher.ts
+++ b/src/dataplane/config-watcher.ts
@@ -6,6 +6,7 @@
  * Where no coordinator has been up to date for `contact_ms`, the router asks for what they have (`acceptsStale`): the
  * fleet must go on serving when the coordinators have lost their majority.
  */
+import type { NoteEvents } from '../logging/events.js';
 import { ringLog } from '../logging/ring.js';
 import type { Result } from '../types.js';
 import type { Runtime } from '../runtime.js';
@@ -14,12 +15,19 @@
 import { routerLeaseMs } from '../state/control/access-lease.js';
 import { endpointsSnapshots } from '../state/endpoints-snapshot.js';
 import { rpc } from '../protocol/rpc/rpc-method.js';
-import { watchMethod, type WatchRequest, type WatchResponse } from '../protocol/rpc/watch.js';
+import {
+  partialWatchMethod,
+  type PartialWatchResponse,
+  type WatchRequest,
+  type WatchResponse,
+} from '../protocol/rpc/watch.js';
 import { backoff, type BackoffPolicy } from './backoff.js';
 import { configUpdates } from './config-updates.js';
 import { coordinatorList, type CoordinatorList } from './coordinator-list.js';
 import type { Router } from './router.js';
 
+type SwitchReason = NoteEvents['coordinator_switched']['reason'];
+
 /** For how long a coordinator may hold a watch that has nothing new, in ms. */
 const waitMs = 600;
 
@@ -99,28 +107,45 @@
   router: Router,
   watcher: ConfigWatcher,
   address: string,
-): Promise<Result<WatchResponse, RpcError>> {
+): Promise<Result<PartialWatchResponse, RpcError>> {
   const request = requestOf(router, watcher);
   const timeoutMs = request.revision === 0 ? initialTimeoutMs : waitMs + responseSlackMs;
-  return rpc.call(watcher.runtime.network, address, watchMethod, request, { timeoutMs });
+  return rpc.call(watcher.runtime.network, address, partialWatchMethod, request, { timeoutMs });
 }
 
-function applyResponse(router: Router, watcher: ConfigWatcher, response: WatchResponse, sentAt: number): void {
+/** An update that can't be read is requested in full the next time. */
+function applyResponse(
+  router: Router,
+  watcher: ConfigWatcher,
+  { response, unreadable }: PartialWatchResponse,
+  sentAt: number,
+): void {
   const { clock } = watcher.runtime;
-  watcher.needsFullState = !configUpdates.apply(router, response, clock.now());
+  watcher.needsFullState = !configUpdates.apply(router, response, clock.now()) || unreadable.length > 0;
   applyCoordinators(watcher, response);
   if (response.confirmsAccessRules)
     router.accessRules.validUntil = Math.max(router.accessRules.validUntil, sentAt + routerLeaseMs);
   if (response.isUpToDate) watcher.lastUpToDateAt = clock.now();
 }
 
-/** Asks one coordinator; true when it was up to date and is to be asked again. */
+/** Why the next coordinator is to be asked; null when this one was up to date and is to be asked again. */
+function reasonToSwitch(result: Result<PartialWatchResponse, RpcError>): SwitchReason | null {
+  if (!result.ok) return result.error.kind;
+  if (result.value.unreadable.length > 0) return 'unreadable';
+  return result.value.response.isUpToDate ? null : 'not up to date';
+}
+
+/** Asks one coordinator; true when it is to be asked again. */
 async function watchOnce(router: Router, watcher: ConfigWatcher, address: string): Promise<boolean> {
   const sentAt = watcher.runtime.clock.now();
   const result = await callCoordinator(router, watcher, address);
-  if (result.ok) applyResponse(router, watcher, result.value, sentAt);
-  if (result.ok && result.value.isUpToDate) return true;
-  const reason = result.ok ? 'not up to date' : result.error.kind;
+  if (result.ok) {
+    applyResponse(router, watcher, result.value, sentAt);
+    const { unreadable } = result.value;
+    if (unreadable.length > 0) ringLog.error(router.log, 'update_unreadable', { address, findings: unreadable });
+  }
+  const reason = reasonToSwitch(result);
+  if (reason === null) return true;
   ringLog.note(router.log, 'coordinator_switched', { address, reason });
   return false;
 }
--- a/src/logging/events.ts
+++ b/src/logging/events.ts
@@ -124,12 +124,17 @@
 type RouterErrors = {
   /** Handling a request threw, and its connection was destroyed. On call: report the stack. */
   request_failed: { stack: string | undefined };
+  /**
+   * A coordinator told something that this router can't read; all else in the answer is in effect. On call: processes of
+   * different versions, or report the findings; a change of what they name ends it.
+   */
+  update_unreadable: { address: string; findings: Finding[] };
 };
 
 /** What a router does with requests; level `note`. */
 type RouterNotes = {
   /** The coordinator at `address` failed or was behind; the next watch goes to another one. */
-  coordinator_switched: { address: string; reason: RpcError['kind'] | 'not up to date' };
+  coordinator_switched: { address: string; reason: RpcError['kind'] | 'not up to date' | 'unreadable' };
   /** No runner could take the request within its time to wait; or its client went meanwhile. */
   no_runner_available: { attempt: string; service: string };
   /** The runner said nothing in time; it counts as suspect. */
--- a/src/protocol/rpc/watch.ts
+++ b/src/protocol/rpc/watch.ts
@@ -3,7 +3,14 @@
  * to `waitMs` milliseconds while there are none. All of its contents are ordered by revision or (term, seq), so it need
  * not be bound to the callee's incarnation.
  */
-import type { Configuration, EndpointsSnapshot, EndpointsVersion, AccessRulesState } from '../../types.js';
+import type {
+  AccessRulesState,
+  Configuration,
+  EndpointsSnapshot,
+  EndpointsVersion,
+  Finding,
+  Result,
+} from '../../types.js';
 import { updateValidators, type EndpointsUpdate, type ConfigurationUpdate } from './updates.js';
 import { rpc, type RpcMethod } from './rpc-method.js';
 import { validators } from './validation.js';
@@ -85,3 +92,47 @@
   channel: 'bulk',
   bindsToIncarnation: false,
 };
+
+/** A response of which each readable part may be applied; `unreadable`: the findings on the parts that were left out. */
+export type PartialWatchResponse = { response: WatchResponse; unreadable: Finding[] };
+
+/** The parts that stand for themselves: without one of them the others are as good as before. */
+const separableParts: string[] = [
+  'configuration',
+  'configurationUpdate',
+  'weights',
+  'accessRules',
+  'endpoints',
+  'endpointsUpdate',
+] satisfies (keyof WatchResponse)[];
+
+function partOf(finding: Finding): string | undefined {
+  const [part] = finding.path.split('.');
+  return separableParts.find((separable) => separable === part);
+}
+
+/**
+ * Checks a response by its parts, so that one that this process can't read does not keep it from all others. The access
+ * rules are not confirmed then, since a part that is missing may have changed them.
+ */
+function checkParts(raw: unknown): Result<PartialWatchResponse, Finding> {
+  const unreadable: Finding[] = [];
+  let readable = raw;
+  for (;;) {
+    const checked = watchMethod.checkResponse(readable);
+    if (checked.ok) {
+      const confirmsAccessRules = checked.value.confirmsAccessRules && unreadable.length === 0;
+      return { ok: true, value: { response: { ...checked.value, confirmsAccessRules }, unreadable } };
+    }
+    const part = partOf(checked.error);
+    if (part === undefined || (readable as WatchResponse)[part as keyof WatchResponse] === null) return checked;
+    unreadable.push(checked.error);
+    readable = { ...(readable as WatchResponse), [part]: null };
+  }
+}
+
+/** `watchMethod` as a router calls it. */
+export const partialWatchMethod: RpcMethod<WatchRequest, PartialWatchResponse> = {
+  ...watchMethod,
+  checkResponse: checkParts,
+};
--- a/test/watch.test.ts
+++ b/test/watch.test.ts
@@ -17,6 +17,7 @@
 import { endpointsSnapshots } from '../src/state/endpoints-snapshot.js';
 import type { WatchRequest } from '../src/protocol/rpc/watch.js';
 import type { Configuration, Runner, Settings } from '../src/types.js';
+import { partialWatchMethod } from '../src/protocol/rpc/watch.js';
 import { coordinators, virtualTime, type Group, type Node } from './support/coordinators.js';
 
 const contactMs = 3000;
@@ -342,3 +343,56 @@
   await virtualTime.advance(group.time, 20);
   assert.equal(router.configuration!.routeTable.revision, 2);
 });
+
+/** A configuration in the log that passed no check: what an older version may have accepted. */
+function configureUnreadable(revision: number): Command {
+  const command = configure(revision);
+  const routes = [{ label: 'r', hostname: 'h', path_prefix: '/', variant: 'unknown', deadline_ms: 1, target: 's' }];
+  const target = { revision, route_list: routes, service_list: [{ label: 's' }] } as unknown as Configuration;
+  return { ...command, change: { kind: 'full', configuration: target } } as Command;
+}
+
+// Guards against the second half of CONFIG of review case 2: one unreadable value kept a router from all else it is told.
+test('a configuration that a router cannot read does not keep it from the runners, the weights and what follows', async () => {
+  const group = await led();
+  const { router } = startRouter(group);
+  await virtualTime.advance(group.time, 500);
+  coordinators.commit(group, configureUnreadable(2));
+  group.runners = [runner('i-2'), runner('i-3')];
+  coordinators.commit(group, { kind: 'name_weights', model: 'm', revision: 7 });
+  const questions = group.questions;
+  await virtualTime.advance(group.time, 3000);
+  assert.equal(router.configuration?.document.revision, 1);
+  assert.deepEqual([...router.endpointPool.byId.keys()].sort(), ['i-2', 'i-3']);
+  assert.equal(router.weights.revisions.m, 7);
+  assert.ok(group.questions - questions < 100, `${group.questions - questions} watches in 3 s`);
+  coordinators.commit(group, configure(3));
+  await virtualTime.advance(group.time, 1000);
+  assert.equal(router.configuration?.document.revision, 3);
+});
+
+test('the access rules are not confirmed by a response of which a part is unreadable', () => {
+  const response = {
+    configuration: { revision: 'x' },
+    configurationUpdate: null,
+    sharedDomainSince: 0,
+    weights: { m: 1 },
+    weightsSeq: 1,
+    accessRules: { seq: 'x' },
+    endpoints: null,
+    endpointsUpdate: null,
+    leaderAddress: null,
+    coordinatorAddresses: ['c1'],
+    isUpToDate: true,
+    confirmsAccessRules: true,
+  };
+  const checked = partialWatchMethod.checkResponse(response);
+  assert.ok(checked.ok);
+  assert.equal(checked.value.response.confirmsAccessRules, false);
+  assert.deepEqual(checked.value.response.weights, { m: 1 });
+  assert.deepEqual(
+    checked.value.unreadable.map((finding) => finding.path),
+    ['configuration.revision', 'accessRules.seq'],
+  );
+  assert.equal(partialWatchMethod.checkResponse({ ...response, weightsSeq: 'x' }).ok, false);
+});
