Configurations are served as they are accepted: names by nature, any script, numbers at their limits

One property, "what is accepted can be served", and what was found to break it, each by test/configuration-served:

- Tenants and models named as what every object has (`toString`, `constructor`): the record's prototype was read, and every request of such a tenant ended with a closed connection.
Own values only (runtime/own-value.ts); `__proto__` is refused as a label and as a model of version-put.
- A tenant label beyond Latin-1 threw when the request was sent on.
Labels go out in UTF-8 (calls/header-text.ts), keys, hosts and prefixes are recognised in it; a label that no header can hold is refused with its path, and so is a `kv_store_addr` that is no address.
- A `deadline_ms` beyond 2^31 fired its timer at once (runtime/timer-delay.ts).
`tries` with a fraction let one more runner be asked; `X-Urgency` could have decimals; `X-Time-Left-Ms` with decimals was ignored.
- A host configured with its port was never found.
A model name with a blank mixed up block ids.
Cache events: unreadable rows are skipped.
- A slow first long prompt could make a router reject all later ones, and so never measure again: none is rejected at a runner that has nothing else to prefill.

--- a/src/controlplane/operator.ts
+++ b/src/controlplane/operator.ts
@@ -5,6 +5,7 @@
  */
 import { operatorPaths } from '../protocol/operator-paths.js';
 import type { OperatorReply, OperatorRequest } from '../protocol/rpc/operator.js';
+import { ownValue } from '../runtime/own-value.js';
 import { timing } from '../runtime/timing.js';
 import type { Coordinator } from './coordinator-context.js';
 import { rpcClient } from './rpc-client.js';
@@ -82,7 +83,7 @@
  */
 async function handle(coordinator: Coordinator, request: OperatorRequest): Promise<OperatorReply> {
   const { method, path } = request;
-  const methods = methodsByPath[path];
+  const methods = ownValue(methodsByPath, path);
   if (!methods) return operatorReplies.rejection(404, [{ path: 'path', text: `there is no ${path}` }]);
   if (!methods.includes(method))
     return operatorReplies.rejection(405, [{ path: 'method', text: `${path} takes ${methods.join(', ')}` }]);
--- a/src/coordination/singletons/rollout.ts
+++ b/src/coordination/singletons/rollout.ts
@@ -7,6 +7,7 @@
  * A job goes pausing -> ordering -> loading, back to ordering when the order was lost, and ends when the runner
  * reports the revision, rejects the order, or times out.
  */
+import { ownValue } from '../../runtime/own-value.js';
 import type { Runner } from '../../types.js';
 import type { RevisionOrderResult } from '../../protocol/calls/runner-calls.js';
 
@@ -96,7 +97,7 @@
 
 function outdatedModel(runner: Runner, targets: Record<string, number>): { model: string; revision: number } | null {
   for (const model of runner.models) {
-    const target = targets[model.label];
+    const target = ownValue(targets, model.label);
     if (target !== undefined && model.revision < target) return { model: model.label, revision: target };
   }
   return null;
--- a/src/dataplane/admission-queue.ts
+++ b/src/dataplane/admission-queue.ts
@@ -3,6 +3,8 @@
  * dispatched first, but waiting counts against rank, so that no request starves.
  */
 
+import { timerDelay } from '../runtime/timer-delay.js';
+
 /** One request that waits. */
 export type QueuedRequest = {
   /** See `priorityKey`. */
@@ -68,7 +70,7 @@
     };
     const timer = setTimeout(() => {
       queued.settle(tryDispatch());
-    }, timeoutMs);
+    }, timerDelay(timeoutMs));
     queue.waiting.push(queued);
     queue.timer ??= setInterval(() => {
       dispatchWaiting(queue);
--- a/src/dataplane/attempt-response.ts
+++ b/src/dataplane/attempt-response.ts
@@ -4,6 +4,7 @@
  */
 import type { ClientRequest, IncomingMessage } from 'node:http';
 import { ringLog } from '../logging/ring.js';
+import { ownValue } from '../runtime/own-value.js';
 import { headerNames, httpHeaders } from '../protocol/calls/headers.js';
 import { runnerEndpoint } from '../state/runners/endpoint.js';
 import { responseCompletion } from '../transport/http/response-completion.js';
@@ -62,7 +63,7 @@
 function handleVersionMismatch({ router, context, assignment }: AttemptScope): void {
   const { endpoint, weightsRevision } = assignment;
   if (context.model === null || weightsRevision === null) return;
-  const newest = router.weights.revisions[context.model] ?? 0;
+  const newest = ownValue(router.weights.revisions, context.model) ?? 0;
   if (endpoint.modelRevisions.get(context.model) === weightsRevision && newest > weightsRevision)
     runnerEndpoint.recordRevision(endpoint, context.model, newest);
   context.attemptedEndpoints.delete(endpoint.index);
--- a/src/dataplane/client-server.ts
+++ b/src/dataplane/client-server.ts
@@ -6,6 +6,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { Duplex } from 'node:stream';
 import { ringLog } from '../logging/ring.js';
+import { maxTimerMs } from '../runtime/timer-delay.js';
 import { httpResponse } from '../transport/http/response.js';
 import { authentication } from './policies/authentication.js';
 import { authorization } from './policies/authorization.js';
@@ -103,8 +104,8 @@
 /** Applies the time-outs of the configuration in force (`limits`); called again when it changes. */
 function applyLimits(router: Router, server: Server): void {
   const limits = router.configuration?.routeTable.limits;
-  server.headersTimeout = limits?.header_ms ?? defaultHeadersTimeoutMs;
-  server.keepAliveTimeout = limits?.idle_ms ?? defaultIdleTimeoutMs;
+  server.headersTimeout = Math.min(limits?.header_ms ?? defaultHeadersTimeoutMs, maxTimerMs);
+  server.keepAliveTimeout = Math.min(limits?.idle_ms ?? defaultIdleTimeoutMs, maxTimerMs);
 }
 
 export const clientServer = { create, applyLimits };
--- a/src/dataplane/config-updates.ts
+++ b/src/dataplane/config-updates.ts
@@ -3,6 +3,7 @@
  * than the present one, so that no state of a router ever goes back.
  */
 import type { WatchResponse } from '../protocol/rpc/watch.js';
+import { ownValue } from '../runtime/own-value.js';
 import { routeTable } from '../state/control/route-table.js';
 import { endpointsSnapshots } from '../state/endpoints-snapshot.js';
 import { configurationHistory } from '../state/history/configuration-history.js';
@@ -34,7 +35,7 @@
   const { weights } = router;
   if (!response.weights || response.weightsSeq <= weights.seq) return;
   for (const [model, revision] of Object.entries(response.weights))
-    if ((weights.revisions[model] ?? 0) < revision) weights.namedAt.set(model, now);
+    if ((ownValue(weights.revisions, model) ?? 0) < revision) weights.namedAt.set(model, now);
   weights.revisions = response.weights;
   weights.seq = response.weightsSeq;
 }
--- a/src/dataplane/endpoint-reservation.ts
+++ b/src/dataplane/endpoint-reservation.ts
@@ -17,12 +17,15 @@
 /**
  * Whether a long prompt would wait for too many times its latency target: it is better rejected early than prefilled
  * late, since it would delay the requests queued after it. False until this router has measured how fast runners
- * prefill.
+ * prefill, and at a runner that has nothing else to prefill: a slow first measurement would otherwise reject all long
+ * prompts, and so never be corrected.
  */
 function isTooLong(router: Router, context: RequestContext, assignment: EndpointAssignment): boolean {
   const { prefillTokensPerMs } = router;
   if (!assignment.isLongPrompt || context.executionStatus.attemptsSent > 0 || prefillTokensPerMs <= 0) return false;
-  return assignment.prefillBacklogTokens / prefillTokensPerMs > context.latencyTargetMs * maxWaitInTargets;
+  const hasOthersBefore = assignment.prefillBacklogTokens > assignment.prefillTokens;
+  const waitMs = assignment.prefillBacklogTokens / prefillTokensPerMs;
+  return hasOthersBefore && waitMs > context.latencyTargetMs * maxWaitInTargets;
 }
 
 /** Reserves capacity at the endpoint, and a lease on the source of a transfer; `release` returns both. */
--- a/src/dataplane/endpoint-selection/endpoint-eligibility.ts
+++ b/src/dataplane/endpoint-selection/endpoint-eligibility.ts
@@ -2,6 +2,7 @@
  * Which endpoints a request may be sent to at all: usable or worth resuming at, not attempted before, with a free
  * connection, and with weights that are not outdated. Which of them is best is for `endpoint-cost.ts`.
  */
+import { ownValue } from '../../runtime/own-value.js';
 import { type RunnerEndpoint, runnerEndpoint } from '../../state/runners/endpoint.js';
 import type { RequestContext } from '../request-context.js';
 import type { Router } from '../router.js';
@@ -27,7 +28,7 @@
  */
 function hasOutdatedWeights(router: Router, context: RequestContext, revision: number | null, now: number): boolean {
   if (context.model === null || revision === null) return false;
-  const newest = router.weights.revisions[context.model];
+  const newest = ownValue(router.weights.revisions, context.model);
   const namedAt = router.weights.namedAt.get(context.model);
   if (newest === undefined || namedAt === undefined || revision >= newest) return false;
   return now - namedAt > router.settings.bound_set.version_ms * outdatedWeightsShare;
--- a/src/dataplane/policies/routing.ts
+++ b/src/dataplane/policies/routing.ts
@@ -30,13 +30,13 @@
 function fieldsOfRoute({ request, receivedAt }: ReceivedRequest, route: Route): RouteFields {
   const isStream = route.variant === 'streaming';
   const isIdempotent = route.variant === 'idempotent' || (isStream && route.resumable === true);
-  const timeLeftMs = httpHeaders.parseCount(request.headers[headerNames.timeLeftMs]) ?? route.deadline_ms;
+  const timeLeftMs = httpHeaders.parseDurationMs(request.headers[headerNames.timeLeftMs]) ?? route.deadline_ms;
   return {
     route,
     rank: route.rank ?? 0,
     isStream,
     isIdempotent,
-    answerTerms: { isIdempotent, maxAttempts: route.tries ?? 1 },
+    answerTerms: { isIdempotent, maxAttempts: Math.floor(route.tries ?? 1) },
     latencyTargetMs: route.target_ms ?? route.deadline_ms,
     deadlineAt: receivedAt + Math.min(timeLeftMs, route.deadline_ms),
   };
--- a/src/dataplane/relay.ts
+++ b/src/dataplane/relay.ts
@@ -1,6 +1,7 @@
 /** Relays a runner's answer to the client until it ends, and returns how it ended. */
 import type { ServerResponse } from 'node:http';
 import { runnerEndpoint } from '../state/runners/endpoint.js';
+import { timerDelay } from '../runtime/timer-delay.js';
 import { responseCompletion } from '../transport/http/response-completion.js';
 import type { EndpointAssignment } from './endpoint-assignment.js';
 import type { RequestContext } from './request-context.js';
@@ -46,7 +47,7 @@
     this.#forwarder = forwarder;
     this.#onPrefilled = onPrefilled;
     const timeLeftMs = context.deadlineAt + deadlineGraceMs - performance.now();
-    this.#deadlineTimer = setTimeout(() => this.#end('deadline_exceeded'), Math.max(1, timeLeftMs));
+    this.#deadlineTimer = setTimeout(() => this.#end('deadline_exceeded'), timerDelay(timeLeftMs));
     this.#downstream.on('close', this.#onClientGone);
     this.#downstream.on('drain', this.#onDrained);
     const { response } = runnerResponse;
--- a/src/dataplane/request-headers.ts
+++ b/src/dataplane/request-headers.ts
@@ -1,4 +1,5 @@
 /** The headers of an attempt: the client's own as they may go on, and those that only the router sets. */
+import { headerText } from '../protocol/calls/header-text.js';
 import { headerNames, httpHeaders } from '../protocol/calls/headers.js';
 import type { EndpointAssignment } from './endpoint-assignment.js';
 import type { RequestContext } from './request-context.js';
@@ -9,7 +10,7 @@
 const leastUrgency = 9;
 
 function urgencyOf(context: RequestContext): number {
-  return Math.max(0, Math.min(leastUrgency, 2 + context.rank * 2 + (context.route.rank ?? 0)));
+  return Math.round(Math.max(0, Math.min(leastUrgency, 2 + context.rank * 2 + (context.route.rank ?? 0))));
 }
 
 /** If the client has been sent events, a further attempt resumes the stream after the last of them. */
@@ -34,7 +35,7 @@
   const headers = forwardedHeaders(context);
   headers.push('X-Time-Left-Ms', String(Math.max(1, Math.floor(context.deadlineAt - now))));
   headers.push('X-Expect-Instance', assignment.endpoint.id);
-  if (context.tenant) headers.push('X-Tenant', context.tenant.label);
+  if (context.tenant) headers.push('X-Tenant', headerText.toWire(context.tenant.label));
   if (assignment.weightsRevision !== null) headers.push('X-Expect-Version', String(assignment.weightsRevision));
   if (assignment.cacheNamespace !== null) headers.push('X-Cache-Salt', assignment.cacheNamespace);
   if (assignment.fetchFrom !== null) headers.push('X-Kv-Fetch-From', assignment.fetchFrom);
--- a/src/dataplane/response-head.ts
+++ b/src/dataplane/response-head.ts
@@ -2,6 +2,7 @@
  * Waits for the first of: the head of a response or its loss, the client's disconnect, the deadline, or, for idempotent
  * requests, a runner that has been silent for too long.
  */
+import { timerDelay } from '../runtime/timer-delay.js';
 import type { Attempt, AttemptResult } from './attempt.js';
 import type { EndpointAssignment } from './endpoint-assignment.js';
 import type { RequestContext } from './request-context.js';
@@ -59,7 +60,7 @@
     function checkSilence(): void {
       if (isSilent(context, assignment, sentAt, performance.now())) end({ kind: 'endpoint_silent' });
     }
-    const deadlineTimer = setTimeout(onDeadline, Math.max(1, context.deadlineAt - sentAt));
+    const deadlineTimer = setTimeout(onDeadline, timerDelay(context.deadlineAt - sentAt));
     const silenceTimer = context.isIdempotent ? setInterval(checkSilence, silenceCheckMs) : undefined;
     raw.on('close', onClientGone);
     void attempt.result.then(end);
--- a/src/protocol/calls/headers.ts
+++ b/src/protocol/calls/headers.ts
@@ -78,9 +78,9 @@
   return match ? { prompt: Number(match[1]), maxOutput: Number(match[2]) } : null;
 }
 
-/** An integer of 0 or more; null when missing or not readable. */
-function parseCount(raw: string | string[] | undefined): number | null {
-  return typeof raw === 'string' && /^\s*\d+\s*$/.test(raw) ? Number(raw) : null;
+/** Milliseconds of 0 or more, with or without decimals; null when missing or not readable. */
+function parseDurationMs(raw: string | string[] | undefined): number | null {
+  return typeof raw === 'string' && /^\s*\d+(\.\d*)?\s*$/.test(raw) ? Number(raw) : null;
 }
 
 function connectionFields(connection: string | undefined): Set<string> {
@@ -130,7 +130,7 @@
 export const httpHeaders = {
   parsePrefixBlocks,
   parseTokenCounts,
-  parseCount,
+  parseDurationMs,
   requestHeaders,
   responseHeaders,
   parseWeightVersion,
--- a/src/protocol/calls/runner-calls.ts
+++ b/src/protocol/calls/runner-calls.ts
@@ -1,5 +1,5 @@
 /** Calls to a runner or the store: its report, revision orders, and what its prefix cache holds (PROTOCOL, `/v1/...`). */
-import { array, boolean, is, number, string, tuple, type, type Infer } from 'superstruct';
+import { array, boolean, is, number, string, tuple, type, unknown, type Infer } from 'superstruct';
 import type { ModelRevision, Tuning } from '../../types.js';
 import type { ExternalCall } from './external-calls.js';
 
@@ -100,7 +100,7 @@
   epoch_no: number(),
   next_token: number(),
   is_lost: boolean(),
-  event_list: array(eventShape),
+  event_list: array(unknown()),
 });
 
 /** A prefix block in a cache: how many of its tokens are cached, and the model that computed them. */
@@ -115,12 +115,16 @@
  */
 export type PrefixCacheEvents = { epoch: number; nextToken: number; isLost: boolean; events: PrefixCacheEvent[] };
 
+function isEventRow(row: unknown): row is EventRow {
+  return is(row, eventShape);
+}
+
 /** Any sign but `-` is that of a cached block. */
 function readEvent([eventNo, sign, cacheNamespace, blockId, tokens, model]: EventRow): PrefixCacheEvent {
   return { eventNo, kind: sign === '-' ? 'removed' : 'cached', cacheNamespace, blockId, tokens, model };
 }
 
-/** Waits at the runner for up to `waitMs` for a first event. */
+/** Waits at the runner for up to `waitMs` for a first event. Rows that can't be read are left out. */
 function prefixCacheEvents(since: number, waitMs: number): ExternalCall<PrefixCacheEvents> {
   return {
     method: 'GET',
@@ -128,7 +132,7 @@
     headers: { 'Wait-Ms': String(waitMs) },
     parse: (status, body) => {
       if (status !== 200 || !is(body, eventsShape)) return null;
-      const events = body.event_list.map(readEvent);
+      const events = body.event_list.filter(isEventRow).map(readEvent);
       return { epoch: body.epoch_no, nextToken: body.next_token, isLost: body.is_lost, events };
     },
   };
@@ -137,23 +141,27 @@
 /** Cache namespace, block, tokens, model. */
 const listedBlockShape = tuple([string(), string(), number(), string()]);
 
+function isListedBlock(row: unknown): row is Infer<typeof listedBlockShape> {
+  return is(row, listedBlockShape);
+}
+
 const listingShape = type({
   epoch_no: number(),
   next_token: number(),
-  is_held: array(listedBlockShape),
+  is_held: array(unknown()),
 });
 
 /** All blocks of a prefix cache; events go on from `nextToken`. */
 export type PrefixCacheListing = { epoch: number; nextToken: number; blocks: CachedBlock[] };
 
-/** Asks for all blocks. */
+/** Asks for all blocks. Rows that can't be read are left out. */
 function prefixCacheListing(): ExternalCall<PrefixCacheListing> {
   return {
     method: 'GET',
     path: '/v1/kv-list',
     parse: (status, body) => {
       if (status !== 200 || !is(body, listingShape)) return null;
-      const blocks = body.is_held.map(([cacheNamespace, blockId, tokens, model]) => ({
+      const blocks = body.is_held.filter(isListedBlock).map(([cacheNamespace, blockId, tokens, model]) => ({
         cacheNamespace,
         blockId,
         tokens,
--- a/src/protocol/configuration/shape.ts
+++ b/src/protocol/configuration/shape.ts
@@ -3,13 +3,29 @@
  * one definition: coordinators accept a configuration by it, and routers check what they are told by it
  * (`protocol/rpc/shared-validators.ts`), so that whatever was accepted can be told.
  */
-import { array, boolean, define, enums, min, nonempty, optional, string, type } from 'superstruct';
+import { httpClient } from '../../transport/http/client.js';
+import { headerText } from '../calls/header-text.js';
+import { array, boolean, define, enums, min, nonempty, optional, refine, string, type } from 'superstruct';
 
 /** JSON has numbers that JavaScript reads as infinite (`1e999`). */
 const finite = define<number>('finite number', (value) => Number.isFinite(value) || 'Expected a finite number');
 const atLeastZero = min(finite, 0);
 const name = nonempty(string());
 
+/** Goes to runners in a header field. */
+function isSendable(value: string): true | string {
+  return headerText.isSendable(value) || 'holds a character that no header can, or a blank at an end';
+}
+
+/** A name by which values are kept in an object: assigning to this one sets the object's prototype instead. */
+const recordName = refine(name, 'record name', (value) => value !== '__proto__' || 'is no name that can be kept');
+
+/** `host:port`, as it stands in headers and is connected to. */
+const address = define<string>(
+  'address',
+  (value) => (typeof value === 'string' && httpClient.isAddress(value)) || 'Expected host:port',
+);
+
 /** Larger integers have no exact value here, so that two of them could be taken for one. */
 const revision = define<number>(
   'revision',
@@ -49,7 +65,7 @@
   health_path: optional(string()),
   max_conns: optional(atLeastZero),
   engine_kind: optional(engineKind),
-  kv_store_addr: optional(string()),
+  kv_store_addr: optional(address),
   zone_name: optional(string()),
   kv_capacity: optional(atLeastZero),
   link_mbps: optional(atLeastZero),
@@ -64,7 +80,7 @@
 });
 
 const tenant = type({
-  label: name,
+  label: refine(recordName, 'tenant label', isSendable),
   api_keys: array(name),
   rank: optional(finite),
   isolated: optional(boolean()),
@@ -80,4 +96,4 @@
   tenant_list: optional(array(tenant)),
 });
 
-export const configurationShapes = { revision, route, service, tenant, configuration };
+export const configurationShapes = { recordName, revision, route, service, tenant, configuration };
--- a/src/state/control/access-rules.ts
+++ b/src/state/control/access-rules.ts
@@ -2,6 +2,7 @@
  * The access rules in a configuration: which models a tenant may call. A tenant without `model_rule` may call
  * all of them; `*` in a rule matches every model.
  */
+import { ownValue } from '../../runtime/own-value.js';
 import type { Configuration } from '../../types.js';
 
 /** The models that a tenant may call, sorted, by the tenant's label. */
@@ -26,14 +27,14 @@
 
 /** Whether a tenant may call a model; a call that names no model (null) is allowed only without a rule. */
 function allows(rules: AccessRules, tenant: string, model: string | null): boolean {
-  const rule = rules[tenant];
+  const rule = ownValue(rules, tenant);
   if (rule === undefined) return true;
   return model !== null && (rule.includes(model) || rule.includes('*'));
 }
 
 /** Whether any rule applies to the tenant. */
 function hasRule(rules: AccessRules, tenant: string): boolean {
-  return rules[tenant] !== undefined;
+  return ownValue(rules, tenant) !== undefined;
 }
 
 /** While rules are pending, a call on which they differ from the active ones is undecided. */
--- a/src/state/control/order-validation.ts
+++ b/src/state/control/order-validation.ts
@@ -9,7 +9,10 @@
  */
 import { operatorPaths } from '../../protocol/operator-paths.js';
 import type { OperatorRequest } from '../../protocol/rpc/operator.js';
+import { configurationShapes } from '../../protocol/configuration/shape.js';
+import { findings as fieldFindings } from '../../protocol/findings.js';
 import { jsonDocument } from '../../protocol/json-document.js';
+import { ownValue } from '../../runtime/own-value.js';
 import type { Configuration, Finding, Result } from '../../types.js';
 import { configurationCheck } from '../../protocol/configuration/check.js';
 import { configurationPatch } from '../../protocol/configuration/patch.js';
@@ -113,7 +116,8 @@
   if (typeof raw !== 'object' || raw === null) return [{ path: '(whole)', text: 'expected a table' }];
   const { model_name: model, revision } = raw as { model_name?: unknown; revision?: unknown };
   const findings: Finding[] = [];
-  if (typeof model !== 'string' || model === '') findings.push({ path: 'model_name', text: 'expected a name' });
+  const [nameFinding] = fieldFindings.fromStruct(model, configurationShapes.recordName);
+  if (nameFinding) findings.push({ path: 'model_name', text: nameFinding.text });
   if (!Number.isSafeInteger(revision) || (revision as number) < 1)
     findings.push({ path: 'revision', text: 'expected a whole number from 1' });
   return findings;
@@ -125,7 +129,7 @@
   const findings = weightsFindings(body.value);
   if (findings.length > 0) return { kind: 'rejected', rejection: { status: 400, findings } };
   const { model_name: model, revision } = body.value as { model_name: string; revision: number };
-  if ((state.weights[model] ?? 0) >= revision) return { kind: 'duplicate' };
+  if ((ownValue(state.weights, model) ?? 0) >= revision) return { kind: 'duplicate' };
   return { kind: 'propose', command: { kind: 'name_weights', model, revision }, rejection: null };
 }
 
--- a/src/state/control/reducer.ts
+++ b/src/state/control/reducer.ts
@@ -7,6 +7,7 @@
  * A configuration that changes the access rules leaves the rules in effect as they are until their
  * activation is ordered.
  */
+import { ownValue } from '../../runtime/own-value.js';
 import type { Configuration, AccessRulesState } from '../../types.js';
 import { configurationChange, type ConfigurationChange } from '../history/configuration-change.js';
 import { orderMemory, type OrderDigest, type OrderMemory } from './order-memory.js';
@@ -134,7 +135,7 @@
 }
 
 function applyWeights(state: ControlState, command: CommandOf<'name_weights'>): Applied {
-  if ((state.weights[command.model] ?? 0) >= command.revision) return { state, outcome: duplicate };
+  if ((ownValue(state.weights, command.model) ?? 0) >= command.revision) return { state, outcome: duplicate };
   const weights = { ...state.weights, [command.model]: command.revision };
   return { state: { ...state, weights, weightsSeq: state.weightsSeq + 1 }, outcome: applied };
 }
--- a/src/state/control/route-table.ts
+++ b/src/state/control/route-table.ts
@@ -3,15 +3,19 @@
  * services, keys and tenants by name. Built once for each revision and never changed after.
  */
 import type { Configuration, Limits, Route, Service, Tenant } from '../../types.js';
+import { headerText } from '../../protocol/calls/header-text.js';
 import { cacheIsolation } from './cache-isolation.js';
 
+/** A route, and its path prefix as request targets have it (`headerText.toWire`). */
+export type HostRoute = { prefix: string; route: Route };
+
 export type RouteTable = {
   revision: number;
   /** The routes of a lower-case host name, longest prefix first. */
-  hosts: Map<string, Route[]>;
+  hosts: Map<string, HostRoute[]>;
   /** By label. */
   services: Map<string, Service>;
-  /** The tenant of an API key. */
+  /** The tenant of an API key, as header fields carry it. */
   keys: Map<string, Tenant>;
   /** Whether the configuration lists tenants at all; without a list no key is asked for. */
   hasTenants: boolean;
@@ -22,23 +26,24 @@
   stores: Service[];
 };
 
-function routesByHost(routes: Route[]): Map<string, Route[]> {
-  const hosts = new Map<string, Route[]>();
+function routesByHost(routes: Route[]): Map<string, HostRoute[]> {
+  const hosts = new Map<string, HostRoute[]>();
   for (const route of routes) {
-    const host = route.hostname.toLowerCase();
+    const host = headerText.toWire(route.hostname).toLowerCase();
+    const hostRoute = { prefix: headerText.toWire(route.path_prefix), route };
     const hostRoutes = hosts.get(host);
-    if (hostRoutes) hostRoutes.push(route);
-    else hosts.set(host, [route]);
+    if (hostRoutes) hostRoutes.push(hostRoute);
+    else hosts.set(host, [hostRoute]);
   }
-  for (const hostRoutes of hosts.values()) hostRoutes.sort((a, b) => b.path_prefix.length - a.path_prefix.length);
+  for (const hostRoutes of hosts.values()) hostRoutes.sort((a, b) => b.prefix.length - a.prefix.length);
   return hosts;
 }
 
+/** Keys beyond ASCII are found in UTF-8 and, as far as it has their characters, in Latin-1, as clients differ in it. */
 function tenantsByKey(tenants: Tenant[]): Map<string, Tenant> {
   const keys = new Map<string, Tenant>();
-  for (const tenant of tenants) {
-    for (const key of tenant.api_keys) keys.set(key, tenant);
-  }
+  for (const tenant of tenants) for (const key of tenant.api_keys) keys.set(key, tenant);
+  for (const tenant of tenants) for (const key of tenant.api_keys) keys.set(headerText.toWire(key), tenant);
   return keys;
 }
 
@@ -56,10 +61,17 @@
   };
 }
 
-/** The route of a request: by host without the port, then the longest matching prefix; null when there is none. */
+/**
+ * The route of a request: by host, then the longest matching prefix; null when there is none. A host that is configured
+ * with its port goes before the same one without.
+ */
 function find(table: RouteTable, host: string, path: string): Route | null {
-  const hostname = host.replace(/:\d+$/, '').toLowerCase();
-  return table.hosts.get(hostname)?.find((route) => path.startsWith(route.path_prefix)) ?? null;
+  const hostname = host.toLowerCase();
+  for (const name of [hostname, hostname.replace(/:\d+$/, '')]) {
+    const found = table.hosts.get(name)?.find(({ prefix }) => path.startsWith(prefix));
+    if (found) return found.route;
+  }
+  return null;
 }
 
 /**
--- a/src/state/prefix-cache/prefix-identity.ts
+++ b/src/state/prefix-cache/prefix-identity.ts
@@ -7,11 +7,14 @@
  * Runners report a namespace as the text `<isolation domain>/<model>/<revision>`, in which only the model may hold
  * further slashes.
  */
+import { ownValue } from '../../runtime/own-value.js';
+
+/** The parts of a namespace. */
 export type CacheNamespace = { isolationDomain: string; model: string; revision: number };
 
 /**
  * A block's namespace (as text) and its id in one string, for use as a key; only this module knows how it is composed.
- * The separator is a space, which neither of the two may hold.
+ * The separator is the last space: an id holds none, a namespace may, since clients name the model.
  */
 export type BlockKey = string;
 
@@ -45,8 +48,8 @@
 
 /** The namespace and the id that a block's key was made of. */
 function parseBlockKey(key: BlockKey): { cacheNamespace: string; blockId: string } {
-  const [cacheNamespace, blockId] = key.split(keySeparator) as [string, string];
-  return { cacheNamespace, blockId };
+  const end = key.lastIndexOf(keySeparator);
+  return { cacheNamespace: key.slice(0, end), blockId: key.slice(end + keySeparator.length) };
 }
 
 /** Whether a block's weights are two revisions back or more (`isRetired`). */
@@ -57,7 +60,7 @@
 /** Whether a namespace's weights are two revisions back or more: no request asks for them any more. */
 function isRetired(namespaceText: string, latestRevisions: Record<string, number>): boolean {
   const namespace = parseNamespace(namespaceText);
-  return namespace !== null && namespace.revision < (latestRevisions[namespace.model] ?? 0) - 1;
+  return namespace !== null && namespace.revision < (ownValue(latestRevisions, namespace.model) ?? 0) - 1;
 }
 
 export const prefixIdentity = {
--- a/src/tools/simulate/clients.ts
+++ b/src/tools/simulate/clients.ts
@@ -36,7 +36,7 @@
     receivedAt: now,
     attemptId: `a${id}`,
     body: Buffer.alloc(0),
-    route: routeTable.hosts.get(traffic.name)![0]!,
+    route: routeTable.hosts.get(traffic.name)![0]!.route,
     service: routeTable.services.get(serviceName)!,
     model: modelName,
     isolationDomain,
--- a/src/transport/http/client.ts
+++ b/src/transport/http/client.ts
@@ -35,12 +35,20 @@
 /** The most connections of one agent to one address. */
 const maxConnections = 64;
 
+const maxPort = 65_535;
+
 /** The parts of `host:port`; a port that is none is NaN. */
 function splitAddress(address: string): { host: string; port: number } {
   const colon = address.lastIndexOf(':');
   return { host: address.slice(0, colon), port: Number(address.slice(colon + 1)) };
 }
 
+/** Whether the text is `host:port` in visible ASCII characters, with a port that can be connected to. */
+function isAddress(address: string): boolean {
+  const { host, port } = splitAddress(address);
+  return /^[!-~]+$/.test(host) && /:\d{1,5}$/.test(address) && port > 0 && port <= maxPort;
+}
+
 function lost(message: string, mayHaveBeenSent: boolean): { ok: false; error: HttpClientError } {
   return { ok: false, error: { kind: 'connection_lost', message, mayHaveBeenSent } };
 }
@@ -124,4 +132,4 @@
   return new Agent({ keepAlive: true, maxSockets: maxConnections, scheduling: 'lifo' });
 }
 
-export const httpClient = { send, splitAddress, createAgent };
+export const httpClient = { send, splitAddress, isAddress, createAgent };
--- a/test/standins/router.ts
+++ b/test/standins/router.ts
@@ -22,6 +22,7 @@
   path: string;
   body: string;
   lastEventId: string | undefined;
+  tenant: string | undefined;
   connection: number;
   order: number;
 };
@@ -124,6 +125,7 @@
         path,
         body: buffered.slice(headLength + headEnd.length, end),
         lastEventId: headerOf(head, 'last-event-id'),
+        tenant: headerOf(head, 'x-tenant'),
         connection,
         order: order++,
       };
@@ -240,7 +242,8 @@
     call.on('error', () => {
       if (got.status === 0) done(got);
     });
-    call.end('body');
+    // Not as text: Node would then encode the head in UTF-8 too.
+    call.end(Buffer.from('body'));
   });
 }
 
