--- a/test/response-handling-random.test.ts
+++ b/test/response-handling-random.test.ts
@@ -107,6 +107,74 @@
   broken('unframed, reset in a large body', steps.resetUnframed(largeBody.slice(0, 40_000))),
 ];
 
+/** An answer byte by byte as given, after the head of `call` under the status line; then what `finish` does. */
+function raw(statusLine: string, fields: Record<string, string>, body: string, finish: Finish): ScriptStep {
+  return (call, socket) => {
+    const head = router.head(call, '200 OK', fields).replace('HTTP/1.1 200 OK', statusLine);
+    socket.write(head + body);
+    finishes[finish](socket);
+  };
+}
+
+type Finish = 'stay' | 'end' | 'reset';
+
+const resetDelayMs = 50;
+const finishes: Record<Finish, (socket: Socket) => void> = {
+  stay: () => undefined,
+  end: (socket) => socket.end(),
+  reset: (socket) => void setTimeout(() => socket.resetAndDestroy(), resetDelayMs),
+};
+
+/** An answer in two writes, cut within its head or its body. */
+function inTwoParts(body: string, cutAt: (text: string) => number): ScriptStep {
+  return (call, socket) => {
+    const text = router.head(call, '200 OK', { 'Content-Length': String(body.length) }) + body;
+    socket.write(text.slice(0, cutAt(text)));
+    setTimeout(() => socket.write(text.slice(cutAt(text))), partDelayMs);
+  };
+}
+
+const partDelayMs = 20;
+const length = { 'Content-Length': '10' };
+const chunked = { 'Transfer-Encoding': 'chunked' };
+const oneChunk = 'a\r\nplain body\r\n';
+const interim = 'HTTP/1.1 103 Early Hints\r\nLink: <x>\r\n\r\nHTTP/1.1 200 OK';
+
+function whole(name: string, step: ScriptStep, body = 'plain body'): Move {
+  return { name, step, runs: true, body };
+}
+
+/** Forms of HTTP/1.1 and HTTP/1.0 that are rare, and ends of a connection at each place. */
+const rareMoves: Move[] = [
+  whole('HTTP/1.0 with a length', raw('HTTP/1.0 200 OK', length, 'plain body', 'end')),
+  { ...broken('HTTP/1.0 without', raw('HTTP/1.0 200 OK', {}, 'plain body', 'end')), plainBody: 'plain body' },
+  whole('interim answer before', raw(interim, length, 'plain body', 'stay')),
+  whole('continue before', raw('HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK', length, 'plain body', 'stay')),
+  whole('empty with a length', raw('HTTP/1.1 200 OK', { 'Content-Length': '0' }, '', 'stay'), ''),
+  whole('no content', raw('HTTP/1.1 204 No Content', {}, '', 'stay'), ''),
+  whole(
+    'in parts of the head',
+    inTwoParts('plain body', () => 12),
+  ),
+  whole(
+    'in parts of the body',
+    inTwoParts('plain body', (text) => text.length - 4),
+  ),
+  whole('reset behind the last byte', raw('HTTP/1.1 200 OK', length, 'plain body', 'reset')),
+  whole('ended behind the last byte', raw('HTTP/1.1 200 OK', length, 'plain body', 'end')),
+  whole('closing', raw('HTTP/1.1 200 OK', { ...length, Connection: 'close' }, 'plain body', 'end')),
+  { ...whole('trailers', raw('HTTP/1.1 200 OK', chunked, `${oneChunk}0\r\nX-Sum: 1\r\n\r\n`, 'stay')) },
+  broken('ended in the head', (_call, socket) => void socket.end('HTTP/1.1 200 OK\r\nX-Att')),
+  broken('ended between head and body', raw('HTTP/1.1 200 OK', length, '', 'end')),
+  broken('reset between head and body', raw('HTTP/1.1 200 OK', length, '', 'reset')),
+  broken('reset before the last byte', raw('HTTP/1.1 200 OK', length, 'plain bod', 'reset')),
+  broken('reset before the last chunk', raw('HTTP/1.1 200 OK', chunked, oneChunk, 'reset')),
+  broken('ended within a chunk', raw('HTTP/1.1 200 OK', chunked, 'ff\r\nplain', 'end')),
+  broken('a chunk without a size', raw('HTTP/1.1 200 OK', chunked, 'zz\r\nplain', 'stay')),
+  broken('two lengths', raw('HTTP/1.1 200 OK', { ...length, 'content-length': '12' }, 'plain body', 'stay')),
+  broken('length and chunks', raw('HTTP/1.1 200 OK', { ...length, ...chunked }, `${oneChunk}0\r\n\r\n`, 'stay')),
+];
+
 before(async () => {
   world = await router.create(3, 3);
 });
@@ -159,3 +227,6 @@
 // Guards against MIXED and ORDER of review cases 1 and 5.
 test('the response keeps the rules where responses of runners have no length', () =>
   playRandomly([...unframedMoves, ...unframedMoves, ...moves]));
+
+test('the response keeps the rules whatever rare form the responses of runners have', () =>
+  playRandomly([...rareMoves, ...rareMoves, ...moves]));
--- a/test/standins/router.ts
+++ b/test/standins/router.ts
@@ -23,6 +23,8 @@
   body: string;
   lastEventId: string | undefined;
   tenant: string | undefined;
+  /** The head as it came, with the request line. */
+  head: string;
   connection: number;
   order: number;
 };
@@ -126,6 +128,7 @@
         body: buffered.slice(headLength + headEnd.length, end),
         lastEventId: headerOf(head, 'last-event-id'),
         tenant: headerOf(head, 'x-tenant'),
+        head,
         connection,
         order: order++,
       };
