Router: a reset that comes together with the last bytes is no end of an answer either

Ruled out: the client's side (a chunked answer of ours without its last chunk is seen as cut); the runner's stand-in (its reset is one on the wire, the other reader gets ECONNRESET).

The response is watched from its head on (responseCompletion.watch).

The support of three tests that tell a router its configuration now stands once.

--- a/src/dataplane/attempt-response.ts
+++ b/src/dataplane/attempt-response.ts
@@ -7,7 +7,7 @@
 import { ownValue } from '../runtime/own-value.js';
 import { headerNames, httpHeaders } from '../protocol/calls/headers.js';
 import { runnerEndpoint } from '../state/runners/endpoint.js';
-import { responseCompletion } from '../transport/http/response-completion.js';
+import type { ResponseEnd } from '../transport/http/response-completion.js';
 import { attemptScope, type AttemptScope } from './attempt-scope.js';
 import type { EndpointAssignment } from './endpoint-assignment.js';
 import { executionStatus, type AttemptOutcome } from './execution-status.js';
@@ -16,8 +16,8 @@
 import type { RequestContext } from './request-context.js';
 import { responseValidation, type ValidatedResponse } from './response-validation.js';
 
-/** A response whose body has not been read, and the request that it answers. */
-export type OpenResponse = { response: IncomingMessage; request: ClientRequest };
+/** A response whose body has not been read, the request that it answers, and how its end is told. */
+export type OpenResponse = { response: IncomingMessage; request: ClientRequest; end: ResponseEnd };
 
 type Rejection = Extract<ValidatedResponse, { kind: 'rejected' }>;
 
@@ -122,19 +122,18 @@
 
 async function relayAnswer(
   scope: AttemptScope,
-  { response, request }: OpenResponse,
+  { response, request, end }: OpenResponse,
   isEventStream: boolean,
   sentAt: number,
 ): Promise<AttemptOutcome> {
   const { router, context, assignment } = scope;
-  const framing = responseCompletion.framingOf(response, request.method);
-  const runnerResponse = { response, request, framing, isEventStream };
+  const runnerResponse = { response, request, end, isEventStream };
   const outcome = await relay.forward(router, context, assignment, runnerResponse, () => {
     endpointReservation.recordPrefilled(router, assignment, performance.now() - sentAt);
   });
   const status = response.statusCode ?? 0;
   if (outcome !== 'complete') {
-    const fields = { ...attemptScope.logFields(scope), status, outcome, framing };
+    const fields = { ...attemptScope.logFields(scope), status, outcome, framing: end.framing };
     ringLog.note(router.log, 'response_incomplete', fields);
   }
   return recordRelayOutcome(assignment, status, outcome);
--- a/src/dataplane/attempt.ts
+++ b/src/dataplane/attempt.ts
@@ -6,6 +6,7 @@
 import type { Socket } from 'node:net';
 import { runnerEndpoint } from '../state/runners/endpoint.js';
 import { httpClient } from '../transport/http/client.js';
+import { responseCompletion, type ResponseEnd } from '../transport/http/response-completion.js';
 import type { EndpointAssignment } from './endpoint-assignment.js';
 import type { RequestContext } from './request-context.js';
 import { requestHeaders } from './request-headers.js';
@@ -17,7 +18,7 @@
  *   a pooled connection broke at once, which is no sign of the runner's health.
  */
 export type AttemptResult =
-  | { kind: 'head'; response: IncomingMessage; request: ClientRequest }
+  | { kind: 'head'; response: IncomingMessage; request: ClientRequest; end: ResponseEnd }
   | { kind: 'not_sent'; reason: string }
   | { kind: 'unanswered'; reason: string; wasStaleConnection: boolean };
 
@@ -109,7 +110,8 @@
   #onResponse(response: IncomingMessage): void {
     if (this.#isSettled) return;
     runnerEndpoint.recordActivity(this.#assignment.endpoint, performance.now());
-    this.#settle({ kind: 'head', response, request: this.#request });
+    const end = responseCompletion.watch(response, this.#request.method);
+    this.#settle({ kind: 'head', response, request: this.#request, end });
   }
 
   #endWithoutHead(reason: string): void {
--- a/src/dataplane/relay.ts
+++ b/src/dataplane/relay.ts
@@ -2,7 +2,6 @@
 import type { ServerResponse } from 'node:http';
 import { runnerEndpoint } from '../state/runners/endpoint.js';
 import { timerDelay } from '../runtime/timer-delay.js';
-import { responseCompletion } from '../transport/http/response-completion.js';
 import type { EndpointAssignment } from './endpoint-assignment.js';
 import type { RequestContext } from './request-context.js';
 import { responseForwarders, type ResponseForwarder, type RunnerResponse } from './response-forwarder.js';
@@ -73,8 +72,7 @@
 
   #onEnd(): void {
     if (this.#isOver) return;
-    const { response, framing } = this.#runnerResponse;
-    const isWhole = responseCompletion.isComplete(response, framing) && this.#forwarder.finish();
+    const isWhole = this.#runnerResponse.end.isComplete() && this.#forwarder.finish();
     this.#end(isWhole ? 'complete' : 'upstream_aborted');
   }
 
--- a/src/dataplane/response-forwarder.ts
+++ b/src/dataplane/response-forwarder.ts
@@ -12,7 +12,7 @@
 } from '../protocol/stream/event-stream-parser.js';
 import { streamResumption, type StreamResumption } from '../protocol/stream/stream-resumption.js';
 import { runnerEndpoint } from '../state/runners/endpoint.js';
-import type { ResponseFraming } from '../transport/http/response-completion.js';
+import type { ResponseEnd, ResponseFraming } from '../transport/http/response-completion.js';
 import { clientResponse } from './client-response.js';
 import type { EndpointAssignment } from './endpoint-assignment.js';
 import type { RequestContext } from './request-context.js';
@@ -22,7 +22,7 @@
 export type RunnerResponse = {
   response: IncomingMessage;
   request: ClientRequest;
-  framing: ResponseFraming;
+  end: ResponseEnd;
   isEventStream: boolean;
 };
 
@@ -71,7 +71,7 @@
   router: Router,
   context: RequestContext,
   assignment: EndpointAssignment,
-  { response: upstream, framing }: RunnerResponse,
+  { response: upstream, end: { framing } }: RunnerResponse,
 ): ResponseForwarder {
   const progress: StreamProgress = {
     parser: eventStreamParser.create(),
--- a/src/transport/http/client.ts
+++ b/src/transport/http/client.ts
@@ -94,10 +94,10 @@
 
   #read(reply: IncomingMessage): void {
     const chunks: Buffer[] = [];
-    const framing = responseCompletion.framingOf(reply, this.#request.method);
+    const end = responseCompletion.watch(reply, this.#request.method);
     reply.on('data', (chunk: Buffer) => chunks.push(chunk));
     reply.on('end', () => {
-      if (!responseCompletion.isComplete(reply, framing)) return;
+      if (!end.isComplete()) return;
       const value = { status: reply.statusCode ?? 0, headers: reply.headers, body: Buffer.concat(chunks) };
       this.#finish({ ok: true, value });
     });
--- a/src/transport/rpc/http-exchange.ts
+++ b/src/transport/rpc/http-exchange.ts
@@ -90,7 +90,7 @@
 /** Collects the body of a response; one that is cut short or too long fails the exchange. */
 function readResponse(response: IncomingMessage, maxBytes: number, completion: Completion): void {
   const chunks: Buffer[] = [];
-  const framing = responseCompletion.framingOf(response, method);
+  const end = responseCompletion.watch(response, method);
   let receivedBytes = 0;
   let isComplete = false;
   response.on('data', (chunk: Buffer) => {
@@ -100,7 +100,7 @@
     chunks.push(chunk);
   });
   response.on('end', () => {
-    isComplete = responseCompletion.isComplete(response, framing);
+    isComplete = end.isComplete();
     if (isComplete) completion.succeed({ status: response.statusCode ?? 0, body: Buffer.concat(chunks) });
   });
   response.on('error', (error) => {
--- a/test/cache-isolation.test.ts
+++ b/test/cache-isolation.test.ts
@@ -5,20 +5,17 @@
 import { strict as assert } from 'node:assert';
 import { test } from 'node:test';
 import fc from 'fast-check';
-import { configUpdates } from '../src/dataplane/config-updates.js';
 import { authentication } from '../src/dataplane/policies/authentication.js';
 import type { RoutedRequest } from '../src/dataplane/request-context.js';
-import { routers, type Router } from '../src/dataplane/router.js';
-import { ringLog } from '../src/logging/ring.js';
-import type { WatchResponse } from '../src/protocol/rpc/watch.js';
-import { tuning } from '../src/protocol/settings/tuning.js';
+import type { Router } from '../src/dataplane/router.js';
 import { cacheIsolation } from '../src/state/control/cache-isolation.js';
 import { orderValidation } from '../src/state/control/order-validation.js';
 import { controlState, type ControlState } from '../src/state/control/reducer.js';
 import { storedFormat } from '../src/state/control/stored-format.js';
-import type { Configuration, Settings, Tenant } from '../src/types.js';
+import type { Configuration, Tenant } from '../src/types.js';
 import { coordinators, repacked, storedAndRead } from './support/coordinators.js';
 import { route } from './support/routes.js';
+import { toldRouter } from './support/told-router.js';
 
 /** What is done to one tenant, by its number. */
 type Change = { tenant: number; to: 'shared' | 'isolated' | 'absent' };
@@ -47,24 +44,8 @@
   return storedFormat.decodeState(repacked(storedFormat.encodeState(state)));
 }
 
-function createRouter(): Router {
-  const settings = { node_name: 'r', zone_name: 'z', zones: {}, bound_set: {} } as unknown as Settings;
-  return routers.create(settings, ringLog.create('test', 'r'), tuning.defaults);
-}
-
-function tell(router: Router, state: ControlState): void {
-  const { configuration: document, weightsSeq } = state;
-  const response: Partial<WatchResponse> = {
-    configuration: document,
-    configurationUpdate: null,
-    sharedDomainSince: state.cacheIsolation.sharedSince,
-    weights: null,
-    weightsSeq,
-    accessRules: null,
-    endpoints: null,
-    endpointsUpdate: null,
-  };
-  assert.ok(configUpdates.apply(router, response as WatchResponse, 0));
+function tell(router: Router, { configuration: document, cacheIsolation: { sharedSince } }: ControlState): void {
+  toldRouter.tell(router, { configuration: document, sharedDomainSince: sharedSince });
 }
 
 /** The domain in which a router caches for a tenant, as its requests pass through authentication. */
@@ -96,7 +77,7 @@
 
 function play(changes: Change[], restart: (state: ControlState) => ControlState): number {
   const tenants = new Map<number, boolean>(Array.from({ length: tenantCount }, (_, number) => [number, false]));
-  const router = createRouter();
+  const router = toldRouter.create();
   const memory: Memory = new Map();
   let state = controlState.empty();
   let revision = 0;
--- a/test/configuration-delivery.test.ts
+++ b/test/configuration-delivery.test.ts
@@ -5,16 +5,11 @@
 import { strict as assert } from 'node:assert';
 import { test } from 'node:test';
 import fc from 'fast-check';
-import { configUpdates } from '../src/dataplane/config-updates.js';
-import { routers, type Router } from '../src/dataplane/router.js';
-import { ringLog } from '../src/logging/ring.js';
 import { configurationCheck } from '../src/protocol/configuration/check.js';
-import { watchMethod, type WatchResponse } from '../src/protocol/rpc/watch.js';
-import { tuning } from '../src/protocol/settings/tuning.js';
 import { configurationHistory } from '../src/state/history/configuration-history.js';
-import type { Configuration, Settings } from '../src/types.js';
-import { encodeAndDecode } from './support/rpc-servers.js';
+import type { Configuration } from '../src/types.js';
 import { route } from './support/routes.js';
+import { toldRouter } from './support/told-router.js';
 
 const longText = 'eyJhbGciOiJSUzI1NiJ9'.repeat(60);
 
@@ -28,47 +23,17 @@
   };
 }
 
-function routerWithout(): Router {
-  const settings = { node_name: 'r', zone_name: 'z', zones: {}, bound_set: {} } as unknown as Settings;
-  return routers.create(settings, ringLog.create('test', 'r'), tuning.defaults);
-}
-
-function response(fields: Partial<WatchResponse>): WatchResponse {
-  return {
-    configuration: null,
-    configurationUpdate: null,
-    sharedDomainSince: 0,
-    weights: null,
-    weightsSeq: 0,
-    accessRules: null,
-    endpoints: null,
-    endpointsUpdate: null,
-    leaderAddress: null,
-    coordinatorAddresses: [],
-    isUpToDate: true,
-    confirmsAccessRules: true,
-    ...fields,
-  };
-}
-
-/** Sends a response by the wire's encoding and the checks of a watch to the router. */
-function tell(router: Router, sent: WatchResponse): void {
-  const checked = watchMethod.checkResponse(encodeAndDecode(sent));
-  assert.ok(checked.ok, checked.ok ? '' : `${checked.error.path}: ${checked.error.text}`);
-  assert.ok(configUpdates.apply(router, checked.value, 0));
-}
-
 /** Both ways to tell a router of `next`: in full, and as an update of `base`; as JSON, as the operator reads it back. */
 function assertDelivered(base: Configuration, next: Configuration): void {
-  const inFull = routerWithout();
-  tell(inFull, response({ configuration: next }));
+  const inFull = toldRouter.create();
+  toldRouter.tell(inFull, { configuration: next });
   assert.equal(JSON.stringify(inFull.configuration?.document), JSON.stringify(next));
-  const byUpdate = routerWithout();
-  tell(byUpdate, response({ configuration: base }));
+  const byUpdate = toldRouter.create();
+  toldRouter.tell(byUpdate, { configuration: base });
   const history = configurationHistory.create();
   configurationHistory.record(history, base);
   configurationHistory.record(history, next);
-  tell(byUpdate, response({ configurationUpdate: configurationHistory.deltaSince(history, base.revision) }));
+  toldRouter.tell(byUpdate, { configurationUpdate: configurationHistory.deltaSince(history, base.revision) });
   const document = byUpdate.configuration?.document;
   assert.deepEqual(
     [document?.revision, document?.route_list, document?.tenant_list].map((part) => JSON.stringify(part)),
@@ -98,23 +63,20 @@
 });
 
 test('access rules, weights and runners with long names are delivered', () => {
-  const router = routerWithout();
+  const router = toldRouter.create();
   const runner = { id: longText, service: longText, addr: '10.0.0.1:1', zone: longText, slotCount: 1 };
   const rules = { [longText]: [longText] };
-  tell(
-    router,
-    response({
-      weights: { [longText]: 3 },
-      weightsSeq: 1,
-      accessRules: { seq: 1, activeRules: rules, pendingRules: null, pendingRevision: 0 },
-      endpoints: {
-        term: 1,
-        seq: 1,
-        routerCount: 1,
-        runners: [{ ...runner, draining: false, paused: false, models: [{ label: longText, revision: 1 }] }],
-      },
-    }),
-  );
+  toldRouter.tell(router, {
+    weights: { [longText]: 3 },
+    weightsSeq: 1,
+    accessRules: { seq: 1, activeRules: rules, pendingRules: null, pendingRevision: 0 },
+    endpoints: {
+      term: 1,
+      seq: 1,
+      routerCount: 1,
+      runners: [{ ...runner, draining: false, paused: false, models: [{ label: longText, revision: 1 }] }],
+    },
+  });
   assert.equal(router.weights.revisions[longText], 3);
   assert.deepEqual(router.accessRules.state.activeRules, rules);
   assert.ok(router.endpointPool.byId.has(longText));
--- a/test/configuration-properties.test.ts
+++ b/test/configuration-properties.test.ts
@@ -7,20 +7,17 @@
 import { validateHeaderValue } from 'node:http';
 import { test } from 'node:test';
 import fc from 'fast-check';
-import { configUpdates } from '../src/dataplane/config-updates.js';
 import { routers, type Router } from '../src/dataplane/router.js';
-import { ringLog } from '../src/logging/ring.js';
 import { headerText } from '../src/protocol/calls/header-text.js';
-import { watchMethod, type WatchResponse } from '../src/protocol/rpc/watch.js';
-import { tuning } from '../src/protocol/settings/tuning.js';
 import { orderValidation } from '../src/state/control/order-validation.js';
 import { controlState, type ControlState } from '../src/state/control/reducer.js';
 import { routeTable } from '../src/state/control/route-table.js';
 import { storedFormat } from '../src/state/control/stored-format.js';
 import { configurationHistory, type ConfigurationHistory } from '../src/state/history/configuration-history.js';
 import type { OperatorRequest } from '../src/protocol/rpc/operator.js';
-import type { Configuration, Settings, Tenant } from '../src/types.js';
+import type { Configuration, Tenant } from '../src/types.js';
 import { repacked, storedAndRead } from './support/coordinators.js';
+import { toldRouter } from './support/told-router.js';
 
 const numRuns = Number(process.env.DRAWN_CONFIGURATIONS ?? 400);
 const seed = Number(process.env.SEED ?? 2801);
@@ -102,35 +99,8 @@
 /** The state of the members, what their routers are told by, and a router that is told each change as an update. */
 type World = { state: ControlState; history: ConfigurationHistory; router: Router };
 
-function createRouter(): Router {
-  const settings = { node_name: 'r', zone_name: 'z', zones: {}, bound_set: {} } as unknown as Settings;
-  return routers.create(settings, ringLog.create('test', 'r'), tuning.defaults);
-}
-
 function createWorld(): World {
-  return { state: controlState.empty(), history: configurationHistory.create(), router: createRouter() };
-}
-
-/** Tells a router by a checked and encoded response. */
-function tell(router: Router, state: ControlState, fields: Partial<WatchResponse>): void {
-  const response: WatchResponse = {
-    configuration: null,
-    configurationUpdate: null,
-    sharedDomainSince: state.cacheIsolation.sharedSince,
-    weights: null,
-    weightsSeq: 0,
-    accessRules: state.accessRules,
-    endpoints: null,
-    endpointsUpdate: null,
-    leaderAddress: null,
-    coordinatorAddresses: [],
-    isUpToDate: true,
-    confirmsAccessRules: true,
-    ...fields,
-  };
-  const checked = watchMethod.checkResponse(repacked(response));
-  assert.ok(checked.ok, checked.ok ? '' : `${checked.error.path}: ${checked.error.text}`);
-  assert.ok(configUpdates.apply(router, checked.value, 0));
+  return { state: controlState.empty(), history: configurationHistory.create(), router: toldRouter.create() };
 }
 
 function assertServed(router: Router, document: Configuration): void {
@@ -181,10 +151,14 @@
   const known = world.router.configuration?.document.revision ?? 0;
   configurationHistory.record(world.history, document);
   const configurationUpdate = configurationHistory.deltaSince(world.history, known);
-  tell(world.router, world.state, configurationUpdate ? { configurationUpdate } : { configuration: document });
+  const rest = { sharedDomainSince: world.state.cacheIsolation.sharedSince, accessRules: world.state.accessRules };
+  toldRouter.tell(world.router, {
+    ...rest,
+    ...(configurationUpdate ? { configurationUpdate } : { configuration: document }),
+  });
   assertServed(world.router, document);
-  const another = createRouter();
-  tell(another, world.state, { configuration: document });
+  const another = toldRouter.create();
+  toldRouter.tell(another, { ...rest, configuration: document });
   assertServed(another, document);
 }
 
--- a/test/response-handling.test.ts
+++ b/test/response-handling.test.ts
@@ -5,9 +5,9 @@
  */
 import { strict as assert } from 'node:assert';
 import { after, before, test } from 'node:test';
-import { routerStandin as router, type ClientResult, type RouterWorld } from './standins/router.js';
+import { routerStandin as router, type RouterWorld } from './standins/router.js';
 
-const { steps, events } = router;
+const { steps, events, isIncomplete } = router;
 const largeBody = 'x'.repeat(200_000);
 let world: RouterWorld;
 let lastId = 0;
@@ -22,11 +22,6 @@
   return `answer-${++lastId}`;
 }
 
-/** Whether the client can see that the response is incomplete. */
-function isIncomplete(result: ClientResult): boolean {
-  return result.status === 0 || !result.isWhole;
-}
-
 test('a large response that breaks off is never completed by another runner', async () => {
   for (const broken of [
     steps.cutWithLength(largeBody.slice(0, 150_000), 200_000),
--- a/test/standins/router.ts
+++ b/test/standins/router.ts
@@ -255,6 +255,11 @@
   return world.calls.filter((call) => call.attemptId === attemptId);
 }
 
+/** Whether the client can see that the answer is incomplete. */
+function isIncomplete(result: ClientResult): boolean {
+  return result.status === 0 || !result.isWhole;
+}
+
 function head(call: Call, status: string, fields: Record<string, string> = {}): string {
   const all: Record<string, string> = {
     'X-Attempt-Id': call.attemptId,
@@ -325,6 +330,13 @@
   };
 }
 
+/** The same, but the reset comes while the router still has bytes to read. */
+function resetUnframedAtOnce(part: string, fields: Record<string, string> = {}): ScriptStep {
+  return (call, socket) => {
+    socket.write(head(call, '200 OK', fields) + part, () => socket.resetAndDestroy());
+  };
+}
+
 /** Bytes as they are, with `{id}` replaced by the attempt id. */
 function bytes(text: string): ScriptStep {
   return (call, socket) => {
@@ -348,9 +360,10 @@
   cutStream,
   unframed,
   resetUnframed,
+  resetUnframedAtOnce,
   bytes,
   reset,
   silence,
 };
 
-export const routerStandin = { create, stop, send, callsOf, steps, events, head, model, frontPort };
+export const routerStandin = { create, stop, send, callsOf, isIncomplete, steps, events, head, model, frontPort };
--- a/test/unframed-responses.test.ts
+++ b/test/unframed-responses.test.ts
@@ -4,9 +4,9 @@
  */
 import { strict as assert } from 'node:assert';
 import { after, before, test } from 'node:test';
-import { routerStandin as router, type ClientResult, type RouterWorld } from './standins/router.js';
+import { routerStandin as router, type RouterWorld } from './standins/router.js';
 
-const { steps, events } = router;
+const { steps, events, isIncomplete } = router;
 const eventFields = { 'Content-Type': 'text/event-stream' };
 const largeBody = 'x'.repeat(200_000);
 let world: RouterWorld;
@@ -22,11 +22,6 @@
   return `unframed-${++lastId}`;
 }
 
-/** Whether the client can see that the response is incomplete. */
-function isIncomplete(result: ClientResult): boolean {
-  return result.status === 0 || !result.isWhole;
-}
-
 test('a response without a length that ends in order is forwarded whole', async () => {
   for (const [path, body, fields] of [
     ['/repeat/x', 'whole', {}],
@@ -70,6 +65,18 @@
   }
 });
 
+// Guards against a reset that libuv reports as an orderly end, since it is noticed together with the last bytes.
+test('a reset that comes together with the last bytes is no end of a response without a length', async () => {
+  const body = 'x'.repeat(200_000);
+  for (let round = 0; round < 40; round++) {
+    const path = round % 2 === 0 ? '/once/x' : '/repeat/x';
+    const id = nextId();
+    const result = await router.send(world, path, id, [steps.resetUnframedAtOnce(body), steps.whole('whole two')]);
+    const isSecond = path === '/repeat/x' && result.body === 'whole two';
+    assert.ok(isIncomplete(result) || result.status === 502 || isSecond, `round ${round}: ${result.body.length} bytes`);
+  }
+});
+
 test('a small idempotent response without a length that is reset is replaced by that of another runner', async () => {
   const id = nextId();
   const result = await router.send(world, '/repeat/x', id, [steps.resetUnframed('half'), steps.whole('whole two')]);
