Orders: acknowledged once the group has the voters that the deployment's losses ask for

Seen by callers: on a core of five that bears two losses, the first configuration was acknowledged after half a second by two of three founders.

Cause: the seeds found the group as its voters, and the other members were added one by one in about a second. Nothing tied an acknowledgement to the number of voters (targetVoterCount) that two losses need. Ruled out: that the returning members were at fault. They join as learners as they should; there is no majority left that could add them.

Change: what is committed meanwhile is acknowledged when a committed membership has that many voters. That membership follows the order in the log, so a majority of it holds the order too. All learners that have caught up are added in one change instead of one by one. Voters that never come are waited for until half of ack_ms after the leader's election (event acknowledged_without_all_voters); until then callers get 503 and send again.

A core of three with one loss founds its group with all voters and is not changed.

--- a/src/controlplane/operator-replies.ts
+++ b/src/controlplane/operator-replies.ts
@@ -39,6 +39,11 @@
   return reply.status === 503;
 }
 
+/** Whether the reply promises that an order is kept. */
+function isAcknowledgement(reply: OperatorReply): boolean {
+  return reply.status === 200;
+}
+
 export const operatorReplies = {
   json,
   rejection,
@@ -50,4 +55,5 @@
   alreadyAccepted,
   noConfiguration,
   isRetriable,
+  isAcknowledgement,
 };
--- a/src/controlplane/order-decision.ts
+++ b/src/controlplane/order-decision.ts
@@ -7,6 +7,10 @@
  * forward it while the first copy is still in flight. Copies that are in flight at one leader share one
  * decision (`order-admission.ts`); copies at different leaders, and later ones, are recognised by the order
  * memory of the replicated state. So no copy of an order is rejected while another one may yet be accepted.
+ *
+ * A group that is being founded begins with the seeds as voters, which may bear fewer losses than the deployment allows.
+ * What it commits meanwhile is acknowledged once all voters are there (`group.hasTargetVoters`), or when it has waited for
+ * those that don't come as long as the time for an acknowledgement permits.
  */
 import type { OperatorReply, OperatorRequest } from '../protocol/rpc/operator.js';
 import { ringLog } from '../logging/ring.js';
@@ -27,6 +31,12 @@
  */
 const proposalTimeoutMs = 3000;
 
+/** For so much of `ack_ms` after its election a leader waits for missing voters before it acknowledges without them. */
+const missingVotersShare = 0.5;
+
+/** Between two looks for the voters that are missing. */
+const missingVotersPollMs = 10;
+
 /** A superseded order is validated again; each time another one won, so eight concurrent orders need no more. */
 const maxAttempts = 8;
 
@@ -100,6 +110,23 @@
   return coordinator.orderAdmission.decideOnce(digest, () => decideSafely(coordinator, digest, request));
 }
 
+/** The reply to an order, an acknowledgement not before the group bears the losses that the deployment allows. */
+async function whenLossesAreBorne(coordinator: Coordinator, order: Promise<OperatorReply>): Promise<OperatorReply> {
+  const reply = await order;
+  const { group, settings, runtime } = coordinator;
+  if (!operatorReplies.isAcknowledgement(reply)) return reply;
+  const waitUntil = group.electedAt() + settings.bound_set.ack_ms * missingVotersShare;
+  while (!group.hasTargetVoters()) {
+    if (!group.isLeader()) return operatorReplies.indeterminate;
+    if (runtime.clock.now() >= waitUntil) {
+      ringLog.note(coordinator.log, 'acknowledged_without_all_voters', { members: group.memberAddresses().length });
+      return reply;
+    }
+    await timing.delay(runtime.clock, missingVotersPollMs);
+  }
+  return reply;
+}
+
 /**
  * Answers a call as the leader, within `timeoutMs`; null when this coordinator does not lead or is shutting
  * down. An order that is not decided in time is decided later all the same, and known when it is sent again.
@@ -110,7 +137,10 @@
   timeoutMs: number,
 ): Promise<OperatorReply | null> {
   if (coordinator.isStopping || !coordinator.group.isLeader()) return null;
-  const reply = request.method === 'GET' ? readConfiguration(coordinator) : decideOnce(coordinator, request);
+  const reply =
+    request.method === 'GET'
+      ? readConfiguration(coordinator)
+      : whenLossesAreBorne(coordinator, decideOnce(coordinator, request));
   return timing.withTimeout(coordinator.runtime.clock, timeoutMs, reply, operatorReplies.indeterminate);
 }
 
--- a/src/controlplane/replica-group.ts
+++ b/src/controlplane/replica-group.ts
@@ -36,6 +36,8 @@
   hasCommittedInTerm: () => boolean;
   /** Whether this member leads and no earlier leader can still act, `leaseMs` after its election. */
   isSoleLeader: (leaseMs: number) => boolean;
+  /** Whether the group has the voters that it needs to bear the losses of the settings (`tolerance`). */
+  hasTargetVoters: () => boolean;
   /** When this member last won an election, in ms of the steady clock. */
   electedAt: () => number;
   /** The RPC address of this member. */
@@ -102,6 +104,7 @@
     hasLeaderContact: () => replica.isFresh(member),
     hasCommittedInTerm: () => roles.hasCommittedInTerm(member.consensus),
     isSoleLeader: (leaseMs) => replica.holdsExclusiveLease(member, leaseMs),
+    hasTargetVoters: () => replica.hasTargetVoters(member),
     electedAt: () => member.consensus.electedAt,
     ownAddress: () => member.consensus.self.addr,
     memberAddresses: () => quorum.allVoters(member.consensus.membership).map((member) => member.addr),
--- a/src/coordination/consensus/leadership.ts
+++ b/src/coordination/consensus/leadership.ts
@@ -47,4 +47,14 @@
   return !isMember && membershipIndex <= commitIndex;
 }
 
-export const leadership = { isLeader, leaderAddress, isFresh, holdsExclusiveLease, isReplaced };
+/**
+ * Whether a committed membership has as many voters as the deployment's losses ask for. What was committed before it is
+ * then on the disks of a majority of them too, since that membership follows it in the log.
+ */
+function hasTargetVoters(replica: Replica): boolean {
+  const { membership, membershipIndex, commitIndex, targetVoterCount } = replica.consensus;
+  const isSettled = membership.next === null && membershipIndex <= commitIndex;
+  return isSettled && membership.voters.length >= targetVoterCount;
+}
+
+export const leadership = { isLeader, leaderAddress, isFresh, holdsExclusiveLease, isReplaced, hasTargetVoters };
--- a/src/coordination/consensus/membership.ts
+++ b/src/coordination/consensus/membership.ts
@@ -53,14 +53,14 @@
   peer.lastHeardAt = now;
 }
 
-/** A learner that has caught up and was heard within an election time-out. */
-function caughtUpLearner(state: ConsensusState, now: number, isWanted: (member: Member) => boolean): Peer | null {
-  for (const peer of state.peers.values()) {
+/** The learners that have caught up and were heard within an election time-out. */
+function caughtUpLearners(state: ConsensusState, now: number): Member[] {
+  function hasCaughtUp(peer: Peer): boolean {
     const isHeard = now - peer.lastHeardAt < state.timing.electionTimeoutMs;
     const holdsAll = !peer.isProbing && peer.matchIndex === raftLog.lastIndex(state);
-    if (peer.isLearner && isHeard && holdsAll && isWanted(peer.member)) return peer;
+    return peer.isLearner && isHeard && holdsAll;
   }
-  return null;
+  return [...state.peers.values()].filter(hasCaughtUp).map((peer) => peer.member);
 }
 
 function isLeaving(state: ConsensusState, member: Member, now: number): boolean {
@@ -73,10 +73,6 @@
   return peer !== undefined && now - peer.lastHeardAt > state.timing.peerTimeoutMs;
 }
 
-function anyMember(): boolean {
-  return true;
-}
-
 function without(voters: Member[], removed: Member): Member[] {
   return voters.filter((voter) => voter.id !== removed.id);
 }
@@ -85,17 +81,18 @@
 function targetVoters(state: ConsensusState, now: number): Member[] | null {
   const { voters } = state.membership;
   const others = voters.filter((voter) => voter.id !== state.self.id);
+  const standbys = caughtUpLearners(state, now);
   for (const former of others) {
-    const successor = caughtUpLearner(state, now, (member) => member.addr === former.addr);
-    if (successor) return [...without(voters, former), successor.member];
+    const successor = standbys.find((member) => member.addr === former.addr);
+    if (successor) return [...without(voters, former), successor];
   }
   const departing =
     others.find((voter) => isLeaving(state, voter, now)) ?? others.find((voter) => isUnreachable(state, voter, now));
-  const standby = caughtUpLearner(state, now, anyMember);
-  if (departing && standby) return [...without(voters, departing), standby.member];
+  const standby = standbys[0];
+  if (departing && standby) return [...without(voters, departing), standby];
   if (departing && voters.length > state.targetVoterCount) return without(voters, departing);
-  if (standby && voters.length < state.targetVoterCount) return [...voters, standby.member];
-  return null;
+  const added = standbys.slice(0, Math.max(0, state.targetVoterCount - voters.length));
+  return added.length > 0 ? [...voters, ...added] : null;
 }
 
 /** Begins a change of members, or finishes the one whose joint configuration is committed. */
--- a/src/coordination/consensus/replica.ts
+++ b/src/coordination/consensus/replica.ts
@@ -109,6 +109,7 @@
   leaderAddress: leadership.leaderAddress,
   isFresh: leadership.isFresh,
   holdsExclusiveLease: leadership.holdsExclusiveLease,
+  hasTargetVoters: leadership.hasTargetVoters,
   prepareStop,
   close,
   rpcAddress,
--- a/src/logging/events.ts
+++ b/src/logging/events.ts
@@ -107,6 +107,8 @@
     command: 'configure' | 'reject_order' | 'name_weights' | 'activate_access_rules';
     outcome: ProposalKind | 'duplicate' | 'rejected' | 'superseded';
   };
+  /** Voters for the losses of `tolerance` are missing; `members`: those there are. On call: start the missing coordinators. */
+  acknowledged_without_all_voters: { members: number };
   /** The activation of this revision's access rules was proposed. Other than `applied`, it is proposed again. */
   access_rules_activated: { revision: number; result: ProposalKind };
   /**
--- a/test/closing-faults.test.ts
+++ b/test/closing-faults.test.ts
@@ -9,18 +9,7 @@
 import { play } from './sim/play.js';
 import { schedules, type Schedule } from './sim/schedule.js';
 import { testsAtOnce } from './support/in-worker.js';
-
-/** The sets of one to `most` numbers below `count`. */
-function subsets(count: number, most: number): number[][] {
-  const numbers = Array.from({ length: count }, (_, number) => number);
-  let larger: number[][] = [[]];
-  const all: number[][] = [];
-  for (let size = 1; size <= most; size++) {
-    larger = larger.flatMap((set) => numbers.filter((number) => number > (set.at(-1) ?? -1)).map((n) => [...set, n]));
-    all.push(...larger);
-  }
-  return all;
-}
+import { subsets } from './support/subsets.js';
 
 function scheduleOf(coreCount: number, members: number[], moment: Moment, seed: number): Schedule {
   const habits = { underWay: 2, pauseMs: 60, paddingBytes: 0, patienceMs: 3000 };
--- a/test/orders.test.ts
+++ b/test/orders.test.ts
@@ -372,3 +372,22 @@
   const result = await virtualTime.timed(group.time, shutdown.stop(group.nodes[0]!.coordinator));
   assert.ok(result.ms <= 2000, `${result.ms} ms`);
 });
+
+// Guards against an acknowledgement by founders alone, which two lost disks of five would take back (`review/4`).
+test('an order is acknowledged once all voters are there, and kept waiting for them only for a part of ack_ms', async () => {
+  const group = led();
+  group.hasTargetVoters = false;
+  const call = put(0, configuration(1));
+  assert.equal(await answered(group, 0, call), 503);
+  assert.equal(group.nodes[0]!.state.configuration?.revision, 1, 'it is committed, but not acknowledged');
+  group.hasTargetVoters = true;
+  assert.equal(await answered(group, 0, call), 200);
+
+  const incomplete = led();
+  incomplete.hasTargetVoters = false;
+  const { ack_ms: ackMs } = incomplete.nodes[0]!.coordinator.settings.bound_set;
+  const electedAt = incomplete.time.now;
+  const statuses = new Set<number>();
+  while (incomplete.time.now - electedAt < ackMs) statuses.add(await answered(incomplete, 0, call));
+  assert.deepEqual([...statuses], [503, 200], 'voters that never come are not waited for longer');
+});
--- a/test/sim/faults.ts
+++ b/test/sim/faults.ts
@@ -22,6 +22,8 @@
   | { kind: 'power_some'; forMs: number }
   | { kind: 'wipe'; target: Target; forMs: number }
   | { kind: 'wipe_and_power_all'; target: Target; forMs: number }
+  /** The members with these numbers lose their disks at once. */
+  | { kind: 'wipe_set'; members: number[]; forMs: number }
   /** The members with these numbers lose their disks; all other machines, routers among them, lose power. */
   | { kind: 'wipe_set_and_power_all'; members: number[]; forMs: number }
   | { kind: 'freeze'; target: Target; forMs: number }
@@ -55,6 +57,8 @@
 type DiskLoss = { backAt: number };
 
 export type FaultState = {
+  /** Whether disks may be lost before the machines have run for `catchUpMs`; the pages count machines as lost until then. */
+  mayStrikeAtStart: boolean;
   diskLosses: DiskLoss[];
   troubleUntil: number;
   turnoverUntil: number;
@@ -73,6 +77,7 @@
 
 function createState(): FaultState {
   return {
+    mayStrikeAtStart: false,
     diskLosses: [],
     troubleUntil: 0,
     turnoverUntil: 0,
@@ -113,7 +118,7 @@
 function mayLoseDisk(cluster: Cluster, state: FaultState): boolean {
   const { now } = cluster.scheduler;
   state.diskLosses = state.diskLosses.filter((loss) => now < Math.max(loss.backAt, state.troubleUntil) + catchUpMs);
-  const isStarting = now < catchUpMs;
+  const isStarting = now < catchUpMs && !state.mayStrikeAtStart;
   return !isStarting && state.diskLosses.length < simulatedCluster.tolerated(cluster);
 }
 
@@ -321,13 +326,17 @@
 }
 
 /** Strikes only where the tolerance allows all of the losses. */
+function wipeSet(cluster: Cluster, state: FaultState, members: number[], forMs: number): boolean {
+  if (members.length > simulatedCluster.tolerated(cluster)) return false;
+  return members.every((member) => wipe(cluster, state, member, forMs));
+}
+
 function wipeSetAndPowerAll(
   cluster: Cluster,
   state: FaultState,
   { members, forMs }: Fault & { kind: 'wipe_set_and_power_all' },
 ): boolean {
-  if (members.length > simulatedCluster.tolerated(cluster)) return false;
-  for (const member of members) if (!wipe(cluster, state, member, forMs)) return false;
+  if (!wipeSet(cluster, state, members, forMs)) return false;
   all(cluster, state, 'power', forMs, 1);
   powerRouters(cluster, forMs);
   return true;
@@ -352,6 +361,10 @@
       if (!wipe(cluster, state, fault.target, fault.forMs)) return false;
       all(cluster, state, 'power', fault.forMs, 1);
       return true;
+    case 'wipe_set':
+      if (!wipeSet(cluster, state, fault.members, fault.forMs)) return false;
+      trouble(cluster, state, fault.forMs);
+      return true;
     case 'wipe_set_and_power_all':
       return wipeSetAndPowerAll(cluster, state, fault);
     case 'replace':
--- a/test/sim/schedule.ts
+++ b/test/sim/schedule.ts
@@ -14,7 +14,8 @@
 /** After `waitMs` the fault strikes at the next occasion of `moment`. */
 export type Step = { waitMs: number; moment: Moment; fault: Fault };
 
-export type Schedule = { options: ClusterOptions; steps: Step[] };
+/** `isFounding`: the operators and the faults begin with the machines, not once the group is at its full size. */
+export type Schedule = { options: ClusterOptions; steps: Step[]; isFounding?: boolean };
 
 /** `violation` is null when everything held. */
 export type RunResult = {
@@ -327,11 +328,14 @@
 async function run(schedule: Schedule, prepare?: (cluster: Cluster) => void, isShort = false): Promise<RunResult> {
   const cluster = simulatedCluster.create(schedule.options);
   const state = faults.createState();
+  const isFounding = schedule.isFounding === true;
+  const calmMs = isFounding ? 0 : beforeFaultsMs / 2;
+  state.mayStrikeAtStart = isFounding;
   prepare?.(cluster);
   simulatedCluster.startAll(cluster);
-  await advance(cluster, beforeFaultsMs / 2);
+  await advance(cluster, calmMs);
   for (const operator of cluster.operators) operators.start(operator);
-  await advance(cluster, beforeFaultsMs / 2);
+  await advance(cluster, calmMs);
   await runFaults(cluster, state, schedule.steps);
   const calmAt = cluster.scheduler.now;
   if (cluster.checks.violation === null) await comeToRest(cluster);
--- a/test/support/coordinators.ts
+++ b/test/support/coordinators.ts
@@ -109,6 +109,7 @@
   mayApply: number;
   term: number;
   thinksLeader: boolean;
+  electedAt: number;
   knownLeader: string | null;
   isFresh: boolean;
   hasSettled: boolean;
@@ -126,6 +127,7 @@
   nodes: Node[];
   leader: Node | null;
   hasMajority: boolean;
+  hasTargetVoters: boolean;
   mode: LogMode;
   commitMs: number;
   linkMs: number;
@@ -197,7 +199,8 @@
     hasLeaderContact: () => node.isFresh,
     hasCommittedInTerm: () => node.hasSettled,
     isSoleLeader: () => node.thinksLeader,
-    electedAt: () => 0,
+    hasTargetVoters: () => group.hasTargetVoters,
+    electedAt: () => node.electedAt,
     ownAddress: () => node.address,
     memberAddresses: () => group.nodes.map((one) => one.address),
     peers: () =>
@@ -259,7 +262,7 @@
 function settingsOf(address: string): Settings {
   return {
     node_name: address,
-    bound_set: { contact_ms: 3000, drain_ms: 3000, lease_ms: 500, grace_s: 8 },
+    bound_set: { contact_ms: 3000, ack_ms: 4000, drain_ms: 3000, lease_ms: 500, grace_s: 8 },
     cloud_api: { address: 'platform', rate_per_s: 40, lag_ms: 100 },
   } as unknown as Settings;
 }
@@ -286,6 +289,7 @@
     mayApply: Infinity,
     term: 1,
     thinksLeader: false,
+    electedAt: 0,
     knownLeader: null,
     isFresh: false,
     hasSettled: true,
@@ -319,6 +323,7 @@
     nodes: [],
     leader: null,
     hasMajority: true,
+    hasTargetVoters: true,
     mode: 'commits',
     commitMs: 10,
     linkMs: 2,
@@ -338,6 +343,7 @@
   const before = group.leader;
   const term = Math.max(...group.nodes.map((one) => one.term)) + 1;
   group.leader = node;
+  node.electedAt = group.time.now;
   for (const one of group.nodes) {
     if (group.cutOff.has(one.address)) continue;
     one.term = term;
