--- a/test/standins/fleet-settings.ts
+++ b/test/standins/fleet-settings.ts
@@ -1,4 +1,5 @@
 /** Addresses, settings and the configuration of the fleet that `fleet.ts` starts. */
+import type { NodePlace } from './machine.js';
 
 /** Hosts of a fleet are 127.`net`.0.`hostNumber`. */
 export function ip(net: number, hostNumber: number): string {
@@ -22,9 +23,6 @@
 /** The host number of the platform's API. */
 export const platformHost = 99;
 
-/** What the settings of a node depend on. `dataDir` is only used by coordinators. */
-export type NodePlace = { name: string; ip: string; program: 'router' | 'coordinator'; dataDir: string };
-
 /**
  * The settings of one node. `isFirstStart` lets it form a new replica group.
  */
--- a/test/standins/fleet.ts
+++ b/test/standins/fleet.ts
@@ -2,12 +2,10 @@
  * A whole system over loopback: the real programs, each with its own address in 127.0.0.0/8 and its own settings file,
  * with stand-ins for the platform and the runners.
  */
-import { spawn, type ChildProcess } from 'node:child_process';
-import { mkdirSync, mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { mkdirSync, mkdtempSync, rmSync } from 'node:fs';
 import type { Agent } from 'node:http';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
-import { dump } from 'js-yaml';
 import type { StatusReply } from '../../src/protocol/rpc/status.js';
 import {
   configuration,
@@ -20,16 +18,15 @@
   routerHostBase,
   settingsOf,
   storeHost,
-  type NodePlace,
 } from './fleet-settings.js';
 import { sendRequest, type HttpResult } from './http-request.js';
+import { machineProcess, type Machine, type NodePlace } from './machine.js';
 import { platformStandin, type PlatformStandin } from './platform.js';
 import { runnerStandin, type RunnerStandin } from './runner.js';
 
 export { model } from './fleet-settings.js';
 
-/** One program of the fleet; `child` is null until it is first started, `errors` is what it wrote to stderr. */
-export type Machine = NodePlace & { child: ChildProcess | null; settingsFile: string; errors: string };
+export type { Machine } from './machine.js';
 
 /** A running system. All its files are below `dir`; its hosts are 127.`net`.0.x. */
 export type Fleet = {
@@ -65,7 +62,7 @@
   return fleet;
 }
 
-function addMachine(fleet: Fleet, name: string, hostNumber: number, program: Machine['program']): void {
+function addMachine(fleet: Fleet, name: string, hostNumber: number, program: NodePlace['program']): void {
   const dir = join(fleet.dir, name);
   mkdirSync(dir);
   fleet.machines.push({
@@ -81,31 +78,12 @@
 
 /** Starts the program of a machine. */
 function boot(fleet: Fleet, machine: Machine, isFirstStart: boolean): void {
-  writeFileSync(machine.settingsFile, dump(settingsOf(fleet.net, machine, isFirstStart)));
-  machine.child = spawn(process.execPath, ['target/milletcleat.mjs', machine.program], {
-    env: { ...process.env, MILLETCLEAT_NODE_FILE: machine.settingsFile },
-    stdio: ['ignore', 'ignore', 'pipe'],
-  });
-  machine.child.stderr!.on('data', (chunk) => {
-    machine.errors += String(chunk);
-  });
-}
-
-/** Signals the program of a machine and waits for its end; the exit code, null if a signal ended it. */
-function end(machine: Machine, signal: NodeJS.Signals): Promise<number | null> {
-  return new Promise((resolve) => {
-    const child = machine.child!;
-    if (child.exitCode !== null || child.signalCode !== null) return resolve(child.exitCode);
-    child.once('exit', (code) => {
-      resolve(code);
-    });
-    child.kill(signal);
-  });
+  machineProcess.boot(machine, settingsOf(fleet.net, machine, isFirstStart));
 }
 
 /** Kills all programs, closes the stand-ins and removes the files. */
 async function stop(fleet: Fleet): Promise<void> {
-  await Promise.all(fleet.machines.map((machine) => end(machine, 'SIGKILL')));
+  await Promise.all(fleet.machines.map((machine) => machineProcess.end(machine, 'SIGKILL')));
   await Promise.all([...fleet.runners, fleet.store].map(runnerStandin.stop));
   await new Promise((resolve) => {
     fleet.platform.server.close(resolve);
@@ -180,7 +158,7 @@
   create,
   stop,
   boot,
-  end,
+  end: machineProcess.end,
   operator,
   client,
   status,
--- a/test/standins/http-request.ts
+++ b/test/standins/http-request.ts
@@ -21,9 +21,10 @@
   headers: Record<string, string>,
   body: string,
   agent: Agent | false = false,
+  timeoutMs = inactivityTimeoutMs,
 ): Promise<HttpResult> {
   return new Promise((resolve) => {
-    const outgoing = request({ host, port, method, path, headers, agent, timeout: inactivityTimeoutMs });
+    const outgoing = request({ host, port, method, path, headers, agent, timeout: timeoutMs });
     const noResponse: HttpResult = { status: 0, headers: {}, body: '', isComplete: false };
     outgoing.on('timeout', () => {
       outgoing.destroy();
--- a/test/standins/platform.ts
+++ b/test/standins/platform.ts
@@ -4,7 +4,10 @@
 import type { RunnerStandin } from './runner.js';
 
 /** `calls` counts the pages that were asked for. */
-export type PlatformStandin = { server: Server; runners: RunnerStandin[]; calls: number };
+export type PlatformStandin = { server: Server; runners: RunnerStandin[]; calls: number; mode: PlatformMode };
+
+/** `silent`: calls are not answered; `too_many`: 429; `failing`: 500. */
+export type PlatformMode = 'healthy' | 'silent' | 'too_many' | 'failing';
 
 const pageLength = 2;
 
@@ -16,7 +19,7 @@
     address: `${runner.host}:${runner.port}`,
     zone_name: runner.zone,
     revision: 'v1',
-    slot_count: 4,
+    slot_count: runner.slotCount,
     condition: runner.draining ? 'draining' : 'serving',
     cold_left_ms: 0,
     phase: 'whole',
@@ -25,9 +28,14 @@
 }
 
 function start(host: string, port: number, runners: RunnerStandin[]): Promise<PlatformStandin> {
-  const platform: PlatformStandin = { server: createServer(), runners, calls: 0 };
+  const platform: PlatformStandin = { server: createServer(), runners, calls: 0, mode: 'healthy' };
   platform.server.on('request', (request, response) => {
     platform.calls++;
+    if (platform.mode === 'silent') return;
+    if (platform.mode !== 'healthy') {
+      response.writeHead(platform.mode === 'failing' ? 500 : 429).end();
+      return;
+    }
     const token = new URL(request.url ?? '/', 'http://platform').searchParams.get('page_token');
     const from = Number(token ?? 0);
     const next = from + pageLength;
--- a/test/standins/runner.ts
+++ b/test/standins/runner.ts
@@ -3,9 +3,11 @@
  * HTTP, answers as streams of events, and a record of every request that it has executed.
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
 import { runnerCache, type RunnerCache } from '../../src/emulator/runner-cache.js';
 import { orderRules, runnerOrders, type OrderRules, type OrdersState } from '../../src/emulator/runner-orders.js';
 import { runnerReport } from '../../src/emulator/runner-report.js';
+import { answerForms, type AnswerOutcome, type FormedAnswer } from './answer-forms.js';
 import { brokenAnswers, type AnswerMode } from './broken-answers.js';
 
 /** A request that the runner has executed, with what its headers told. */
@@ -22,6 +24,20 @@
   fetchFrom: string | undefined;
 };
 
+/** A cached block that a request used, by whose request and under which weights it had been made. */
+export type BlockUse = { blockId: string; madeBy: string; madeAtRevision: number };
+
+/** A request as it reached the runner. `used` is empty for one that was turned away. */
+export type ReceivedRequest = ExecutedRequest & { method: string; headers: RequestHeaders; used: BlockUse[] };
+
+/** Who is told of what the runner does; a plan makes it answer in a form that is drawn. */
+export type RunnerObserver = {
+  onReceived: (request: ReceivedRequest, hasRun: boolean) => void;
+  plan: (request: ReceivedRequest) => FormedAnswer;
+  onAnswered: (request: ReceivedRequest, answer: FormedAnswer, outcome: AnswerOutcome) => void;
+  onOrder: (body: unknown, status: number) => void;
+};
+
 /** Who the runner is and where it listens. */
 export type RunnerIdentity = {
   id: string;
@@ -42,8 +58,16 @@
   eventCount: number;
   /** Breaks a stream behind this event, unless it is one that is resumed. */
   breakAfterEvent: number | null;
+  /** How many requests it runs at a time; more are turned away. Counted only under an observer. */
+  slotCount: number;
+  activeCount: number;
+  observer: RunnerObserver | null;
   /** The stand-in that plays the store of prefixes. */
   store: RunnerStandin | null;
+  /** By address: where prefixes are fetched from. */
+  sources: Map<string, RunnerStandin>;
+  /** By namespace and block: whose request made it. */
+  makers: Map<string, BlockUse>;
   executed: ExecutedRequest[];
   orders: OrdersState;
   /** The bodies of all orders, as they came. */
@@ -52,9 +76,10 @@
   /** Answers the calls that wait for cache events. */
   waitingReplies: Set<() => void>;
   server: Server;
+  sockets: Set<Socket>;
 };
 
-type RequestHeaders = Record<string, string | undefined>;
+export type RequestHeaders = Record<string, string | undefined>;
 
 /** An order is done by the time of its reply, taken as it comes, and counted whatever becomes of it. */
 const rules: OrderRules = {
@@ -65,6 +90,7 @@
   callSeqCounts: 'received',
 };
 const kvTokens = 1000;
+const defaultSlotCount = 4;
 const maxWaitMs = 1000;
 const firstEpoch = 1;
 
@@ -76,7 +102,12 @@
     rejectsAll: false,
     eventCount: 4,
     breakAfterEvent: null,
+    slotCount: defaultSlotCount,
+    activeCount: 0,
+    observer: null,
     store: null,
+    sources: new Map(),
+    makers: new Map(),
     executed: [],
     orders: runnerOrders.create(identity.id, [{ label: identity.model, revision: 1 }]),
     receivedOrders: [],
@@ -85,7 +116,12 @@
     server: createServer((request, response) => {
       void handle(standin, request, response);
     }),
+    sockets: new Set(),
   };
+  standin.server.on('connection', (socket) => {
+    standin.sockets.add(socket);
+    socket.on('close', () => standin.sockets.delete(socket));
+  });
   return standin;
 }
 
@@ -146,7 +182,7 @@
       sendCacheEvents(standin, Number(url.searchParams.get('since_at')), Number(headers['wait-ms'] ?? 0), response);
       return;
     default:
-      execute(standin, request.url ?? '', headers, body, response);
+      execute(standin, request.url ?? '', headers, body, response, request.method ?? '');
   }
 }
 
@@ -154,13 +190,16 @@
   standin.receivedOrders.push(body);
   const order = runnerOrders.parse(body, headers['x-expect-instance']);
   if (order === null) {
+    standin.observer?.onOrder(body, 400);
     sendJson(response, 400, {});
     return;
   }
   const { state, reply, loaded } = runnerOrders.take(rules, standin.orders, order, Date.now());
   standin.orders = state;
   if (loaded !== null) runnerCache.dropUnannounced(standin.cache);
-  sendJson(response, runnerOrders.statusOf(reply), {});
+  const status = runnerOrders.statusOf(reply);
+  standin.observer?.onOrder(body, status);
+  sendJson(response, status, {});
 }
 
 /** Answers once there are events from `since` on, or when the caller's time to wait is over. */
@@ -179,13 +218,35 @@
   for (const reply of [...standin.waitingReplies]) reply();
 }
 
-/** Caches the blocks of `X-Prompt-Prefix` but the last, which belongs to one request alone. */
-function cachePrefix(standin: RunnerStandin, cacheNamespace: string, prefix: string): void {
+/** Where a block comes from that is not computed again: the runner's own cache, or the source that is fetched from. */
+function cachedBlock(standin: RunnerStandin, request: ExecutedRequest, blockId: string): BlockUse | null {
+  const key = `${request.cacheNamespace} ${blockId}`;
+  const source = standin.sources.get(request.fetchFrom ?? '');
+  for (const holder of [standin, source])
+    if (holder && runnerCache.has(holder.cache, request.cacheNamespace, blockId)) return holder.makers.get(key) ?? null;
+  return null;
+}
+
+/**
+ * Caches the blocks of `X-Prompt-Prefix` but the last, which belongs to one request alone; returns those that were
+ * cached before. Behind the first gap all are computed anew.
+ */
+function cachePrefix(standin: RunnerStandin, request: ExecutedRequest, prefix: string): BlockUse[] {
+  const { cacheNamespace } = request;
+  const used: BlockUse[] = [];
+  let hasGap = false;
   for (const block of prefix.split(',').slice(0, -1)) {
     const [blockId, tokens] = block.split(':') as [string, string];
+    const cached: BlockUse | null = hasGap ? null : cachedBlock(standin, request, blockId);
+    hasGap ||= cached === null;
+    if (cached) used.push(cached);
+    const made = { blockId, madeBy: request.tenant ?? '', madeAtRevision: request.weightsRevision };
+    const key = `${cacheNamespace} ${blockId}`;
+    if (cached || !runnerCache.has(standin.cache, cacheNamespace, blockId)) standin.makers.set(key, cached ?? made);
     runnerCache.add(standin.cache, { cacheNamespace, blockId, tokens: Number(tokens), model: standin.model });
   }
   answerWaiting(standin);
+  return used;
 }
 
 /** The runner lets a block go, and tells of it. */
@@ -206,7 +267,8 @@
   const revision = headers['x-expect-version'];
   if (revision !== undefined && Number(revision) !== weightsRevision(standin))
     return { status: 421, headers: { 'X-Attempt-Id': attemptId } };
-  if (standin.rejectsAll || standin.answerMode === 'reject')
+  const isFull = standin.observer !== null && standin.activeCount >= standin.slotCount;
+  if (isFull || standin.rejectsAll || standin.answerMode === 'reject')
     return { status: 503, headers: { 'X-Not-Run': '1', 'X-Attempt-Id': attemptId } };
   return null;
 }
@@ -218,9 +280,12 @@
   headers: RequestHeaders,
   body: string,
   response: ServerResponse,
+  method: string,
 ): void {
   const rejected = rejection(standin, headers);
   if (rejected !== null) {
+    const turnedAway = { ...executedRequest(standin, path, headers, body), method, headers, used: [] };
+    standin.observer?.onReceived(turnedAway, false);
     response.writeHead(rejected.status, rejected.headers).end();
     return;
   }
@@ -228,15 +293,37 @@
   const request = executedRequest(standin, path, headers, body);
   standin.executed.push(request);
   const prefix = headers['x-prompt-prefix'] ?? '';
-  if (store && request.saveTo === addressOf(store)) cachePrefix(store, request.cacheNamespace, prefix);
+  if (standin.observer !== null) {
+    const used = cachePrefix(standin, request, prefix);
+    if (store && request.saveTo === addressOf(store)) cachePrefix(store, request, prefix);
+    void answerAsPlanned(standin, standin.observer, { ...request, method, headers, used }, response);
+    return;
+  }
+  if (store && request.saveTo === addressOf(store)) cachePrefix(store, request, prefix);
   if (answerMode !== 'healthy' && answerMode !== 'reject') {
     brokenAnswers.send(answerMode, response, { runnerId, attemptId: request.attemptId, eventCount });
     return;
   }
-  if (prefix !== '') cachePrefix(standin, request.cacheNamespace, prefix);
+  if (prefix !== '') cachePrefix(standin, request, prefix);
   streamEvents(standin, request, response);
 }
 
+async function answerAsPlanned(
+  standin: RunnerStandin,
+  observer: RunnerObserver,
+  request: ReceivedRequest,
+  response: ServerResponse,
+): Promise<void> {
+  observer.onReceived(request, true);
+  const answer = observer.plan(request);
+  standin.activeCount++;
+  try {
+    observer.onAnswered(request, answer, await answerForms.send(response, answer));
+  } finally {
+    standin.activeCount--;
+  }
+}
+
 function executedRequest(standin: RunnerStandin, path: string, headers: RequestHeaders, body: string): ExecutedRequest {
   return {
     attemptId: headers['x-attempt-id']!,
