--- a/test/soak/checker/answers.ts
+++ b/test/soak/checker/answers.ts
@@ -1,6 +1,7 @@
 /** MIXED, ORDER and REFUSED: what clients got, held against what runners sent. */
 import { isStreamPath, partCount } from '../runner-answers.js';
 import type { Answered, RunEnded } from '../history.js';
+import type { Evidence } from './evidence.js';
 import { isRepeatable, isResumable, type RequestRecord } from './request-record.js';
 import type { Violation } from './violation.js';
 
@@ -74,7 +75,7 @@
   return null;
 }
 
-export function checkAnswers(records: RequestRecord[]): Violation[] {
+export function checkAnswers({ records }: Evidence): Violation[] {
   const found: Violation[] = [];
   for (const record of records) {
     const { sent, answer, arrivals } = record;
--- a/test/soak/checker/check.ts
+++ b/test/soak/checker/check.ts
@@ -2,25 +2,16 @@
 import type { History } from '../history.js';
 import { checkAnswers } from './answers.js';
 import { checkConfiguration } from './configuration.js';
-import { ContactMap } from './contact.js';
+import { evidenceOf } from './evidence.js';
 import { checkProcesses } from './processes.js';
-import { requestRecords } from './request-record.js';
 import { checkRunners } from './runners.js';
 import { checkRuns } from './runs.js';
-import { Versions } from './versions.js';
 import type { Violation } from './violation.js';
 
+const checks = [checkAnswers, checkRuns, checkConfiguration, checkRunners, checkProcesses];
+
 /** All violations, the earliest first. */
 export function checkHistory(history: History): Violation[] {
-  const contact = new ContactMap(history);
-  const versions = new Versions(history);
-  const requests = requestRecords(history);
-  const { records } = requests;
-  return [
-    ...checkAnswers(records),
-    ...checkRuns(history, requests, contact),
-    ...checkConfiguration(history, versions, records, contact),
-    ...checkRunners(history, versions, records, contact),
-    ...checkProcesses(history, versions, records, contact),
-  ].sort((a, b) => a.at - b.at);
+  const evidence = evidenceOf(history);
+  return checks.flatMap((check) => check(evidence)).sort((a, b) => a.at - b.at);
 }
--- a/test/soak/checker/configuration.ts
+++ b/test/soak/checker/configuration.ts
@@ -1,8 +1,8 @@
 /** CONFIG, DENIED and what LOST says of configurations: which one was in force where. */
 import { isDeepStrictEqual } from 'node:util';
 import { soakConfigurations, type Handling } from '../configurations.js';
-import { eventsOf, type History } from '../history.js';
-import type { ContactMap } from './contact.js';
+import { eventsOf } from '../history.js';
+import { possibleVersions, type Evidence } from './evidence.js';
 import { endOf, type RequestRecord } from './request-record.js';
 import { allows, type Version, type Versions } from './versions.js';
 import type { Violation } from './violation.js';
@@ -17,7 +17,7 @@
 const forgivenDenialShare = 1 / 500;
 const forgivenOutOfTouch = 10;
 
-function checkOrders(versions: Versions): Violation[] {
+function checkOrders({ versions }: Evidence): Violation[] {
   const found: Violation[] = versions.acknowledgedInvalid.map(({ at, order }) => ({
     rule: 'CONFIG',
     at,
@@ -38,7 +38,7 @@
   return found;
 }
 
-function checkReads(history: History, versions: Versions): Violation[] {
+function checkReads({ history, versions }: Evidence): Violation[] {
   const found: Violation[] = [];
   for (const { sentAt, at, node, document, isFinal } of eventsOf(history, 'configuration_read')) {
     if (document === null) continue;
@@ -55,7 +55,7 @@
   return found;
 }
 
-function checkFinalRead(history: History, versions: Versions): Violation[] {
+function checkFinalRead({ history, versions }: Evidence): Violation[] {
   const final = eventsOf(history, 'configuration_read').filter(({ isFinal }) => isFinal);
   if (versions.acknowledgedBefore(Infinity) === 0 || final.some(({ document }) => document !== null)) return [];
   const at = final.at(-1)?.at ?? 0;
@@ -76,22 +76,17 @@
 }
 
 /** Requests that only an older configuration, or none at all, allows to be handled so. */
-function checkHandling(
-  history: History,
-  versions: Versions,
-  records: RequestRecord[],
-  contact: ContactMap,
-): Violation[] {
+function checkHandling(evidence: Evidence): Violation[] {
+  const { versions, records, contact } = evidence;
   const found: Violation[] = [];
   for (const record of records) {
     const { id, path, key, router, at: sentAt } = record.sent;
     for (const { at, seen } of seenHandling(record)) {
-      const isInTouch = contact.isInTouch(router, sentAt, at);
-      const least = isInTouch ? versions.acknowledgedBefore(sentAt - history.bounds.applyMs) : 0;
-      const possible = versions.possible(least, at);
+      const possible = possibleVersions(evidence, record.sent, at);
       if (possible.some(({ document }) => allows(document, path, key, seen))) continue;
       const rule = isEverAllowed(versions, at, record, seen) || seen.status !== null ? 'CONFIG' : 'UNASKED';
-      if (rule === 'CONFIG' && !isInTouch) continue;
+      if (rule === 'CONFIG' && !contact.isInTouch(router, sentAt, at)) continue;
+      const least = possible[0]?.revision;
       found.push({ rule, at, text: `${id} for ${path} ${describe(seen)}, not allowed from ${least} on` });
     }
   }
@@ -103,7 +98,7 @@
 }
 
 /** Within one life of a router's process no request is handled as only an older configuration allows than one before. */
-function checkNoReturn(history: History, versions: Versions, records: RequestRecord[]): Violation[] {
+function checkNoReturn({ history, versions, records }: Evidence): Violation[] {
   const found: Violation[] = [];
   const starts = eventsOf(history, 'process_started');
   const troubles = eventsOf(history, 'trouble');
@@ -143,7 +138,8 @@
   return found;
 }
 
-function checkDenied(history: History, versions: Versions, records: RequestRecord[], contact: ContactMap): Violation[] {
+function checkDenied(evidence: Evidence): Violation[] {
+  const { records, contact } = evidence;
   const denied: RequestRecord[] = [];
   const outOfTouch: RequestRecord[] = [];
   for (const record of records) {
@@ -151,10 +147,9 @@
     if (answer === null || answer.seal !== null || answer.status < 300 || answer.status >= 500) continue;
     if (promises.includes(answer.status)) continue;
     const isInTouch = contact.isInTouch(sent.router, sent.at, answer.at);
-    const least = isInTouch ? versions.acknowledgedBefore(sent.at - history.bounds.applyMs) : 0;
-    const isProper = versions
-      .possible(least, answer.at)
-      .every(({ document }) => soakConfigurations.handling(document, sent.path, sent.key).status === null);
+    const isProper = possibleVersions(evidence, sent, answer.at).every(
+      ({ document }) => soakConfigurations.handling(document, sent.path, sent.key).status === null,
+    );
     if (isProper && isInTouch) denied.push(record);
     else if (isProper && denials.includes(answer.status)) outOfTouch.push(record);
   }
@@ -166,18 +161,13 @@
   return [{ rule: 'DENIED', at: endOf(all[0]!), text }];
 }
 
-export function checkConfiguration(
-  history: History,
-  versions: Versions,
-  records: RequestRecord[],
-  contact: ContactMap,
-): Violation[] {
+export function checkConfiguration(evidence: Evidence): Violation[] {
   return [
-    ...checkOrders(versions),
-    ...checkReads(history, versions),
-    ...checkFinalRead(history, versions),
-    ...checkHandling(history, versions, records, contact),
-    ...checkNoReturn(history, versions, records),
-    ...checkDenied(history, versions, records, contact),
+    ...checkOrders(evidence),
+    ...checkReads(evidence),
+    ...checkFinalRead(evidence),
+    ...checkHandling(evidence),
+    ...checkNoReturn(evidence),
+    ...checkDenied(evidence),
   ];
 }
--- a/test/soak/checker/processes.ts
+++ b/test/soak/checker/processes.ts
@@ -1,8 +1,7 @@
 /** LOST around planned work and on kept connections, ACKS, and processes that end by themselves. */
 import { eventsOf, type History } from '../history.js';
-import type { ContactMap } from './contact.js';
+import type { Evidence } from './evidence.js';
 import type { RequestRecord } from './request-record.js';
-import type { Versions } from './versions.js';
 import type { Violation } from './violation.js';
 
 /** As many kept connections may end under a request that was passed on. */
@@ -34,7 +33,7 @@
   return answer !== null && answer.at - sent.at < sent.timeLeftMs * usedShare;
 }
 
-function checkPlannedWork(history: History, records: RequestRecord[], contact: ContactMap): Violation[] {
+function checkPlannedWork({ history, records, contact }: Evidence): Violation[] {
   const { graceMs, applyMs } = history.bounds;
   const planned = eventsOf(history, 'trouble').filter(({ isPlanned }) => isPlanned);
   const found: Violation[] = [];
@@ -52,7 +51,7 @@
   return found;
 }
 
-function checkKeptConnections(history: History, records: RequestRecord[], contact: ContactMap): Violation[] {
+function checkKeptConnections({ history, records, contact }: Evidence): Violation[] {
   const cut = records.filter((record) => {
     const { sent, answer, arrivals } = record;
     if (!isCut(record) || answer!.status !== 0 || !sent.isOnKeptConnection || !hasTimeLeft(record)) return false;
@@ -63,7 +62,7 @@
   return [{ rule: 'LOST', at: cut[0]!.answer!.at, text: `${cut.length} kept connections closed under a request` }];
 }
 
-function checkAcknowledgements(history: History, versions: Versions, contact: ContactMap): Violation[] {
+function checkAcknowledgements({ history, versions, contact }: Evidence): Violation[] {
   const { ackMs } = history.bounds;
   return versions.list
     .filter(({ sentAt, acknowledgedAt }) => {
@@ -73,7 +72,7 @@
     .map(({ order, sentAt }) => ({ rule: 'ACKS', at: sentAt + ackMs, text: `${order} has no acknowledgement` }));
 }
 
-function checkOwnEnds(history: History): Violation[] {
+function checkOwnEnds({ history }: Evidence): Violation[] {
   const troubles = eventsOf(history, 'trouble');
   return eventsOf(history, 'process_ended')
     .filter(({ isExpected, at, node }) => {
@@ -89,16 +88,11 @@
     }));
 }
 
-export function checkProcesses(
-  history: History,
-  versions: Versions,
-  records: RequestRecord[],
-  contact: ContactMap,
-): Violation[] {
+export function checkProcesses(evidence: Evidence): Violation[] {
   return [
-    ...checkPlannedWork(history, records, contact),
-    ...checkKeptConnections(history, records, contact),
-    ...checkAcknowledgements(history, versions, contact),
-    ...checkOwnEnds(history),
+    ...checkPlannedWork(evidence),
+    ...checkKeptConnections(evidence),
+    ...checkAcknowledgements(evidence),
+    ...checkOwnEnds(evidence),
   ];
 }
--- a/test/soak/checker/runners.ts
+++ b/test/soak/checker/runners.ts
@@ -1,11 +1,10 @@
 /** ONE, WALL, DRAIN and VERSION: what runners were told, and which memory and weights requests ran on. */
 import { eventsOf, type Arrived, type EventsOf, type History } from '../history.js';
-import type { ContactMap } from './contact.js';
-import type { RequestRecord } from './request-record.js';
-import type { Version, Versions } from './versions.js';
+import { possibleVersions, type Evidence } from './evidence.js';
+import type { Version } from './versions.js';
 import type { Violation } from './violation.js';
 
-function checkHolders(history: History, contact: ContactMap): Violation[] {
+function checkHolders({ history, contact }: Evidence): Violation[] {
   const { leaseMs, thawMs } = history.bounds;
   const found: Violation[] = [];
   const holders = new Map<number, string>();
@@ -30,20 +29,13 @@
   return document.tenant_list.some(({ label, isolated }) => label === tenant && isolated === true);
 }
 
-function checkIsolation(
-  history: History,
-  versions: Versions,
-  records: RequestRecord[],
-  contact: ContactMap,
-): Violation[] {
+function checkIsolation(evidence: Evidence): Violation[] {
   const found: Violation[] = [];
-  for (const { sent, arrivals } of records)
+  for (const { sent, arrivals } of evidence.records)
     for (const { at, id, tenant, used } of arrivals) {
       const foreign = used.filter(({ madeBy }) => madeBy !== tenant);
       if (foreign.length === 0 || tenant === null) continue;
-      const isInTouch = contact.isInTouch(sent.router, sent.at, at);
-      const least = isInTouch ? versions.acknowledgedBefore(sent.at - history.bounds.applyMs) : 0;
-      const possible = versions.possible(least, at);
+      const possible = possibleVersions(evidence, sent, at);
       const wall = foreign.find(({ madeBy }) =>
         possible.every((version) => isIsolated(version, madeBy) || isIsolated(version, tenant)),
       );
@@ -53,7 +45,7 @@
   return found;
 }
 
-function checkDraining(history: History, records: RequestRecord[], contact: ContactMap): Violation[] {
+function checkDraining({ history, records, contact }: Evidence): Violation[] {
   const { drainMs } = history.bounds;
   const draining = new Map(eventsOf(history, 'runner_draining').map(({ runner, at }) => [runner, at]));
   const found: Violation[] = [];
@@ -71,7 +63,7 @@
   return Math.max(1, ...eventsOf(history, 'weights_named').map(({ at, revision }) => (at < before ? revision : 1)));
 }
 
-function checkVersions(history: History, records: RequestRecord[], contact: ContactMap): Violation[] {
+function checkVersions({ history, records, contact }: Evidence): Violation[] {
   const { versionMs } = history.bounds;
   const found: Violation[] = [];
   function isLate({ at, weightsRevision }: Arrived, router: string): boolean {
@@ -85,16 +77,11 @@
   return found;
 }
 
-export function checkRunners(
-  history: History,
-  versions: Versions,
-  records: RequestRecord[],
-  contact: ContactMap,
-): Violation[] {
+export function checkRunners(evidence: Evidence): Violation[] {
   return [
-    ...checkHolders(history, contact),
-    ...checkIsolation(history, versions, records, contact),
-    ...checkDraining(history, records, contact),
-    ...checkVersions(history, records, contact),
+    ...checkHolders(evidence),
+    ...checkIsolation(evidence),
+    ...checkDraining(evidence),
+    ...checkVersions(evidence),
   ];
 }
--- a/test/soak/checker/runs.ts
+++ b/test/soak/checker/runs.ts
@@ -1,8 +1,8 @@
 /** UNASKED, TWICE, BUDGET, GONE, STALE: what runners were sent. */
 import { soakConfigurations, type SoakDocument } from '../configurations.js';
-import { eventsOf, type Arrived, type History } from '../history.js';
-import type { ContactMap } from './contact.js';
-import { isRepeatable, type RequestRecord, type RequestRecords } from './request-record.js';
+import { eventsOf, type Arrived } from '../history.js';
+import type { Evidence } from './evidence.js';
+import { isRepeatable, type RequestRecord } from './request-record.js';
 import type { Violation } from './violation.js';
 
 /** "More than a few": as many as the page forgives elsewhere. */
@@ -19,7 +19,7 @@
   return found;
 }
 
-function checkUnasked({ records, strays }: RequestRecords): Violation[] {
+function checkUnasked({ records, strays }: Evidence): Violation[] {
   const found: Violation[] = strays
     .filter(({ hasRun }) => hasRun)
     .map(({ at, id, runner }) => ({ rule: 'UNASKED', at, text: `${runner} ran ${id}, which no client sent` }));
@@ -32,7 +32,7 @@
   return found;
 }
 
-function checkTwice({ records }: RequestRecords): Violation[] {
+function checkTwice({ records }: Evidence): Violation[] {
   return records
     .filter(({ sent, arrivals }) => !isRepeatable(sent.path) && arrivals.filter(({ hasRun }) => hasRun).length > 1)
     .map(({ sent, arrivals }) => ({
@@ -42,7 +42,7 @@
     }));
 }
 
-function checkStale({ records }: RequestRecords): Violation[] {
+function checkStale({ records }: Evidence): Violation[] {
   const found: Violation[] = [];
   for (const { arrivals } of records)
     for (const { at, id, used, weightsRevision } of arrivals)
@@ -57,7 +57,7 @@
   return times.filter((time) => time > until - lengthMs && time <= until).length;
 }
 
-function checkRetryBudget(history: History, { records }: RequestRecords): Violation[] {
+function checkRetryBudget({ history, records }: Evidence): Violation[] {
   const { retryRatio, retryWindowMs, retrySlack } = history.bounds;
   const found: Violation[] = [];
   const services = new Set(records.flatMap(({ arrivals }) => arrivals.map(({ service }) => service)));
@@ -83,7 +83,7 @@
 }
 
 /** Requests that ran on more runners than their route's `tries`. */
-function checkTries(history: History, { records }: RequestRecords): Violation[] {
+function checkTries({ history, records }: Evidence): Violation[] {
   const documents = eventsOf(history, 'order_sent').map(({ document }) => JSON.parse(document) as SoakDocument);
   const crashes = eventsOf(history, 'runner_changed').filter(({ what }) => what !== 'start');
   const excessive = records.filter(({ sent, arrivals }) => {
@@ -97,7 +97,7 @@
   return [{ rule: 'BUDGET', at: sent.at, text: `${excessive.length} requests ran on too many runners, ${sent.id}` }];
 }
 
-function checkGone({ records }: RequestRecords, contact: ContactMap): Violation[] {
+function checkGone({ records, contact }: Evidence): Violation[] {
   const late = records.flatMap(({ sent, leftAt, arrivals }) =>
     arrivals.filter(
       ({ at }) => leftAt !== null && at > leftAt + goneBoundMs && contact.isInTouch(sent.router, sent.at, at),
@@ -107,13 +107,13 @@
   return [{ rule: 'GONE', at: late[0]!.at, text: `${late.length} requests sent on after their clients had left` }];
 }
 
-export function checkRuns(history: History, requests: RequestRecords, contact: ContactMap): Violation[] {
+export function checkRuns(evidence: Evidence): Violation[] {
   return [
-    ...checkUnasked(requests),
-    ...checkTwice(requests),
-    ...checkStale(requests),
-    ...checkRetryBudget(history, requests),
-    ...checkTries(history, requests),
-    ...checkGone(requests, contact),
+    ...checkUnasked(evidence),
+    ...checkTwice(evidence),
+    ...checkStale(evidence),
+    ...checkRetryBudget(evidence),
+    ...checkTries(evidence),
+    ...checkGone(evidence),
   ];
 }
--- a/test/soak/workload.ts
+++ b/test/soak/workload.ts
@@ -26,8 +26,9 @@
 /** Past every deadline: it only ends what nobody answers. */
 const abandonMs = 12_000;
 const sharedBlocks = Array.from({ length: 14 }, (_, index) => `b${index.toString(16)}`);
-/** Under four fifths of `idle_ms`, the longest time for which clients may rest. */
-const longRestMs = 4000;
+/** Four fifths of `idle_ms`, the longest time for which clients let a connection rest. */
+const longestRestMs = 12_000;
+const longRestShare = 0.004;
 
 /** Which routers new connections go to, as the platform tells by their ready probe. */
 class Rotation {
@@ -107,7 +108,8 @@
         agent = new Agent({ keepAlive: true, maxSockets: 1 });
         router = this.#rotation.pick(source);
       }
-      await sleep(luck.next(source) < 0.01 ? longRestMs : luck.below(source, mostRestMs));
+      const isLongRest = luck.next(source) < longRestShare;
+      await sleep(luck.below(source, isLongRest ? longestRestMs : mostRestMs));
     }
     agent.destroy();
   }
