--- a/test/soak-checker.test.ts
+++ b/test/soak-checker.test.ts
@@ -84,6 +84,7 @@
     status: 200,
     body,
     isWhole: true,
+    endsWithConnection: false,
     isCancelled: false,
     ...over,
   };
@@ -146,6 +147,11 @@
 const cutAnswer = { status: 0, seal: null, echoedId: null, isComplete: false };
 const goneIds = ['g1', 'g2', 'g3', 'g4'];
 
+/** The same for `count` requests. */
+function many(count: number, one: (id: string) => SoakEvent[]): SoakEvent[] {
+  return Array.from({ length: count }, (_, index) => one(`m${index}`)).flat();
+}
+
 function runnerOrder(at: number, holder: string, fence: number): SoakEvent {
   return { kind: 'runner_ordered', at, runner: 'i-1', model: 'm', revision: 2, holder, fence, status: 202 };
 }
@@ -255,12 +261,30 @@
     broken: twoRuns('/stream/a'),
     allowed: twoRuns('/resume/a'),
   },
+  {
+    rule: 'ORDER',
+    name: 'a body without a length whose runner ends',
+    broken: runnerEnds(false),
+    allowed: runnerEnds(true),
+  },
   {
     rule: 'BUDGET',
     name: 'further arrivals beyond the ratio and the slack',
     broken: [sent('b'), ...furtherArrivals(62)],
     allowed: [sent('b'), ...furtherArrivals(58)],
   },
+  {
+    rule: 'BUDGET',
+    name: 'runners that are told more time than is left',
+    broken: many(21, (id) => [sent(id), arrived(id, { timeLeftMs: 4100 })]),
+    allowed: many(20, (id) => [sent(id), arrived(id, { timeLeftMs: 4100 })]),
+  },
+  {
+    rule: 'CONFIG',
+    name: 'no answer at the deadline',
+    broken: many(8, (id) => [sent(id), answered(id, '', { ...cutAnswer, at: calmAt + 4600 })]),
+    allowed: many(8, (id) => [sent(id), answered(id, '', { ...cutAnswer, at: calmAt + 4400 })]),
+  },
   { rule: 'GONE', name: 'requests sent on after their clients had left', broken: gone(600), allowed: gone(400) },
   {
     rule: 'CONFIG',
@@ -402,6 +426,18 @@
   ];
 }
 
+/** A stream without a length ends between two events as its runner's process does, or with nobody ending it. */
+function runnerEnds(hasEnded: boolean): SoakEvent[] {
+  const end = { kind: 'runner_changed' as const, at: calmAt + 25, runner: 'i-1', service: 's-main', what: 'crash fin' };
+  return [
+    sent(streamId, { path: '/stream/a' }),
+    arrived(streamId, { path: '/stream/a' }),
+    ended(streamId, '', { isWhole: false, endsWithConnection: true, isCancelled: true }),
+    answered(streamId, stream(streamId, 1, count - 1, 'i-1.1')),
+    ...(hasEnded ? [end] : []),
+  ];
+}
+
 /** A request that only the second configuration allows, then one that only the first one does. */
 function goesBack(at: number): SoakEvent[] {
   return [
--- a/test/soak/deployment.ts
+++ b/test/soak/deployment.ts
@@ -121,6 +121,8 @@
 
   /** Starts everything; the machines within 0.3 s of each other. */
   async start(): Promise<void> {
+    // No program outlives the soak, however that ends.
+    process.on('exit', () => this.#killAll());
     this.#store = await this.#startRunner(storeService, 'store', this.#ip('outside', 2));
     for (let i = 0; i < this.size.runners; i++) {
       const service = services[i % services.length]!;
@@ -155,6 +157,10 @@
     this.#weightsRevision = revision;
   }
 
+  #killAll(): void {
+    for (const { child } of this.machines) child?.kill('SIGKILL');
+  }
+
   /** Whether the program of a machine runs. */
   isRunning(node: string): boolean {
     return machineProcess.isRunning(this.#machine(node));
--- a/test/soak/history.ts
+++ b/test/soak/history.ts
@@ -77,6 +77,8 @@
   status: number;
   body: string;
   isWhole: boolean;
+  /** The body had no length: nothing but the end of the connection tells its end. */
+  endsWithConnection: boolean;
   /** The caller closed the connection before the end. */
   isCancelled: boolean;
 };
--- a/test/soak/run.ts
+++ b/test/soak/run.ts
@@ -58,6 +58,7 @@
 const clientsPerRouter = 4;
 const firstNet = 100;
 const netCount = 100;
+const interruptedCode = 130;
 
 type Outcome = { history: History; violations: Violation[] };
 
@@ -119,6 +120,7 @@
     ? Array.from({ length: flags.seeds }, (_, index) => scheduleOf(flags.seed + index))
     : [soakSchedules.parse(readFileSync(flags.from, 'utf8'))];
 const failed: number[] = [];
+for (const signal of ['SIGINT', 'SIGTERM'] as const) process.on(signal, () => process.exit(interruptedCode));
 let played = 0;
 for (const schedule of schedules) {
   played++;
--- a/test/soak/runner-answers.ts
+++ b/test/soak/runner-answers.ts
@@ -105,6 +105,7 @@
         status: answer.form.status,
         body: answer.parts.join(''),
         isWhole,
+        endsWithConnection: answer.form.framing === 'none',
         isCancelled,
       });
     },
