--- a/test/soak/deployment.ts
+++ b/test/soak/deployment.ts
@@ -65,11 +65,16 @@
 const slotCount = 6;
 const catchUpMs = boundSet.catch_up_s * 1000;
 const pageSize = 4096;
+/** Above the longest stall and pauses of an answer. */
+const longestRunMs = 8000;
+const idlePollMs = 20;
 
 export class Deployment {
   readonly machines: Machine[] = [];
   readonly proxies = new Map<string, LinkProxy>();
   readonly runners: RunnerStandin[] = [];
+  /** Those that are gone among them. */
+  readonly #allRunners: RunnerStandin[] = [];
   readonly #dir = mkdtempSync(join(tmpdir(), 'milletcleat-soak-'));
   readonly #lives = new Map<string, number>();
   readonly #expectedEnds = new Set<string>();
@@ -268,6 +273,13 @@
     await this.#replaceRunner(position, runner.service);
   }
 
+  /** Resolves when no runner is at work any more, so that what each sent is in the history. */
+  async whenRunnersIdle(): Promise<void> {
+    const until = this.recorder.now() + longestRunMs;
+    while (this.#allRunners.some(({ activeCount }) => activeCount > 0) && this.recorder.now() < until)
+      await sleep(idlePollMs);
+  }
+
   /** Notes the resident memory of each process. */
   sampleMemory(): void {
     for (const { name, child } of this.machines) {
@@ -368,6 +380,7 @@
   async #startRunner(service: string, id: string, host: string): Promise<RunnerStandin> {
     const identity = { id, host, port: ports.runner, service, zone: 'z1', model: soakModel };
     const runner = await runnerStandin.start(identity);
+    this.#allRunners.push(runner);
     runner.slotCount = slotCount;
     runner.orders = runnerOrders.create(id, [{ label: soakModel, revision: this.#weightsRevision }]);
     observeRunner(runner, this.recorder, luck.create(luck.below(this.source, 2 ** 31)), this.habits);
--- a/test/soak/play.ts
+++ b/test/soak/play.ts
@@ -140,6 +140,7 @@
     }
     if (!isDone) await this.#operator.read(this.#deployment.controlNodes[0]!, true);
     await this.#workload.stop();
+    await this.#deployment.whenRunnersIdle();
   }
 }
 
--- a/test/standins/router.ts
+++ b/test/standins/router.ts
@@ -146,8 +146,11 @@
   });
 }
 
+/** What a runner does with a new connection. */
+export type AcceptConnection = (world: RouterWorld, runner: string, socket: Socket) => void;
+
 /** Starts a router at 127.78.`net`.1 and `count` runners behind it. */
-async function create(net: number, count: number): Promise<RouterWorld> {
+async function create(net: number, count: number, accept: AcceptConnection = readCall): Promise<RouterWorld> {
   const router = routers.create(settings(), ringLog.create('test', 'edge-1'), tuning.defaults);
   const world: RouterWorld = {
     net,
@@ -164,7 +167,7 @@
     const host = `127.78.${net}.${10 + n}`;
     const id = `runner-${n}`;
     const runner = createServer((socket) => {
-      readCall(world, id, socket);
+      accept(world, id, socket);
     });
     await listen(runner, host, runnerPort);
     world.runners.push(runner);
@@ -215,6 +218,7 @@
   attemptId: string,
   script: ScriptStep[],
   headers: Record<string, string> = {},
+  body = 'body',
 ): Promise<ClientResult> {
   heal(world);
   world.scripts.set(attemptId, script);
@@ -226,7 +230,7 @@
       agent: false,
       method: 'POST',
       path,
-      headers: { Host: 'a.example', 'X-Attempt-Id': attemptId, 'Content-Length': '4', ...headers },
+      headers: { Host: 'a.example', 'X-Attempt-Id': attemptId, 'Content-Length': String(body.length), ...headers },
     });
     call.on('response', (answer) => {
       got.status = answer.statusCode ?? 0;
@@ -246,7 +250,7 @@
       if (got.status === 0) done(got);
     });
     // Not as text: Node would then encode the head in UTF-8 too.
-    call.end(Buffer.from('body'));
+    call.end(Buffer.from(body));
   });
 }
 
