--- a/test/soak-checker.test.ts
+++ b/test/soak-checker.test.ts
@@ -7,9 +7,9 @@
 import { checkHistory } from './soak/checker/check.js';
 import type { RuleName } from './soak/checker/violation.js';
 import { soakConfigurations, type SoakDocument } from './soak/configurations.js';
-import { soakBounds } from './soak/deployment.js';
 import type { Answered, Arrived, History, OrderSent, RequestSent, RunEnded, SoakEvent } from './soak/history.js';
 import { partCount, partText } from './soak/runner-answers.js';
+import { soakBounds } from './soak/soak-settings.js';
 import { luck } from './support/random.js';
 
 const first = soakConfigurations.first(luck.create(1), '127.1.1.1:1', 4);
@@ -394,6 +394,12 @@
       answered('a', '', cutAnswer),
     ],
   },
+  {
+    rule: 'LOST',
+    name: 'a request cut around planned work before its deadline',
+    broken: cutAfter(3700),
+    allowed: cutAfter(3900),
+  },
   {
     rule: 'LOST',
     name: 'kept connections closed under requests',
@@ -426,6 +432,16 @@
   ];
 }
 
+/** Cut under SIGTERM so long after it was sent; its client has more time than its route gives it. */
+function cutAfter(ms: number): SoakEvent[] {
+  return [
+    trouble(calmAt - 100, calmAt + 5000, ['edge-1'], 'terminate', true),
+    sent('a', { timeLeftMs: 6000 }),
+    arrived('a'),
+    answered('a', '', { ...cutAnswer, at: calmAt + ms }),
+  ];
+}
+
 /** A stream without a length ends between two events as its runner's process does, or with nobody ending it. */
 function runnerEnds(hasEnded: boolean): SoakEvent[] {
   const end = { kind: 'runner_changed' as const, at: calmAt + 25, runner: 'i-1', service: 's-main', what: 'crash fin' };
--- a/test/soak/checker/evidence.ts
+++ b/test/soak/checker/evidence.ts
@@ -1,4 +1,5 @@
 /** What the rules are judged by: a history, and what follows from it. */
+import { soakConfigurations } from '../configurations.js';
 import type { Arrived, History, RequestSent } from '../history.js';
 import { ContactMap } from './contact.js';
 import { requestRecords, type RequestRecord } from './request-record.js';
@@ -32,3 +33,9 @@
   const least = isInTouch ? versions.acknowledgedBefore(sent.at - history.bounds.applyMs) : 0;
   return versions.possible(least, until);
 }
+
+/** The longest `deadline_ms` that a configuration of the day gives the route of a request. */
+export function deadlineMs({ versions }: Evidence, { path }: RequestSent): number {
+  const deadlines = versions.list.map(({ document }) => soakConfigurations.routeOf(document, path)?.deadline_ms ?? 0);
+  return Math.max(0, ...deadlines);
+}
