Leader: no reply of a runner, the store or the platform ends it

Found by drawn replies (external-replies.test.ts), a form that docs/forms.md named as open: a cache listing with a row {"toString": 0} made the call to that runner reject; the poll of a location is not waited for, so the leader ended with process_failed, and so would the next one.

Ruled out: the JSON parser and the filter of rows.

Change: hasShape (protocol/shape-match.ts) in place of `is`, everywhere: replies of others, what is read from the disk, the emulator. Before: failed after 255 drawn listings, and over loopback the call rejected. After: 1,000 drawn replies of each kind and the replies over loopback pass.

--- a/src/emulator/runner-orders.ts
+++ b/src/emulator/runner-orders.ts
@@ -3,8 +3,9 @@
  * loading of new weights, and when that ends. Pure: each function maps a state to the next one, and time is an
  * argument, so that the HTTP stand-in and the simulated world share one set of rules.
  */
-import { is, nullable, number, optional, string, type } from 'superstruct';
+import { nullable, number, optional, string, type } from 'superstruct';
 import type { ModelRevision } from '../types.js';
+import { hasShape } from '../protocol/shape-match.js';
 
 /** What an order says on the wire; `null` for what it leaves out. */
 export type RunnerOrder = {
@@ -92,7 +93,7 @@
 
 /** Reads the body of an order, and its header `X-Expect-Instance`; null if it is no order at all (400). */
 function parse(body: unknown, instance: string | undefined): RunnerOrder | null {
-  if (!is(body, orderShape)) return null;
+  if (!hasShape(body, orderShape)) return null;
   return {
     operation: body.op_kind,
     model: body.model_name,
--- a/src/protocol/calls/platform-calls.ts
+++ b/src/protocol/calls/platform-calls.ts
@@ -1,10 +1,11 @@
 /** Calls to the platform, which lists the runners (PROTOCOL, `/instances`). */
-import { array, is, nullable, number, optional, string, type, type Infer } from 'superstruct';
+import { array, nullable, number, optional, string, type, type Infer } from 'superstruct';
 import { httpClient } from '../../transport/http/client.js';
 import type { Runner } from '../../types.js';
 import { headerText } from './header-text.js';
 import type { ExternalCall } from './external-calls.js';
 import { modelRevisionShape } from './runner-calls.js';
+import { hasShape } from '../shape-match.js';
 
 const instanceShape = type({
   instance_id: string(),
@@ -51,7 +52,7 @@
     method: 'GET',
     path: pageToken === null ? '/instances' : `/instances?page_token=${encodeURIComponent(pageToken)}`,
     parse: (status, body) => {
-      if (status !== 200 || !is(body, pageShape)) return null;
+      if (status !== 200 || !hasShape(body, pageShape)) return null;
       return { runners: body.instance_list.filter(isUsable).map(runnerOf), nextPageToken: body.next_token ?? null };
     },
   };
--- a/src/protocol/calls/runner-calls.ts
+++ b/src/protocol/calls/runner-calls.ts
@@ -1,7 +1,8 @@
 /** Calls to a runner or the store: its report, revision orders, and what its prefix cache holds (PROTOCOL, `/v1/...`). */
-import { array, boolean, is, number, string, tuple, type, unknown, type Infer } from 'superstruct';
+import { array, boolean, number, string, tuple, type, unknown, type Infer } from 'superstruct';
 import type { ModelRevision, Tuning } from '../../types.js';
 import type { ExternalCall } from './external-calls.js';
+import { hasShape } from '../shape-match.js';
 
 /** A model and its revision, as runners and the platform give them. */
 export const modelRevisionShape = type({ label: string(), revision: number() });
@@ -31,7 +32,7 @@
     method: 'GET',
     path: '/v1/report',
     parse: (status, body) => {
-      if (status !== 200 || !is(body, reportShape)) return null;
+      if (status !== 200 || !hasShape(body, reportShape)) return null;
       const { model_list: models, is_busy: isBusy, call_seq: callSeq, queued, active } = body;
       return { models, isBusy, callSeq, queued, active };
     },
@@ -116,7 +117,7 @@
 export type PrefixCacheEvents = { epoch: number; nextToken: number; isLost: boolean; events: PrefixCacheEvent[] };
 
 function isEventRow(row: unknown): row is EventRow {
-  return is(row, eventShape);
+  return hasShape(row, eventShape);
 }
 
 /** Any sign but `-` is that of a cached block. */
@@ -131,7 +132,7 @@
     path: `/v1/kv-events?since_at=${since}`,
     headers: { 'Wait-Ms': String(waitMs) },
     parse: (status, body) => {
-      if (status !== 200 || !is(body, eventsShape)) return null;
+      if (status !== 200 || !hasShape(body, eventsShape)) return null;
       const events = body.event_list.filter(isEventRow).map(readEvent);
       return { epoch: body.epoch_no, nextToken: body.next_token, isLost: body.is_lost, events };
     },
@@ -142,7 +143,7 @@
 const listedBlockShape = tuple([string(), string(), number(), string()]);
 
 function isListedBlock(row: unknown): row is Infer<typeof listedBlockShape> {
-  return is(row, listedBlockShape);
+  return hasShape(row, listedBlockShape);
 }
 
 const listingShape = type({
@@ -160,7 +161,7 @@
     method: 'GET',
     path: '/v1/kv-list',
     parse: (status, body) => {
-      if (status !== 200 || !is(body, listingShape)) return null;
+      if (status !== 200 || !hasShape(body, listingShape)) return null;
       const blocks = body.is_held.filter(isListedBlock).map(([cacheNamespace, blockId, tokens, model]) => ({
         cacheNamespace,
         blockId,
--- a/src/state/log/codec.ts
+++ b/src/state/log/codec.ts
@@ -4,11 +4,12 @@
  */
 import { crc32 } from 'node:zlib';
 import { Packr } from 'msgpackr';
-import { is, literal, type, unknown } from 'superstruct';
+import { literal, type, unknown } from 'superstruct';
 import type { Result } from '../../types.js';
 import type { DecodeError } from './errors.js';
 import { membership, nonNegativeInteger, storedBatch } from './stored-batch.js';
 import type { Batch, Snapshot } from './types.js';
+import { hasShape } from '../../protocol/shape-match.js';
 
 const packr = new Packr({ useRecords: false });
 
@@ -36,7 +37,7 @@
 }
 
 function isSnapshotFile(value: unknown): value is { kind: 'snapshot'; snapshot: Snapshot } {
-  return is(value, snapshotFile) && 'state' in value.snapshot;
+  return hasShape(value, snapshotFile) && 'state' in value.snapshot;
 }
 
 /** A batch as the body of a frame, by the names on disk. */
--- a/src/state/log/stored-batch.ts
+++ b/src/state/log/stored-batch.ts
@@ -3,8 +3,9 @@
  * 0.3.0 wrote: `promise` is the hard state, `committed` the commit index. They occur in this module only. Order and
  * names of the fields must stay, since logs of 0.3.0 are read and continued.
  */
-import { array, is, literal, nullable, number, refine, string, type, union, unknown, type Describe } from 'superstruct';
+import { array, literal, nullable, number, refine, string, type, union, unknown, type Describe } from 'superstruct';
 import type { Batch, Entry, HardState, LogRecord, Membership, SegmentHead } from './types.js';
+import { hasShape } from '../../protocol/shape-match.js';
 
 type StoredRecord =
   { kind: 'promise'; promise: HardState } | { kind: 'entry'; entry: Entry } | { kind: 'committed'; index: number };
@@ -62,7 +63,7 @@
 
 /** Whether a decoded value is a batch; unknown fields are ignored. */
 function isStoredBatch(value: unknown): value is StoredBatch {
-  return is(value, batch);
+  return hasShape(value, batch);
 }
 
 function toStoredRecord(record: LogRecord): StoredRecord {
