--- a/test/soak/play.ts
+++ b/test/soak/play.ts
@@ -13,6 +13,8 @@
 /** What a play depends on beside its schedule. `net`: its hosts are 127.`net`.x.y. */
 export type PlayOptions = { net: number; clients: number; mostRestMs: number; brokenShare: number };
 
+/** Far above the time for an acknowledgement: without a first configuration there is nothing to play. */
+const beginMs = 60_000;
 const readIntervalMs = 700;
 const sampleIntervalMs = 2000;
 const stallCheckMs = 20;
@@ -77,7 +79,8 @@
     const nodes = deployment.controlNodes;
     this.#operator = new SoakOperator(this.recorder, nodes, initial, luck.create(seed + 3));
     this.#operator.onWeightsNamed = (revision) => this.#runners.setNewestWeights(revision);
-    await this.#operator.begin();
+    const isBegun = await Promise.race([this.#operator.begin().then(() => true), sleep(beginMs).then(() => false)]);
+    if (!isBegun) throw new Error(`the first configuration was not acknowledged within ${beginMs} ms`);
     this.#workload = new Workload(this.recorder, deployment.routerTargets, () => this.#operator.current);
     this.#workload.start(seed, this.options.clients, this.options.mostRestMs);
     this.#timers.push(setInterval(() => deployment.sampleMemory(), sampleIntervalMs));
