--- a/test/soak/deployment.ts
+++ b/test/soak/deployment.ts
@@ -22,7 +22,7 @@
 const subnets = { core: 1, coreBehindProxy: 2, router: 3, runner: 4, outside: 5 };
 const seedCount = 3;
 const catchUpMs = boundSet.catch_up_s * 1000;
-const pageSize = 4096;
+const bytesPerKilobyte = 1024;
 
 export class Deployment {
   readonly machines: Machine[] = [];
@@ -260,7 +260,8 @@
 /** The resident memory of a process, or null once it is gone (Linux). */
 function residentBytes(pid: number): number | null {
   try {
-    return Number(readFileSync(`/proc/${pid}/statm`, 'utf8').split(' ')[1]) * pageSize;
+    const kilobytes = /^VmRSS:\s+(\d+) kB$/m.exec(readFileSync(`/proc/${pid}/status`, 'utf8'))?.[1];
+    return kilobytes === undefined ? null : Number(kilobytes) * bytesPerKilobyte;
   } catch {
     return null;
   }
