--- a/test/standins/fleet-settings.ts
+++ b/test/standins/fleet-settings.ts
@@ -23,10 +23,13 @@
 /** The host number of the platform's API. */
 export const platformHost = 99;
 
+/** What the settings say of the machine (`limits`), as far as a test sets it. */
+export type NodeLimits = { memory_mb?: number; max_fds?: number };
+
 /**
  * The settings of one node. `isFirstStart` lets it form a new replica group.
  */
-export function settingsOf(net: number, node: NodePlace, isFirstStart: boolean): object {
+export function settingsOf(net: number, node: NodePlace, isFirstStart: boolean, limits: NodeLimits = {}): object {
   const seeds = coordinatorHosts.map((hostNumber) => `${ip(net, hostNumber)}:${ports.control}`);
   return {
     node_name: node.name,
@@ -42,6 +45,7 @@
     is_first_start: isFirstStart,
     data_dir: node.program === 'coordinator' ? node.dataDir : null,
     beat_ms: 1000,
+    limits,
     bound_set: {
       contact_ms: 3000,
       ack_ms: 4000,
--- a/test/standins/fleet.ts
+++ b/test/standins/fleet.ts
@@ -18,6 +18,7 @@
   routerHostBase,
   settingsOf,
   storeHost,
+  type NodeLimits,
 } from './fleet-settings.js';
 import { sendRequest, type HttpResult } from './http-request.js';
 import { machineProcess, type Machine, type NodePlace } from './machine.js';
@@ -36,6 +37,7 @@
   platform: PlatformStandin;
   runners: RunnerStandin[];
   store: RunnerStandin;
+  limits: NodeLimits;
 };
 
 /** Far longer than anything that is waited for takes, also on a slow machine. */
@@ -46,7 +48,7 @@
 }
 
 /** Starts three coordinators, the routers, the runners with their store, and the platform. */
-async function create(net: number, routerCount: number, runnerCount: number): Promise<Fleet> {
+async function create(net: number, routerCount: number, runnerCount: number, limits: NodeLimits = {}): Promise<Fleet> {
   const dir = mkdtempSync(join(tmpdir(), 'milletcleat-fleet-'));
   const runners: RunnerStandin[] = [];
   for (let index = 0; index < runnerCount; index++)
@@ -54,7 +56,7 @@
   const store = await startRunner(net, storeHost, 'store', 's-store');
   for (const runner of runners) runner.store = store;
   const platform = await platformStandin.start(ip(net, platformHost), ports.platform, runners);
-  const fleet: Fleet = { dir, net, machines: [], store, platform, runners };
+  const fleet: Fleet = { dir, net, machines: [], store, platform, runners, limits };
   for (const hostNumber of coordinatorHosts) addMachine(fleet, `core-${hostNumber}`, hostNumber, 'coordinator');
   for (let number = 1; number <= routerCount; number++)
     addMachine(fleet, `edge-${number}`, routerHostBase + number, 'router');
@@ -78,7 +80,7 @@
 
 /** Starts the program of a machine. */
 function boot(fleet: Fleet, machine: Machine, isFirstStart: boolean): void {
-  machineProcess.boot(machine, settingsOf(fleet.net, machine, isFirstStart));
+  machineProcess.boot(machine, settingsOf(fleet.net, machine, isFirstStart, fleet.limits));
 }
 
 /** Kills all programs, closes the stand-ins and removes the files. */
