--- a/test/crowds/crowd.ts
+++ b/test/crowds/crowd.ts
@@ -89,6 +89,7 @@
     for (const member of members) member.leave();
     await untilAnswered('after the crowd');
     const peakMegabytes = watch.peakMemoryBytes()! / bytesPerMegabyte;
+    process.stdout.write(`peak: ${peakMegabytes.toFixed(1)} MB, ${watch.peakDescriptors} descriptors\n`);
     assert.ok(isAlive());
     assert.ok(peakMegabytes <= scene.limits.memory_mb, `${peakMegabytes.toFixed(1)} MB of memory`);
     assert.ok(watch.peakDescriptors <= scene.limits.max_fds, `${watch.peakDescriptors} descriptors`);
--- a/test/crowds/run.ts
+++ b/test/crowds/run.ts
@@ -38,6 +38,7 @@
   else failed++;
   print(`${isKnown(name) ? 'known to fail' : 'FAILED'}: ${name}\n  ${reason}`);
 });
+results.on('test:stdout', ({ message }) => print(`  ${message.trim()}`));
 results.on('end', () => {
   if (known > 0) print(`${known} known to fail (KNOWN-RED.txt)`);
   print(`${passed} passed, ${failed} failed`);
--- a/test/standins/runner.ts
+++ b/test/standins/runner.ts
@@ -153,9 +153,14 @@
   return orders.revisions.get(model)!;
 }
 
-async function readBody(request: IncomingMessage): Promise<string> {
+/** The whole body, or null if its caller broke off. */
+async function readBody(request: IncomingMessage): Promise<string | null> {
   let body = '';
-  for await (const chunk of request) body += String(chunk);
+  try {
+    for await (const chunk of request) body += String(chunk);
+  } catch {
+    return null;
+  }
   return body;
 }
 
@@ -168,6 +173,7 @@
   const url = new URL(request.url ?? '/', 'http://runner');
   const headers = request.headers as RequestHeaders;
   const body = await readBody(request);
+  if (body === null) return;
   switch (url.pathname) {
     case '/v1/report':
       sendJson(response, 200, runnerReport.reply(standin.orders, runnerReport.idle(kvTokens), Date.now()));
