Bodies: all that a process holds together is bounded, by the memory of its machine

Callers saw a process beyond the memory of its machine, which ends it there: 64 bodies of 4 MiB at a router of 160 MB, 40 orders of 16 MiB at a coordinator of 346 MB, most stopping a byte short.

Cause: each body was bounded by itself and all of them together by nothing; one that stops short was held for 10 s, an order for 300 s. Ruled out: a leak (memory came back after the time-outs), and copies (bodies at the client's door are not copied). An order whose announced length is over the limit was read up to it all the same.

Now bytes are reserved before they are read and released on every end (runtime/resource-budget.ts): all of an announced length at once, else ahead of each reading. Where there is no room, bodies that have stalled for a second give way, and to small ones also those that hold more; else the connection is not read for up to 2 s. Then 503 with Retry-After, and the connection ends: nothing of the request was passed on. The capacity follows from memory_mb of the settings.

--- a/src/controlplane/coordinator-context.ts
+++ b/src/controlplane/coordinator-context.ts
@@ -11,6 +11,8 @@
 import type { ExternalCallError } from '../protocol/calls/external-calls.js';
 import type { RevisionOrder, RevisionOrderResult, RunnerReport } from '../protocol/calls/runner-calls.js';
 import type { Runtime } from '../runtime.js';
+import { callerLimits } from '../runtime/caller-limits.js';
+import { resourceBudget, type ResourceBudget } from '../runtime/resource-budget.js';
 import { endpointsSnapshots } from '../state/endpoints-snapshot.js';
 import { endpointsHistory, type EndpointsHistory } from '../state/history/endpoints-history.js';
 import { configurationHistory, type ConfigurationHistory } from '../state/history/configuration-history.js';
@@ -69,6 +71,8 @@
   isStopping: boolean;
   /** The operator's orders in progress here. */
   orderAdmission: OrderAdmission;
+  /** What the operator's calls may hold together. */
+  orderBudget: ResourceBudget;
   tuning: Tuning;
 };
 
@@ -94,6 +98,7 @@
     discovery: runnerDiscovery.create(),
     isStopping: false,
     orderAdmission: new OrderAdmission(),
+    orderBudget: resourceBudget.create(callerLimits.forMachine(settings.limits ?? {}).orderBytes),
     tuning,
   };
 }
--- a/src/controlplane/operator-replies.ts
+++ b/src/controlplane/operator-replies.ts
@@ -27,6 +27,8 @@
 
 /** This coordinator accepts no more calls; another one may answer. */
 const shuttingDown = json(503, { message: 'this coordinator is stopping; send the call to another' });
+/** The call was not read for want of memory, so nothing came of it. */
+const noCapacity = json(503, { message: 'this coordinator has no room for the call now; send it again' });
 /** The order is committed and in force. */
 const accepted = json(200, { message: 'accepted' });
 /** The same order was accepted before. */
@@ -51,6 +53,7 @@
   baseTooOld,
   failed,
   shuttingDown,
+  noCapacity,
   accepted,
   alreadyAccepted,
   noConfiguration,
--- a/src/controlplane/operator-server.ts
+++ b/src/controlplane/operator-server.ts
@@ -1,7 +1,7 @@
 /** The operator's HTTP server: reads a request, has it answered, writes the answer. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { httpResponse, type HttpResponse } from '../transport/http/response.js';
-import { requestBody } from '../transport/http/body.js';
+import { bodies, BodyReader } from '../transport/http/body.js';
 import { ringLog } from '../logging/ring.js';
 import { operatorPaths } from '../protocol/operator-paths.js';
 import type { OperatorReply } from '../protocol/rpc/operator.js';
@@ -12,6 +12,9 @@
 
 const maxBodyBytes = 16 * 1024 * 1024;
 
+/** The longest time from a call's head to the end of its body, in ms. */
+const bodyTimeoutMs = 30_000;
+
 /** A caller that got no definite answer may try again after this; an election takes about a second. */
 const retryAfterMs = 200;
 
@@ -36,13 +39,23 @@
     request.resume();
     return httpResponse.send(response, httpResponse.json(200, await status.query(coordinator)));
   }
-  const received = await requestBody.read(request, maxBodyBytes);
+  const reader = new BodyReader(request, coordinator.orderBudget, { maxBytes: maxBodyBytes, timeoutMs: bodyTimeoutMs });
+  response.on('close', () => reader.release());
+  const received = await reader.result;
+  if (received.kind === 'no_capacity')
+    return httpResponse.send(response, unavailable(operatorReplies.noCapacity.body), true);
   if (received.kind !== 'complete') {
     const finding = { path: '(whole)', text: `over ${maxBodyBytes} bytes, or cut short` };
     return httpResponse.send(response, jsonResponse(operatorReplies.rejection(413, [finding])), true);
   }
   const ifMatch = request.headers['if-match'] ?? null;
-  const reply = await operator.handle(coordinator, { id: callId, method, path, ifMatch, body: received.body });
+  const reply = await operator.handle(coordinator, {
+    id: callId,
+    method,
+    path,
+    ifMatch,
+    body: bodies.joined(received.body),
+  });
   httpResponse.send(
     response,
     reply.status === 503 ? unavailable(reply.body) : jsonResponse(reply),
@@ -53,13 +66,14 @@
 /** A server that answers the operator; it does not listen yet. */
 function create(coordinator: Coordinator): Server {
   let callCount = 0;
-  return createServer((request, response) => {
+  const server = createServer((request, response) => {
     const callId = `${coordinator.settings.node_name}/${++callCount}`;
     handle(coordinator, callId, request, response).catch((err: Error) => {
       ringLog.error(coordinator.log, 'operator_call_failed', { stack: err.stack });
       httpResponse.send(response, httpResponse.text(500, err.message), true);
     });
   });
+  return server;
 }
 
 export const operatorServer = { create };
--- a/src/dataplane/attempt.ts
+++ b/src/dataplane/attempt.ts
@@ -5,6 +5,7 @@
 import { request as openHttpRequest, type ClientRequest, type IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
 import { runnerEndpoint } from '../state/runners/endpoint.js';
+import type { Body } from '../transport/http/body.js';
 import { httpClient } from '../transport/http/client.js';
 import { responseCompletion, type ResponseEnd } from '../transport/http/response-completion.js';
 import type { EndpointAssignment } from './endpoint-assignment.js';
@@ -91,7 +92,7 @@
   }
 
   /** Nothing of the request leaves before a connection is up. */
-  #onSocket(socket: Socket, body: Buffer): void {
+  #onSocket(socket: Socket, body: Body): void {
     this.#isReusedConnection = this.#request.reusedSocket;
     if (this.#isReusedConnection)
       this.#idleMs = this.#assignment.endpoint.connections.agent.idleMsOf(socket, this.#startedAt);
@@ -100,11 +101,14 @@
     socket.once('connect', () => this.#send(body));
   }
 
-  #send(body: Buffer): void {
+  #send(body: Body): void {
     if (this.#isSettled) return;
     this.#isSent = true;
     clearTimeout(this.#connectTimer);
-    this.#request.end(body);
+    const last = body.pieces.at(-1);
+    for (const piece of body.pieces.slice(0, -1)) this.#request.write(piece);
+    if (last) this.#request.end(last);
+    else this.#request.end();
   }
 
   #onResponse(response: IncomingMessage): void {
--- a/src/dataplane/client-server.ts
+++ b/src/dataplane/client-server.ts
@@ -43,6 +43,7 @@
   router.openRequests.add(context);
   raw.on('close', () => {
     if (!raw.writableFinished) context.isClientGone = true;
+    context.bodyReader?.release();
     router.openRequests.delete(context);
     if (router.phase === 'closing') context.request.socket.destroySoon();
     if (routers.isShuttingDown(router) && router.openRequests.size === 0) router.events.emit('idle');
@@ -65,7 +66,10 @@
 async function handleRequest(router: Router, request: IncomingMessage, raw: ServerResponse): Promise<void> {
   const context = requestContexts.create(request, raw, performance.now());
   trackOpenRequest(router, context);
-  if (!router.configuration) await startUp.waitForConfiguration(router);
+  if (!router.configuration) {
+    requestLimits.beginBody(router, context);
+    await startUp.waitForConfiguration(router);
+  }
   if (context.isClientGone) return;
   if (!router.configuration) return httpResponse.send(raw, httpResponse.retryLater(503, startUp.retryAfterMs()), true);
   finish(router, context, await applyPolicies(router, context));
--- a/src/dataplane/policies/request-limits.ts
+++ b/src/dataplane/policies/request-limits.ts
@@ -1,11 +1,12 @@
 /**
- * Reads the request within the operator's limits (`limits` of the configuration). A request that exceeds them (413,
- * 431), or that is not received in time (408), is answered before anything else is checked.
+ * Reads the request within the operator's limits (`limits` of the configuration), and within what the process may hold.
+ * A request that exceeds them (413, 431), that is not received in time (408), or for which there is no room now (503) is
+ * answered before anything else is checked.
  */
 import type { IncomingMessage } from 'node:http';
-import { requestBody } from '../../transport/http/body.js';
+import { BodyReader } from '../../transport/http/body.js';
 import { httpResponse } from '../../transport/http/response.js';
-import type { FinalResult, Policy, PolicyResult } from '../policy.js';
+import type { FinalResult, PolicyResult } from '../policy.js';
 import { requestContexts, type IncomingRequest, type ReceivedRequest } from '../request-context.js';
 import { routers, type Router } from '../router.js';
 
@@ -24,22 +25,42 @@
   return bytes;
 }
 
+/** The `Retry-After` of a client whose body there was no room for, in ms. */
+const noCapacityRetryAfterMs = 500;
+
 function reject(status: 408 | 413 | 431): FinalResult {
   return { kind: 'answer', answer: httpResponse.text(status), closesConnection: true };
 }
 
+/** The bounds of a body; before the first configuration only those of the process. */
+function bodyBytesLimit({ configuration }: Router): number {
+  return configuration?.routeTable.limits.body_bytes ?? Infinity;
+}
+
+/** Begins to read the body, if that has not begun. */
+function beginBody(router: Router, incoming: IncomingRequest): BodyReader {
+  const limits = { maxBytes: bodyBytesLimit(router), timeoutMs: bodyTimeoutMs };
+  incoming.bodyReader ??= new BodyReader(incoming.request, router.bodyBudget, limits);
+  return incoming.bodyReader;
+}
+
 /** Reads the body to its end; `done` if the client's connection ends before. */
 async function apply(router: Router, incoming: IncomingRequest): Promise<PolicyResult<ReceivedRequest>> {
   const { request } = incoming;
-  const { header_bytes: maxHeadBytes, body_bytes: maxBodyBytes = Infinity } = routers.routeTable(router).limits;
+  const { header_bytes: maxHeadBytes } = routers.routeTable(router).limits;
+  const maxBodyBytes = bodyBytesLimit(router);
   if (maxHeadBytes !== undefined && headBytes(request) > maxHeadBytes) return reject(431);
   if (Number(request.headers['content-length'] ?? 0) > maxBodyBytes) return reject(413);
-  const result = await requestBody.read(request, maxBodyBytes, bodyTimeoutMs);
+  const reader = beginBody(router, incoming);
+  reader.limitTo(maxBodyBytes);
+  const result = await reader.result;
   switch (result.kind) {
     case 'too_large':
       return reject(413);
     case 'timed_out':
       return reject(408);
+    case 'no_capacity':
+      return { kind: 'answer', answer: httpResponse.retryLater(503, noCapacityRetryAfterMs), closesConnection: true };
     case 'aborted':
       return { kind: 'done' };
     case 'complete':
@@ -47,4 +68,4 @@
   }
 }
 
-export const requestLimits: Policy<IncomingRequest, ReceivedRequest> = { apply };
+export const requestLimits = { apply, beginBody };
--- a/src/dataplane/request-context.ts
+++ b/src/dataplane/request-context.ts
@@ -5,6 +5,7 @@
  * Times are in ms on the process's steady clock (`performance.now()`).
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { Body, BodyReader } from '../transport/http/body.js';
 import type { PrefixBlock, TokenCounts } from '../protocol/calls/headers.js';
 import type { Route, Service, Tenant } from '../types.js';
 import { clientResponse, type ClientResponse } from './client-response.js';
@@ -18,10 +19,12 @@
   receivedAt: number;
   /** The client closed its connection before its answer was complete. */
   isClientGone: boolean;
+  /** Reads and holds the body; null until that has begun. */
+  bodyReader: BodyReader | null;
 };
 
 /** A request that has been read to its end. */
-export type ReceivedRequest = IncomingRequest & { body: Buffer };
+export type ReceivedRequest = IncomingRequest & { body: Body };
 
 /** What its route and its headers say of a request. */
 export type RoutedFields = {
@@ -70,11 +73,11 @@
 
 /** A request whose head has just been read, at `receivedAt`. */
 function create(request: IncomingMessage, raw: ServerResponse, receivedAt: number): IncomingRequest {
-  return { request, response: clientResponse.create(raw), receivedAt, isClientGone: false };
+  return { request, response: clientResponse.create(raw), receivedAt, isClientGone: false, bodyReader: null };
 }
 
 /** Adds what the request limits learnt. */
-function withBody(request: IncomingRequest, body: Buffer): ReceivedRequest {
+function withBody(request: IncomingRequest, body: Body): ReceivedRequest {
   return Object.assign(request, { body });
 }
 
--- a/src/dataplane/router.ts
+++ b/src/dataplane/router.ts
@@ -5,6 +5,8 @@
 import { transfers, type Transfers } from '../coordination/transfer/transfers.js';
 import { transferCost, type TransferCostModel } from '../coordination/transfer/transfer-cost.js';
 import type { Log } from '../logging/ring.js';
+import { callerLimits } from '../runtime/caller-limits.js';
+import { resourceBudget, type ResourceBudget } from '../runtime/resource-budget.js';
 import type { RouteTable } from '../state/control/route-table.js';
 import { endpointsSnapshots } from '../state/endpoints-snapshot.js';
 import { cachedPrefixes, type CachedPrefixes } from '../state/prefix-cache/cached-prefixes.js';
@@ -75,6 +77,8 @@
   prefillTokensPerMs: number;
   retryBudget: RetryBudget;
   admissionQueue: AdmissionQueue;
+  /** What the bodies of all requests may hold together. */
+  bodyBudget: ResourceBudget;
   /** Requests whose answer has not left yet. */
   openRequests: Set<IncomingRequest>;
 };
@@ -111,6 +115,7 @@
     prefillTokensPerMs: 0,
     retryBudget: retryBudget.create(bounds.retry_window_s * 1000, bounds.retry_ratio, bounds.retry_slack),
     admissionQueue: admissionQueue.create(),
+    bodyBudget: resourceBudget.create(callerLimits.forMachine(settings.limits ?? {}).bodyBytes),
     openRequests: new Set(),
   };
 }
--- a/src/protocol/settings/check.ts
+++ b/src/protocol/settings/check.ts
@@ -22,6 +22,7 @@
 import { findings } from '../findings.js';
 
 const atLeastZero = min(number(), 0);
+const aboveZero = min(number(), 0, { exclusive: true });
 const addressText = nonempty(string());
 
 /** The file's shape; names and units are the platform's (`Settings` in `src/types/settings.ts`). */
@@ -48,7 +49,7 @@
     grace_s: atLeastZero,
     apply_ms: atLeastZero,
     retry_ratio: atLeastZero,
-    retry_window_s: min(number(), 0, { exclusive: true }),
+    retry_window_s: aboveZero,
     retry_slack: atLeastZero,
     transit_ms: atLeastZero,
     lease_ms: atLeastZero,
@@ -57,8 +58,10 @@
     reuse_after_s: atLeastZero,
   }),
   tolerance: optional(type({ machine_losses: min(integer(), 0) })),
-  limits: optional(type({ link_mbps: optional(min(number(), 0, { exclusive: true })) })),
-  cloud_api: type({ address: addressText, rate_per_s: min(number(), 0, { exclusive: true }), lag_ms: atLeastZero }),
+  limits: optional(
+    type({ link_mbps: optional(aboveZero), memory_mb: optional(aboveZero), max_fds: optional(min(integer(), 1)) }),
+  ),
+  cloud_api: type({ address: addressText, rate_per_s: aboveZero, lag_ms: atLeastZero }),
 });
 
 /** The program that the settings are for. */
--- a/src/tools/simulate/clients.ts
+++ b/src/tools/simulate/clients.ts
@@ -8,6 +8,7 @@
 import { modelName, serviceName } from './simulated-router.js';
 import { simulations, type Simulation } from './simulation.js';
 import type { VirtualClock } from './virtual-clock.js';
+import { bodies } from '../../transport/http/body.js';
 
 /** A skew of 1 would always draw the first prompt. */
 const maxSkew = 0.95;
@@ -35,7 +36,7 @@
   const context: Partial<RequestContext> = {
     receivedAt: now,
     attemptId: `a${id}`,
-    body: Buffer.alloc(0),
+    body: bodies.empty,
     route: routeTable.hosts.get(traffic.name)![0]!.route,
     service: routeTable.services.get(serviceName)!,
     model: modelName,
--- a/src/types/settings.ts
+++ b/src/types/settings.ts
@@ -56,8 +56,11 @@
   beat_ms: number;
   /** How many machines may be lost at once with all rules observed. */
   tolerance?: { machine_losses: number };
-  /** `link_mbps`: the machine's link, in megabits a second. */
-  limits?: { link_mbps?: number };
+  /**
+   * The machine: its link in megabits a second, the memory in MB over which the process is killed, and how many
+   * descriptors it may have open.
+   */
+  limits?: { link_mbps?: number; memory_mb?: number; max_fds?: number };
   bound_set: Bounds;
   /** The platform's list of runners: where it is, how many calls a second all processes may make, how old it may be. */
   cloud_api: { address: string; rate_per_s: number; lag_ms: number };
--- a/test/dataplane.test.ts
+++ b/test/dataplane.test.ts
@@ -21,6 +21,7 @@
 import { cachedPrefixes } from '../src/state/prefix-cache/cached-prefixes.js';
 import { endpointPool } from '../src/state/runners/endpoint-pool.js';
 import type { Configuration, Runner } from '../src/types.js';
+import { bodies } from '../src/transport/http/body.js';
 
 const configurationDocument: Configuration = {
   revision: 1,
@@ -79,7 +80,7 @@
   const context: Partial<RequestContext> = {
     attemptId: `a${requestCount++}`,
     executionStatus: executionStatus.initial(),
-    body: Buffer.alloc(0),
+    body: bodies.empty,
     service: router.configuration!.routeTable.services.get('s')!,
     model: 'm',
     isolationDomain: 'all',
--- a/test/endpoint-selection.test.ts
+++ b/test/endpoint-selection.test.ts
@@ -21,6 +21,7 @@
 import type { RunnerEndpoint } from '../src/state/runners/endpoint.js';
 import type { Configuration, Settings } from '../src/types.js';
 import { luck, type Luck } from './support/random.js';
+import { bodies } from '../src/transport/http/body.js';
 
 /** One seeded situation of a router: its runners, what is cached where, what is hot, and a few requests. */
 type RunnerCase = {
@@ -245,7 +246,7 @@
   const context: Partial<RequestContext> = {
     attemptId: id,
     executionStatus: { attemptsSent: request.attempts, mayHaveExecuted: request.mayHaveExecuted, isAnswered: false },
-    body: Buffer.alloc(request.shared * 4),
+    body: bodies.of(Buffer.alloc(request.shared * 4)),
     service: router.configuration!.routeTable.services.get('s')!,
     model: request.model,
     isolationDomain: request.domain,
