Bodies: at most two in very small pieces are received at a time

Ordinary callers got no answer: while 32 bodies, four times over the limit of 256 KiB, came in chunks of one byte, each client opening its connection anew twice, no ordinary request was answered for a minute.

Cause: processor time. Each chunk is a call into the program, so that one connection brings hundreds of thousands of calls before anything else has its turn. Ruled out: memory (77 MB) and the room for bodies. A body of 4,096 pieces or more of under 64 bytes on average now counts as costly; two of them are received at a time, and a further one ends its connection. One by itself is served as before.

--- a/src/runtime/resource-budget.ts
+++ b/src/runtime/resource-budget.ts
@@ -17,6 +17,8 @@
   heldBytes: number;
   /** When the owner last received a good part of what is due, in its own judgement. */
   lastProgressAt: number;
+  /** Receiving it takes far more processor time than its bytes would. */
+  isCostly: boolean;
   /** Earlier reservations have lower numbers. */
   readonly sequence: number;
   /** Called once when its bytes are given to another; the owner drops what it holds. */
@@ -37,6 +39,9 @@
 /** An owner that has received next to nothing for so long has stalled, in ms. */
 const stalledAfterMs = 1000;
 
+/** So many costly reservations are received at a time. */
+const maxCostly = 2;
+
 /** A reservation of so many bytes or fewer is small. */
 const smallBytes = 128 * 1024;
 
@@ -57,6 +62,7 @@
     state: 'reading',
     heldBytes: 0,
     lastProgressAt: now,
+    isCostly: false,
     sequence,
     onRevoked,
   };
@@ -128,6 +134,18 @@
   return true;
 }
 
+/** Marks a reservation as costly; false where there are enough of them, none of which has stalled. */
+function tryMarkCostly(budget: ResourceBudget, reservation: Reservation, now: number): boolean {
+  const others = [...budget.reservations].filter(({ isCostly, state }) => isCostly && state !== 'in_use');
+  if (others.length >= maxCostly) {
+    const stalled = others.find((other) => isStalled(other, now));
+    if (!stalled) return false;
+    revoke(budget, stalled);
+  }
+  reservation.isCostly = true;
+  return true;
+}
+
 /** Gives back what a reservation holds beyond `bytes`. */
 function shrinkTo(budget: ResourceBudget, reservation: Reservation, bytes: number): void {
   const excess = reservation.heldBytes - bytes;
@@ -136,4 +154,4 @@
   budget.heldBytes -= excess;
 }
 
-export const resourceBudget = { create, open, isOpen, tryReserve, shrinkTo, release };
+export const resourceBudget = { create, open, isOpen, tryReserve, tryMarkCostly, shrinkTo, release };
--- a/src/transport/http/body.ts
+++ b/src/transport/http/body.ts
@@ -48,6 +48,10 @@
 /** What was read of a body in smaller pieces than this costs too much beside the budget to wait with. */
 const minWaitingPieceBytes = 256;
 
+/** A body that has come in so many pieces, of fewer bytes on average, is costly to receive. */
+const costlyPieces = 4096;
+const costlyPieceBytes = 64;
+
 const emptyBody: Body = { pieces: [], length: 0 };
 
 function announcedBytes({ headers }: IncomingMessage): number | null {
@@ -191,9 +195,22 @@
     this.#collector.add(piece);
     this.#noteProgress();
     if (this.#isTooLarge()) this.#end({ kind: 'too_large' });
+    else if (this.#isTooCostly()) this.#cutOff();
     else this.#reserveAhead();
   }
 
+  #isTooCostly(): boolean {
+    if (this.#reservation.isCostly || this.#receivedPieces < costlyPieces) return false;
+    if (this.#collector.length >= this.#receivedPieces * costlyPieceBytes) return false;
+    return !resourceBudget.tryMarkCostly(this.#budget, this.#reservation, performance.now());
+  }
+
+  /** Without an answer: while that is on its way, more pieces would be received. */
+  #cutOff(): void {
+    this.#giveUp();
+    this.#request.socket.destroy();
+  }
+
   #noteProgress(): void {
     if (this.#collector.length - this.#lengthAtProgress < progressBytes) return;
     this.#lengthAtProgress = this.#collector.length;
--- a/test/body-reader.test.ts
+++ b/test/body-reader.test.ts
@@ -2,6 +2,7 @@
 import { strict as assert } from 'node:assert';
 import { once } from 'node:events';
 import type { IncomingMessage } from 'node:http';
+import type { Socket } from 'node:net';
 import { Readable } from 'node:stream';
 import { test } from 'node:test';
 import fc from 'fast-check';
@@ -92,6 +93,24 @@
   assertNothingHeld(budget);
 });
 
+test('of bodies in very small pieces two are received at a time, and the connection of a third ends', async () => {
+  const budget = budgetOf();
+  const ended: number[] = [];
+  const requests = [0, 1, 2].map((index) =>
+    Object.assign(requestWith({ 'transfer-encoding': 'chunked' }), {
+      socket: { destroy: () => ended.push(index) } as unknown as Socket,
+    }),
+  );
+  const readers = requests.map((request) => new BodyReader(request, budget, limits));
+  for (const request of requests) for (let piece = 0; piece < 5000; piece++) request.push('x');
+  assert.deepEqual(await readers[2]!.result, { kind: 'no_capacity' });
+  assert.deepEqual(ended, [2]);
+  for (const request of requests.slice(0, 2)) request.push(null);
+  for (const reader of readers.slice(0, 2)) assert.equal((await reader.result).kind, 'complete');
+  for (const reader of readers) reader.release();
+  assertNothingHeld(budget);
+});
+
 type Ending = 'whole' | 'cut' | 'error' | 'left' | 'lowered';
 
 type DrawnBody = { pieces: Uint8Array[]; announces: boolean; ending: Ending };
