Servers: open connections are bounded, by the descriptors and the memory of the machine

Callers saw 512 to 590 descriptors open in a process whose machine has 400, after 600 connections that rested or stopped before their body, at the clients' server and at the readiness probe. A process without descriptors accepts nobody and can't reach its runners.

Cause: the servers accepted whatever came. Ruled out: connections of the process's own (56 with the bound).

--- a/src/controlplane/operator-server.ts
+++ b/src/controlplane/operator-server.ts
@@ -2,6 +2,8 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { httpResponse, type HttpResponse } from '../transport/http/response.js';
 import { bodies, BodyReader } from '../transport/http/body.js';
+import { callerLimits } from '../runtime/caller-limits.js';
+import { connectionLimit } from '../transport/http/connection-limit.js';
 import { ringLog } from '../logging/ring.js';
 import { operatorPaths } from '../protocol/operator-paths.js';
 import type { OperatorReply } from '../protocol/rpc/operator.js';
@@ -73,6 +75,7 @@
       httpResponse.send(response, httpResponse.text(500, err.message), true);
     });
   });
+  connectionLimit.apply(server, callerLimits.forMachine(coordinator.settings.limits ?? {}).connections);
   return server;
 }
 
--- a/src/dataplane/client-server.ts
+++ b/src/dataplane/client-server.ts
@@ -6,7 +6,9 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { Duplex } from 'node:stream';
 import { ringLog } from '../logging/ring.js';
+import { callerLimits } from '../runtime/caller-limits.js';
 import { maxTimerMs } from '../runtime/timer-delay.js';
+import { connectionLimit } from '../transport/http/connection-limit.js';
 import { httpResponse } from '../transport/http/response.js';
 import { authentication } from './policies/authentication.js';
 import { authorization } from './policies/authorization.js';
@@ -100,6 +102,7 @@
     });
   });
   server.requestTimeout = 0;
+  connectionLimit.apply(server, callerLimits.forMachine(router.settings.limits ?? {}).connections);
   server.on('clientError', onClientError);
   applyLimits(router, server);
   return server;
--- a/src/programs/router.ts
+++ b/src/programs/router.ts
@@ -11,7 +11,9 @@
 import { routers, type Router } from '../dataplane/router.js';
 import { silenceSweep } from '../dataplane/silence-sweep.js';
 import type { Log } from '../logging/ring.js';
+import { callerLimits } from '../runtime/caller-limits.js';
 import { hash } from '../state/rendezvous-hash.js';
+import { connectionLimit } from '../transport/http/connection-limit.js';
 import { httpClient } from '../transport/http/client.js';
 import { httpResponse } from '../transport/http/response.js';
 import type { Settings, Tuning } from '../types.js';
@@ -35,10 +37,12 @@
 }
 
 function readinessServer(router: Router): Server {
-  return createServer((request, response) => {
+  const server = createServer((request, response) => {
     const status = request.url !== readyPath ? 404 : routers.isReady(router) ? 200 : 503;
     httpResponse.send(response, httpResponse.text(status));
   });
+  connectionLimit.apply(server, callerLimits.forMachine(router.settings.limits ?? {}).probeConnections);
+  return server;
 }
 
 /** Routers begin with different coordinators, so that not all turn to one. */
