Observability: since when each runner lacks named weights, and orders to paths that nothing serves

No logic of the roll-out or of the choice of runners is changed. Each coordinator keeps when it applied each name; status shows how long a runner has been behind, the leader logs one that is late, and an order to an unknown path is logged.

--- a/src/controlplane/coordinator-context.ts
+++ b/src/controlplane/coordinator-context.ts
@@ -23,6 +23,7 @@
 import { stateSyncServer, type StateSyncServer } from './state-sync.js';
 import type { ReplicaGroup } from './replica-group.js';
 import { routerSessions, type RouterSessions } from './router-sessions.js';
+import { weightsProgress, type WeightsProgress } from './weights-progress.js';
 import type { EndpointsSnapshot, Result, Runner, Settings, Tuning } from '../types.js';
 
 /** The APIs that are not part of the system: the platform's and the runners'. */
@@ -67,6 +68,8 @@
   pendingWatches: PendingWatches;
   stateSync: StateSyncServer;
   discovery: RunnerDiscovery;
+  /** When weights were named, and which runners lack them. */
+  weightsProgress: WeightsProgress;
   /** Set on SIGTERM: no new orders are accepted and routers are sent to other members. */
   isStopping: boolean;
   /** The operator's orders in progress here. */
@@ -96,6 +99,7 @@
     pendingWatches: pendingWatches.create(),
     stateSync: stateSyncServer.create(),
     discovery: runnerDiscovery.create(),
+    weightsProgress: weightsProgress.create(),
     isStopping: false,
     orderAdmission: new OrderAdmission(),
     orderBudget: resourceBudget.create(callerLimits.forMachine(settings.limits ?? {}).orderBytes),
--- a/src/controlplane/operator.ts
+++ b/src/controlplane/operator.ts
@@ -3,6 +3,7 @@
  * others forward a call to the leader and pass its reply back, and try again until there is a definite one
  * or the time is over.
  */
+import { ringLog } from '../logging/ring.js';
 import { operatorPaths } from '../protocol/operator-paths.js';
 import type { OperatorReply, OperatorRequest } from '../protocol/rpc/operator.js';
 import { ownValue } from '../runtime/own-value.js';
@@ -21,6 +22,9 @@
 /** So much of `If-Match` is forwarded; a revision has far fewer digits. */
 const maxIfMatchLength = 1024;
 
+/** So much of an unknown path is logged. */
+const maxLoggedPathLength = 128;
+
 const methodsByPath: Record<string, string[]> = {
   [operatorPaths.configuration]: ['GET', 'PUT', 'PATCH'],
   [operatorPaths.weights]: ['POST'],
@@ -84,7 +88,10 @@
 async function handle(coordinator: Coordinator, request: OperatorRequest): Promise<OperatorReply> {
   const { method, path } = request;
   const methods = ownValue(methodsByPath, path);
-  if (!methods) return operatorReplies.rejection(404, [{ path: 'path', text: `there is no ${path}` }]);
+  if (!methods) {
+    ringLog.error(coordinator.log, 'operator_path_unknown', { method, path: path.slice(0, maxLoggedPathLength) });
+    return operatorReplies.rejection(404, [{ path: 'path', text: `there is no ${path}` }]);
+  }
   if (!methods.includes(method))
     return operatorReplies.rejection(405, [{ path: 'method', text: `${path} takes ${methods.join(', ')}` }]);
   if (request.ifMatch !== null && request.ifMatch.length > maxIfMatchLength)
--- a/src/controlplane/services.ts
+++ b/src/controlplane/services.ts
@@ -18,6 +18,7 @@
 import { runnerDiscovery } from './runner-discovery.js';
 import { status } from './status.js';
 import { watchServer } from './watch-server.js';
+import { weightsProgress } from './weights-progress.js';
 
 /** The handlers of all RPCs but those of the consensus, each of which checks its request first. */
 function rpcHandlers(coordinator: Coordinator): RpcHandler[] {
@@ -37,6 +38,7 @@
     if (configuration) configurationHistory.record(coordinator.configurations, configuration);
     pendingWatches.respondToDue(coordinator.pendingWatches);
   });
+  weightsProgress.start(coordinator);
   runnerDiscovery.start(coordinator);
   endpointsReplication.start(coordinator);
   watchServer.start(coordinator);
--- a/src/controlplane/status.ts
+++ b/src/controlplane/status.ts
@@ -7,6 +7,7 @@
 import { stateSyncServer, type LeaderSync } from './state-sync.js';
 import { rpcClient } from './rpc-client.js';
 import type { Coordinator } from './coordinator-context.js';
+import { weightsProgress } from './weights-progress.js';
 
 /** How long the leader is waited for. */
 const leaderTimeoutMs = 600;
@@ -33,6 +34,7 @@
     draining: runner.draining,
     paused: runner.paused,
     models: runner.models,
+    behindMs: weightsProgress.behindMs(coordinator, runner),
     unhealthyRouters: sync ? stateSync.suspectingRouterCount(sync, runner.id) : null,
     outlierState: sync ? (sync.outliers.hosts.get(runner.id)?.state ?? 'admitted') : null,
   }));
--- a/src/logging/events.ts
+++ b/src/logging/events.ts
@@ -82,6 +82,16 @@
 type CoordinatorErrors = {
   /** Answering an operator threw; the call got a 500. On call: report the stack. */
   operator_call_failed: { stack: string | undefined };
+  /**
+   * A runner has lacked weights that were named for `behindMs`, most of the time that the operator allows; `revision` is
+   * what it has. On call: `revision_order_sent` says what the runner answers; past the bound it gets no requests.
+   */
+  runner_weights_late: { runner: string; revision: number; behindMs: number };
+  /**
+   * An operator sent an order to a path that no part of the system serves; the caller got 404. On call: the caller waits
+   * for an acknowledgement that can't come; ask which version of the system serves that order.
+   */
+  operator_path_unknown: { method: string; path: string };
   /** Deciding an order threw; it got a 500. `order`: its digest. On call: report the stack, and keep the order's body. */
   order_failed: { order: string; method: string; path: string; bytes: number; stack: string | undefined };
 };
--- a/src/protocol/rpc/status.ts
+++ b/src/protocol/rpc/status.ts
@@ -1,5 +1,5 @@
 /** `/rpc/status`: the status of the system as a coordinator sees it, at this moment; not bound to an incarnation. */
-import { array, boolean, enums, nullable, number, record, string, type } from 'superstruct';
+import { array, boolean, enums, nullable, number, optional, record, string, type } from 'superstruct';
 import type { ModelRevision } from '../../types.js';
 import { rpc, type RpcMethod } from './rpc-method.js';
 
@@ -31,6 +31,8 @@
     draining: boolean;
     paused: boolean;
     models: ModelRevision[];
+    /** For how long the runner has lacked weights that were named; null if it lacks none. */
+    behindMs?: number | null;
     unhealthyRouters: number | null;
     outlierState: string | null;
   }[];
@@ -66,6 +68,7 @@
       draining: boolean(),
       paused: boolean(),
       models: array(type({ label: string(), revision: number() })),
+      behindMs: optional(nullable(number())),
       unhealthyRouters: nullable(number()),
       outlierState: nullable(string()),
     }),
--- a/src/tools/status.ts
+++ b/src/tools/status.ts
@@ -61,7 +61,7 @@
 }
 
 function formatRunners(status: StatusReply): string {
-  const header = ['runner', 'service', 'address', 'zone', 'state', 'weights', 'unhealthy at', 'outlier'];
+  const header = ['runner', 'service', 'address', 'zone', 'state', 'weights', 'behind ms', 'unhealthy at', 'outlier'];
   const rows = status.runners.map((runner) => [
     runner.id,
     runner.service,
@@ -69,6 +69,7 @@
     runner.zone,
     runner.draining ? 'draining' : runner.paused ? 'paused' : 'serving',
     formatVersions(runner.models.map(({ label, revision }) => [label, revision])).join(',') || '-',
+    runner.behindMs == null ? '-' : String(Math.round(runner.behindMs)),
     runner.unhealthyRouters === null ? '?' : `${runner.unhealthyRouters} routers`,
     runner.outlierState ?? '?',
   ]);
