Weights: what a request may begin on follows from each name's own acknowledgement

Callers saw requests begin on weights that were outdated for longer than version_ms. A router kept one time for each model, that of the newest name, so each later name made a runner fit again that lacked an earlier one; and it counted from when it heard of the name, also after its own restart.

All names that still matter are kept with their times, at coordinators since they applied them, and told to routers as ages. A runner is left alone once the oldest name that it lacks has run out, which only ever gets stricter.

--- a/src/controlplane/watch-server.ts
+++ b/src/controlplane/watch-server.ts
@@ -8,6 +8,7 @@
 import type { ConfigurationUpdate } from '../protocol/rpc/updates.js';
 import { configurationHistory } from '../state/history/configuration-history.js';
 import { controlState } from '../state/control/reducer.js';
+import { weightNamings } from '../state/control/weight-namings.js';
 import { endpointsSnapshots } from '../state/endpoints-snapshot.js';
 import type { WatchRequest, WatchResponse } from '../protocol/rpc/watch.js';
 import type { EndpointsSnapshot } from '../types.js';
@@ -31,6 +32,7 @@
 const freshnessCheckIntervalMs = 25;
 
 type ConfigurationFields = Pick<WatchResponse, 'configuration' | 'configurationUpdate'>;
+type WeightsFields = Pick<WatchResponse, 'weights' | 'weightNamings'>;
 type EndpointsFields = Pick<WatchResponse, 'endpoints' | 'endpointsUpdate'>;
 
 function mayServe(coordinator: Coordinator, request: WatchRequest): boolean {
@@ -89,10 +91,18 @@
   return { endpoints: endpointsUpdate ? null : endpoints, endpointsUpdate };
 }
 
+function weightsFields(coordinator: Coordinator, request: WatchRequest): WeightsFields {
+  const { weights, weightsSeq } = coordinator.group.state();
+  if (weightsSeq <= request.weightsSeq) return { weights: null, weightNamings: null };
+  const { namings } = coordinator.weightsProgress;
+  return { weights, weightNamings: weightNamings.toAges(namings, coordinator.runtime.clock.now()) };
+}
+
 const noUpdates = {
   configuration: null,
   configurationUpdate: null,
   weights: null,
+  weightNamings: null,
   accessRules: null,
   endpoints: null,
   endpointsUpdate: null,
@@ -113,7 +123,7 @@
     ...common,
     ...configurationFields(coordinator, request),
     ...endpointsFields(coordinator, request),
-    weights: state.weightsSeq > request.weightsSeq ? state.weights : null,
+    ...weightsFields(coordinator, request),
     accessRules: state.accessRules.seq > request.rulesSeq ? state.accessRules : null,
   };
 }
--- a/src/dataplane/attempt-response.ts
+++ b/src/dataplane/attempt-response.ts
@@ -6,6 +6,7 @@
 import { ringLog } from '../logging/ring.js';
 import { ownValue } from '../runtime/own-value.js';
 import { headerNames, httpHeaders } from '../protocol/calls/headers.js';
+import { weightNamings } from '../state/control/weight-namings.js';
 import { runnerEndpoint } from '../state/runners/endpoint.js';
 import type { ResponseEnd } from '../transport/http/response-completion.js';
 import { attemptScope, type AttemptScope } from './attempt-scope.js';
@@ -55,8 +56,8 @@
 /** While new weights are on their way a runner rejects requests until it has loaded them. */
 function isLoadingWeights({ router, context, assignment }: AttemptScope): boolean {
   if (assignment.endpoint.isPaused) return true;
-  const namedAt = context.model === null ? undefined : router.weights.namedAt.get(context.model);
-  return namedAt !== undefined && performance.now() - namedAt < router.settings.bound_set.version_ms;
+  const namedAt = context.model === null ? null : weightNamings.newestNamedAt(router.weights.namings, context.model);
+  return namedAt !== null && performance.now() - namedAt < router.settings.bound_set.version_ms;
 }
 
 /** The runner has other weights: its record is brought up to date, and it may be attempted again. */
--- a/src/dataplane/config-updates.ts
+++ b/src/dataplane/config-updates.ts
@@ -5,6 +5,7 @@
 import type { WatchResponse } from '../protocol/rpc/watch.js';
 import { ownValue } from '../runtime/own-value.js';
 import { routeTable } from '../state/control/route-table.js';
+import { weightNamings } from '../state/control/weight-namings.js';
 import { endpointsSnapshots } from '../state/endpoints-snapshot.js';
 import { configurationHistory } from '../state/history/configuration-history.js';
 import { endpointsHistory } from '../state/history/endpoints-history.js';
@@ -34,8 +35,11 @@
 function applyWeights(router: Router, response: WatchResponse, now: number): void {
   const { weights } = router;
   if (!response.weights || response.weightsSeq <= weights.seq) return;
+  const { namings } = weights;
   for (const [model, revision] of Object.entries(response.weights))
-    if ((ownValue(weights.revisions, model) ?? 0) < revision) weights.namedAt.set(model, now);
+    if ((ownValue(weights.revisions, model) ?? 0) < revision) weightNamings.record(namings, model, revision, now);
+  weightNamings.recordAges(namings, response.weightNamings ?? [], now);
+  weightNamings.forgetOlderThan(namings, router.settings.bound_set.version_ms, now);
   weights.revisions = response.weights;
   weights.seq = response.weightsSeq;
 }
--- a/src/dataplane/endpoint-selection/endpoint-eligibility.ts
+++ b/src/dataplane/endpoint-selection/endpoint-eligibility.ts
@@ -2,7 +2,7 @@
  * Which endpoints a request may be sent to at all: usable or worth resuming at, not attempted before, with a free
  * connection, and with weights that are not outdated. Which of them is best is for `endpoint-cost.ts`.
  */
-import { ownValue } from '../../runtime/own-value.js';
+import { weightNamings } from '../../state/control/weight-namings.js';
 import { type RunnerEndpoint, runnerEndpoint } from '../../state/runners/endpoint.js';
 import type { RequestContext } from '../request-context.js';
 import type { Router } from '../router.js';
@@ -23,15 +23,13 @@
 }
 
 /**
- * Past most of `version_ms` after new weights were named, a runner that still has older ones is left alone: a
- * request must not begin on them.
+ * A runner that has lacked a named revision for most of `version_ms` is left alone, whatever was named after it: a request
+ * must not begin on older weights than that.
  */
 function hasOutdatedWeights(router: Router, context: RequestContext, revision: number | null, now: number): boolean {
   if (context.model === null || revision === null) return false;
-  const newest = ownValue(router.weights.revisions, context.model);
-  const namedAt = router.weights.namedAt.get(context.model);
-  if (newest === undefined || namedAt === undefined || revision >= newest) return false;
-  return now - namedAt > router.settings.bound_set.version_ms * outdatedWeightsShare;
+  const since = weightNamings.outdatedSince(router.weights.namings, context.model, revision);
+  return since !== null && now - since > router.settings.bound_set.version_ms * outdatedWeightsShare;
 }
 
 /** An aborted stream is better resumed at a suspect runner than not at all. */
--- a/src/dataplane/router.ts
+++ b/src/dataplane/router.ts
@@ -8,6 +8,7 @@
 import { callerLimits } from '../runtime/caller-limits.js';
 import { resourceBudget, type ResourceBudget } from '../runtime/resource-budget.js';
 import type { RouteTable } from '../state/control/route-table.js';
+import { weightNamings, type WeightNamings } from '../state/control/weight-namings.js';
 import { endpointsSnapshots } from '../state/endpoints-snapshot.js';
 import { cachedPrefixes, type CachedPrefixes } from '../state/prefix-cache/cached-prefixes.js';
 import { endpointPool, type EndpointPool } from '../state/runners/endpoint-pool.js';
@@ -21,10 +22,10 @@
 export type ActiveConfiguration = { document: Configuration; routeTable: RouteTable };
 
 /**
- * The newest revision of the weights of each model, as the control plane names them. `seq` is the number of the
- * newest update; `namedAt` says when the revision of a model became known here.
+ * The newest revision of the weights of each model, as the control plane names them, and when each was named. `seq` is
+ * the number of the newest update.
  */
-export type NamedWeights = { revisions: Record<string, number>; seq: number; namedAt: Map<string, number> };
+export type NamedWeights = { revisions: Record<string, number>; seq: number; namings: WeightNamings };
 
 /**
  * The access rules under the lease of this router: past `validUntil`, without an answer of the control plane that
@@ -102,7 +103,7 @@
     events: routerEvents.create(),
     phase: 'serving',
     configuration: null,
-    weights: { revisions: {}, seq: 0, namedAt: new Map() },
+    weights: { revisions: {}, seq: 0, namings: weightNamings.create() },
     accessRules: { state: { seq: 0, activeRules: {}, pendingRules: null, pendingRevision: 0 }, validUntil: -Infinity },
     endpointsSnapshot: endpointsSnapshots.empty(),
     endpointPool: endpointPool.create(),
--- a/src/protocol/rpc/watch.ts
+++ b/src/protocol/rpc/watch.ts
@@ -11,6 +11,7 @@
   Finding,
   Result,
 } from '../../types.js';
+import type { NamingAge } from '../../types.js';
 import { updateValidators, type EndpointsUpdate, type ConfigurationUpdate } from './updates.js';
 import { rpc, type RpcMethod } from './rpc-method.js';
 import { validators } from './validation.js';
@@ -44,6 +45,8 @@
   sharedDomainSince: number;
   weights: Record<string, number> | null;
   weightsSeq: number;
+  /** When the revisions that still matter were named; missing from a coordinator of version 0.6.0. */
+  weightNamings?: NamingAge[] | null;
   accessRules: AccessRulesState | null;
   endpoints: EndpointsSnapshot | null;
   endpointsUpdate: EndpointsUpdate | null;
@@ -68,12 +71,19 @@
   acceptsStale: validators.boolean,
 });
 
+const namingAge = validators.object<NamingAge>({
+  model: validators.name,
+  revision: validators.finite,
+  ageMs: validators.finite,
+});
+
 const response = validators.object<WatchResponse>({
   configuration: validators.nullable(sharedValidators.configuration),
   configurationUpdate: validators.nullable(updateValidators.configurationUpdate),
   sharedDomainSince: validators.count,
   weights: validators.nullable(validators.record(validators.finite)),
   weightsSeq: validators.count,
+  weightNamings: validators.optional(validators.nullable(validators.list(namingAge))),
   accessRules: validators.nullable(sharedValidators.accessRulesState),
   endpoints: validators.nullable(sharedValidators.endpointsSnapshot),
   endpointsUpdate: validators.nullable(updateValidators.endpointsUpdate),
--- a/src/state/control/weight-namings.ts
+++ b/src/state/control/weight-namings.ts
@@ -3,6 +3,7 @@
  * (`version_ms`) runs from each name's own acknowledgement, however many later names follow it, so all names that are
  * not yet out of date for everybody are kept. Times are in ms of the steady clock of the process that holds them.
  */
+import type { NamingAge } from '../../types.js';
 
 /** A revision and when it was named: its acknowledgement, or the first that this process heard of it. */
 export type Naming = { revision: number; namedAt: number };
@@ -10,9 +11,6 @@
 /** The namings of each model by its label, ascending by revision. */
 export type WeightNamings = Map<string, Naming[]>;
 
-/** A naming as it is sent between processes, which share no clock. */
-export type NamingAge = { model: string; revision: number; ageMs: number };
-
 /** No namings. */
 function create(): WeightNamings {
   return new Map();
--- a/src/tools/simulate/faults.ts
+++ b/src/tools/simulate/faults.ts
@@ -1,4 +1,5 @@
 /** The faults of a scenario: crashes of runners, routers and coordinators, loss of the store, new weights. */
+import { weightNamings } from '../../state/control/weight-namings.js';
 import { runnerCache, type RunnerCache } from '../../emulator/runner-cache.js';
 import { leader } from './leader.js';
 import type { Fault } from './scenario.js';
@@ -59,9 +60,10 @@
 
 function nameNewWeights(simulation: Simulation): void {
   simulation.targetRevision++;
+  weightNamings.record(simulation.namings, modelName, simulation.targetRevision, simulation.clock.now);
   for (const { state } of simulation.routers) {
     state.weights.revisions = { [modelName]: simulation.targetRevision };
-    state.weights.namedAt.set(modelName, simulation.clock.now);
+    weightNamings.record(state.weights.namings, modelName, simulation.targetRevision, simulation.clock.now);
   }
 }
 
--- a/src/tools/simulate/simulation.ts
+++ b/src/tools/simulate/simulation.ts
@@ -4,6 +4,7 @@
  * index, weight roll-outs and the consensus that elects the leader. Sockets, the delivery of requests and the engines
  * are simpler stand-ins.
  */
+import { weightNamings, type WeightNamings } from '../../state/control/weight-namings.js';
 import { coordinatorTracker, type CoordinatorTracker } from '../../coordination/tracking/coordinator-tracker.js';
 import { rolloutPlanner, type RolloutState } from '../../coordination/singletons/rollout.js';
 import { runnerCache, type RunnerCache } from '../../emulator/runner-cache.js';
@@ -51,6 +52,8 @@
   leadership: Leadership;
   rollout: RolloutState;
   targetRevision: number;
+  /** When each revision was named, in ms of the virtual clock. */
+  namings: WeightNamings;
   pausedRunners: Set<string>;
   listedRunners: Runner[];
   attemptsMade: number;
@@ -95,6 +98,7 @@
     leadership: { address: null, since: 0, index: emptyIndex(scenario), tracker: emptyTracker(scenario) },
     rollout: rolloutPlanner.create(rolloutTiming),
     targetRevision: 1,
+    namings: weightNamings.create(),
     pausedRunners: new Set(),
     listedRunners: [],
     attemptsMade: 0,
--- a/test/dataplane.test.ts
+++ b/test/dataplane.test.ts
@@ -55,7 +55,7 @@
     } as unknown as Router['settings'],
     endpointPool: endpointPool.create(),
     configuration: { document: configurationDocument, routeTable: routeTable.build(configurationDocument) },
-    weights: { revisions: { m: 1 }, seq: 0, namedAt: new Map() },
+    weights: { revisions: { m: 1 }, seq: 0, namings: new Map() },
     prefixCache: {
       locations: cachedPrefixes.create(1000),
       hintsValidUntil: Infinity,
@@ -215,7 +215,7 @@
 test('runners with old weights are avoided once new weights have been named for long', () => {
   const router = routerWith([runner('a', 1), runner('b', 2)]);
   router.weights.revisions = { m: 2 };
-  router.weights.namedAt.set('m', 0);
+  router.weights.namings.set('m', [{ revision: 2, namedAt: 0 }]);
   const seen = new Set<string>();
   for (let i = 0; i < 40; i++)
     seen.add(endpointSelection.select(router, requestTo(router, 60, 200, `q${i}`), 7000)!.endpoint.id);
--- a/test/endpoint-selection.test.ts
+++ b/test/endpoint-selection.test.ts
@@ -182,7 +182,11 @@
     weights: {
       revisions: { m: scenario.targetRevision },
       seq: 0,
-      namedAt: new Map(scenario.namedAt === null ? [] : [['m', scenario.namedAt]]),
+      namings: new Map(
+        scenario.namedAt === null
+          ? []
+          : [['m', [{ revision: scenario.targetRevision, namedAt: scenario.namedAt }]] as const],
+      ),
     },
     prefixCache: {
       locations: cachedPrefixes.create(1000),
--- a/test/support/told-router.ts
+++ b/test/support/told-router.ts
@@ -33,11 +33,11 @@
   };
 }
 
-/** Tells the router these fields; they pass the check of the message, and fit what the router has. */
-function tell(router: Router, fields: Partial<WatchResponse>): void {
+/** Tells the router these fields at `now` (ms on its clock); they pass the check of the message, and fit what the router has. */
+function tell(router: Router, fields: Partial<WatchResponse>, now = 0): void {
   const checked = watchMethod.checkResponse(repacked(response(fields)));
   assert.ok(checked.ok, checked.ok ? '' : `${checked.error.path}: ${checked.error.text}`);
-  assert.ok(configUpdates.apply(router, checked.value, 0));
+  assert.ok(configUpdates.apply(router, checked.value, now));
 }
 
 export const toldRouter = { create, response, tell };
