Weights: the runner whose bound runs out first is brought up to date first

Callers saw the same runners loaded again and again while others kept the first revision, and, with the bound kept, would have found ever fewer runners.

Jobs start by the time since when a runner lacks a named revision. The test 'no runner is left behind while new revisions keep being named' failed before: r6 behind for 6800 ms.

--- a/src/controlplane/rollout.ts
+++ b/src/controlplane/rollout.ts
@@ -96,6 +96,7 @@
       kind: 'tick',
       runners: runnerDiscovery.currentList(coordinator),
       targets: coordinator.group.state().weights,
+      namings: coordinator.weightsProgress.namings,
       mayAct: mayAct(coordinator),
     });
   });
--- a/src/coordination/singletons/rollout.ts
+++ b/src/coordination/singletons/rollout.ts
@@ -8,6 +8,7 @@
  * reports the revision, rejects the order, or times out.
  */
 import { ownValue } from '../../runtime/own-value.js';
+import { weightNamings, type WeightNamings } from '../../state/control/weight-namings.js';
 import type { Runner } from '../../types.js';
 import type { RevisionOrderResult } from '../../protocol/calls/runner-calls.js';
 
@@ -49,9 +50,9 @@
   backoffUntil: Map<string, number>;
 };
 
-/** `targets` are revisions by model; a `result` or `revision` of null: no answer. */
+/** `targets` are revisions by model, `namings` when they and earlier ones were named; a `result` or `revision` of null: no answer. */
 export type RolloutEvent =
-  | { kind: 'tick'; runners: Runner[]; targets: Record<string, number>; mayAct: boolean }
+  | { kind: 'tick'; runners: Runner[]; targets: Record<string, number>; namings: WeightNamings; mayAct: boolean }
   | { kind: 'ordered'; id: string; result: RevisionOrderResult | null }
   | { kind: 'reported'; id: string; revision: number | null; isBusy: boolean };
 
@@ -113,18 +114,33 @@
   return services;
 }
 
+/** Since when the runner has lacked a revision that was named, `Infinity` if that is not known. */
+function outdatedSince(runner: Runner, namings: WeightNamings): number {
+  const times = runner.models.map(({ label, revision }) => weightNamings.outdatedSince(namings, label, revision));
+  return Math.min(...times.map((time) => time ?? Infinity));
+}
+
+/** The runners whose bound runs out first come first, so that names in quick succession leave none behind. */
+function byDeadline(runners: Runner[], namings: WeightNamings): Runner[] {
+  const since = new Map(runners.map((runner) => [runner, outdatedSince(runner, namings)] as const));
+  return [...runners].sort((a, b) => {
+    const [sinceA, sinceB] = [since.get(a)!, since.get(b)!];
+    return sinceA === sinceB ? 0 : sinceA - sinceB;
+  });
+}
+
 /** Starts jobs among the runners of one service, up to its share of those that serve. */
 function startJobs(
   state: RolloutState,
   runners: Runner[],
-  targets: Record<string, number>,
+  { targets, namings }: EventOf<'tick'>,
   now: number,
   effects: RolloutEffect[],
 ): void {
   const serving = runners.filter((runner) => !runner.draining);
   const maxJobs = Math.max(1, Math.floor(serving.length * state.timing.maxShare));
   let jobs = serving.filter((runner) => state.jobs.has(runner.id)).length;
-  for (const runner of serving) {
+  for (const runner of byDeadline(serving, namings)) {
     const { id } = runner;
     if (jobs >= maxJobs) break;
     if (state.jobs.has(id) || (state.backoffUntil.get(id) ?? 0) > now) continue;
@@ -161,8 +177,7 @@
     if (!runner || runner.draining || hasRevision(runner, job)) removeJob(state, job.id, effects);
     else advance(state, job, now, effects);
   }
-  for (const sameService of byService(event.runners).values())
-    startJobs(state, sameService, event.targets, now, effects);
+  for (const sameService of byService(event.runners).values()) startJobs(state, sameService, event, now, effects);
 }
 
 function onOrdered(state: RolloutState, event: EventOf<'ordered'>, now: number, effects: RolloutEffect[]): void {
--- a/src/tools/simulate/rollout.ts
+++ b/src/tools/simulate/rollout.ts
@@ -12,10 +12,10 @@
 
 /** Plans now and from then on at an interval. */
 function start(simulation: Simulation): void {
-  const { leadership, clock, targetRevision } = simulation;
+  const { leadership, clock, targetRevision, namings } = simulation;
   const mayAct = leadership.address !== null && clock.now - leadership.since >= leaseMs;
   const runners = leader.runnersUp(simulation);
-  step(simulation, { kind: 'tick', runners, targets: { [modelName]: targetRevision }, mayAct });
+  step(simulation, { kind: 'tick', runners, targets: { [modelName]: targetRevision }, namings, mayAct });
   clock.after(planIntervalMs, () => {
     start(simulation);
   });
--- a/test/rollout.test.ts
+++ b/test/rollout.test.ts
@@ -10,6 +10,7 @@
   type RolloutState,
   type RolloutTiming,
 } from '../src/coordination/singletons/rollout.js';
+import { weightNamings } from '../src/state/control/weight-namings.js';
 import type { Runner } from '../src/types.js';
 import { luck } from './support/random.js';
 
@@ -90,7 +91,7 @@
     const list = [...sims.keys()].map((id) => runner(id, learned.get(id) ?? 1));
     for (const effect of rolloutPlanner.step(
       planner,
-      { kind: 'tick', runners: list, targets: { m: 2 }, mayAct: true },
+      { kind: 'tick', runners: list, targets: { m: 2 }, namings: new Map(), mayAct: true },
       now,
     ))
       answer(effect);
@@ -121,9 +122,17 @@
 test('a planner that may not act orders nothing and resumes what it paused', () => {
   const planner = rolloutPlanner.create(timing);
   const list = [runner('a', 1), runner('b', 1)];
-  const first = rolloutPlanner.step(planner, { kind: 'tick', runners: list, targets: { m: 2 }, mayAct: true }, 0);
+  const first = rolloutPlanner.step(
+    planner,
+    { kind: 'tick', runners: list, targets: { m: 2 }, namings: new Map(), mayAct: true },
+    0,
+  );
   assert.deepEqual(first, [{ kind: 'set_paused', id: 'a', isPaused: true }]);
-  const then = rolloutPlanner.step(planner, { kind: 'tick', runners: list, targets: { m: 2 }, mayAct: false }, 100);
+  const then = rolloutPlanner.step(
+    planner,
+    { kind: 'tick', runners: list, targets: { m: 2 }, namings: new Map(), mayAct: false },
+    100,
+  );
   assert.deepEqual(then, [{ kind: 'set_paused', id: 'a', isPaused: false }]);
   assert.equal(planner.jobs.size, 0);
 });
@@ -132,7 +141,13 @@
   const planner = rolloutPlanner.create(timing);
   const out = rolloutPlanner.step(
     planner,
-    { kind: 'tick', runners: [{ ...runner('a', 1), draining: true }, runner('b', 2)], targets: { m: 2 }, mayAct: true },
+    {
+      kind: 'tick',
+      runners: [{ ...runner('a', 1), draining: true }, runner('b', 2)],
+      targets: { m: 2 },
+      namings: new Map(),
+      mayAct: true,
+    },
     0,
   );
   assert.deepEqual(out, []);
@@ -141,17 +156,29 @@
 test('a runner that refuses is left alone for a while', () => {
   const planner = rolloutPlanner.create(timing);
   const list = [runner('a', 1)];
-  rolloutPlanner.step(planner, { kind: 'tick', runners: list, targets: { m: 2 }, mayAct: true }, 0);
-  rolloutPlanner.step(planner, { kind: 'tick', runners: list, targets: { m: 2 }, mayAct: true }, 60);
+  rolloutPlanner.step(planner, { kind: 'tick', runners: list, targets: { m: 2 }, namings: new Map(), mayAct: true }, 0);
+  rolloutPlanner.step(
+    planner,
+    { kind: 'tick', runners: list, targets: { m: 2 }, namings: new Map(), mayAct: true },
+    60,
+  );
   assert.deepEqual(rolloutPlanner.step(planner, { kind: 'ordered', id: 'a', result: 'fenced' }, 70), [
     { kind: 'set_paused', id: 'a', isPaused: false },
   ]);
   assert.deepEqual(
-    rolloutPlanner.step(planner, { kind: 'tick', runners: list, targets: { m: 2 }, mayAct: true }, 100),
+    rolloutPlanner.step(
+      planner,
+      { kind: 'tick', runners: list, targets: { m: 2 }, namings: new Map(), mayAct: true },
+      100,
+    ),
     [],
   );
   assert.equal(
-    rolloutPlanner.step(planner, { kind: 'tick', runners: list, targets: { m: 2 }, mayAct: true }, 500).length,
+    rolloutPlanner.step(
+      planner,
+      { kind: 'tick', runners: list, targets: { m: 2 }, namings: new Map(), mayAct: true },
+      500,
+    ).length,
     1,
   );
 });
@@ -160,7 +187,11 @@
   const planner = rolloutPlanner.create(timing);
   const list = [runner('a', 1)];
   function beat(now: number): RolloutEffect[] {
-    return rolloutPlanner.step(planner, { kind: 'tick', runners: list, targets: { m: 2 }, mayAct: true }, now);
+    return rolloutPlanner.step(
+      planner,
+      { kind: 'tick', runners: list, targets: { m: 2 }, namings: new Map(), mayAct: true },
+      now,
+    );
   }
   beat(0);
   assert.equal(beat(60)[0]!.kind, 'order');
@@ -198,3 +229,30 @@
     ['record_revision', 'set_paused'],
   );
 });
+
+test('no runner is left behind while new revisions keep being named', () => {
+  const boundMs = 6800;
+  const planner = rolloutPlanner.create(timing);
+  const namings = weightNamings.create();
+  const runners = Array.from({ length: 12 }, (_, i) => runner(`r${i}`, 1));
+  const loading = new Map<string, { until: number; revision: number }>();
+  let revision = 1;
+  for (let now = 0; now < 60_000; now += 40) {
+    if (now % 1000 === 0) weightNamings.record(namings, 'm', ++revision, now);
+    for (const [id, { until, revision: loaded }] of loading) {
+      if (now < until) continue;
+      loading.delete(id);
+      runners.find((each) => each.id === id)!.models[0]!.revision = loaded;
+    }
+    const tick = { kind: 'tick', runners, targets: { m: revision }, namings, mayAct: true } as const;
+    for (const effect of rolloutPlanner.step(planner, tick, now)) {
+      if (effect.kind !== 'order') continue;
+      loading.set(effect.job.id, { until: now + 600, revision: effect.job.revision });
+      rolloutPlanner.step(planner, { kind: 'ordered', id: effect.job.id, result: 'started' }, now);
+    }
+    for (const each of runners) {
+      const since = weightNamings.outdatedSince(namings, 'm', each.models[0]!.revision) ?? now;
+      assert.ok(now - since < boundMs, `${each.id} behind for ${now - since} ms at ${now}`);
+    }
+  }
+});
