--- a/src/controlplane/services.ts
+++ b/src/controlplane/services.ts
@@ -14,7 +14,7 @@
 import { stateSyncServer } from './state-sync.js';
 import { prefixCachePoller } from './prefix-cache-poller.js';
 import { operator } from './operator.js';
-import { rollout } from './rollout.js';
+import { weightsLoading } from './weights-loading.js';
 import { runnerDiscovery } from './runner-discovery.js';
 import { status } from './status.js';
 import { watchServer } from './watch-server.js';
@@ -47,7 +47,7 @@
 /** Starts all services; those of the leader do nothing while this coordinator does not lead. */
 function start(coordinator: Coordinator): void {
   startDistribution(coordinator);
-  rollout.start(coordinator);
+  weightsLoading.start(coordinator);
   stateSyncServer.start(coordinator);
   accessActivation.start(coordinator);
   prefixCachePoller.start(coordinator);
--- a/src/controlplane/rollout.ts
+++ b/src/controlplane/weights-loading.ts
@@ -1,15 +1,15 @@
 /**
- * Drives the roll-out planner (`coordination/singletons/rollout.ts`): sends its orders, with the term as fencing token,
+ * Drives the roll-out planner (`coordination/singletons/weights-planner.ts`): sends its orders, with the term as fencing token,
  * only while this member holds an exclusive lease; polls the runners' reports; publishes which runners are paused. Why
  * two leaders never order runners within a lease of one another: `docs/control.md`, fencing.
  */
 import {
-  rolloutPlanner,
-  type RolloutEffect,
-  type RolloutEvent,
-  type RolloutJob,
-  type RolloutState,
-} from '../coordination/singletons/rollout.js';
+  weightsPlanner,
+  type WeightsPlannerEffect,
+  type WeightsPlannerEvent,
+  type WeightsJob,
+  type WeightsPlannerState,
+} from '../coordination/singletons/weights-planner.js';
 import { ringLog } from '../logging/ring.js';
 import type { Coordinator } from './coordinator-context.js';
 import { runnerDiscovery } from './runner-discovery.js';
@@ -18,7 +18,7 @@
 const tickIntervalMs = 40;
 /** Of an order or a poll, in milliseconds; less than `lease_ms` of the deployments. */
 const callTimeoutMs = 700;
-/** See `RolloutTiming`. */
+/** See `WeightsPlannerTiming`. */
 const timing = {
   pauseSettleMs: 60,
   pollIntervalMs: 250,
@@ -36,12 +36,12 @@
   return runnerDiscovery.currentList(coordinator).find((runner) => runner.id === id)?.addr ?? null;
 }
 
-function step(coordinator: Coordinator, state: RolloutState, event: RolloutEvent): void {
-  for (const effect of rolloutPlanner.step(state, event, coordinator.runtime.clock.now()))
+function step(coordinator: Coordinator, state: WeightsPlannerState, event: WeightsPlannerEvent): void {
+  for (const effect of weightsPlanner.step(state, event, coordinator.runtime.clock.now()))
     execute(coordinator, state, effect);
 }
 
-function execute(coordinator: Coordinator, state: RolloutState, effect: RolloutEffect): void {
+function execute(coordinator: Coordinator, state: WeightsPlannerState, effect: WeightsPlannerEffect): void {
   switch (effect.kind) {
     case 'set_paused':
       return runnerDiscovery.setPaused(coordinator, effect.id, effect.isPaused);
@@ -55,7 +55,7 @@
 }
 
 /** Checks the lease again right before the order is sent; without it nothing is sent, and the job times out. */
-async function sendOrder(coordinator: Coordinator, state: RolloutState, job: RolloutJob): Promise<void> {
+async function sendOrder(coordinator: Coordinator, state: WeightsPlannerState, job: WeightsJob): Promise<void> {
   const { id, model, revision } = job;
   const address = addressOf(coordinator, id);
   if (address === null || !mayAct(coordinator)) return;
@@ -77,7 +77,7 @@
   step(coordinator, state, { kind: 'ordered', id, result });
 }
 
-async function pollReport(coordinator: Coordinator, state: RolloutState, job: RolloutJob): Promise<void> {
+async function pollReport(coordinator: Coordinator, state: WeightsPlannerState, job: WeightsJob): Promise<void> {
   const { id, model } = job;
   const address = addressOf(coordinator, id);
   if (address === null) return;
@@ -89,7 +89,7 @@
 
 /** Ticks the planner while this member leads, and after that until its jobs are dropped. */
 function start(coordinator: Coordinator): void {
-  const state = rolloutPlanner.create({ ...timing, maxShare: coordinator.tuning.orderShare });
+  const state = weightsPlanner.create({ ...timing, maxShare: coordinator.tuning.orderShare });
   coordinator.runtime.clock.every(tickIntervalMs, () => {
     if (!coordinator.group.isLeader() && state.jobs.size === 0) return;
     step(coordinator, state, {
@@ -102,4 +102,4 @@
   });
 }
 
-export const rollout = { start };
+export const weightsLoading = { start };
--- a/src/coordination/singletons/rollout.ts
+++ b/src/coordination/singletons/weights-planner.ts
@@ -16,21 +16,21 @@
  * `pausing`: the routers are being informed that it gets no new requests. `ordering`: an order is in flight.
  * `loading`: it was ordered, or may have been, and is polled.
  */
-export type RolloutPhase = 'pausing' | 'ordering' | 'loading';
+export type WeightsJobPhase = 'pausing' | 'ordering' | 'loading';
 
 /** One runner on its way to one revision of one model; times in ms of the steady clock. */
-export type RolloutJob = {
+export type WeightsJob = {
   id: string;
   model: string;
   revision: number;
-  phase: RolloutPhase;
+  phase: WeightsJobPhase;
   phaseSince: number;
   startedAt: number;
   polledAt: number;
 };
 
 /** Bounds of a roll-out; times in ms. */
-export type RolloutTiming = {
+export type WeightsPlannerTiming = {
   /** The share of a service's runners that may have a job at once; at least one always may. */
   maxShare: number;
   /** From the pause to the order, for the pause to reach the routers. */
@@ -44,54 +44,59 @@
 };
 
 /** `jobs` and `backoffUntil` (ms of the steady clock) by the id of the runner. */
-export type RolloutState = {
-  timing: RolloutTiming;
-  jobs: Map<string, RolloutJob>;
+export type WeightsPlannerState = {
+  timing: WeightsPlannerTiming;
+  jobs: Map<string, WeightsJob>;
   backoffUntil: Map<string, number>;
 };
 
 /** `targets` are revisions by model, `namings` when they and earlier ones were named; a `result` or `revision` of null: no answer. */
-export type RolloutEvent =
+export type WeightsPlannerEvent =
   | { kind: 'tick'; runners: Runner[]; targets: Record<string, number>; namings: WeightNamings; mayAct: boolean }
   | { kind: 'ordered'; id: string; result: RevisionOrderResult | null }
   | { kind: 'reported'; id: string; revision: number | null; isBusy: boolean };
 
-type EventOf<Kind extends RolloutEvent['kind']> = Extract<RolloutEvent, { kind: Kind }>;
+type EventOf<Kind extends WeightsPlannerEvent['kind']> = Extract<WeightsPlannerEvent, { kind: Kind }>;
 
 /** What the caller is to do. `set_paused` changes whether routers send new requests to the runner. */
-export type RolloutEffect =
+export type WeightsPlannerEffect =
   | { kind: 'set_paused'; id: string; isPaused: boolean }
-  | { kind: 'order'; job: RolloutJob }
-  | { kind: 'poll'; job: RolloutJob }
+  | { kind: 'order'; job: WeightsJob }
+  | { kind: 'poll'; job: WeightsJob }
   | { kind: 'record_revision'; id: string; model: string; revision: number };
 
 /** A planner without jobs. */
-function create(timing: RolloutTiming): RolloutState {
+function create(timing: WeightsPlannerTiming): WeightsPlannerState {
   return { timing, jobs: new Map(), backoffUntil: new Map() };
 }
 
 /** The one place where a job changes its phase. */
-function transitionTo(job: RolloutJob, phase: RolloutPhase, now: number): void {
+function transitionTo(job: WeightsJob, phase: WeightsJobPhase, now: number): void {
   job.phase = phase;
   job.phaseSince = now;
   if (phase === 'loading') job.polledAt = now;
 }
 
-function sendOrder(job: RolloutJob, now: number, effects: RolloutEffect[]): void {
+function sendOrder(job: WeightsJob, now: number, effects: WeightsPlannerEffect[]): void {
   transitionTo(job, 'ordering', now);
   effects.push({ kind: 'order', job });
 }
 
-function removeJob(state: RolloutState, id: string, effects: RolloutEffect[]): void {
+function removeJob(state: WeightsPlannerState, id: string, effects: WeightsPlannerEffect[]): void {
   if (state.jobs.delete(id)) effects.push({ kind: 'set_paused', id, isPaused: false });
 }
 
-function backOff(state: RolloutState, id: string, now: number, effects: RolloutEffect[]): void {
+function backOff(state: WeightsPlannerState, id: string, now: number, effects: WeightsPlannerEffect[]): void {
   state.backoffUntil.set(id, now + state.timing.backoffMs);
   removeJob(state, id, effects);
 }
 
-function completeJob(state: RolloutState, job: RolloutJob, revision: number, effects: RolloutEffect[]): void {
+function completeJob(
+  state: WeightsPlannerState,
+  job: WeightsJob,
+  revision: number,
+  effects: WeightsPlannerEffect[],
+): void {
   effects.push({ kind: 'record_revision', id: job.id, model: job.model, revision });
   removeJob(state, job.id, effects);
 }
@@ -131,11 +136,11 @@
 
 /** Starts jobs among the runners of one service, up to its share of those that serve. */
 function startJobs(
-  state: RolloutState,
+  state: WeightsPlannerState,
   runners: Runner[],
   { targets, namings }: EventOf<'tick'>,
   now: number,
-  effects: RolloutEffect[],
+  effects: WeightsPlannerEffect[],
 ): void {
   const serving = runners.filter((runner) => !runner.draining);
   const maxJobs = Math.max(1, Math.floor(serving.length * state.timing.maxShare));
@@ -152,7 +157,7 @@
   }
 }
 
-function advance(state: RolloutState, job: RolloutJob, now: number, effects: RolloutEffect[]): void {
+function advance(state: WeightsPlannerState, job: WeightsJob, now: number, effects: WeightsPlannerEffect[]): void {
   const { timing } = state;
   if (now - job.startedAt > timing.jobTimeoutMs) return backOff(state, job.id, now, effects);
   if (job.phase === 'pausing' && now - job.phaseSince >= timing.pauseSettleMs) sendOrder(job, now, effects);
@@ -162,11 +167,16 @@
   }
 }
 
-function hasRevision(runner: Runner, job: RolloutJob): boolean {
+function hasRevision(runner: Runner, job: WeightsJob): boolean {
   return (runner.models.find((model) => model.label === job.model)?.revision ?? 0) >= job.revision;
 }
 
-function onTick(state: RolloutState, event: EventOf<'tick'>, now: number, effects: RolloutEffect[]): void {
+function onTick(
+  state: WeightsPlannerState,
+  event: EventOf<'tick'>,
+  now: number,
+  effects: WeightsPlannerEffect[],
+): void {
   if (!event.mayAct) {
     for (const id of [...state.jobs.keys()]) removeJob(state, id, effects);
     return;
@@ -180,7 +190,12 @@
   for (const sameService of byService(event.runners).values()) startJobs(state, sameService, event, now, effects);
 }
 
-function onOrdered(state: RolloutState, event: EventOf<'ordered'>, now: number, effects: RolloutEffect[]): void {
+function onOrdered(
+  state: WeightsPlannerState,
+  event: EventOf<'ordered'>,
+  now: number,
+  effects: WeightsPlannerEffect[],
+): void {
   const job = state.jobs.get(event.id);
   if (job?.phase !== 'ordering') return;
   switch (event.result) {
@@ -197,7 +212,12 @@
   }
 }
 
-function onReported(state: RolloutState, event: EventOf<'reported'>, now: number, effects: RolloutEffect[]): void {
+function onReported(
+  state: WeightsPlannerState,
+  event: EventOf<'reported'>,
+  now: number,
+  effects: WeightsPlannerEffect[],
+): void {
   const job = state.jobs.get(event.id);
   if (job?.phase !== 'loading' || event.revision === null) return;
   if (event.revision >= job.revision) return completeJob(state, job, event.revision, effects);
@@ -205,8 +225,8 @@
 }
 
 /** The next state, in place, and what is to be done; `now` in ms of the steady clock. */
-function step(state: RolloutState, event: RolloutEvent, now: number): RolloutEffect[] {
-  const effects: RolloutEffect[] = [];
+function step(state: WeightsPlannerState, event: WeightsPlannerEvent, now: number): WeightsPlannerEffect[] {
+  const effects: WeightsPlannerEffect[] = [];
   switch (event.kind) {
     case 'tick':
       onTick(state, event, now, effects);
@@ -221,4 +241,4 @@
   return effects;
 }
 
-export const rolloutPlanner = { create, step };
+export const weightsPlanner = { create, step };
--- a/src/tools/simulate/play.ts
+++ b/src/tools/simulate/play.ts
@@ -3,7 +3,7 @@
 import { faults } from './faults.js';
 import { leader } from './leader.js';
 import { result, type SimulationResult } from './result.js';
-import { rollout } from './rollout.js';
+import { weightsLoading } from './weights-loading.js';
 import type { Scenario } from './scenario.js';
 import { simulations } from './simulation.js';
 import { stateSync } from './state-sync.js';
@@ -21,7 +21,7 @@
   const trafficEndMs = startUpMs + scenario.durationMs;
   leader.startListing(simulation);
   leader.startTicking(simulation);
-  rollout.start(simulation);
+  weightsLoading.start(simulation);
   for (const router of simulation.routers) stateSync.start(simulation, router);
   virtualClock.runUntil(clock, startUpMs);
   simulation.result.withoutLeaderMs = 0;
--- a/src/tools/simulate/simulation.ts
+++ b/src/tools/simulate/simulation.ts
@@ -6,7 +6,7 @@
  */
 import { weightNamings, type WeightNamings } from '../../state/control/weight-namings.js';
 import { coordinatorTracker, type CoordinatorTracker } from '../../coordination/tracking/coordinator-tracker.js';
-import { rolloutPlanner, type RolloutState } from '../../coordination/singletons/rollout.js';
+import { weightsPlanner, type WeightsPlannerState } from '../../coordination/singletons/weights-planner.js';
 import { runnerCache, type RunnerCache } from '../../emulator/runner-cache.js';
 import { prefixCacheIndex, type PrefixCacheIndex } from '../../state/prefix-cache/prefix-cache-index.js';
 import type { Runner } from '../../types.js';
@@ -20,7 +20,7 @@
 const maxIndexChanges = 1e6;
 const maxTrackedTotal = 50_000;
 const gatherTimeoutMs = 1500;
-const rolloutTiming = {
+const weightsPlannerTiming = {
   maxShare: 0.25,
   pauseSettleMs: 60,
   pollIntervalMs: 250,
@@ -50,7 +50,7 @@
   runners: Map<string, SimulatedRunner>;
   store: RunnerCache | null;
   leadership: Leadership;
-  rollout: RolloutState;
+  weightsPlanner: WeightsPlannerState;
   targetRevision: number;
   /** When each revision was named, in ms of the virtual clock. */
   namings: WeightNamings;
@@ -96,7 +96,7 @@
         ? null
         : runnerCache.create({ capacityTokens: scenario.storeTokens, maxEvents: 0 }, 1),
     leadership: { address: null, since: 0, index: emptyIndex(scenario), tracker: emptyTracker(scenario) },
-    rollout: rolloutPlanner.create(rolloutTiming),
+    weightsPlanner: weightsPlanner.create(weightsPlannerTiming),
     targetRevision: 1,
     namings: weightNamings.create(),
     pausedRunners: new Set(),
--- a/src/tools/simulate/rollout.ts
+++ b/src/tools/simulate/weights-loading.ts
@@ -1,6 +1,10 @@
 /** Roll-outs of new weights in the simulated fleet: the leader's own planner, and what its effects do to runners. */
 import { runnerCache } from '../../emulator/runner-cache.js';
-import { rolloutPlanner, type RolloutEffect, type RolloutEvent } from '../../coordination/singletons/rollout.js';
+import {
+  weightsPlanner,
+  type WeightsPlannerEffect,
+  type WeightsPlannerEvent,
+} from '../../coordination/singletons/weights-planner.js';
 import { leader } from './leader.js';
 import { modelName } from './simulated-router.js';
 import type { SimulatedRunner } from './simulated-runner.js';
@@ -21,12 +25,12 @@
   });
 }
 
-function step(simulation: Simulation, event: RolloutEvent): void {
-  for (const effect of rolloutPlanner.step(simulation.rollout, event, simulation.clock.now))
+function step(simulation: Simulation, event: WeightsPlannerEvent): void {
+  for (const effect of weightsPlanner.step(simulation.weightsPlanner, event, simulation.clock.now))
     execute(simulation, effect);
 }
 
-function execute(simulation: Simulation, effect: RolloutEffect): void {
+function execute(simulation: Simulation, effect: WeightsPlannerEffect): void {
   switch (effect.kind) {
     case 'set_paused':
       if (effect.isPaused) simulation.pausedRunners.add(effect.id);
@@ -71,4 +75,4 @@
   step(simulation, { kind: 'reported', id, revision: runner.weightsRevision, isBusy });
 }
 
-export const rollout = { start };
+export const weightsLoading = { start };
--- a/test/rollout.test.ts
+++ b/test/weights-planner.test.ts
@@ -5,16 +5,16 @@
 import { strict as assert } from 'node:assert';
 import { test } from 'node:test';
 import {
-  rolloutPlanner,
-  type RolloutEffect,
-  type RolloutState,
-  type RolloutTiming,
-} from '../src/coordination/singletons/rollout.js';
+  weightsPlanner,
+  type WeightsPlannerEffect,
+  type WeightsPlannerState,
+  type WeightsPlannerTiming,
+} from '../src/coordination/singletons/weights-planner.js';
 import { weightNamings } from '../src/state/control/weight-namings.js';
 import type { Runner } from '../src/types.js';
 import { luck } from './support/random.js';
 
-const timing: RolloutTiming = {
+const timing: WeightsPlannerTiming = {
   maxShare: 0.25,
   pauseSettleMs: 60,
   pollIntervalMs: 250,
@@ -42,9 +42,9 @@
   seed: number,
   runnerCount: number,
   lossy: boolean,
-): { planner: RolloutState; sims: Map<string, Sim>; orders: number; mostAtOnce: number; ms: number } {
+): { planner: WeightsPlannerState; sims: Map<string, Sim>; orders: number; mostAtOnce: number; ms: number } {
   const random = luck.create(seed);
-  const planner = rolloutPlanner.create(timing);
+  const planner = weightsPlanner.create(timing);
   const sims = new Map<string, Sim>(
     Array.from({ length: runnerCount }, (_, i): [string, Sim] => [`r${i}`, { revision: 1, until: 0, next: 1 }]),
   );
@@ -52,7 +52,7 @@
   let orders = 0;
   let mostAtOnce = 0;
   let now = 0;
-  function answer(effect: RolloutEffect): void {
+  function answer(effect: WeightsPlannerEffect): void {
     if (effect.kind === 'record_revision') learned.set(effect.id, effect.revision);
     if (effect.kind === 'order') {
       orders++;
@@ -61,7 +61,7 @@
       if (!lost || luck.next(random) < 0.5) {
         if (sim.revision < effect.job.revision) Object.assign(sim, { until: now + 400, next: effect.job.revision });
       }
-      for (const next of rolloutPlanner.step(
+      for (const next of weightsPlanner.step(
         planner,
         {
           kind: 'ordered',
@@ -75,7 +75,7 @@
     if (effect.kind === 'poll') {
       const sim = sims.get(effect.job.id)!;
       const lost = lossy && luck.next(random) < 0.2;
-      for (const next of rolloutPlanner.step(
+      for (const next of weightsPlanner.step(
         planner,
         { kind: 'reported', id: effect.job.id, revision: lost ? null : sim.revision, isBusy: sim.until > now },
         now,
@@ -89,7 +89,7 @@
       if (sim.until > 0 && now >= sim.until) Object.assign(sim, { revision: sim.next, until: 0 });
     mostAtOnce = Math.max(mostAtOnce, [...sims.values()].filter((sim) => sim.until > now).length);
     const list = [...sims.keys()].map((id) => runner(id, learned.get(id) ?? 1));
-    for (const effect of rolloutPlanner.step(
+    for (const effect of weightsPlanner.step(
       planner,
       { kind: 'tick', runners: list, targets: { m: 2 }, namings: new Map(), mayAct: true },
       now,
@@ -120,15 +120,15 @@
 });
 
 test('a planner that may not act orders nothing and resumes what it paused', () => {
-  const planner = rolloutPlanner.create(timing);
+  const planner = weightsPlanner.create(timing);
   const list = [runner('a', 1), runner('b', 1)];
-  const first = rolloutPlanner.step(
+  const first = weightsPlanner.step(
     planner,
     { kind: 'tick', runners: list, targets: { m: 2 }, namings: new Map(), mayAct: true },
     0,
   );
   assert.deepEqual(first, [{ kind: 'set_paused', id: 'a', isPaused: true }]);
-  const then = rolloutPlanner.step(
+  const then = weightsPlanner.step(
     planner,
     { kind: 'tick', runners: list, targets: { m: 2 }, namings: new Map(), mayAct: false },
     100,
@@ -138,8 +138,8 @@
 });
 
 test('a draining runner gets no order, nor does one that is up to date', () => {
-  const planner = rolloutPlanner.create(timing);
-  const out = rolloutPlanner.step(
+  const planner = weightsPlanner.create(timing);
+  const out = weightsPlanner.step(
     planner,
     {
       kind: 'tick',
@@ -154,19 +154,19 @@
 });
 
 test('a runner that refuses is left alone for a while', () => {
-  const planner = rolloutPlanner.create(timing);
+  const planner = weightsPlanner.create(timing);
   const list = [runner('a', 1)];
-  rolloutPlanner.step(planner, { kind: 'tick', runners: list, targets: { m: 2 }, namings: new Map(), mayAct: true }, 0);
-  rolloutPlanner.step(
+  weightsPlanner.step(planner, { kind: 'tick', runners: list, targets: { m: 2 }, namings: new Map(), mayAct: true }, 0);
+  weightsPlanner.step(
     planner,
     { kind: 'tick', runners: list, targets: { m: 2 }, namings: new Map(), mayAct: true },
     60,
   );
-  assert.deepEqual(rolloutPlanner.step(planner, { kind: 'ordered', id: 'a', result: 'fenced' }, 70), [
+  assert.deepEqual(weightsPlanner.step(planner, { kind: 'ordered', id: 'a', result: 'fenced' }, 70), [
     { kind: 'set_paused', id: 'a', isPaused: false },
   ]);
   assert.deepEqual(
-    rolloutPlanner.step(
+    weightsPlanner.step(
       planner,
       { kind: 'tick', runners: list, targets: { m: 2 }, namings: new Map(), mayAct: true },
       100,
@@ -174,7 +174,7 @@
     [],
   );
   assert.equal(
-    rolloutPlanner.step(
+    weightsPlanner.step(
       planner,
       { kind: 'tick', runners: list, targets: { m: 2 }, namings: new Map(), mayAct: true },
       500,
@@ -184,10 +184,10 @@
 });
 
 test('an order that was lost is sent again, but not while its runner is busy', () => {
-  const planner = rolloutPlanner.create(timing);
+  const planner = weightsPlanner.create(timing);
   const list = [runner('a', 1)];
-  function beat(now: number): RolloutEffect[] {
-    return rolloutPlanner.step(
+  function beat(now: number): WeightsPlannerEffect[] {
+    return weightsPlanner.step(
       planner,
       { kind: 'tick', runners: list, targets: { m: 2 }, namings: new Map(), mayAct: true },
       now,
@@ -195,35 +195,35 @@
   }
   beat(0);
   assert.equal(beat(60)[0]!.kind, 'order');
-  rolloutPlanner.step(planner, { kind: 'ordered', id: 'a', result: null }, 100);
+  weightsPlanner.step(planner, { kind: 'ordered', id: 'a', result: null }, 100);
   assert.equal(beat(400)[0]!.kind, 'poll');
   assert.deepEqual(
-    rolloutPlanner.step(planner, { kind: 'reported', id: 'a', revision: 1, isBusy: false }, 410),
+    weightsPlanner.step(planner, { kind: 'reported', id: 'a', revision: 1, isBusy: false }, 410),
     [],
     'its report may be old',
   );
   assert.deepEqual(
-    rolloutPlanner.step(planner, { kind: 'reported', id: 'a', revision: 1, isBusy: true }, 900),
+    weightsPlanner.step(planner, { kind: 'reported', id: 'a', revision: 1, isBusy: true }, 900),
     [],
     'under way',
   );
   assert.deepEqual(
-    rolloutPlanner.step(planner, { kind: 'reported', id: 'a', revision: null, isBusy: false }, 910),
+    weightsPlanner.step(planner, { kind: 'reported', id: 'a', revision: null, isBusy: false }, 910),
     [],
     'no report',
   );
   assert.equal(
-    rolloutPlanner.step(planner, { kind: 'reported', id: 'a', revision: 1, isBusy: false }, 920)[0]!.kind,
+    weightsPlanner.step(planner, { kind: 'reported', id: 'a', revision: 1, isBusy: false }, 920)[0]!.kind,
     'order',
   );
   assert.deepEqual(
-    rolloutPlanner.step(planner, { kind: 'reported', id: 'a', revision: 2, isBusy: false }, 1000),
+    weightsPlanner.step(planner, { kind: 'reported', id: 'a', revision: 2, isBusy: false }, 1000),
     [],
     'not asked',
   );
-  rolloutPlanner.step(planner, { kind: 'ordered', id: 'a', result: 'started' }, 1010);
+  weightsPlanner.step(planner, { kind: 'ordered', id: 'a', result: 'started' }, 1010);
   assert.deepEqual(
-    rolloutPlanner
+    weightsPlanner
       .step(planner, { kind: 'reported', id: 'a', revision: 2, isBusy: false }, 1400)
       .map((effect) => effect.kind),
     ['record_revision', 'set_paused'],
@@ -232,7 +232,7 @@
 
 test('no runner is left behind while new revisions keep being named', () => {
   const boundMs = 6800;
-  const planner = rolloutPlanner.create(timing);
+  const planner = weightsPlanner.create(timing);
   const namings = weightNamings.create();
   const runners = Array.from({ length: 12 }, (_, i) => runner(`r${i}`, 1));
   const loading = new Map<string, { until: number; revision: number }>();
@@ -245,10 +245,10 @@
       runners.find((each) => each.id === id)!.models[0]!.revision = loaded;
     }
     const tick = { kind: 'tick', runners, targets: { m: revision }, namings, mayAct: true } as const;
-    for (const effect of rolloutPlanner.step(planner, tick, now)) {
+    for (const effect of weightsPlanner.step(planner, tick, now)) {
       if (effect.kind !== 'order') continue;
       loading.set(effect.job.id, { until: now + 600, revision: effect.job.revision });
-      rolloutPlanner.step(planner, { kind: 'ordered', id: effect.job.id, result: 'started' }, now);
+      weightsPlanner.step(planner, { kind: 'ordered', id: effect.job.id, result: 'started' }, now);
     }
     for (const each of runners) {
       const since = weightNamings.outdatedSince(namings, 'm', each.models[0]!.revision) ?? now;
