Roll-outs of a service's version: orders taken, kept in the log and carried out by one controller

The order, its stages and its end are commands of the replicated log. The leader widens by stages, judged against the old version at the same time and on the same routes by cumulative sums for each runner; routers divide requests by conversation, keep a few new runners for small shares, and lose their part of a stage when they hear no coordinator. Complete waits for every router and for requests under way at old runners.

--- a/src/controlplane/coordinator-context.ts
+++ b/src/controlplane/coordinator-context.ts
@@ -23,6 +23,7 @@
 import { stateSyncServer, type StateSyncServer } from './state-sync.js';
 import type { ReplicaGroup } from './replica-group.js';
 import { routerSessions, type RouterSessions } from './router-sessions.js';
+import { versionRollouts, type VersionRollouts } from './version-rollouts.js';
 import { weightsProgress, type WeightsProgress } from './weights-progress.js';
 import type { EndpointsSnapshot, Result, Runner, Settings, Tuning } from '../types.js';
 
@@ -70,6 +71,8 @@
   discovery: RunnerDiscovery;
   /** When weights were named, and which runners lack them. */
   weightsProgress: WeightsProgress;
+  /** The roll-outs of versions: since when, and what their judges have seen. */
+  versionRollouts: VersionRollouts;
   /** Set on SIGTERM: no new orders are accepted and routers are sent to other members. */
   isStopping: boolean;
   /** The operator's orders in progress here. */
@@ -94,12 +97,13 @@
     replicationProgress: new Map(),
     sessions: routerSessions.create(),
     responsesToLeader: { lastNumber: 0, sentAt: new Map(), acknowledgedSentAt: -Infinity },
-    leaderProgress: { term: 0, revision: 0, weightsSeq: 0, rulesSeq: 0 },
+    leaderProgress: { term: 0, revision: 0, weightsSeq: 0, rulesSeq: 0, rolloutsSeq: 0 },
     rpcCounters: { sent: {}, received: {} },
     pendingWatches: pendingWatches.create(),
     stateSync: stateSyncServer.create(),
     discovery: runnerDiscovery.create(),
     weightsProgress: weightsProgress.create(),
+    versionRollouts: versionRollouts.create(),
     isStopping: false,
     orderAdmission: new OrderAdmission(),
     orderBudget: resourceBudget.create(callerLimits.forMachine(settings.limits ?? {}).orderBytes),
--- a/src/controlplane/freshness.ts
+++ b/src/controlplane/freshness.ts
@@ -17,7 +17,7 @@
 function publishedProgress(coordinator: Coordinator): LeaderProgress {
   return coordinator.group.hasCommittedInTerm()
     ? progress(coordinator)
-    : { term: 0, revision: 0, weightsSeq: 0, rulesSeq: 0 };
+    : { term: 0, revision: 0, weightsSeq: 0, rulesSeq: 0, rolloutsSeq: 0 };
 }
 
 /** How far this member has applied the log. */
@@ -28,6 +28,7 @@
     revision: controlState.revision(state),
     weightsSeq: state.weightsSeq,
     rulesSeq: state.accessRules.seq,
+    rolloutsSeq: state.rollouts.seq,
   };
 }
 
@@ -42,6 +43,7 @@
   known.revision = Math.max(known.revision, received.revision);
   known.weightsSeq = Math.max(known.weightsSeq, received.weightsSeq);
   known.rulesSeq = Math.max(known.rulesSeq, received.rulesSeq);
+  known.rolloutsSeq = Math.max(known.rolloutsSeq ?? 0, received.rolloutsSeq ?? 0);
 }
 
 /** Whether this follower has applied all that the leader of the current term published. */
@@ -52,7 +54,8 @@
     leader.term === applied.term &&
     applied.revision >= leader.revision &&
     applied.weightsSeq >= leader.weightsSeq &&
-    applied.rulesSeq >= leader.rulesSeq
+    applied.rulesSeq >= leader.rulesSeq &&
+    (applied.rolloutsSeq ?? 0) >= (leader.rolloutsSeq ?? 0)
   );
 }
 
--- a/src/controlplane/operator-replies.ts
+++ b/src/controlplane/operator-replies.ts
@@ -36,6 +36,9 @@
 /** A read before the first configuration. */
 const noConfiguration = json(404, { message: 'there is no configuration yet' });
 
+/** A read of a service that no version was ever ordered for. */
+const noRollout = json(404, { message: 'no version of this service was rolled out' });
+
 /** Whether another coordinator, or a later attempt, may give a definite answer. */
 function isRetriable(reply: OperatorReply): boolean {
   return reply.status === 503;
@@ -57,6 +60,7 @@
   accepted,
   alreadyAccepted,
   noConfiguration,
+  noRollout,
   isRetriable,
   isAcknowledgement,
 };
--- a/src/controlplane/operator.ts
+++ b/src/controlplane/operator.ts
@@ -28,8 +28,14 @@
 const methodsByPath: Record<string, string[]> = {
   [operatorPaths.configuration]: ['GET', 'PUT', 'PATCH'],
   [operatorPaths.weights]: ['POST'],
+  [operatorPaths.rollouts]: ['POST'],
 };
 
+/** The methods that a path takes; undefined for one that nothing serves. */
+function methodsOf(path: string): string[] | undefined {
+  return operatorPaths.rolloutService(path) === null ? ownValue(methodsByPath, path) : ['GET'];
+}
+
 async function forwardToLeader(
   coordinator: Coordinator,
   request: OperatorRequest,
@@ -87,7 +93,7 @@
  */
 async function handle(coordinator: Coordinator, request: OperatorRequest): Promise<OperatorReply> {
   const { method, path } = request;
-  const methods = ownValue(methodsByPath, path);
+  const methods = methodsOf(path);
   if (!methods) {
     ringLog.error(coordinator.log, 'operator_path_unknown', { method, path: path.slice(0, maxLoggedPathLength) });
     return operatorReplies.rejection(404, [{ path: 'path', text: `there is no ${path}` }]);
--- a/src/controlplane/order-decision.ts
+++ b/src/controlplane/order-decision.ts
@@ -13,6 +13,9 @@
  * those that don't come as long as the time for an acknowledgement permits.
  */
 import type { OperatorReply, OperatorRequest } from '../protocol/rpc/operator.js';
+import { operatorPaths } from '../protocol/operator-paths.js';
+import { rollouts } from '../state/control/rollouts.js';
+import { versionRollouts } from './version-rollouts.js';
 import { ringLog } from '../logging/ring.js';
 import { timing } from '../runtime/timing.js';
 import { orderMemory, type OrderDigest } from '../state/control/order-memory.js';
@@ -46,6 +49,21 @@
   return configuration ? operatorReplies.json(200, configuration) : operatorReplies.noConfiguration;
 }
 
+/** The last roll-out of the service that the path names, in the users' words, with its timeline. */
+async function readRollout(coordinator: Coordinator, path: string): Promise<OperatorReply> {
+  if (!(await coordinator.group.confirmLeadership(confirmTimeoutMs))) return operatorReplies.indeterminate;
+  const service = operatorPaths.rolloutService(path);
+  const rollout = service === null ? null : rollouts.of(coordinator.group.state().rollouts, service);
+  if (!rollout) return operatorReplies.noRollout;
+  const { condition, toVersion, share, steps } = rollout;
+  const timeline = steps.map((step) => ({ share: step.share, elapsed_ms: step.elapsedMs, reason: step.reason }));
+  return operatorReplies.json(200, { condition, to_version: toVersion, share, timeline });
+}
+
+function read(coordinator: Coordinator, path: string): Promise<OperatorReply> {
+  return path === operatorPaths.configuration ? readConfiguration(coordinator) : readRollout(coordinator, path);
+}
+
 async function propose(coordinator: Coordinator, callId: string, command: Command): Promise<ProposalResult> {
   const result = await timing.withTimeout<ProposalResult>(
     coordinator.runtime.clock,
@@ -79,7 +97,9 @@
 async function decideOrder(coordinator: Coordinator, request: OperatorRequest): Promise<OperatorReply> {
   for (let attempt = 0; attempt < maxAttempts; attempt++) {
     if (!(await coordinator.group.confirmLeadership(confirmTimeoutMs))) return operatorReplies.indeterminate;
-    const decision = orderValidation.validate(coordinator.group.state(), request);
+    const decision = orderValidation.validate(coordinator.group.state(), request, (number) =>
+      versionRollouts.mayBeCopy(coordinator, number),
+    );
     if (decision.kind !== 'propose') return replyToDecision(decision);
     const result = await propose(coordinator, request.id, decision.command);
     if (result.kind !== 'applied') return operatorReplies.indeterminate;
@@ -139,7 +159,7 @@
   if (coordinator.isStopping || !coordinator.group.isLeader()) return null;
   const reply =
     request.method === 'GET'
-      ? readConfiguration(coordinator)
+      ? read(coordinator, request.path)
       : whenLossesAreBorne(coordinator, decideOnce(coordinator, request));
   return timing.withTimeout(coordinator.runtime.clock, timeoutMs, reply, operatorReplies.indeterminate);
 }
--- a/src/controlplane/router-sessions.ts
+++ b/src/controlplane/router-sessions.ts
@@ -4,8 +4,17 @@
  * coordinator, whose routers then watch elsewhere, does not lower it.
  */
 
-/** A router that watches this coordinator; `seenAt` in ms of the steady clock, `revision` the configuration it has. */
-export type RouterSession = { routerName: string; incarnation: string; seenAt: number; revision: number };
+/**
+ * A router that watches this coordinator; `seenAt` in ms of the steady clock, `revision` the configuration and
+ * `rolloutsSeq` the stages of roll-outs that it has.
+ */
+export type RouterSession = {
+  routerName: string;
+  incarnation: string;
+  seenAt: number;
+  revision: number;
+  rolloutsSeq?: number;
+};
 
 /** What another coordinator last reported to the leader: the number of its response, its revision and its sessions. */
 export type PeerSessions = { receivedAt: number; responseNumber: number; revision: number; sessions: RouterSession[] };
--- a/src/controlplane/services.ts
+++ b/src/controlplane/services.ts
@@ -18,6 +18,7 @@
 import { runnerDiscovery } from './runner-discovery.js';
 import { status } from './status.js';
 import { watchServer } from './watch-server.js';
+import { versionRollouts } from './version-rollouts.js';
 import { weightsProgress } from './weights-progress.js';
 
 /** The handlers of all RPCs but those of the consensus, each of which checks its request first. */
@@ -48,6 +49,7 @@
 function start(coordinator: Coordinator): void {
   startDistribution(coordinator);
   weightsLoading.start(coordinator);
+  versionRollouts.start(coordinator);
   stateSyncServer.start(coordinator);
   accessActivation.start(coordinator);
   prefixCachePoller.start(coordinator);
--- a/src/controlplane/state-sync.ts
+++ b/src/controlplane/state-sync.ts
@@ -13,6 +13,7 @@
 import { stateSyncCodec } from '../protocol/rpc/state-sync-codec.js';
 import { tokenBucket, type TokenBucket } from './token-bucket.js';
 import type { Coordinator } from './coordinator-context.js';
+import { versionRollouts } from './version-rollouts.js';
 import { routerSessions } from './router-sessions.js';
 
 /** How often the view of the fleet is refreshed; also the interval of publications while there is no state. */
@@ -108,6 +109,7 @@
   const sync = state(coordinator);
   const now = coordinator.runtime.clock.now();
   const isRouterKnown = stateSync.applyRequest(sync, request, now);
+  versionRollouts.recordSamples(coordinator, stateSyncCodec.decodeVersionSamples(request.versionSamples ?? []));
   const needsFullState = stateSyncCodec.decodeIndexVersion(request.indexVersion).term !== sync.term;
   const mayRespondNow = request.holdMs === 0 || (needsFullState && tokenBucket.hasTokens(sync.budget, now));
   return mayRespondNow
--- a/src/controlplane/watch-server.ts
+++ b/src/controlplane/watch-server.ts
@@ -52,6 +52,7 @@
     controlState.revision(state) > request.revision ||
     state.weightsSeq > request.weightsSeq ||
     state.accessRules.seq > request.rulesSeq ||
+    state.rollouts.seq > (request.rolloutsSeq ?? Infinity) ||
     endpointsSnapshots.isNewer(coordinator.endpoints, request.endpointsVersion) ||
     (hasNoEndpoints && provisionalEndpoints(coordinator, request) !== null)
   );
@@ -104,6 +105,7 @@
   weights: null,
   weightNamings: null,
   accessRules: null,
+  rollouts: null,
   endpoints: null,
   endpointsUpdate: null,
 };
@@ -125,12 +127,14 @@
     ...endpointsFields(coordinator, request),
     ...weightsFields(coordinator, request),
     accessRules: state.accessRules.seq > request.rulesSeq ? state.accessRules : null,
+    rollouts: state.rollouts.seq > (request.rolloutsSeq ?? Infinity) ? state.rollouts : null,
   };
 }
 
-function renewSession(coordinator: Coordinator, { routerName, incarnation, revision }: WatchRequest): void {
+function renewSession(coordinator: Coordinator, request: WatchRequest): void {
+  const { routerName, incarnation, revision, rolloutsSeq = 0 } = request;
   const seenAt = coordinator.runtime.clock.now();
-  routerSessions.renew(coordinator.sessions, { routerName, incarnation, seenAt, revision });
+  routerSessions.renew(coordinator.sessions, { routerName, incarnation, seenAt, revision, rolloutsSeq });
 }
 
 /** Resolves with the response once the watch is due or its wait is over. Never rejects. */
--- a/src/dataplane/config-updates.ts
+++ b/src/dataplane/config-updates.ts
@@ -12,6 +12,7 @@
 import { endpointPool } from '../state/runners/endpoint-pool.js';
 import type { Configuration, EndpointsSnapshot } from '../types.js';
 import { admissionQueue } from './admission-queue.js';
+import { versionRollout } from './version-rollout.js';
 import type { Router } from './router.js';
 
 /** The full state as received, or the one that an update leads to; `unfit` if the update is for another base. */
@@ -63,6 +64,7 @@
   if (configuration.kind === 'state') applyConfiguration(router, configuration.state, response.sharedDomainSince);
   const { accessRules } = response;
   if (accessRules && accessRules.seq > router.accessRules.state.seq) router.accessRules.state = accessRules;
+  versionRollout.apply(router, response.rollouts);
   applyWeights(router, response, now);
   const endpoints = resolve(response.endpoints, response.endpointsUpdate, (update) =>
     endpointsHistory.apply(router.endpointsSnapshot, update),
--- a/src/dataplane/config-watcher.ts
+++ b/src/dataplane/config-watcher.ts
@@ -12,6 +12,7 @@
 import type { Runtime } from '../runtime.js';
 import type { RpcError } from '../runtime/rpc-errors.js';
 import { timing } from '../runtime/timing.js';
+import { rolloutLease } from '../state/control/rollout-lease.js';
 import { routerLeaseMs } from '../state/control/access-lease.js';
 import { endpointsSnapshots } from '../state/endpoints-snapshot.js';
 import { rpc } from '../protocol/rpc/rpc-method.js';
@@ -97,6 +98,7 @@
     endpointsVersion: endpointsSnapshots.versionOf(router.endpointsSnapshot),
     weightsSeq: router.weights.seq,
     rulesSeq: router.accessRules.state.seq,
+    rolloutsSeq: router.rollouts.state.seq,
     waitMs: revision === 0 ? Math.min(waitMs, initialTimeoutMs / 2) : waitMs,
     needsFullState: watcher.needsFullState,
     acceptsStale: notUpToDateMs >= router.settings.bound_set.contact_ms,
@@ -125,7 +127,9 @@
   applyCoordinators(watcher, response);
   if (response.confirmsAccessRules)
     router.accessRules.validUntil = Math.max(router.accessRules.validUntil, sentAt + routerLeaseMs);
-  if (response.isUpToDate) watcher.lastUpToDateAt = clock.now();
+  if (!response.isUpToDate) return;
+  watcher.lastUpToDateAt = clock.now();
+  router.rollouts.validUntil = Math.max(router.rollouts.validUntil, sentAt + rolloutLease.routerMs);
 }
 
 /** Why the next coordinator is to be asked; null when this one was up to date and is to be asked again. */
--- a/src/dataplane/endpoint-selection/endpoint-selection.ts
+++ b/src/dataplane/endpoint-selection/endpoint-selection.ts
@@ -7,6 +7,7 @@
 import type { RunnerEndpoint } from '../../state/runners/endpoint.js';
 import type { EndpointAssignment, TransferSource } from '../endpoint-assignment.js';
 import type { RequestContext } from '../request-context.js';
+import { versionRollout } from '../version-rollout.js';
 import type { Router } from '../router.js';
 import { endpointCost } from './endpoint-cost.js';
 import { endpointEligibility } from './endpoint-eligibility.js';
@@ -91,8 +92,21 @@
 
 /** The cheapest assignment with its cost, or null if no endpoint is eligible; reserves nothing. */
 function selectWithCost(router: Router, context: RequestContext, now: number): CostedAssignment | null {
-  const endpoints = router.endpointPool.byService.get(context.service.label);
-  if (!endpoints) return null;
+  const listed = router.endpointPool.byService.get(context.service.label);
+  if (!listed) return null;
+  const endpoints = versionRollout.admitted(router, context, listed, now);
+  const best = selectAmong(router, context, endpoints, now);
+  if (best || !versionRollout.fallBackToOld(router, context)) return best;
+  return selectAmong(router, context, versionRollout.admitted(router, context, listed, now), now);
+}
+
+function selectAmong(
+  router: Router,
+  context: RequestContext,
+  endpoints: RunnerEndpoint[],
+  now: number,
+): CostedAssignment | null {
+  if (endpoints.length === 0) return null;
   const inputs = selectionInputs.create(router, context, endpoints, now);
   let best: CostedAssignment | null = null;
   for (const endpoint of endpoints) {
--- a/src/dataplane/request-context.ts
+++ b/src/dataplane/request-context.ts
@@ -61,8 +61,13 @@
 /** A request whose tenant is known, as far as its route asks for one. */
 export type AuthenticatedRequest = RoutedRequest & TenantFields;
 
+/** Which version a request is for while one is being rolled out. */
+export type VersionArm = 'old' | 'new';
+
 /** What becomes of a request at the runners. */
 export type ForwardingState = {
+  /** Null until the request met a roll-out; then all its attempts keep to the version. */
+  versionArm: VersionArm | null;
   executionStatus: ExecutionStatus;
   /** Indices of the endpoints that were attempted and aren't to be attempted again. */
   attemptedEndpoints: Set<number>;
@@ -93,7 +98,11 @@
 
 /** A request before its first attempt. */
 function withForwardingState(request: AuthenticatedRequest): RequestContext {
-  return Object.assign(request, { executionStatus: executionStatus.initial(), attemptedEndpoints: new Set<number>() });
+  return Object.assign(request, {
+    versionArm: null,
+    executionStatus: executionStatus.initial(),
+    attemptedEndpoints: new Set<number>(),
+  });
 }
 
 export const requestContexts = { create, withBody, withRoute, withTenant, withForwardingState };
--- a/src/dataplane/router.ts
+++ b/src/dataplane/router.ts
@@ -15,6 +15,7 @@
 import type { AccessRulesState, Configuration, EndpointsSnapshot, Settings, Tuning } from '../types.js';
 import { admissionQueue, type AdmissionQueue } from './admission-queue.js';
 import type { IncomingRequest } from './request-context.js';
+import { versionRollout, type RouterRollouts } from './version-rollout.js';
 import { retryBudget, type RetryBudget } from './retry-budget.js';
 import { routerEvents, type RouterEvents } from './router-events.js';
 
@@ -69,6 +70,7 @@
   configuration: ActiveConfiguration | null;
   weights: NamedWeights;
   accessRules: LeasedAccessRules;
+  rollouts: RouterRollouts;
   /** The newest endpoints snapshot that was applied. */
   endpointsSnapshot: EndpointsSnapshot;
   endpointPool: EndpointPool;
@@ -105,6 +107,7 @@
     configuration: null,
     weights: { revisions: {}, seq: 0, namings: weightNamings.create() },
     accessRules: { state: { seq: 0, activeRules: {}, pendingRules: null, pendingRevision: 0 }, validUntil: -Infinity },
+    rollouts: versionRollout.create(),
     endpointsSnapshot: endpointsSnapshots.empty(),
     endpointPool: endpointPool.create(),
     prefixCache: {
--- a/src/dataplane/runner-attempt.ts
+++ b/src/dataplane/runner-attempt.ts
@@ -13,6 +13,7 @@
 import { endpointReservation } from './endpoint-reservation.js';
 import type { RequestContext } from './request-context.js';
 import { responseHead } from './response-head.js';
+import { versionRollout } from './version-rollout.js';
 import type { Router } from './router.js';
 
 type NoResponse = Exclude<AttemptResult, { kind: 'head' }>;
@@ -72,8 +73,11 @@
   context: RequestContext,
   assignment: EndpointAssignment,
 ): Promise<AttemptOutcome> {
+  const sentAt = performance.now();
   try {
-    return await perform({ router, context, assignment });
+    const outcome = await perform({ router, context, assignment });
+    versionRollout.recordOutcome(router, context, assignment.endpoint, outcome, sentAt);
+    return outcome;
   } finally {
     endpointReservation.release(router, assignment);
   }
--- a/src/dataplane/state-sync.ts
+++ b/src/dataplane/state-sync.ts
@@ -19,6 +19,7 @@
 import { syncResponse, type SyncedState } from './sync-response.js';
 import type { EndpointAssignment } from './endpoint-assignment.js';
 import type { RequestContext } from './request-context.js';
+import { versionRollout } from './version-rollout.js';
 import type { Router } from './router.js';
 
 /** For how long the leader may hold a call, and how much longer its answer may take. */
@@ -91,6 +92,7 @@
     loadRevision: session.peerLoad.revision,
     unhealthyRunners: syncReport.unhealthyRunners(router),
     outcomes: stateSyncCodec.encodeOutcomes(syncReport.takeOutcomes(router)),
+    versionSamples: stateSyncCodec.encodeVersionSamples(versionRollout.takeSamples(router)),
     ejectionsRevision: session.ejectionsRevision,
     sentPrefixes: stateSyncCodec.encodeSentPrefixes(sentPrefixes),
     countReport: countReport && stateSyncCodec.encodeCountReport(countReport),
--- a/src/logging/events.ts
+++ b/src/logging/events.ts
@@ -80,6 +80,11 @@
 
 /** What a coordinator does for the operator, the runners and the routers; level `error`. */
 type CoordinatorErrors = {
+  /**
+   * A roll-out of a version has ended; `reason` says why. On call: `reverted`, ask who sent the order; `docs/operating.md`
+   * says what to do when a good version was reverted.
+   */
+  rollout_ended: { service: string; version: string; condition: 'complete' | 'reverted' } & RolloutStepFields;
   /** Answering an operator threw; the call got a 500. On call: report the stack. */
   operator_call_failed: { stack: string | undefined };
   /**
@@ -99,6 +104,12 @@
 /** What became of a proposed command; `unknown` and `not_leader` as far as this member can tell. */
 type ProposalKind = 'applied' | 'unknown' | 'not_leader';
 
+/** The outcome of a proposed command, as far as this member can tell. */
+type CommandOutcome = ProposalKind | 'duplicate' | 'rejected' | 'superseded';
+
+/** How long ago the roll-out was ordered, in ms, why the step was taken, and what became of its command. */
+type RolloutStepFields = { elapsedMs: number; reason: string; outcome: CommandOutcome };
+
 /** What a runner answers to an order for weights, see `protocol/calls/runner-calls.ts`. */
 type RevisionOrderResult =
   'started' | 'already_loaded' | 'other_in_progress' | 'fenced' | 'wrong_instance' | 'unknown_revision';
@@ -114,9 +125,18 @@
    */
   command_proposed: {
     call: string;
-    command: 'configure' | 'reject_order' | 'name_weights' | 'activate_access_rules';
-    outcome: ProposalKind | 'duplicate' | 'rejected' | 'superseded';
+    command:
+      | 'configure'
+      | 'reject_order'
+      | 'name_weights'
+      | 'activate_access_rules'
+      | 'start_rollout'
+      | 'advance_rollout'
+      | 'end_rollout';
+    outcome: CommandOutcome;
   };
+  /** A roll-out of a version takes a larger share of its service's requests. Other than `applied`, it is tried again. */
+  rollout_advanced: { service: string; version: string; share: number } & RolloutStepFields;
   /** Voters for the losses of `tolerance` are missing; `members`: those there are. On call: start the missing coordinators. */
   acknowledged_without_all_voters: { members: number };
   /** The activation of this revision's access rules was proposed. Other than `applied`, it is proposed again. */
--- a/src/protocol/calls/platform-calls.ts
+++ b/src/protocol/calls/platform-calls.ts
@@ -14,6 +14,7 @@
   zone_name: string(),
   slot_count: number(),
   condition: string(),
+  revision: optional(nullable(string())),
   model_list: optional(nullable(array(modelRevisionShape))),
 });
 type Instance = Infer<typeof instanceShape>;
@@ -36,6 +37,7 @@
     slotCount: instance.slot_count,
     draining: instance.condition !== 'serving',
     paused: false,
+    ...(typeof instance.revision === 'string' && { version: instance.revision }),
     models: (instance.model_list ?? []).map(({ label, revision }) => ({ label, revision })),
   };
 }
--- a/src/protocol/rpc/endpoints.ts
+++ b/src/protocol/rpc/endpoints.ts
@@ -8,7 +8,13 @@
 import { sharedValidators } from './shared-validators.js';
 
 /** How far the leader's replicated state was at the time of the call, and in which of its terms that was. */
-export type LeaderProgress = { term: number; revision: number; weightsSeq: number; rulesSeq: number };
+export type LeaderProgress = {
+  term: number;
+  revision: number;
+  weightsSeq: number;
+  rulesSeq: number;
+  rolloutsSeq?: number;
+};
 
 /**
  * `lastResponseNumber` is the number of the last response that came in, 0 if none: by it the receiver knows up to
@@ -20,8 +26,14 @@
   lastResponseNumber: number;
 };
 
-/** A router's session: how long ago it last watched, and the revision of the configuration it had. */
-export type RouterSessionRecord = { routerName: string; incarnation: string; ageMs: number; revision: number };
+/** A router's session: how long ago it last watched, and the configuration and the roll-outs that it had. */
+export type RouterSessionRecord = {
+  routerName: string;
+  incarnation: string;
+  ageMs: number;
+  revision: number;
+  rolloutsSeq?: number;
+};
 
 /** `version` is that of the callee's snapshot; `responseNumber` counts the responses of one incarnation. */
 export type PublishEndpointsResponse = {
@@ -41,6 +53,7 @@
     revision: validators.count,
     weightsSeq: validators.count,
     rulesSeq: validators.count,
+    rolloutsSeq: validators.optional(validators.count),
   }),
   lastResponseNumber: validators.count,
 });
@@ -50,6 +63,7 @@
   incarnation: validators.name,
   ageMs: validators.finite,
   revision: validators.count,
+  rolloutsSeq: validators.optional(validators.count),
 });
 
 const response = validators.object<PublishEndpointsResponse>({
--- a/src/protocol/rpc/shared-validators.ts
+++ b/src/protocol/rpc/shared-validators.ts
@@ -34,6 +34,7 @@
   draining: validators.boolean,
   models: validators.list(modelRevision),
   paused: validators.boolean,
+  version: validators.optional(validators.name),
 });
 
 const endpointsVersion = validators.object<EndpointsVersion>({ term: validators.count, seq: validators.count });
--- a/src/protocol/rpc/state-sync-codec.ts
+++ b/src/protocol/rpc/state-sync-codec.ts
@@ -3,7 +3,7 @@
  * sent to or by every router. Rows are made and read here only; everywhere else they are the records of
  * `state-sync-records.ts`.
  */
-import type { EndpointLoad } from '../../types.js';
+import type { EndpointLoad, VersionSample } from '../../types.js';
 import type {
   AnswerOutcome,
   CountReport,
@@ -29,6 +29,16 @@
 /** The fields of an `AnswerOutcome` in their order. */
 export type OutcomeRow = [runner: string, successes: number, failures: number];
 
+/** The fields of a `VersionSample` in their order. */
+export type VersionSampleRow = [
+  service: string,
+  version: string,
+  runner: string,
+  route: string,
+  failed: number,
+  durations: [bucket: number, count: number][],
+];
+
 /** The fields of an `Ejection` in their order. */
 export type EjectionRow = [runner: string, prober: string | null, probeNumber: number];
 
@@ -85,6 +95,23 @@
   return rows.map(([runner, successes, failures]) => ({ runner, successes, failures }));
 }
 
+function encodeVersionSamples(samples: VersionSample[]): VersionSampleRow[] {
+  return samples.map(({ service, version, runner, route, failed, durations }) => [
+    service,
+    version,
+    runner,
+    route,
+    failed,
+    durations,
+  ]);
+}
+
+function decodeVersionSamples(rows: VersionSampleRow[]): VersionSample[] {
+  return rows.map(([service, version, runner, route, failed, durations]) => ({
+    ...{ service, version, runner, route, failed, durations },
+  }));
+}
+
 function encodeEjections(ejections: Ejection[]): EjectionRow[] {
   return ejections.map(({ runner, prober, probeNumber }) => [runner, prober, probeNumber]);
 }
@@ -184,6 +211,8 @@
   decodeLoads,
   encodeOutcomes,
   decodeOutcomes,
+  encodeVersionSamples,
+  decodeVersionSamples,
   encodeEjections,
   decodeEjections,
   encodeIndexVersion,
--- a/src/protocol/rpc/state-sync.ts
+++ b/src/protocol/rpc/state-sync.ts
@@ -17,6 +17,7 @@
   PackedCountReport,
   PackedHotSetDelta,
   SentPrefixRow,
+  VersionSampleRow,
 } from './state-sync-codec.js';
 import { validators } from './validation.js';
 
@@ -35,6 +36,8 @@
   loadRevision: number;
   unhealthyRunners: string[];
   outcomes: OutcomeRow[];
+  /** How requests ended at either version of services with a roll-out; missing from a router of version 0.6.0. */
+  versionSamples?: VersionSampleRow[];
   ejectionsRevision: number;
   /** Prefix blocks that were sent to a runner and not known to be cached there. */
   sentPrefixes: SentPrefixRow[];
@@ -81,6 +84,14 @@
 const { name, finite, integer, boolean } = validators;
 const loadRow = validators.tuple<LoadRow>(name, finite, finite, finite, finite, finite);
 const outcomeRow = validators.tuple<OutcomeRow>(name, finite, finite);
+const versionSampleRow = validators.tuple<VersionSampleRow>(
+  name,
+  name,
+  name,
+  name,
+  validators.count,
+  validators.list(validators.tuple<[number, number]>(validators.count, validators.count)),
+);
 const ejectionRow = validators.tuple<EjectionRow>(name, validators.nullable(name), integer);
 const indexVersionRow = validators.tuple<IndexVersionRow>(integer, integer);
 const sentPrefixRow = validators.tuple<SentPrefixRow>(name, name, finite, name);
@@ -99,6 +110,7 @@
   loadRevision: integer,
   unhealthyRunners: validators.list(name),
   outcomes: validators.list(outcomeRow),
+  versionSamples: validators.optional(validators.list(versionSampleRow)),
   ejectionsRevision: integer,
   sentPrefixes: validators.list(sentPrefixRow),
   countReport: validators.nullable(
--- a/src/protocol/rpc/validation.ts
+++ b/src/protocol/rpc/validation.ts
@@ -102,6 +102,11 @@
       : findingHere(`expected a number from ${min} to ${max}`);
 }
 
+/** One of these strings. */
+function oneOf<T extends string>(...allowed: T[]): Validator<T> {
+  return (value) => (allowed.includes(value as T) ? null : findingHere(`expected one of ${allowed.join(', ')}`));
+}
+
 const name: Validator<string> = (value) => (typeof value === 'string' ? null : findingHere('expected a string'));
 
 const boolean: Validator<boolean> = (value) =>
@@ -126,6 +131,7 @@
   optional,
   struct,
   range,
+  oneOf,
   name,
   boolean,
   finite,
--- a/src/protocol/rpc/watch.ts
+++ b/src/protocol/rpc/watch.ts
@@ -9,9 +9,12 @@
   EndpointsSnapshot,
   EndpointsVersion,
   Finding,
+  NamingAge,
+  RolloutStep,
+  RolloutsState,
+  ServiceRollout,
   Result,
 } from '../../types.js';
-import type { NamingAge } from '../../types.js';
 import { updateValidators, type EndpointsUpdate, type ConfigurationUpdate } from './updates.js';
 import { rpc, type RpcMethod } from './rpc-method.js';
 import { validators } from './validation.js';
@@ -28,6 +31,8 @@
   endpointsVersion: EndpointsVersion;
   weightsSeq: number;
   rulesSeq: number;
+  /** Missing from a router of version 0.6.0, which knows no roll-outs. */
+  rolloutsSeq?: number;
   waitMs: number;
   needsFullState: boolean;
   acceptsStale: boolean;
@@ -48,6 +53,8 @@
   /** When the revisions that still matter were named; missing from a coordinator of version 0.6.0. */
   weightNamings?: NamingAge[] | null;
   accessRules: AccessRulesState | null;
+  /** Missing from a coordinator of version 0.6.0. */
+  rollouts?: RolloutsState | null;
   endpoints: EndpointsSnapshot | null;
   endpointsUpdate: EndpointsUpdate | null;
   leaderAddress: string | null;
@@ -66,6 +73,7 @@
   endpointsVersion: sharedValidators.endpointsVersion,
   weightsSeq: validators.count,
   rulesSeq: validators.count,
+  rolloutsSeq: validators.optional(validators.count),
   waitMs: validators.range(0, maxWaitMs),
   needsFullState: validators.boolean,
   acceptsStale: validators.boolean,
@@ -77,6 +85,29 @@
   ageMs: validators.finite,
 });
 
+const serviceRollout = validators.object<ServiceRollout>({
+  service: validators.name,
+  number: validators.count,
+  toVersion: validators.name,
+  overMs: validators.finite,
+  orderDigest: validators.name,
+  condition: validators.oneOf('rolling', 'complete', 'reverted'),
+  share: validators.range(0, 1),
+  fromVersions: validators.list(validators.name),
+  steps: validators.list(
+    validators.object<RolloutStep>({
+      share: validators.range(0, 1),
+      elapsedMs: validators.finite,
+      reason: validators.name,
+    }),
+  ),
+});
+
+const rolloutsState = validators.object<RolloutsState>({
+  seq: validators.count,
+  byService: validators.record(serviceRollout),
+});
+
 const response = validators.object<WatchResponse>({
   configuration: validators.nullable(sharedValidators.configuration),
   configurationUpdate: validators.nullable(updateValidators.configurationUpdate),
@@ -85,6 +116,7 @@
   weightsSeq: validators.count,
   weightNamings: validators.optional(validators.nullable(validators.list(namingAge))),
   accessRules: validators.nullable(sharedValidators.accessRulesState),
+  rollouts: validators.optional(validators.nullable(rolloutsState)),
   endpoints: validators.nullable(sharedValidators.endpointsSnapshot),
   endpointsUpdate: validators.nullable(updateValidators.endpointsUpdate),
   leaderAddress: validators.nullable(validators.name),
@@ -112,6 +144,7 @@
   'configurationUpdate',
   'weights',
   'accessRules',
+  'rollouts',
   'endpoints',
   'endpointsUpdate',
 ] satisfies (keyof WatchResponse)[];
--- a/src/state/control/order-validation.ts
+++ b/src/state/control/order-validation.ts
@@ -7,6 +7,7 @@
  * that one is in force. 412: its base has been superseded, which is final since revisions only rise. A base
  * that is not in force *yet* is rejected by a command, see `reject_order` in `reducer.ts`.
  */
+import { number, refine, size, string, type, type Infer } from 'superstruct';
 import { operatorPaths } from '../../protocol/operator-paths.js';
 import type { OperatorRequest } from '../../protocol/rpc/operator.js';
 import { configurationShapes } from '../../protocol/configuration/shape.js';
@@ -18,11 +19,12 @@
 import { configurationPatch } from '../../protocol/configuration/patch.js';
 import { configurationChange } from '../history/configuration-change.js';
 import { cacheIsolation } from './cache-isolation.js';
+import { rollouts } from './rollouts.js';
 import { orderMemory } from './order-memory.js';
 import { controlState, type Command, type ControlState } from './reducer.js';
 
-/** The answer to an order that is not accepted: 400 invalid, 412 another revision is in place. */
-export type Rejection = { status: 400 | 412; findings: Finding[] };
+/** The answer to an order that is not accepted: 400 invalid, 409 another is under way, 412 another revision is in place. */
+export type Rejection = { status: 400 | 409 | 412; findings: Finding[] };
 
 /**
  * `duplicate`: the same order was accepted before. `indeterminate`: too old to tell whether it was.
@@ -35,11 +37,11 @@
   | { kind: 'indeterminate' }
   | { kind: 'propose'; command: Command; rejection: Rejection | null };
 
-function rejection(status: 400 | 412, path: string, text: string): Rejection {
+function rejection(status: Rejection['status'], path: string, text: string): Rejection {
   return { status, findings: [{ path, text }] };
 }
 
-function rejected(status: 400 | 412, path: string, text: string): OrderDecision {
+function rejected(status: Rejection['status'], path: string, text: string): OrderDecision {
   return { kind: 'rejected', rejection: rejection(status, path, text) };
 }
 
@@ -133,11 +135,45 @@
   return { kind: 'propose', command: { kind: 'name_weights', model, revision }, rejection: null };
 }
 
+/** The longest term of a roll-out, in s. */
+const maxRolloutSeconds = 7 * 24 * 3600;
+
+const rolloutOrderShape = type({
+  target: configurationShapes.recordName,
+  to_version: size(string(), 1, 256),
+  over_s: refine(number(), 'term', (value) => (value > 0 && value <= maxRolloutSeconds) || 'out of range'),
+});
+
+function validateRolloutOrder(state: ControlState, request: OperatorRequest, mayBeCopy: MayBeCopy): OrderDecision {
+  const body = parseBody(request);
+  if (!body.ok) return { kind: 'rejected', rejection: body.error };
+  const findings = fieldFindings.fromStruct(body.value, rolloutOrderShape);
+  if (findings.length > 0) return { kind: 'rejected', rejection: { status: 400, findings } };
+  const { target: service, to_version: toVersion, over_s: overS } = body.value as Infer<typeof rolloutOrderShape>;
+  if (!state.configuration?.service_list.some(({ label }) => label === service))
+    return rejected(400, 'target', 'there is no such service');
+  const orderDigest = orderMemory.digest(request);
+  const last = rollouts.of(state.rollouts, service);
+  if (last?.orderDigest === orderDigest && (last.condition === 'rolling' || mayBeCopy(last.number)))
+    return { kind: 'duplicate' };
+  if (last?.condition === 'rolling') return rejected(409, 'target', `${last.toVersion} is being rolled out`);
+  const command: Command = { kind: 'start_rollout', service, toVersion, overMs: overS * 1000, orderDigest };
+  return { kind: 'propose', command, rejection: null };
+}
+
+/** Whether an order equal to the roll-out of that number, which has ended, may still be a copy of the one that began it. */
+export type MayBeCopy = (rolloutNumber: number) => boolean;
+
 /** What becomes of an order; see the head of the module for when this may be asked. */
-function validate(state: ControlState, request: OperatorRequest): OrderDecision {
-  return request.path === operatorPaths.weights
-    ? validateWeightsOrder(state, request)
-    : validateConfigurationOrder(state, request);
+function validate(state: ControlState, request: OperatorRequest, mayBeCopy: MayBeCopy = () => true): OrderDecision {
+  switch (request.path) {
+    case operatorPaths.weights:
+      return validateWeightsOrder(state, request);
+    case operatorPaths.rollouts:
+      return validateRolloutOrder(state, request, mayBeCopy);
+    default:
+      return validateConfigurationOrder(state, request);
+  }
 }
 
 export const orderValidation = { validate };
--- a/src/state/control/reducer.ts
+++ b/src/state/control/reducer.ts
@@ -8,10 +8,11 @@
  * activation is ordered.
  */
 import { ownValue } from '../../runtime/own-value.js';
-import type { Configuration, AccessRulesState } from '../../types.js';
+import type { Configuration, AccessRulesState, RolloutsState } from '../../types.js';
 import { configurationChange, type ConfigurationChange } from '../history/configuration-change.js';
 import { orderMemory, type OrderDigest, type OrderMemory } from './order-memory.js';
 import { accessRules, type AccessRules } from './access-rules.js';
+import { rollouts, type RolloutCommand } from './rollouts.js';
 import { cacheIsolation, type CacheIsolation } from './cache-isolation.js';
 
 /**
@@ -19,7 +20,7 @@
  * explained in `cache-isolation.ts`.
  * `reject_order` makes the rejection of an order permanent whose base is not in force yet, so that a copy of
  * it that is still in flight can't be accepted later. `name_weights` names a version of a model's weights.
- * `activate_access_rules` puts the pending access rules of a revision into effect.
+ * `activate_access_rules` puts the pending access rules of a revision into effect. Those of roll-outs: `rollouts.ts`.
  *
  * In the log and between members commands have the form of `stored-format.ts`.
  */
@@ -34,7 +35,8 @@
     }
   | { kind: 'reject_order'; baseRevision: number; orderDigest: OrderDigest }
   | { kind: 'name_weights'; model: string; revision: number }
-  | { kind: 'activate_access_rules'; revision: number };
+  | { kind: 'activate_access_rules'; revision: number }
+  | RolloutCommand;
 
 type CommandOf<Kind extends Command['kind']> = Extract<Command, { kind: Kind }>;
 
@@ -56,6 +58,7 @@
   weightsSeq: number;
   accessRules: AccessRulesState;
   cacheIsolation: CacheIsolation;
+  rollouts: RolloutsState;
 };
 
 /** The state after a command, and what the command did. */
@@ -75,6 +78,7 @@
     weightsSeq: 0,
     accessRules: { seq: 0, activeRules: {}, pendingRules: null, pendingRevision: 0 },
     cacheIsolation: cacheIsolation.initial(),
+    rollouts: rollouts.empty(),
   };
 }
 
@@ -146,6 +150,11 @@
   return { state: { ...state, accessRules: withoutPendingRules(seq + 1, pendingRules) }, outcome: applied };
 }
 
+function applyRollout(state: ControlState, command: RolloutCommand): Applied {
+  const next = rollouts.apply(state.rollouts, command);
+  return next ? { state: { ...state, rollouts: next }, outcome: applied } : { state, outcome: superseded };
+}
+
 /** The state after a command, a new value; equal on every member that applied the same commands. */
 function apply(state: ControlState, command: Command): Applied {
   switch (command.kind) {
@@ -157,6 +166,10 @@
       return applyWeights(state, command);
     case 'activate_access_rules':
       return applyActivation(state, command);
+    case 'start_rollout':
+    case 'advance_rollout':
+    case 'end_rollout':
+      return applyRollout(state, command);
   }
 }
 
--- a/src/state/control/stored-format.ts
+++ b/src/state/control/stored-format.ts
@@ -8,7 +8,8 @@
  *
  * What is read here has passed a checksum and was written by a member of the group. Its fields are not checked.
  */
-import type { Configuration } from '../../types.js';
+import type { Configuration, RolloutsState } from '../../types.js';
+import { rollouts, type RolloutCommand } from './rollouts.js';
 import type { ConfigurationChange, ListChange } from '../history/configuration-change.js';
 import type { AccessRules } from './access-rules.js';
 import { cacheIsolation, type CacheIsolation } from './cache-isolation.js';
@@ -31,7 +32,8 @@
   | { kind: 'configure'; base: number; revision: number; change: StoredChange; order: OrderDigest; renews?: true }
   | { kind: 'refuse'; base: number; order: OrderDigest }
   | { kind: 'weights'; model: string; revision: number }
-  | { kind: 'activate'; revision: number };
+  | { kind: 'activate'; revision: number }
+  | RolloutCommand;
 
 /** `taken`: digest and base revision of the accepted orders; `refused`: digests of the rejected ones. */
 export type StoredOrderMemory = { taken: [OrderDigest, number][]; refused: OrderDigest[]; forgottenBase: number };
@@ -53,6 +55,8 @@
   weightsSeq: number;
   rules: StoredAccessRules;
   isolation?: StoredIsolation;
+  /** Since 0.7.0; left out while no version was ever rolled out. */
+  rollouts?: RolloutsState;
 };
 
 function mapValues<From, To>(table: Record<string, From>, convert: (value: From) => To): Record<string, To> {
@@ -98,6 +102,10 @@
       return { kind: 'weights', model: command.model, revision: command.revision };
     case 'activate_access_rules':
       return { kind: 'activate', revision: command.revision };
+    case 'start_rollout':
+    case 'advance_rollout':
+    case 'end_rollout':
+      return command;
   }
 }
 
@@ -123,6 +131,10 @@
       return { kind: 'name_weights', model: stored.model, revision: stored.revision };
     case 'activate':
       return { kind: 'activate_access_rules', revision: stored.revision };
+    case 'start_rollout':
+    case 'advance_rollout':
+    case 'end_rollout':
+      return stored;
     default:
       return null;
   }
@@ -168,12 +180,21 @@
       pending: accessRules.pendingRevision,
     },
     ...encodeIsolation(state.cacheIsolation),
+    ...(state.rollouts.seq > 0 && { rollouts: state.rollouts }),
   };
 }
 
 /** The control state in a snapshot that `encodeState` wrote, here or in version 0.3.0. */
 function decodeState(value: unknown): ControlState {
-  const { configuration, orders, weights, weightsSeq, rules, isolation } = value as StoredState;
+  const {
+    configuration,
+    orders,
+    weights,
+    weightsSeq,
+    rules,
+    isolation,
+    rollouts: storedRollouts,
+  } = value as StoredState;
   return {
     configuration,
     orderMemory: decodeOrderMemory(orders),
@@ -186,6 +207,7 @@
       pendingRevision: rules.pending,
     },
     cacheIsolation: decodeIsolation(isolation),
+    rollouts: storedRollouts ?? rollouts.empty(),
   };
 }
 
--- a/src/state/runners/endpoint.ts
+++ b/src/state/runners/endpoint.ts
@@ -56,6 +56,8 @@
   zone: string;
   /** How many requests the runner executes at once. */
   slotCount: number;
+  /** The version of its software; null where the platform gives none. */
+  version: string | null;
 };
 
 /** Whether the endpoint may get new requests at all, whatever its health. */
@@ -103,6 +105,7 @@
     addr: runner.addr,
     zone: runner.zone,
     slotCount: runner.slotCount,
+    version: runner.version ?? null,
     isListed: true,
     isDraining: runner.draining,
     isPaused: runner.paused,
--- a/src/tools/log-inspect.ts
+++ b/src/tools/log-inspect.ts
@@ -115,6 +115,12 @@
       return `weights ${command.model}=${command.revision}`;
     case 'activate_access_rules':
       return `access rules of ${command.revision} in effect`;
+    case 'start_rollout':
+      return `roll-out of ${command.service} to ${command.toVersion} over ${command.overMs} ms`;
+    case 'advance_rollout':
+      return `roll-out ${command.number} of ${command.service} to a share of ${command.share}: ${command.reason}`;
+    case 'end_rollout':
+      return `roll-out ${command.number} of ${command.service} ${command.condition}: ${command.reason}`;
   }
 }
 
--- a/src/tools/simulate/simulated-router.ts
+++ b/src/tools/simulate/simulated-router.ts
@@ -2,6 +2,7 @@
  * A simulated router: the state that the router program's own policies decide by (endpoints, cached prefixes, retry
  * budget, transfers), without its servers and sockets.
  */
+import { versionRollout } from '../../dataplane/version-rollout.js';
 import { weightNamings } from '../../state/control/weight-namings.js';
 import { siteTracker, type SiteTracker } from '../../coordination/tracking/site-tracker.js';
 import { transferCost } from '../../coordination/transfer/transfer-cost.js';
@@ -90,6 +91,7 @@
     endpointPool: endpointPool.create(),
     configuration: { document, routeTable: routeTable.build(document) },
     weights: { revisions: { [modelName]: 1 }, seq: 0, namings: weightNamings.create() },
+    rollouts: versionRollout.create(),
     endpointsSnapshot: { term: 0, seq: 0, runners: [], routerCount: 0 },
     retryBudget: retryBudget.create(retryWindowMs, bounds.retry_ratio, bounds.retry_slack),
     prefixCache: {
--- a/src/types.ts
+++ b/src/types.ts
@@ -12,3 +12,4 @@
 export type * from './types/load.js';
 export type * from './types/tuning.js';
 export type * from './types/weights.js';
+export type * from './types/rollouts.js';
--- a/src/types/endpoints.ts
+++ b/src/types/endpoints.ts
@@ -16,6 +16,8 @@
   /** The platform is about to stop it: it gets no new requests. */
   draining: boolean;
   models: ModelRevision[];
+  /** The version of its software, as far as the platform says. */
+  version?: string;
   /** The roll-out of weights has paused it: it gets no new requests for now. */
   paused: boolean;
 };
--- a/test/dataplane.test.ts
+++ b/test/dataplane.test.ts
@@ -7,6 +7,7 @@
 import { type RunnerEndpoint, runnerEndpoint } from '../src/state/runners/endpoint.js';
 import { transfers } from '../src/coordination/transfer/transfers.js';
 import { transferCost } from '../src/coordination/transfer/transfer-cost.js';
+import { versionRollout } from '../src/dataplane/version-rollout.js';
 import { executionStatus } from '../src/dataplane/execution-status.js';
 import type { EndpointAssignment } from '../src/dataplane/endpoint-assignment.js';
 import { responseHead } from '../src/dataplane/response-head.js';
@@ -56,6 +57,7 @@
     endpointPool: endpointPool.create(),
     configuration: { document: configurationDocument, routeTable: routeTable.build(configurationDocument) },
     weights: { revisions: { m: 1 }, seq: 0, namings: new Map() },
+    rollouts: versionRollout.create(),
     prefixCache: {
       locations: cachedPrefixes.create(1000),
       hintsValidUntil: Infinity,
--- a/test/endpoint-selection.test.ts
+++ b/test/endpoint-selection.test.ts
@@ -4,6 +4,7 @@
  * figures were taken from the code of 0.3.0; since 0.5.0 the endpoints for long prompts are spread over the zones, and
  * the situations in which that changes a choice have the figures of 0.5.0.
  */
+import { versionRollout } from '../src/dataplane/version-rollout.js';
 import { strict as assert } from 'node:assert';
 import { readFileSync } from 'node:fs';
 import { test } from 'node:test';
@@ -188,6 +189,7 @@
           : [['m', [{ revision: scenario.targetRevision, namedAt: scenario.namedAt }]] as const],
       ),
     },
+    rollouts: versionRollout.create(),
     prefixCache: {
       locations: cachedPrefixes.create(1000),
       hintsValidUntil: scenario.hintsUntil,
--- a/test/support/coordinators.ts
+++ b/test/support/coordinators.ts
@@ -17,6 +17,7 @@
 import { operator } from '../../src/controlplane/operator.js';
 import { coordinatorContext, type Coordinator } from '../../src/controlplane/coordinator-context.js';
 import { services } from '../../src/controlplane/services.js';
+import { versionRollouts } from '../../src/controlplane/version-rollouts.js';
 import { status } from '../../src/controlplane/status.js';
 import { ringLog } from '../../src/logging/ring.js';
 import { tuning } from '../../src/protocol/settings/tuning.js';
@@ -334,7 +335,11 @@
     proposals: 0,
     questions: 0,
   };
-  for (let number = 1; number <= nodeCount; number++) services.startDistribution(add(group, `c${number}`).coordinator);
+  for (let number = 1; number <= nodeCount; number++) {
+    const { coordinator } = add(group, `c${number}`);
+    services.startDistribution(coordinator);
+    versionRollouts.start(coordinator);
+  }
   return group;
 }
 
