--- a/src/coordination/rollouts/rollout-controller.ts
+++ b/src/coordination/rollouts/rollout-controller.ts
@@ -41,7 +41,7 @@
   { share: 0, untilShareOfTerm: 0, minSamples: 0, minMs: 0 },
   { share: 0.06, untilShareOfTerm: 0.38, minSamples: 6, minMs: 2000 },
   { share: 0.12, untilShareOfTerm: 0.54, minSamples: 12, minMs: 1500 },
-  { share: 0.25, untilShareOfTerm: 0.66, minSamples: 20, minMs: 1200 },
+  { share: 0.25, untilShareOfTerm: 0.66, minSamples: 20, minMs: 1800 },
   { share: 1, untilShareOfTerm: 1, minSamples: 0, minMs: 0 },
 ];
 
--- a/src/dataplane/runner-attempt.ts
+++ b/src/dataplane/runner-attempt.ts
@@ -76,7 +76,7 @@
   const sentAt = performance.now();
   try {
     const outcome = await perform({ router, context, assignment });
-    versionRollout.recordOutcome(router, context, assignment.endpoint, outcome, sentAt);
+    versionRollout.recordOutcome(router, context, assignment, outcome, sentAt);
     return outcome;
   } finally {
     endpointReservation.release(router, assignment);
--- a/src/dataplane/version-rollout.ts
+++ b/src/dataplane/version-rollout.ts
@@ -3,14 +3,15 @@
  * leader is told of how requests end at either version.
  *
  * Requests are divided by a hash of their conversation, so that one conversation stays with one version until the share
- * rises past it. While the share is small its requests go to a few of the new runners only, which then have the load and
- * the cached prefixes that they would have in full service.
+ * rises past it. While the share is below 1 its requests go to a few of the new runners only, as far as these have slots.
  */
 import { durationHistogram } from '../coordination/rollouts/duration-histogram.js';
 import { rollouts } from '../state/control/rollouts.js';
 import { hash } from '../state/rendezvous-hash.js';
 import type { RunnerEndpoint } from '../state/runners/endpoint.js';
-import type { EndpointsVersion, RolloutsState, ServiceRollout, VersionSample } from '../types.js';
+import type { EndpointsVersion, RolloutsState, Route, ServiceRollout, VersionSample } from '../types.js';
+import { transferCost } from '../coordination/transfer/transfer-cost.js';
+import type { EndpointAssignment } from './endpoint-assignment.js';
 import type { AttemptOutcome } from './execution-status.js';
 import type { RequestContext, VersionArm } from './request-context.js';
 import type { Router } from './router.js';
@@ -32,6 +33,19 @@
   samples: Map<string, OpenSample>;
 };
 
+/** At most this share (0 to 1) of a request's time is put down to prefill: how much was ahead of it is an estimate. */
+const maxPrefillShare = 0.5;
+
+/**
+ * The share (0 to 1) of the new runners that all shares below 1 are confined to. They have less than their part of the
+ * requests at the first stage, while their caches are cold, and several times as much at the last one, so that a version
+ * that is bad under load only is found before all requests move.
+ */
+const canaryShare = 0.09;
+
+/** Past this share (0 to 1) of its slots a runner's load shows in the durations, and they say nothing of its version. */
+const ordinaryLoadShare = 0.75;
+
 /** At least so many of the new runners take the first share, so that one runner in trouble stands out. */
 const minCanaries = 2;
 
@@ -72,7 +86,7 @@
     .filter((endpoint) => !endpoint.isDraining)
     .map(({ id }) => ({ id, draw: hash.toUnitInterval(`canary ${id}`) }))
     .sort((a, b) => a.draw - b.draw);
-  const count = Math.max(minCanaries, Math.ceil(drawn.length * rollout.share));
+  const count = Math.max(minCanaries, Math.ceil(drawn.length * canaryShare));
   const ids = new Set(drawn.slice(0, count).map(({ id }) => id));
   const { term, seq } = router.endpointsSnapshot;
   router.rollouts.canaries.set(rollout.service, {
@@ -81,6 +95,11 @@
   return ids;
 }
 
+/** Requests under way at the endpoint, of this router and its peers. */
+function requestsAt({ load, peerLoad }: RunnerEndpoint): number {
+  return load.activeRequests + peerLoad.activeRequests;
+}
+
 function whileRolling(
   router: Router,
   context: RequestContext,
@@ -93,7 +112,7 @@
   const newEndpoints = endpoints.filter(({ version }) => version === rollout.toVersion);
   if (rollout.share === 1) return newEndpoints;
   const ids = canaryIds(router, rollout, newEndpoints);
-  return newEndpoints.filter(({ id }) => ids.has(id));
+  return newEndpoints.filter((endpoint) => ids.has(endpoint.id) && requestsAt(endpoint) < endpoint.slotCount);
 }
 
 /** The endpoints of its service that the request may go to, at `now` in ms of the steady clock. */
@@ -127,6 +146,11 @@
   return !context.isClientGone && now < context.deadlineAt;
 }
 
+/** Routes with the same terms carry the same kind of request. */
+function kindOf({ variant, rank, target_ms: targetMs, resumable }: Route): string {
+  return `${variant} ${rank ?? 0} ${targetMs ?? '-'} ${resumable === true ? 'resumable' : '-'}`;
+}
+
 function openSample(router: Router, context: RequestContext, endpoint: RunnerEndpoint, isNew: boolean): OpenSample {
   const { service, route } = context;
   const runner = isNew ? endpoint.id : '';
@@ -134,26 +158,45 @@
   let sample = router.rollouts.samples.get(key);
   if (!sample) {
     const version = endpoint.version ?? '';
-    sample = { service: service.label, version, runner, route: route.label, failed: 0, durations: new Map() };
+    sample = {
+      ...{ service: service.label, version, runner, route: route.label, kind: kindOf(route) },
+      ...{ failed: 0, durations: new Map() },
+    };
     router.rollouts.samples.set(key, sample);
   }
   return sample;
 }
 
+/**
+ * What the request took beyond the prefill that its runner had before it: the caches of new runners are cold, which is
+ * no fault of their version.
+ */
+function durationMs(router: Router, { prefillBacklogTokens }: EndpointAssignment, elapsedMs: number): number {
+  const { costModel } = router.transfers;
+  const prefillMs = transferCost.prefillMs(costModel, prefillBacklogTokens);
+  return elapsedMs - Math.min(prefillMs, elapsedMs * maxPrefillShare);
+}
+
 /** Counts how an attempt ended that began at `sentAt`, while its service's version is being rolled out. */
 function recordOutcome(
   router: Router,
   context: RequestContext,
-  endpoint: RunnerEndpoint,
+  assignment: EndpointAssignment,
   outcome: AttemptOutcome,
   sentAt: number,
 ): void {
+  const { endpoint } = assignment;
   const rollout = rollouts.of(router.rollouts.state, context.service.label);
   if (rollout?.condition !== 'rolling' || outcome.kind === 'not_sent' || outcome.kind === 'rejected') return;
   const now = performance.now();
   const sample = openSample(router, context, endpoint, endpoint.version === rollout.toVersion);
-  if (isFailure(context, outcome, now)) sample.failed++;
-  else durationHistogram.add(sample.durations, durationHistogram.bucketOf(now - sentAt), 1);
+  if (isFailure(context, outcome, now)) {
+    sample.failed++;
+    return;
+  }
+  if (requestsAt(endpoint) > endpoint.slotCount * ordinaryLoadShare) return;
+  const bucket = durationHistogram.bucketOf(durationMs(router, assignment, now - sentAt));
+  durationHistogram.add(sample.durations, bucket, 1);
 }
 
 /** What was counted since the last call. */
--- a/src/milletcleat.ts
+++ b/src/milletcleat.ts
@@ -26,6 +26,8 @@
     milletcleat config put FILE      replaces the configuration
     milletcleat config patch FILE    changes named items of the configuration
     milletcleat config diff FILE     shows what putting FILE would change
+    milletcleat rollout start SERVICE VERSION  orders the roll-out of a service's version
+    milletcleat rollout status SERVICE         shows how far it is, with its timeline
     milletcleat log inspect FOLDER   reads a coordinator's data folder, offline
     milletcleat simulate FILE        plays the fleet described in FILE on virtual time
     milletcleat import FILE          converts Traefik's dynamic configuration (YAML) to a configuration
@@ -45,8 +47,9 @@
     --urgency                send the rank of requests to runners, which may preempt less urgent ones
 
   Options of the tools
-    --control IP:PORT        control address of any coordinator (status, config; required)
+    --control IP:PORT        control address of any coordinator (status, config, rollout; required)
     --match REVISION         revision that the change builds on, 0 for the first (config put, patch; required)
+    --over SECONDS           term of the roll-out (rollout start; required)
     --part ROLE              role whose settings are checked, router or coordinator (check; default: router)
     --change NAME            also play the fleet with this change named in FILE; may be repeated (simulate)
     --json                   print JSON in place of text
@@ -64,6 +67,7 @@
       ...tuning.flags,
       control: { type: 'string' },
       match: { type: 'number' },
+      over: { type: 'number' },
       part: { type: 'string' },
       change: { type: 'string', isMultiple: true },
       json: { type: 'boolean', default: false },
@@ -98,6 +102,8 @@
       return (await import('./tools/status.js')).statusTool.run(args, flags);
     case 'config':
       return (await import('./tools/config.js')).configTool.run(args, flags);
+    case 'rollout':
+      return (await import('./tools/rollout.js')).rolloutTool.run(args, flags);
     case 'log':
       return (await import('./tools/log-inspect.js')).inspectTool.run(args, flags);
     case 'simulate':
--- a/src/protocol/rpc/state-sync-codec.ts
+++ b/src/protocol/rpc/state-sync-codec.ts
@@ -35,6 +35,7 @@
   version: string,
   runner: string,
   route: string,
+  kind: string,
   failed: number,
   durations: [bucket: number, count: number][],
 ];
@@ -96,19 +97,20 @@
 }
 
 function encodeVersionSamples(samples: VersionSample[]): VersionSampleRow[] {
-  return samples.map(({ service, version, runner, route, failed, durations }) => [
+  return samples.map(({ service, version, runner, route, kind, failed, durations }) => [
     service,
     version,
     runner,
     route,
+    kind,
     failed,
     durations,
   ]);
 }
 
 function decodeVersionSamples(rows: VersionSampleRow[]): VersionSample[] {
-  return rows.map(([service, version, runner, route, failed, durations]) => ({
-    ...{ service, version, runner, route, failed, durations },
+  return rows.map(([service, version, runner, route, kind, failed, durations]) => ({
+    ...{ service, version, runner, route, kind, failed, durations },
   }));
 }
 
--- a/src/protocol/rpc/state-sync.ts
+++ b/src/protocol/rpc/state-sync.ts
@@ -89,6 +89,7 @@
   name,
   name,
   name,
+  name,
   validators.count,
   validators.list(validators.tuple<[number, number]>(validators.count, validators.count)),
 );
--- a/src/tools/types.ts
+++ b/src/tools/types.ts
@@ -9,6 +9,8 @@
   control?: string;
   /** The revision that a change of the configuration builds on. */
   match?: number;
+  /** The term of a roll-out, in seconds. */
+  over?: number;
   /** JSON is printed in place of text. */
   json: boolean;
   /** Names of changes in the fleet file. */
--- a/src/types/rollouts.ts
+++ b/src/types/rollouts.ts
@@ -35,6 +35,8 @@
   version: string;
   runner: string;
   route: string;
+  /** What requests of several routes have in common that are of one kind: the route's terms. */
+  kind: string;
   failed: number;
   durations: [bucket: number, count: number][];
 };
--- a/test/tools.test.ts
+++ b/test/tools.test.ts
@@ -63,6 +63,20 @@
   return `${fleetStandin.ip(fleet.net, number)}:${fleetStandin.ports.control}`;
 }
 
+test('rollout start and status against a running system', async () => {
+  const first = fileWith('rollout.json', JSON.stringify(fleetStandin.configuration(3)));
+  await cli('config', 'put', first, '--control', control(1), '--match', '0');
+  const { label } = (fleetStandin.configuration(3) as { service_list: { label: string }[] }).service_list[0]!;
+  assert.equal((await cli('rollout', 'status', label, '--control', control(1))).status, 1);
+  assert.equal((await cli('rollout', 'start', label, 'v9', '--control', control(2))).status, 2);
+  const order = ['rollout', 'start', label, 'v9', '--over', '16', '--control'];
+  assert.deepEqual(await cli(...order, control(2)), { status: 0, out: 'accepted\n', err: '' });
+  assert.equal((await cli(...order, control(3))).status, 0, 'the same order again is known');
+  assert.equal((await cli('rollout', 'start', label, 'v8', '--over', '16', '--control', control(1))).status, 1);
+  const shown = await cli('rollout', 'status', label, '--control', control(3));
+  assert.match(shown.out, /^v9: rolling, share 0\.00\n {2}0\.0 s {2}share 0\.00 {2}ordered\n$/);
+});
+
 test('config put, get, diff and patch against a running system', async () => {
   const first = fileWith('first.json', JSON.stringify(fleetStandin.configuration(3)));
   assert.equal((await cli('config', 'put', first, '--control', control(2))).status, 2);
