Roll-outs: a leader that was just elected ends none before it can know all routers

Found by reading: an empty list of sessions counted as 'all routers have the last stage', and an empty load as 'nothing under way at old runners', so a new leader could complete at once and the old runners would have stopped under requests. It waits for the lease on stages first.

--- a/src/controlplane/version-rollouts.ts
+++ b/src/controlplane/version-rollouts.ts
@@ -79,8 +79,13 @@
   }
 }
 
-/** Whether no router can still act on a stage before the present one: each has it, or its lease on stages has run out. */
+/**
+ * Whether no router can still act on a stage before the present one: each has it, or its lease on stages has run out. A
+ * leader that was just elected does not know all routers and their requests yet.
+ */
 function hasReachedRouters(coordinator: Coordinator, now: number): boolean {
+  const leaseMs = rolloutLease.routerMs + rolloutLease.marginMs;
+  if (now - coordinator.group.electedAt() <= leaseMs) return false;
   const { seq } = coordinator.group.state().rollouts;
   const { own, peers } = coordinator.sessions;
   const sessions = [...own.values(), ...[...peers.values()].flatMap((peer) => peer.sessions)];
@@ -89,9 +94,7 @@
     const known = newest.get(routerName);
     if (!known || seenAt > known.seenAt) newest.set(routerName, { seenAt, rolloutsSeq });
   }
-  return [...newest.values()].every(
-    (session) => session.rolloutsSeq >= seq || now - session.seenAt > rolloutLease.routerMs + rolloutLease.marginMs,
-  );
+  return [...newest.values()].every((session) => session.rolloutsSeq >= seq || now - session.seenAt > leaseMs);
 }
 
 function longestRequestMs(coordinator: Coordinator, service: string): number {
